A handle, tower client and layer, configuration without a platform, and a demo

Need: portals want the limiter in their process, and there was no way to run it without the platform. Change: Handle (any thread, bounded queue) to an engine on a thread of its own; a tower service that calls servers; a layer whose one server is the application's handler; a TOML configuration with a fixed list and an in-process counter; serve, check and demo commands.

--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -4,13 +4,14 @@
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderMap, HeaderValue};
-use hyper::header::{CONNECTION, HOST, RETRY_AFTER, TRANSFER_ENCODING};
+use hyper::header::{CONNECTION, HOST, TRANSFER_ENCODING};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use oatbank_engine::classify::{self, Rejection};
 use oatbank_engine::engine::{Answer, Engine};
+use oatbank_engine::respond::{self, plain};
 use oatbank_engine::upstreams::http1::{Forward, Http1};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
@@ -327,7 +328,7 @@
         let mut response = match self.handle(request, peer).await {
             Ok(response) => response,
             // What stands behind a request that cannot be used may be anything.
-            Err(bad) => closing(plain(bad.status, bad.why)),
+            Err(bad) => closing(respond::rejected(bad)),
         };
         // Where none can give way, a connection that is kept would lock out the clients that wait for one.
         if self.stopping.get() || self.crowded.get() {
@@ -378,7 +379,7 @@
         // The sender is only lost with the request's entry, and that is a defect: it has then failed.
         let answer = receiver.await.unwrap_or(Answer::Failed);
         watch.answered = true;
-        Ok(respond(answer))
+        Ok(respond::answered(answer, |body| Response::new(Full::new(body))))
     }
 }
 
@@ -449,26 +450,3 @@
     response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     response
 }
-
-fn respond(answer: Answer<Bytes>) -> Response<Full<Bytes>> {
-    match answer {
-        Answer::Served(body) => Response::new(Full::new(body)),
-        Answer::Refused(wait) => {
-            let mut response = plain(StatusCode::TOO_MANY_REQUESTS, "over the quota or too busy\n");
-            if wait > 0.0 {
-                if let Ok(wait) = HeaderValue::try_from(format!("{:.3}", wait / 1000.0)) {
-                    response.headers_mut().insert(RETRY_AFTER, wait);
-                }
-            }
-            response
-        }
-        Answer::Failed => plain(StatusCode::BAD_GATEWAY, "no answer from the servers\n"),
-        Answer::TimedOut => plain(StatusCode::GATEWAY_TIMEOUT, "no answer in time\n"),
-    }
-}
-
-fn plain(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
-    *response.status_mut() = status;
-    response
-}
--- a/crates/daemon/src/serve.rs
+++ b/crates/daemon/src/serve.rs
@@ -114,8 +114,8 @@
 /// A process that takes requests.
 pub struct Serving {
     name: String,
-    /// Its engine.
-    pub engine: Rc<Engine<Http1>>,
+    engine: Rc<Engine<Http1>>,
+    address: SocketAddr,
     front: Rc<Front>,
     accepting: AbortHandle,
     longest: Millis,
@@ -147,7 +147,12 @@
         keep_running("look round", move || looking.clone().look_round());
         log::info!("{} serves {address}", plan.name);
         let longest = plan.setup.settings.classes.iter().map(|c| c.deadline).fold(0.0, f64::max);
-        Ok(Serving { name: plan.name.clone(), engine, front, accepting, longest })
+        Ok(Serving { name: plan.name.clone(), engine, address, front, accepting, longest })
+    }
+
+    /// Where clients connect.
+    pub fn address(&self) -> SocketAddr {
+        self.address
     }
 
     /// Answers all that was taken, and ends: new connections are taken for 0.45 s, and what is left is
--- /dev/null
+++ b/crates/daemon/src/standalone.rs
@@ -0,0 +1,69 @@
+//! Serving without a platform: servers, counter and all else from a file of oatbank's own.
+
+use crate::serve::{on_one_thread, Limits, Plan, Serving, Signals};
+use oatbank_engine::config::{Config, CounterKind};
+use oatbank_engine::counters::local::{LocalCounter, Numbers};
+use oatbank_engine::counters::text::TextCounter;
+use oatbank_engine::engine::Engine;
+use oatbank_engine::members::fixed;
+use oatbank_engine::ports::clock::{Clock, SystemClock};
+use oatbank_engine::ports::counter::Counter;
+use oatbank_engine::upstreams::http1::Http1;
+use std::rc::Rc;
+
+/// Serves from the file at `path` until a signal ends it. SIGHUP takes over the file's list of servers; a file
+/// that cannot be read changes nothing.
+///
+/// # Errors
+/// Why it cannot start.
+pub fn run(path: String) -> Result<(), String> {
+    let config = Config::load(&path).map_err(|e| format!("{path}: {e}"))?;
+    on_one_thread(async move {
+        let mut signals = Signals::new().map_err(|e| e.to_string())?;
+        let (engine, serving) = start(&config)?;
+        signals.until_stop(|| reload(&path, &engine)).await;
+        serving.stop().await;
+        Ok(())
+    })
+}
+
+/// Starts a limiter from a configuration, on the present thread's local set.
+///
+/// # Errors
+/// When its address cannot be had.
+pub fn start(config: &Config) -> Result<(Rc<Engine<Http1>>, Serving), String> {
+    let clock: Rc<dyn Clock> = Rc::new(SystemClock::new());
+    let plan = plan(config);
+    let engine = Serving::engine(&plan, clock.clone());
+    let counter: Option<Rc<dyn Counter>> = match config.counter {
+        CounterKind::None => None,
+        CounterKind::Local => Some(LocalCounter::start(Numbers::default(), clock, engine.ends())),
+        CounterKind::Text(address) => Some(TextCounter::start(Some(address), clock, engine.ends())),
+    };
+    engine.use_counter(counter);
+    fixed::tell(&engine.told(), config.members.clone());
+    let serving = Serving::start(&plan, engine.clone()).map_err(|e| format!("{}: {e}", config.listen))?;
+    Ok((engine, serving))
+}
+
+fn plan(config: &Config) -> Plan {
+    let (sockets, memory_mb) = config.limits;
+    Plan {
+        name: config.name.clone(),
+        listen: config.listen,
+        setup: config.setup.clone(),
+        limits: Limits { sockets, memory_mb },
+        conn_idle: config.keep_idle,
+        connect_timeout: config.connect_timeout,
+    }
+}
+
+fn reload(path: &str, engine: &Rc<Engine<Http1>>) {
+    match Config::load(path) {
+        Ok(config) => {
+            log::info!("configuration: {} servers", config.members.len());
+            fixed::tell(&engine.told(), config.members);
+        }
+        Err(e) => log::error!("the configuration is kept as it was: {path}: {e}"),
+    }
+}
--- a/crates/engine/src/counters/local.rs
+++ b/crates/engine/src/counters/local.rs
@@ -14,7 +14,7 @@
 /// Names are looked through for those that have had their time this often, ms.
 const PURGE_EVERY: Millis = 5000.0;
 
-#[derive(Default)]
+#[derive(Debug, Default)]
 struct Sums {
     /// Total, and when it is forgotten.
     sums: HashMap<CountName, (f64, Millis)>,
@@ -43,7 +43,7 @@
 }
 
 /// The numbers themselves; engines of one process may share them.
-#[derive(Clone, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Numbers(Arc<Mutex<Sums>>);
 
 impl Numbers {
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -5,15 +5,21 @@
 //! | [`ports`] | the seams: clock, counter, membership, the way to a server; with the guarantees of each |
 //! | [`engine`] | the one owner of the decision module; knows ports only |
 //! | [`classify`] | what the module is told of a request, from the platform's headers |
+//! | [`config`] | a configuration without a platform |
 //! | [`counters`] | the platform's text protocol, and one within the process |
+//! | [`handle`] | the way to an engine from other threads |
 //! | [`members`] | the platform's discovery agent, and a fixed list |
-//! | [`upstreams`] | servers over HTTP/1.1 |
+//! | [`upstreams`] | servers over HTTP/1.1, and a handler within the process |
+//! | [`respond`] | the limiter's own answers as HTTP |
 //! | [`supervise`] | tasks that must outlive a panic |
 
 pub mod classify;
+pub mod config;
 pub mod counters;
 pub mod engine;
+pub mod handle;
 pub mod members;
 pub mod ports;
+pub mod respond;
 pub mod supervise;
 pub mod upstreams;
--- /dev/null
+++ b/crates/engine/src/upstreams/inprocess.rs
@@ -0,0 +1,63 @@
+//! A server that is a handler within the process: the application runs it, and reports how it ended.
+
+use crate::ports::upstream::{End, Job, Upstream};
+use crate::ports::Local;
+use std::cell::RefCell;
+use tokio::sync::oneshot;
+use topazwind::interface::Outcome;
+
+/// The application's handler as the one server.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct InProcess;
+
+/// What the engine is given with a request: how to tell the application that its handler may run.
+pub struct Start {
+    go: RefCell<Option<oneshot::Sender<Permit>>>,
+}
+
+impl Start {
+    /// A start, and where its permit comes.
+    pub fn new() -> (Self, oneshot::Receiver<Permit>) {
+        let (go, permit) = oneshot::channel();
+        (Start { go: RefCell::new(Some(go)) }, permit)
+    }
+}
+
+/// The right to run a handler, once. Dropped without a word it counts as a request that may have run.
+#[derive(Debug)]
+pub struct Permit {
+    done: oneshot::Sender<Outcome>,
+}
+
+impl Permit {
+    /// The handler has ended. [`Outcome::Ok`] is its answer, [`Outcome::Error`] and [`Outcome::Reset`] that
+    /// it may have run, [`Outcome::Full`] that it turned the request away and did nothing.
+    pub fn ended(self, outcome: Outcome) {
+        // An engine that waits no longer has ended the attempt by itself.
+        let _ = self.done.send(outcome);
+    }
+}
+
+impl Upstream for InProcess {
+    type Request = Start;
+    type Answer = ();
+
+    fn attempt(&self, job: Job<Start>) -> Local<End<()>> {
+        Box::pin(async move {
+            let Some(go) = job.request.go.borrow_mut().take() else {
+                // A handler takes its request with it, so there is nothing to run a second time.
+                return End::without_answer(Outcome::ConnectFailed);
+            };
+            if !(job.may_send)() {
+                return End::without_answer(Outcome::ConnectFailed);
+            }
+            let (done, ended) = oneshot::channel();
+            if go.send(Permit { done }).is_err() {
+                // The application has dropped the request: its handler never began.
+                return End::without_answer(Outcome::ConnectFailed);
+            }
+            let outcome = ended.await.unwrap_or(Outcome::Reset);
+            End { outcome, answer: Some(()), load: Vec::new() }
+        })
+    }
+}
--- a/crates/engine/src/upstreams/mod.rs
+++ b/crates/engine/src/upstreams/mod.rs
@@ -1,3 +1,4 @@
 //! Ways to servers.
 
 pub mod http1;
+pub mod inprocess;
--- /dev/null
+++ b/crates/tower/src/client.rs
@@ -0,0 +1,140 @@
+//! The whole limiter in process: a service that calls the servers.
+
+use crate::extract::{Extract, PlatformPath};
+use crate::start::{Builder, StartError};
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use oatbank_engine::classify::{self, Rejection};
+use oatbank_engine::config::Config;
+use oatbank_engine::handle::{Handle, Pending};
+use oatbank_engine::ports::membership::News;
+use oatbank_engine::respond;
+use oatbank_engine::upstreams::http1::Forward;
+use std::collections::HashSet;
+use std::convert::Infallible;
+use std::future::Future;
+use std::pin::Pin;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::task::{ready, Context, Poll};
+use tower::Service;
+
+/// Longest body of a request, as at the daemon.
+const MOST_BODY: usize = 64 * 1024;
+
+/// A limiter as a [`tower::Service`]: each request gets one response, as the daemon would give it. It is
+/// always ready: what is too much is refused at once, with when to come back.
+///
+/// Dropping the response future is the client's leaving. When the last clone is dropped, the limiter ends.
+#[derive(Clone)]
+pub struct Client<E = PlatformPath> {
+    handle: Handle<Forward, Bytes>,
+    extract: E,
+    open: OpenIds,
+}
+
+impl Client {
+    /// Starts a limiter that goes by the platform's headers.
+    ///
+    /// # Errors
+    /// When the settings make no sense, or no thread can be had.
+    pub fn start(config: Config) -> Result<Self, StartError> {
+        Client::build(Builder::new(config), PlatformPath)
+    }
+}
+
+impl<E: Extract> Client<E> {
+    /// Starts a limiter.
+    ///
+    /// # Errors
+    /// When the settings make no sense, or no thread can be had.
+    pub fn build(builder: Builder, extract: E) -> Result<Self, StartError> {
+        Ok(Client { handle: builder.client()?, extract, open: OpenIds::default() })
+    }
+
+    /// Tells the limiter which servers there are.
+    pub fn tell(&self, news: News) {
+        self.handle.tell(news);
+    }
+
+    /// Answers what was taken and ends; see [`Handle::shutdown`].
+    pub async fn shutdown(&self) {
+        self.handle.shutdown().await;
+    }
+
+    fn take(&self, request: Request<Bytes>) -> Result<(Pending<Forward, Bytes>, Held), Rejection> {
+        let (head, body) = request.into_parts();
+        let request = self.extract.extract(&head, self.handle.setup())?;
+        if body.len() > MOST_BODY {
+            return Err(Rejection { status: StatusCode::PAYLOAD_TOO_LARGE, why: "over 64 KiB\n" });
+        }
+        let id = classify::single(&head.headers, &classify::CORRELATION)?.unwrap_or_default();
+        let held = self.open.hold(id)?;
+        let headers = classify::headers_on(&head.headers);
+        let path = head.uri.path_and_query().cloned();
+        let uri = path.map_or_else(|| head.uri.clone(), http::Uri::from);
+        Ok((self.handle.call(request, Forward { method: head.method, uri, headers, body }), held))
+    }
+}
+
+impl<E: Extract> Service<Request<Bytes>> for Client<E> {
+    type Response = Response<Bytes>;
+    type Error = Infallible;
+    type Future = ClientFuture;
+
+    fn poll_ready(&mut self, _: &mut Context<'_>) -> Poll<Result<(), Infallible>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn call(&mut self, request: Request<Bytes>) -> ClientFuture {
+        ClientFuture(match self.take(request) {
+            Ok((pending, held)) => State::Taken(pending, held),
+            Err(rejection) => State::Rejected(rejection),
+        })
+    }
+}
+
+enum State {
+    Taken(Pending<Forward, Bytes>, #[allow(dead_code, reason = "held until the answer")] Held),
+    Rejected(Rejection),
+}
+
+/// A request's response to come.
+#[must_use = "a dropped request is a client that has left"]
+pub struct ClientFuture(State);
+
+impl Future for ClientFuture {
+    type Output = Result<Response<Bytes>, Infallible>;
+
+    fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Self::Output> {
+        Poll::Ready(Ok(match &mut self.0 {
+            State::Rejected(rejection) => respond::rejected(*rejection),
+            State::Taken(pending, _) => respond::ended(ready!(Pin::new(pending).poll(cx)), Response::new),
+        }))
+    }
+}
+
+/// Names of requests that are open. One that comes again meanwhile is another's, and a server's answer could
+/// reach the wrong one.
+#[derive(Clone, Default)]
+struct OpenIds(Arc<Mutex<HashSet<Box<str>>>>);
+
+impl OpenIds {
+    fn hold(&self, id: &str) -> Result<Held, Rejection> {
+        let id: Box<str> = id.into();
+        if !self.0.lock().unwrap_or_else(PoisonError::into_inner).insert(id.clone()) {
+            return Err(Rejection { status: StatusCode::CONFLICT, why: "a request of this name is open\n" });
+        }
+        Ok(Held { ids: self.clone(), id })
+    }
+}
+
+struct Held {
+    ids: OpenIds,
+    id: Box<str>,
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.ids.0.lock().unwrap_or_else(PoisonError::into_inner).remove(&self.id);
+    }
+}
--- /dev/null
+++ b/crates/tower/src/layer.rs
@@ -0,0 +1,192 @@
+//! A layer for applications that serve requests themselves: their handler is the one server.
+
+use crate::extract::{Extract, PlatformHeaders};
+use crate::start::{Builder, StartError};
+use http::{Request, Response, StatusCode};
+use oatbank_engine::config::Config;
+use oatbank_engine::engine::Answer;
+use oatbank_engine::handle::{Ended, Handle, Pending};
+use oatbank_engine::respond;
+use oatbank_engine::upstreams::inprocess::{Permit, Start};
+use std::future::{poll_fn, Future};
+use std::panic::{catch_unwind, AssertUnwindSafe};
+use std::pin::{pin, Pin};
+use std::task::{Context, Poll};
+use topazwind::interface::Outcome;
+use tower::{Layer, Service, ServiceExt};
+
+/// Decides which requests reach the application's handler, and how many at once.
+///
+/// | the handler | counts as | the client gets |
+/// | --- | --- | --- |
+/// | answers, status under 500 | served | that answer |
+/// | answers 503 with `X-Unprocessed: 1` | turned away, never ran | that answer |
+/// | answers any other status from 500 on | an error that may have run | that answer |
+/// | returns an error, or panics | an error that may have run | the error; 502 |
+/// | has no answer in time (the aim, where late answers are worth nothing) | timed out; its future is dropped | 504, or 429 where the class is safe |
+///
+/// A client that leaves drops the handler's future, which counts as one that may have run. The handler runs on
+/// the application's own runtime: one that blocks it can be answered no sooner than it returns.
+#[derive(Clone, Debug)]
+pub struct LimitLayer<E = PlatformHeaders> {
+    handle: Handle<Start, ()>,
+    extract: E,
+}
+
+impl LimitLayer {
+    /// Starts a limiter that goes by the platform's headers. The configuration's servers are not used.
+    ///
+    /// # Errors
+    /// When the settings make no sense, or no thread can be had.
+    pub fn start(config: Config) -> Result<Self, StartError> {
+        LimitLayer::build(Builder::new(config), PlatformHeaders)
+    }
+}
+
+impl<E: Extract> LimitLayer<E> {
+    /// Starts a limiter.
+    ///
+    /// # Errors
+    /// When the settings make no sense, or no thread can be had.
+    pub fn build(builder: Builder, extract: E) -> Result<Self, StartError> {
+        Ok(LimitLayer { handle: builder.layer()?, extract })
+    }
+
+    /// Takes no further request, answers what was taken and ends; see [`Handle::shutdown`].
+    pub async fn shutdown(&self) {
+        self.handle.shutdown().await;
+    }
+}
+
+impl<S, E: Clone> Layer<S> for LimitLayer<E> {
+    type Service = Limit<S, E>;
+
+    fn layer(&self, inner: S) -> Limit<S, E> {
+        Limit { inner, handle: self.handle.clone(), extract: self.extract.clone() }
+    }
+}
+
+/// A handler behind a [`LimitLayer`].
+#[derive(Clone, Debug)]
+pub struct Limit<S, E = PlatformHeaders> {
+    inner: S,
+    handle: Handle<Start, ()>,
+    extract: E,
+}
+
+type Boxed<T> = Pin<Box<dyn Future<Output = T> + Send>>;
+
+impl<S, E, B, R> Service<Request<B>> for Limit<S, E>
+where
+    S: Service<Request<B>, Response = Response<R>> + Clone + Send + 'static,
+    S::Future: Send,
+    S::Error: Send,
+    E: Extract,
+    B: Send + 'static,
+    R: From<&'static str> + Send + 'static,
+{
+    type Response = Response<R>;
+    type Error = S::Error;
+    type Future = Boxed<Result<Response<R>, S::Error>>;
+
+    /// Always: the handler's own readiness is waited for once a request is admitted, within its deadline.
+    fn poll_ready(&mut self, _: &mut Context<'_>) -> Poll<Result<(), S::Error>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn call(&mut self, request: Request<B>) -> Self::Future {
+        let (head, body) = request.into_parts();
+        let told = match self.extract.extract(&head, self.handle.setup()) {
+            Ok(told) => told,
+            Err(rejection) => return Box::pin(async move { Ok(respond::rejected(rejection)) }),
+        };
+        let inner = self.inner.clone();
+        let (start, permit) = Start::new();
+        let pending = self.handle.call(told, start);
+        Box::pin(async move {
+            let mut pending = pin!(pending);
+            let permit = match admitted(pending.as_mut(), permit).await {
+                Ok(permit) => permit,
+                Err(ended) => return Ok(respond::ended(ended, |()| unserved())),
+            };
+            run(inner, Request::from_parts(head, body), pending, permit).await
+        })
+    }
+}
+
+/// Waits until the handler may run; else the final answer comes back.
+async fn admitted(
+    mut pending: Pin<&mut Pending<Start, ()>>,
+    permit: tokio::sync::oneshot::Receiver<Permit>,
+) -> Result<Permit, Ended<()>> {
+    tokio::select! {
+        biased;
+        Ok(permit) = permit => Ok(permit),
+        ended = pending.as_mut() => Err(ended),
+    }
+}
+
+/// Runs the handler until it ends or its time is up, and reports how it ended.
+async fn run<S, B, R>(
+    inner: S,
+    request: Request<B>,
+    pending: Pin<&mut Pending<Start, ()>>,
+    permit: Permit,
+) -> Result<Response<R>, S::Error>
+where
+    S: Service<Request<B>, Response = Response<R>>,
+    R: From<&'static str>,
+{
+    let handled = tokio::select! {
+        biased;
+        handled = unpanicked(inner, request) => handled,
+        // The engine answers before the handler only when the time is up or it ends itself.
+        ended = pending => return Ok(respond::ended(ended, |()| unserved())),
+    };
+    match handled {
+        Some(Ok(response)) => {
+            permit.ended(outcome(&response));
+            Ok(response)
+        }
+        Some(Err(e)) => {
+            permit.ended(Outcome::Error);
+            Err(e)
+        }
+        None => {
+            permit.ended(Outcome::Error);
+            Ok(respond::ended(Ended::Answered(Answer::<()>::Failed), |()| unserved()))
+        }
+    }
+}
+
+/// The handler's result, or none if it panicked: in its call or in its future.
+async fn unpanicked<S, B, R>(inner: S, request: Request<B>) -> Option<Result<Response<R>, S::Error>>
+where
+    S: Service<Request<B>, Response = Response<R>>,
+{
+    let mut handling = pin!(inner.oneshot(request));
+    // What a panic left half done is dropped with the future, and never polled again.
+    poll_fn(|cx| match catch_unwind(AssertUnwindSafe(|| handling.as_mut().poll(cx))) {
+        Ok(poll) => poll.map(Some),
+        Err(_) => {
+            log::error!("the handler panicked");
+            Poll::Ready(None)
+        }
+    })
+    .await
+}
+
+fn outcome<R>(response: &Response<R>) -> Outcome {
+    let status = response.status();
+    let not_run = response.headers().get("x-unprocessed").is_some_and(|v| v.as_bytes() == b"1");
+    match status {
+        StatusCode::SERVICE_UNAVAILABLE if not_run => Outcome::Full,
+        _ if status.is_server_error() => Outcome::Error,
+        _ => Outcome::Ok,
+    }
+}
+
+/// The engine says that it was served though the handler has not: a defect, and in doubt it may have run.
+fn unserved<R: From<&'static str>>() -> Response<R> {
+    respond::ended(Ended::Answered(Answer::<()>::Failed), |()| Response::new(R::from("")))
+}
--- /dev/null
+++ b/crates/tower/src/start.rs
@@ -0,0 +1,143 @@
+//! Puts an engine together from a configuration and runs it on a thread of its own.
+
+use bytes::Bytes;
+use oatbank_engine::config::{Config, CounterKind};
+use oatbank_engine::counters::local::{LocalCounter, Numbers};
+use oatbank_engine::counters::text::TextCounter;
+use oatbank_engine::engine::Engine;
+use oatbank_engine::handle::{self, Handle, USUAL_QUEUE};
+use oatbank_engine::members::fixed;
+use oatbank_engine::ports::clock::{Clock, SystemClock};
+use oatbank_engine::ports::counter::Counter;
+use oatbank_engine::ports::membership::Member;
+use oatbank_engine::ports::upstream::Upstream;
+use oatbank_engine::upstreams::http1::{Connections, Forward, Http1};
+use oatbank_engine::upstreams::inprocess::{InProcess, Start};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// Share of the descriptors that go to servers; the rest is the application's.
+const SERVER_SHARE: f64 = 0.5;
+
+/// Why a limiter did not start.
+#[derive(Debug)]
+pub enum StartError {
+    /// The settings allow no request to be served.
+    Settings(String),
+    /// There was no thread or runtime to be had.
+    Thread(std::io::Error),
+}
+
+impl std::fmt::Display for StartError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            StartError::Settings(why) => write!(f, "settings: {why}"),
+            StartError::Thread(e) => write!(f, "the limiter's thread: {e}"),
+        }
+    }
+}
+
+impl std::error::Error for StartError {}
+
+/// How a limiter within an application is started.
+#[derive(Clone, Debug)]
+pub struct Builder {
+    config: Config,
+    queue: usize,
+    numbers: Numbers,
+}
+
+impl Builder {
+    /// Starts from a configuration.
+    pub fn new(config: Config) -> Self {
+        Builder { config, queue: USUAL_QUEUE, numbers: Numbers::default() }
+    }
+
+    /// So many requests may wait for the engine; one more is answered 503 at once, with when to come back.
+    #[must_use]
+    pub fn queue(mut self, most: usize) -> Self {
+        self.queue = most;
+        self
+    }
+
+    /// Shares the numbers of `counter = "local"` with other limiters of this process.
+    #[must_use]
+    pub fn numbers(mut self, numbers: Numbers) -> Self {
+        self.numbers = numbers;
+        self
+    }
+
+    fn check(&self) -> Result<(), StartError> {
+        let settings = &self.config.setup.settings;
+        let wrong = |why: &str| Err(StartError::Settings(why.into()));
+        if settings.classes.is_empty() || settings.plans.is_empty() {
+            return wrong("at least one class and one plan are needed");
+        }
+        if settings.classes.len() != self.config.setup.names.classes.len() {
+            return wrong("each class needs one name");
+        }
+        if settings.plans.len() != self.config.setup.names.plans.len() {
+            return wrong("each plan needs one name");
+        }
+        if settings.gateways.is_nan() || settings.gateways < 1.0 {
+            return wrong("there is one limiter at least");
+        }
+        if self.queue == 0 {
+            return wrong("a queue of nothing takes no request");
+        }
+        Ok(())
+    }
+
+    /// An engine that calls servers over HTTP/1.1.
+    pub(crate) fn client(self) -> Result<Handle<Forward, Bytes>, StartError> {
+        self.check()?;
+        let Builder { config, queue, numbers } = self;
+        let setup = config.setup.clone();
+        let most = ((config.limits.0 as f64 * SERVER_SHARE) as usize).max(16);
+        let connections =
+            Connections { idle: config.keep_idle, connect_timeout: config.connect_timeout, most };
+        let build = move || {
+            let clock: Rc<dyn Clock> = Rc::new(SystemClock::new());
+            let report = config.setup.names.report.clone();
+            let upstream = Http1::new(clock.clone(), connections, report);
+            Ok(assemble(&config, clock, upstream, numbers, config.members.clone()))
+        };
+        handle::spawn(setup, queue, build).map_err(StartError::Thread)
+    }
+
+    /// An engine whose one server is the application's handler.
+    pub(crate) fn layer(self) -> Result<Handle<Start, ()>, StartError> {
+        self.check()?;
+        let Builder { mut config, queue, numbers } = self;
+        let setup = config.setup.clone();
+        let settings = &mut config.setup.settings;
+        // A handler takes its request with it, so it is run once; and no other limiter sends to it, so all
+        // of its concurrency is this one's. Quotas go by each request's own number of limiters.
+        (settings.max_attempts, settings.parallel_tries, settings.gateways) = (1, false, 1.0);
+        let build = move || {
+            let clock: Rc<dyn Clock> = Rc::new(SystemClock::new());
+            let handler = Member::ready("handler", SocketAddr::from(([127, 0, 0, 1], 0)));
+            Ok(assemble(&config, clock, InProcess, numbers, vec![handler]))
+        };
+        handle::spawn(setup, queue, build).map_err(StartError::Thread)
+    }
+}
+
+fn assemble<U: Upstream>(
+    config: &Config,
+    clock: Rc<dyn Clock>,
+    upstream: U,
+    numbers: Numbers,
+    members: Vec<Member>,
+) -> Rc<Engine<U>> {
+    let engine = Engine::new(&config.setup, clock.clone(), upstream);
+    engine.start();
+    let counter: Option<Rc<dyn Counter>> = match config.counter {
+        CounterKind::None => None,
+        CounterKind::Local => Some(LocalCounter::start(numbers, clock, engine.ends())),
+        CounterKind::Text(address) => Some(TextCounter::start(Some(address), clock, engine.ends())),
+    };
+    engine.use_counter(counter);
+    fixed::tell(&engine.told(), members);
+    engine
+}
