--- a/crates/engine/src/ports/upstream.rs
+++ b/crates/engine/src/ports/upstream.rs
@@ -42,8 +42,8 @@
 /// An implementation guarantees that
 /// - an attempt is made at most once: it never sends again what may have run;
 /// - [`Outcome::ConnectFailed`] and [`Outcome::Full`] say for certain that the request has not run and will
-///   not; in doubt it is [`Outcome::Reset`], [`Outcome::Error`] or [`Outcome::TimedOut`], each of which the
-///   engine takes as "may have run", as it does a future that panics;
+///   not; in doubt it is [`Outcome::Reset`], [`Outcome::Error`], [`Outcome::TimedOut`] or, where the client's own
+///   side gave it up, [`Outcome::Cancelled`], each of which the engine takes as "may have run", as it does a future that panics;
 /// - nothing is sent after `may_send` has said no; the attempt then ends as [`Outcome::ConnectFailed`];
 /// - a future that is dropped is an attempt called off: its connection is closed, and what it still
 ///   brings is never given to another request;
--- a/crates/engine/src/upstreams/inprocess.rs
+++ b/crates/engine/src/upstreams/inprocess.rs
@@ -23,13 +23,19 @@
     }
 }
 
-/// The right to run a handler, once. Dropped without a word it counts as a request that may have run.
+/// The right to run a handler, once. Dropped without a word it counts as a request that was called off and
+/// may have run.
 #[derive(Debug)]
 pub struct Permit {
     done: oneshot::Sender<Outcome>,
 }
 
 impl Permit {
+    /// Completes when the engine waits for the handler no longer.
+    pub async fn called_off(&mut self) {
+        self.done.closed().await;
+    }
+
     /// The handler has ended. [`Outcome::Ok`] is its answer, [`Outcome::Error`] and [`Outcome::Reset`] that
     /// it may have run, [`Outcome::Full`] that it turned the request away and did nothing.
     pub fn ended(self, outcome: Outcome) {
@@ -56,7 +62,8 @@
                 // The application has dropped the request: its handler never began.
                 return End::without_answer(Outcome::ConnectFailed);
             }
-            let outcome = ended.await.unwrap_or(Outcome::Reset);
+            // Not a reset: that the application drops a request is no sign of a handler that has gone.
+            let outcome = ended.await.unwrap_or(Outcome::Cancelled);
             End { outcome, answer: Some(()), load: Vec::new() }
         })
     }
--- /dev/null
+++ b/crates/engine/tests/ports.rs
@@ -0,0 +1,221 @@
+//! Every implementation of a port, run through its suite.
+
+use bytes::Bytes;
+use http::{HeaderMap, Method};
+use oatbank_engine::counters::local::{LocalCounter, Numbers};
+use oatbank_engine::counters::text::TextCounter;
+use oatbank_engine::members::{agent, fixed};
+use oatbank_engine::ports::clock::{Clock, SystemClock};
+use oatbank_engine::ports::membership::Member;
+use oatbank_engine::supervise::keep_running;
+use oatbank_engine::upstreams::http1::{Connections, Forward, Http1};
+use oatbank_engine::upstreams::inprocess::{InProcess, Start};
+use oatbank_testkit::conformance::upstream::{Behaviour, UnderTest};
+use oatbank_testkit::conformance::{clock, counter, membership, on_local_set, upstream};
+use oatbank_testkit::*;
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use topazwind::interface::Outcome;
+
+fn system() -> Rc<dyn Clock> {
+    Rc::new(SystemClock::new())
+}
+
+#[test]
+fn the_systems_clock() {
+    on_local_set(async { clock::suite(&SystemClock::new()).await });
+}
+
+#[test]
+fn a_clock_whose_time_stands() {
+    on_local_set(async {
+        tokio::time::pause();
+        clock::suite(&SystemClock::starting_at(1e12)).await;
+    });
+}
+
+fn text(address: SocketAddr) -> counter::Rig {
+    counter::Rig::new(|ends| TextCounter::start(Some(address), system(), ends))
+}
+
+#[test]
+fn the_counter_within_the_process() {
+    on_local_set(async {
+        let numbers = Numbers::default();
+        let rig = counter::Rig::new(|ends| LocalCounter::start(numbers, system(), ends));
+        counter::suite(&rig).await;
+    });
+}
+
+#[test]
+fn the_text_counter() {
+    let stand_in = Counter::ok();
+    on_local_set(async move { counter::suite(&text(stand_in.address)).await });
+}
+
+#[test]
+fn a_text_counter_that_answers_nonsense_leaves_its_call_in_doubt() {
+    let stand_in = Counter::start(|_, _| b"ok many\r\n".to_vec());
+    on_local_set(async move { counter::lost_after_adding(&text(stand_in.address)).await });
+}
+
+#[test]
+fn a_text_counter_that_turns_away_or_is_not_there() {
+    let stand_in = Counter::start(|_, _| b"busy\r\n".to_vec());
+    on_local_set(async move { counter::busy(&text(stand_in.address)).await });
+    // A port that no test is given.
+    let nobody: SocketAddr = "127.0.0.1:1".parse().expect("an address");
+    on_local_set(async move { counter::unreachable(&text(nobody)).await });
+    on_local_set(async {
+        let rig = counter::Rig::new(|ends| TextCounter::start(None, system(), ends));
+        counter::unreachable(&rig).await;
+    });
+}
+
+fn somewhere() -> SocketAddr {
+    "127.0.0.1:9".parse().expect("an address")
+}
+
+#[test]
+fn a_fixed_list() {
+    on_local_set(async {
+        let seen = membership::Seen::default();
+        let told = seen.told();
+        let say = |ids: Vec<&'static str>| -> Box<dyn FnOnce()> {
+            let told = told.clone();
+            let members = ids.into_iter().map(|id| Member::ready(id, somewhere())).collect();
+            Box::new(move || fixed::tell(&told, members))
+        };
+        let steps = vec![(say(vec!["a", "b"]), vec!["a", "b"]), (say(vec!["b"]), vec!["b"])];
+        membership::suite(&seen, steps).await;
+    });
+}
+
+#[test]
+fn the_discovery_agent() {
+    let entry = |id: &str, phase: &str| member(id, somewhere(), phase);
+    let whole = list(1, true, &[entry("a", "Ready"), entry("b", "Ready")]);
+    let agent = Discovery::start(whole);
+    on_local_set(async move {
+        let seen = membership::Seen::default();
+        let (told, address) = (seen.told(), agent.address);
+        keep_running("discovery", move || agent::follow(told.clone(), address, None));
+        seen.ready(&["a", "b"]).await;
+        while agent.watching() == 0 {
+            tokio::task::yield_now().await;
+        }
+        let agent = Rc::new(agent);
+        let write = |line: String| -> Box<dyn FnOnce()> {
+            let agent = agent.clone();
+            Box::new(move || agent.write(&format!("{line}\n")))
+        };
+        let steps = vec![
+            (write(list(2, false, &[entry("c", "Ready")])), vec!["a", "b", "c"]),
+            (write(list(3, false, &[entry("a", "Terminating")])), vec!["b", "c"]),
+            (write(list(4, false, &[entry("b", "Gone"), entry("x", "Odd")])), vec!["c"]),
+            (write(list(5, true, &[entry("d", "Ready")])), vec!["d"]),
+        ];
+        membership::suite(&seen, steps).await;
+    });
+}
+
+/// HTTP/1.1 with one stand-in for each behaviour.
+struct OverHttp {
+    way: Http1,
+    servers: Vec<(Behaviour, Server)>,
+}
+
+impl OverHttp {
+    fn new() -> Self {
+        let connections = Connections { idle: 10_000.0, connect_timeout: 1000.0, most: 16 };
+        let servers = [
+            (Behaviour::Answers, Server::ok()),
+            (Behaviour::Fails, Server::start(|_| Act::Write(answer("500 No", "", b"")))),
+            (
+                Behaviour::TurnsAway,
+                Server::start(|_| Act::Write(answer("503 Full", "X-Unprocessed: 1\r\n", b""))),
+            ),
+            (Behaviour::Breaks, Server::start(|_| Act::Close(Vec::new()))),
+            (Behaviour::Silent, Server::start(|_| Act::Silence)),
+        ];
+        OverHttp { way: Http1::new(system(), connections, Vec::new()), servers: servers.into() }
+    }
+}
+
+impl UnderTest for OverHttp {
+    type Way = Http1;
+
+    fn way(&self) -> &Http1 {
+        &self.way
+    }
+
+    fn server(&self, behaviour: Behaviour) -> (SocketAddr, Forward) {
+        let (_, server) = self.servers.iter().find(|(b, _)| *b == behaviour).expect("a server");
+        let (uri, headers, body) = ("/x?y=1".parse().expect("a path"), HeaderMap::new(), Bytes::new());
+        (server.address, Forward { method: Method::GET, uri, headers, body })
+    }
+
+    fn reached(&self) -> usize {
+        self.servers.iter().map(|(_, s)| s.count()).sum()
+    }
+
+    fn called_off(&self) -> usize {
+        let silent = self.servers.iter().find(|(b, _)| *b == Behaviour::Silent);
+        silent.map_or(0, |(_, s)| s.closed.try_iter().count())
+    }
+}
+
+#[test]
+fn servers_over_http() {
+    on_local_set(async { upstream::suite(&OverHttp::new()).await });
+}
+
+/// A handler in the process, played by a task for each request.
+#[derive(Default)]
+struct Within {
+    way: InProcess,
+    reached: Rc<Cell<usize>>,
+    called_off: Rc<Cell<usize>>,
+}
+
+impl UnderTest for Within {
+    type Way = InProcess;
+
+    fn way(&self) -> &InProcess {
+        &self.way
+    }
+
+    fn server(&self, behaviour: Behaviour) -> (SocketAddr, Start) {
+        let (start, permit) = Start::new();
+        let (reached, called_off) = (self.reached.clone(), self.called_off.clone());
+        tokio::task::spawn_local(async move {
+            let Ok(mut permit) = permit.await else { return };
+            reached.set(reached.get() + 1);
+            match behaviour {
+                Behaviour::Answers => permit.ended(Outcome::Ok),
+                Behaviour::Fails => permit.ended(Outcome::Error),
+                Behaviour::TurnsAway => permit.ended(Outcome::Full),
+                Behaviour::Breaks => drop(permit),
+                Behaviour::Silent => {
+                    permit.called_off().await;
+                    called_off.set(called_off.get() + 1);
+                }
+            }
+        });
+        (somewhere(), start)
+    }
+
+    fn reached(&self) -> usize {
+        self.reached.get()
+    }
+
+    fn called_off(&self) -> usize {
+        self.called_off.get()
+    }
+}
+
+#[test]
+fn a_handler_within_the_process() {
+    on_local_set(async { upstream::suite(&Within::default()).await });
+}
--- /dev/null
+++ b/crates/testkit/src/client.rs
@@ -0,0 +1,67 @@
+//! A client of the daemon.
+
+use crate::message::{read_message, Message};
+use crate::wait::PATIENCE;
+use std::io::{BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+/// A client's connection.
+pub struct Client {
+    pub stream: TcpStream,
+    reader: BufReader<TcpStream>,
+}
+
+static NEXT_ID: AtomicUsize = AtomicUsize::new(1);
+
+impl Client {
+    pub fn connect(address: SocketAddr) -> Client {
+        let stream = TcpStream::connect(address).expect("a connection");
+        stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+        let reader = BufReader::new(stream.try_clone().expect("a clone"));
+        Client { stream, reader }
+    }
+
+    /// Writes a request without reading its answer.
+    pub fn send(&mut self, method: &str, class: &str, headers: &str, body: &[u8]) {
+        let id = NEXT_ID.fetch_add(1, Ordering::SeqCst);
+        let head = format!(
+            "{method} /{class}?customer=00000000b4d65521 HTTP/1.1\r\nHost: api.internal\r\nX-Correlation-Id: {id:016x}\r\nX-Service-Class: {class}\r\nX-Plan: team\r\nX-Quota: units=1,spread=2,first=0\r\n{headers}Content-Length: {}\r\n\r\n",
+            body.len()
+        );
+        self.stream.write_all(&[head.as_bytes(), body].concat()).expect("a request is written");
+    }
+
+    pub fn raw(&mut self, bytes: &[u8]) -> Option<Message> {
+        let _ = self.stream.write_all(bytes);
+        self.read()
+    }
+
+    pub fn read(&mut self) -> Option<Message> {
+        read_message(&mut self.reader)
+    }
+
+    pub fn get(&mut self, path: &str, headers: &str) -> Message {
+        let request = format!("GET {path} HTTP/1.1\r\nHost: x\r\n{headers}\r\n");
+        self.raw(request.as_bytes()).expect("an answer")
+    }
+
+    /// A request of the safe class.
+    pub fn look(&mut self) -> Message {
+        self.send("GET", "look", "X-Time-Left: 2.0\r\n", b"");
+        self.read().expect("an answer")
+    }
+
+    /// The same at a limiter that is the only one.
+    pub fn look_of_one(&mut self) -> Message {
+        let id = NEXT_ID.fetch_add(1, Ordering::SeqCst);
+        let request = format!("GET /look?customer=00000000b4d65521 HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: {id:016x}\r\nX-Service-Class: look\r\nX-Plan: team\r\nX-Quota: units=1,spread=1,first=0\r\nX-Time-Left: 2.0\r\n\r\n");
+        self.raw(request.as_bytes()).expect("an answer")
+    }
+
+    /// One of the class that may run once only.
+    pub fn once(&mut self, left: &str) -> Message {
+        self.send("POST", "once", &format!("X-Time-Left: {left}\r\n"), b"{}");
+        self.read().expect("an answer")
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/discovery.rs
@@ -0,0 +1,76 @@
+//! A stand-in for the platform's discovery agent.
+
+use crate::message::{answer, read_message};
+use std::io::{BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+/// A discovery agent: `list` is the whole list, and what is sent on `watch` goes to all open watches raw.
+pub struct Discovery {
+    pub address: SocketAddr,
+    pub list: Arc<Mutex<String>>,
+    pub asked: Arc<Mutex<Vec<String>>>,
+    watches: Arc<Mutex<Vec<TcpStream>>>,
+    /// Watches send no empty lines, as if they were dead.
+    pub mute: Arc<AtomicBool>,
+}
+
+impl Discovery {
+    pub fn start(list: String) -> Discovery {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let list = Arc::new(Mutex::new(list));
+        let (asked, watches) = (Arc::new(Mutex::new(Vec::new())), Arc::new(Mutex::new(Vec::new())));
+        let (list_there, asked_there, watches_there) = (list.clone(), asked.clone(), watches.clone());
+        std::thread::spawn(move || {
+            for mut stream in listener.incoming().flatten() {
+                let mut reader = BufReader::new(stream.try_clone().expect("a clone"));
+                let Some(message) = read_message(&mut reader) else { continue };
+                asked_there.lock().expect("a lock").push(message.start.clone());
+                if message.start.contains("follow=1") {
+                    let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n\r\n\r\n";
+                    let _ = stream.write_all(head.as_bytes());
+                    watches_there.lock().expect("a lock").push(stream);
+                } else {
+                    let list = list_there.lock().expect("a lock").clone();
+                    let _ = stream.write_all(&answer("200 OK", "", list.as_bytes()));
+                }
+            }
+        });
+        let mute = Arc::new(AtomicBool::new(false));
+        let (open, quiet) = (watches.clone(), mute.clone());
+        std::thread::spawn(move || loop {
+            std::thread::sleep(Duration::from_millis(500));
+            if !quiet.load(Ordering::SeqCst) {
+                for stream in open.lock().expect("a lock").iter_mut() {
+                    let _ = stream.write_all(b"2\r\n\r\n\r\n");
+                }
+            }
+        });
+        Discovery { address, list, asked, watches, mute }
+    }
+
+    /// Writes a piece of a watch's answer as a chunk of its own.
+    pub fn write(&self, piece: &str) {
+        for stream in self.watches.lock().expect("a lock").iter_mut() {
+            let _ = stream.write_all(format!("{:x}\r\n{piece}\r\n", piece.len()).as_bytes());
+        }
+    }
+
+    pub fn watching(&self) -> usize {
+        self.watches.lock().expect("a lock").len()
+    }
+}
+
+/// One entry of a list.
+pub fn member(id: &str, address: SocketAddr, phase: &str) -> String {
+    format!(
+        r#"{{"id":"{id}","host_port":"{address}","locality":"a","flavor":"m","cell":0,"phase":"{phase}","size":1.0,"up_since_ms":0}}"#
+    )
+}
+
+pub fn list(revision: u64, complete: bool, members: &[String]) -> String {
+    format!(r#"{{"revision":{revision},"complete":{complete},"members":[{}]}}"#, members.join(","))
+}
--- /dev/null
+++ b/crates/testkit/src/limiter.rs
@@ -0,0 +1,150 @@
+//! The real daemon, started against stand-ins.
+
+use crate::client::Client;
+use crate::wait::{eventually, PATIENCE};
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+/// What a limiter is started with.
+pub struct Setup {
+    pub listen: String,
+    pub discovery: SocketAddr,
+    pub counter: SocketAddr,
+    pub known: String,
+    pub sockets: usize,
+    /// The shell's limit on descriptors.
+    pub descriptors: Option<usize>,
+    pub conn_idle: f64,
+    pub gateways: usize,
+    pub plan: &'static str,
+}
+
+/// A plan whose quota no test reaches.
+pub const WIDE: &str = r#"{"name":"team","rate":100000,"store_size":100000}"#;
+
+impl Setup {
+    pub fn new(discovery: SocketAddr, counter: SocketAddr, known: &str) -> Setup {
+        Setup {
+            listen: "127.0.0.1:0".into(),
+            discovery,
+            counter,
+            known: known.into(),
+            sockets: 1024,
+            descriptors: None,
+            conn_idle: 15_000.0,
+            gateways: 2,
+            plan: WIDE,
+        }
+    }
+
+    pub fn config(&self) -> String {
+        let class = |name: &str, kind: &str, goal: u32, deadline: u32| {
+            format!(
+                r#"{{"name":"{name}","deadline":{deadline},"goal_time":{goal},"importance":2,"idempotency":"{kind}","group":"all","repeat_window":25000,"late_value":0}}"#
+            )
+        };
+        let classes = [
+            class("look", "free", 1500, 2000),
+            class("book", "guarded", 1500, 2000),
+            class("once", "single_shot", 1500, 2000),
+            class("long", "single_shot", 20_000, 30_000),
+        ];
+        format!(
+            r#"{{"name":"n0","listen":"{}","discovery":"{}","counter":"{}","seed":"8c1f30d27a5be964","limits":{{"sockets":{}}},"known":{},
+            "settings":{{"balancers":{},"areas":["a","b"],"zone":0,"discovery":"pushed","classes":[{}],"plans":[{}],
+            "report":{{"source":"answers","columns":["queue"]}},
+            "ceilings":{{"conn_idle":{},"connect_timeout":250,"max_attempts":4,"cancelling":true,"parallel_tries":true,"retry_after":true,"max_retry_after":1000}},
+            "family_info":{{"shared_counter":true,"counter_timeout":50,"max_units":2}},
+            "safety":{{"start_capacity":0.16,"warm_after":16000,"overload_factor":2,"tip_after":1000}}}}}}"#,
+            self.listen,
+            self.discovery,
+            self.counter,
+            self.sockets,
+            self.known,
+            self.gateways,
+            classes.join(","),
+            self.plan,
+            self.conn_idle
+        )
+    }
+
+    /// Starts the limiter at the path `program` and waits until it says that it can serve.
+    pub fn start(&self, program: &str) -> Limiter {
+        static NEXT: AtomicUsize = AtomicUsize::new(0);
+        let name = format!("oatbank-{}-{}.json", std::process::id(), NEXT.fetch_add(1, Ordering::SeqCst));
+        let path = std::env::temp_dir().join(name);
+        std::fs::write(&path, self.config()).expect("a configuration");
+        let mut command = match self.descriptors {
+            Some(n) => {
+                let mut shell = Command::new("/bin/sh");
+                shell.arg("-c").arg(format!("ulimit -n {n}; exec {program}"));
+                shell
+            }
+            None => Command::new(program),
+        };
+        command.env("PROXY_CONFIG", &path).stderr(Stdio::piped());
+        let mut child = command.spawn().expect("the limiter");
+        let mut log = BufReader::new(child.stderr.take().expect("a log")).lines();
+        let address = loop {
+            let line = log.next().expect("a line of the log").expect("text");
+            if let Some((_, address)) = line.split_once(" serves ") {
+                break address.parse().expect("an address");
+            }
+        };
+        std::thread::spawn(move || log.for_each(drop));
+        let limiter = Limiter { child, address, path };
+        eventually("healthz", || limiter.client().get("/healthz", "").status() == 200);
+        limiter
+    }
+}
+
+/// A running limiter.
+pub struct Limiter {
+    pub child: Child,
+    pub address: SocketAddr,
+    path: std::path::PathBuf,
+}
+
+impl Limiter {
+    pub fn client(&self) -> Client {
+        Client::connect(self.address)
+    }
+
+    pub fn terminate(&self) {
+        self.signal("-TERM");
+    }
+
+    /// Replaces the file of the configuration and tells the limiter.
+    pub fn reload(&self, config: &str) {
+        std::fs::write(&self.path, config).expect("a configuration");
+        self.signal("-HUP");
+    }
+
+    fn signal(&self, name: &str) {
+        let pid = self.child.id().to_string();
+        assert!(Command::new("kill").args([name, &pid]).status().expect("kill").success());
+    }
+
+    /// Waits for the process and gives its exit code.
+    pub fn exit_code(&mut self) -> Option<i32> {
+        let end = Instant::now() + PATIENCE;
+        loop {
+            if let Some(status) = self.child.try_wait().expect("a status") {
+                return status.code();
+            }
+            assert!(Instant::now() < end, "the limiter does not end");
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    }
+}
+
+impl Drop for Limiter {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.path);
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/message.rs
@@ -0,0 +1,52 @@
+//! HTTP messages as plain text.
+
+use std::io::BufRead;
+
+/// A message as it came over a socket.
+#[derive(Clone, Debug, Default)]
+pub struct Message {
+    pub start: String,
+    pub headers: Vec<(String, String)>,
+    pub body: Vec<u8>,
+}
+
+impl Message {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.iter().find(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v.as_str())
+    }
+
+    pub fn status(&self) -> u16 {
+        self.start.split(' ').nth(1).and_then(|s| s.parse().ok()).expect("a status")
+    }
+}
+
+/// Reads one message with a stated length; none at the end of the connection.
+pub fn read_message(reader: &mut impl BufRead) -> Option<Message> {
+    let mut message = Message::default();
+    let mut line = String::new();
+    loop {
+        line.clear();
+        if reader.read_line(&mut line).ok()? == 0 {
+            return None;
+        }
+        let text = line.trim_end();
+        if message.start.is_empty() {
+            message.start = text.to_owned();
+        } else if text.is_empty() {
+            break;
+        } else if let Some((name, value)) = text.split_once(':') {
+            message.headers.push((name.to_owned(), value.trim().to_owned()));
+        }
+    }
+    let length = message.header("content-length").map_or(0, |l| l.parse().expect("a length"));
+    message.body = vec![0; length];
+    reader.read_exact(&mut message.body).ok()?;
+    Some(message)
+}
+
+pub fn answer(status: &str, headers: &str, body: &[u8]) -> Vec<u8> {
+    let mut all =
+        format!("HTTP/1.1 {status}\r\n{headers}Content-Length: {}\r\n\r\n", body.len()).into_bytes();
+    all.extend_from_slice(body);
+    all
+}
--- a/crates/tower/src/client.rs
+++ b/crates/tower/src/client.rs
@@ -1,7 +1,7 @@
 //! The whole limiter in process: a service that calls the servers.
 
 use crate::extract::{Extract, PlatformPath};
-use crate::start::{Builder, StartError};
+use crate::start::{Builder, Place, StartError};
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
 use oatbank_engine::classify::{self, Rejection};
@@ -48,7 +48,19 @@
     /// # Errors
     /// When the settings make no sense, or no thread can be had.
     pub fn build(builder: Builder, extract: E) -> Result<Self, StartError> {
-        Ok(Client { handle: builder.client()?, extract, open: OpenIds::default() })
+        Ok(Client { handle: builder.client(Place::Thread)?, extract, open: OpenIds::default() })
+    }
+
+    /// Starts a limiter on the caller's thread, as a task of the [`tokio::task::LocalSet`] that this is called
+    /// in: for applications on a current-thread runtime, and for tests whose time stands. It ends with the set.
+    ///
+    /// # Errors
+    /// When the settings make no sense.
+    ///
+    /// # Panics
+    /// Outside of a local set.
+    pub fn build_here(builder: Builder, extract: E) -> Result<Self, StartError> {
+        Ok(Client { handle: builder.client(Place::Here)?, extract, open: OpenIds::default() })
     }
 
     /// Tells the limiter which servers there are.
--- a/crates/tower/src/layer.rs
+++ b/crates/tower/src/layer.rs
@@ -1,7 +1,7 @@
 //! A layer for applications that serve requests themselves: their handler is the one server.
 
 use crate::extract::{Extract, PlatformHeaders};
-use crate::start::{Builder, StartError};
+use crate::start::{Builder, Place, StartError};
 use http::{Request, Response, StatusCode};
 use oatbank_engine::config::Config;
 use oatbank_engine::engine::Answer;
@@ -49,7 +49,19 @@
     /// # Errors
     /// When the settings make no sense, or no thread can be had.
     pub fn build(builder: Builder, extract: E) -> Result<Self, StartError> {
-        Ok(LimitLayer { handle: builder.layer()?, extract })
+        Ok(LimitLayer { handle: builder.layer(Place::Thread)?, extract })
+    }
+
+    /// Starts a limiter on the caller's thread, as a task of the [`tokio::task::LocalSet`] that this is called
+    /// in: for applications on a current-thread runtime, and for tests whose time stands. It ends with the set.
+    ///
+    /// # Errors
+    /// When the settings make no sense.
+    ///
+    /// # Panics
+    /// Outside of a local set.
+    pub fn build_here(builder: Builder, extract: E) -> Result<Self, StartError> {
+        Ok(LimitLayer { handle: builder.layer(Place::Here)?, extract })
     }
 
     /// Takes no further request, answers what was taken and ends; see [`Handle::shutdown`].
--- a/crates/tower/src/start.rs
+++ b/crates/tower/src/start.rs
@@ -4,7 +4,7 @@
 use oatbank_engine::config::{Config, CounterKind};
 use oatbank_engine::counters::local::{LocalCounter, Numbers};
 use oatbank_engine::counters::text::TextCounter;
-use oatbank_engine::engine::Engine;
+use oatbank_engine::engine::{Engine, Setup};
 use oatbank_engine::handle::{self, Handle, USUAL_QUEUE};
 use oatbank_engine::members::fixed;
 use oatbank_engine::ports::clock::{Clock, SystemClock};
@@ -89,7 +89,7 @@
     }
 
     /// An engine that calls servers over HTTP/1.1.
-    pub(crate) fn client(self) -> Result<Handle<Forward, Bytes>, StartError> {
+    pub(crate) fn client(self, place: Place) -> Result<Handle<Forward, Bytes>, StartError> {
         self.check()?;
         let Builder { config, queue, numbers } = self;
         let setup = config.setup.clone();
@@ -100,13 +100,13 @@
             let clock: Rc<dyn Clock> = Rc::new(SystemClock::new());
             let report = config.setup.names.report.clone();
             let upstream = Http1::new(clock.clone(), connections, report);
-            Ok(assemble(&config, clock, upstream, numbers, config.members.clone()))
+            assemble(&config, clock, upstream, numbers, config.members.clone())
         };
-        handle::spawn(setup, queue, build).map_err(StartError::Thread)
+        place.run(setup, queue, build)
     }
 
     /// An engine whose one server is the application's handler.
-    pub(crate) fn layer(self) -> Result<Handle<Start, ()>, StartError> {
+    pub(crate) fn layer(self, place: Place) -> Result<Handle<Start, ()>, StartError> {
         self.check()?;
         let Builder { mut config, queue, numbers } = self;
         let setup = config.setup.clone();
@@ -117,9 +117,43 @@
         let build = move || {
             let clock: Rc<dyn Clock> = Rc::new(SystemClock::new());
             let handler = Member::ready("handler", SocketAddr::from(([127, 0, 0, 1], 0)));
-            Ok(assemble(&config, clock, InProcess, numbers, vec![handler]))
+            assemble(&config, clock, InProcess, numbers, vec![handler])
         };
-        handle::spawn(setup, queue, build).map_err(StartError::Thread)
+        place.run(setup, queue, build)
+    }
+}
+
+/// Where an engine runs.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Place {
+    /// On a thread of its own.
+    Thread,
+    /// On the caller's thread, inside its [`tokio::task::LocalSet`].
+    Here,
+}
+
+impl Place {
+    fn run<U, B>(
+        self,
+        setup: Setup,
+        queue: usize,
+        build: B,
+    ) -> Result<Handle<U::Request, U::Answer>, StartError>
+    where
+        U: Upstream,
+        U::Request: Send,
+        U::Answer: Send,
+        B: FnOnce() -> Rc<Engine<U>> + Send + 'static,
+    {
+        match self {
+            Place::Thread => handle::spawn(setup, queue, || Ok(build())).map_err(StartError::Thread),
+            Place::Here => {
+                let (handle, work) = handle::pair(setup, queue);
+                let engine = build();
+                tokio::task::spawn_local(work.run(engine));
+                Ok(handle)
+            }
+        }
     }
 }
 
