--- a/crates/topazwind/src/logic.rs
+++ b/crates/topazwind/src/logic.rs
@@ -1,5 +1,5 @@
 //! Every decision of a gateway, in the order a request meets them. The vocabulary (settings, events,
-//! actions) is in `src/interface.rs`; the rule and each departure from it are told in `docs/design.md`.
+//! actions) is in `interface.rs`; the rule and each departure from it are told in `docs/design/limiter.md`.
 
 use crate::interface::*;
 use crate::state::*;
--- a/crates/topazwind/src/state.rs
+++ b/crates/topazwind/src/state.rs
@@ -1,5 +1,5 @@
 //! What a gateway remembers: plain records, without a rule or a value of their own. Who sets and reads
-//! them, and why, is in `src/logic.rs`.
+//! them, and why, is in `logic.rs`.
 
 use crate::interface::*;
 use crate::window::Window;
