Membership from ephemeral nodes: what the tree says, decided without I/O

Need: engines are to join and leave by ephemeral nodes; before any connection is made, what is believed of reads, watches and lost sessions has to be settled and tested by itself. Change: crates/membership reads Curator's and Finagle's payloads (what is hostile leaves out its member with a reason) and reconciles reads, one-shot watches and losses into ordered news. Measured: 2,000 random schedules against a model of the service end with the tree's list; 2,000 members are read with 64 reads out at most. A folder read that did not name a node left it standing at first; the test of a deleted node showed it.

--- /dev/null
+++ b/crates/membership/src/payload.rs
@@ -0,0 +1,233 @@
+//! What a member's node holds: the JSON of Curator's service discovery, or of Finagle's ServerSets.
+//!
+//! Curator: `{"name", "id", "address", "port", "payload": {...}}`. Finagle: `{"serviceEndpoint": {"host", "port"},
+//! "status", "metadata": {...}}`. The object `payload` or `metadata` may hold, as text or as numbers:
+//!
+//! | key | meaning | without it |
+//! | --- | --- | --- |
+//! | `zone` | the zone's name | none |
+//! | `cell` | the cell, 0 to 65,535 | 0 |
+//! | `weight` | size beside the others', 0.001 to 1,000 | 1 |
+//! | `started_ms` | when the process started, Unix ms | not known |
+//! | `status` | `ALIVE`, or `STOPPING` for a server that drains | `ALIVE` |
+//!
+//! Finagle's own `status` counts too; the one that wants less holds.
+
+use oatbank_engine::ports::membership::Member;
+use serde_json::{Map, Value};
+use std::net::{IpAddr, SocketAddr};
+use topazwind::interface::ServerState;
+
+/// Longest payload that is read, bytes: what is longer is no member's.
+pub const MOST_BYTES: usize = 16 * 1024;
+/// Longest id or zone name, bytes.
+pub const MOST_NAME: usize = 128;
+
+/// Why a node is left out of the list.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Reason {
+    /// The payload is longer than [`MOST_BYTES`].
+    TooLong(usize),
+    /// It is no JSON object of either form.
+    Unreadable(String),
+    /// It names no address that can be connected to.
+    NoAddress(String),
+    /// A field holds what it may not.
+    Field(&'static str),
+    /// The node's or the member's name is empty, too long or has odd bytes.
+    Name,
+    /// A newer node claims the same id.
+    SameId,
+    /// A newer node claims the same address.
+    SameAddress,
+}
+
+impl std::fmt::Display for Reason {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Reason::TooLong(n) => write!(f, "{n} bytes, where {MOST_BYTES} are allowed"),
+            Reason::Unreadable(e) => write!(f, "neither Curator's nor Finagle's JSON: {e}"),
+            Reason::NoAddress(e) => write!(f, "no address that can be used: {e}"),
+            Reason::Field(name) => write!(f, "{name} is out of range or of the wrong type"),
+            Reason::Name => write!(f, "a name that is empty, over {MOST_NAME} bytes, or not plain text"),
+            Reason::SameId => write!(f, "a newer node has the same id"),
+            Reason::SameAddress => write!(f, "a newer node has the same address"),
+        }
+    }
+}
+
+/// A name that may be logged, compared and put on a line.
+pub fn is_plain(name: &str) -> bool {
+    !name.is_empty() && name.len() <= MOST_NAME && name.bytes().all(|b| b.is_ascii_graphic())
+}
+
+/// Reads the payload of the node `name`. A start time that is not told comes back as none.
+///
+/// # Errors
+/// Why this member is left out; no payload can do more than that.
+pub fn read(name: &str, bytes: &[u8]) -> Result<(Member, Option<f64>), Reason> {
+    if bytes.len() > MOST_BYTES {
+        return Err(Reason::TooLong(bytes.len()));
+    }
+    if !is_plain(name) {
+        return Err(Reason::Name);
+    }
+    let value: Value = serde_json::from_slice(bytes).map_err(|e| Reason::Unreadable(e.to_string()))?;
+    let object = value.as_object().ok_or_else(|| Reason::Unreadable("no object".into()))?;
+    let (id, host, port, more) = match object.get("serviceEndpoint") {
+        Some(endpoint) => (name, &endpoint["host"], &endpoint["port"], object.get("metadata")),
+        None => (curator_id(name, object)?, &value["address"], &value["port"], object.get("payload")),
+    };
+    let empty = Map::new();
+    let more = match more {
+        None | Some(Value::Null) => &empty,
+        Some(more) => more.as_object().ok_or(Reason::Field("payload"))?,
+    };
+    let own = status(object.get("status"))?;
+    let asked = status(more.get("status"))?;
+    let state = if own == ServerState::Ready { asked } else { own };
+    let started = number(more, "started_ms", 0.0, 1e15)?;
+    let member = Member {
+        zone: zone(more)?,
+        cell: number(more, "cell", 0.0, 65_535.0)?.unwrap_or(0.0) as u16,
+        weight: number(more, "weight", 0.001, 1000.0)?.unwrap_or(1.0),
+        started: started.unwrap_or(0.0),
+        state,
+        ..Member::ready(id, address(host, port)?)
+    };
+    Ok((member, started))
+}
+
+fn curator_id<'a>(name: &'a str, object: &'a Map<String, Value>) -> Result<&'a str, Reason> {
+    match object.get("id") {
+        None | Some(Value::Null) => Ok(name),
+        Some(id) => id.as_str().filter(|id| is_plain(id)).ok_or(Reason::Name),
+    }
+}
+
+/// An address in figures: names are not looked up here.
+fn address(host: &Value, port: &Value) -> Result<SocketAddr, Reason> {
+    let host = host.as_str().ok_or_else(|| Reason::NoAddress("none is named".into()))?;
+    let plain = host.trim_start_matches('[').trim_end_matches(']');
+    let short: String = host.chars().take(MOST_NAME).collect();
+    let ip: IpAddr = plain.parse().map_err(|_| Reason::NoAddress(format!("{short:?} is no IP address")))?;
+    if ip.is_unspecified() || ip.is_multicast() {
+        return Err(Reason::NoAddress(format!("{ip} is no server's")));
+    }
+    let port = port.as_u64().and_then(|p| u16::try_from(p).ok()).filter(|p| *p > 0);
+    let port = port.ok_or_else(|| Reason::NoAddress("the port is not from 1 to 65535".into()))?;
+    Ok(SocketAddr::new(ip, port))
+}
+
+fn status(value: Option<&Value>) -> Result<ServerState, Reason> {
+    match value {
+        None | Some(Value::Null) => Ok(ServerState::Ready),
+        Some(Value::String(s)) => match s.to_ascii_uppercase().as_str() {
+            "ALIVE" => Ok(ServerState::Ready),
+            // Of Finagle's other states none takes requests.
+            "STOPPING" | "STOPPED" | "STARTING" | "DEAD" | "WARNING" => Ok(ServerState::Draining),
+            _ => Err(Reason::Field("status")),
+        },
+        Some(_) => Err(Reason::Field("status")),
+    }
+}
+
+fn zone(more: &Map<String, Value>) -> Result<String, Reason> {
+    match more.get("zone") {
+        None | Some(Value::Null) => Ok(String::new()),
+        Some(zone) => {
+            let zone = zone.as_str().filter(|z| z.is_empty() || is_plain(z));
+            zone.map(str::to_owned).ok_or(Reason::Field("zone"))
+        }
+    }
+}
+
+/// A number, or one as text, as Finagle's metadata holds it.
+fn number(
+    more: &Map<String, Value>,
+    key: &'static str,
+    least: f64,
+    most: f64,
+) -> Result<Option<f64>, Reason> {
+    let value = match more.get(key) {
+        None | Some(Value::Null) => return Ok(None),
+        Some(Value::Number(n)) => n.as_f64(),
+        Some(Value::String(s)) => s.parse().ok(),
+        Some(_) => None,
+    };
+    value.filter(|v| (least..=most).contains(v)).map(Some).ok_or(Reason::Field(key))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn both_published_forms_are_read() {
+        let curator = br#"{"name":"quotes","id":"e-1","address":"10.0.0.7","port":8000,"sslPort":null,
+            "payload":{"zone":"a","cell":3,"weight":2.5,"started_ms":1700000000000},"registrationTimeUTC":1,
+            "serviceType":"DYNAMIC","uriSpec":null}"#;
+        let (member, started) = read("e-1", curator).expect("a member");
+        assert_eq!((member.id.as_str(), member.zone.as_str(), member.cell), ("e-1", "a", 3));
+        assert_eq!((member.weight, started), (2.5, Some(1.7e12)));
+        assert_eq!(member.address.map(|a| a.to_string()).as_deref(), Some("10.0.0.7:8000"));
+        let finagle =
+            br#"{"serviceEndpoint":{"host":"::1","port":9},"additionalEndpoints":{},"status":"ALIVE",
+            "shard":4,"metadata":{"zone":"b","cell":"7","weight":"0.5"}}"#;
+        let (member, started) = read("member_0000000012", finagle).expect("a member");
+        assert_eq!((member.id.as_str(), member.cell, member.weight), ("member_0000000012", 7, 0.5));
+        assert_eq!((member.state, started), (ServerState::Ready, None));
+    }
+
+    #[test]
+    fn a_status_that_wants_nothing_new_is_a_drain_whichever_field_says_so() {
+        for text in [
+            r#"{"serviceEndpoint":{"host":"::1","port":9},"status":"STOPPING"}"#,
+            r#"{"serviceEndpoint":{"host":"::1","port":9},"status":"ALIVE","metadata":{"status":"stopping"}}"#,
+            r#"{"address":"::1","port":9,"payload":{"status":"STOPPED"}}"#,
+        ] {
+            assert_eq!(
+                read("x", text.as_bytes()).expect("a member").0.state,
+                ServerState::Draining,
+                "{text}"
+            );
+        }
+    }
+
+    #[test]
+    fn hostile_payloads_are_left_out_with_their_reason() {
+        let long = vec![b' '; 1 << 20];
+        assert_eq!(read("x", &long), Err(Reason::TooLong(1 << 20)));
+        let deep = "[".repeat(10_000);
+        for (text, says) in [
+            ("", "JSON"),
+            ("null", "no object"),
+            ("\u{0}\u{1}", "JSON"),
+            (deep.as_str(), "JSON"),
+            ("{}", "none is named"),
+            (r#"{"address":"10.0.0.1"}"#, "port"),
+            (r#"{"address":"10.0.0.1","port":0}"#, "port"),
+            (r#"{"address":"10.0.0.1","port":65536}"#, "port"),
+            (r#"{"address":"10.0.0.1","port":"80"}"#, "port"),
+            (r#"{"address":"engine.internal","port":80}"#, "no IP address"),
+            (r#"{"address":"0.0.0.0","port":80}"#, "no server's"),
+            (r#"{"address":7,"port":80}"#, "none is named"),
+            (r#"{"id":"a b","address":"10.0.0.1","port":80}"#, "name"),
+            (r#"{"id":7,"address":"10.0.0.1","port":80}"#, "name"),
+            (r#"{"address":"10.0.0.1","port":80,"payload":"x"}"#, "payload"),
+            (r#"{"address":"10.0.0.1","port":80,"payload":{"weight":-1}}"#, "weight"),
+            (r#"{"address":"10.0.0.1","port":80,"payload":{"weight":"NaN"}}"#, "weight"),
+            (r#"{"address":"10.0.0.1","port":80,"payload":{"cell":70000}}"#, "cell"),
+            (r#"{"address":"10.0.0.1","port":80,"payload":{"zone":["a"]}}"#, "zone"),
+            (r#"{"address":"10.0.0.1","port":80,"payload":{"status":"ODD"}}"#, "status"),
+            (r#"{"serviceEndpoint":7,"status":"ALIVE"}"#, "none is named"),
+        ] {
+            let reason = read("x", text.as_bytes()).expect_err(says).to_string();
+            assert!(reason.contains(says), "{text}: {reason}");
+        }
+        for name in ["", "a b", "\u{e9}", "x\n", &"x".repeat(129)] {
+            let fine = br#"{"address":"10.0.0.1","port":80}"#;
+            assert_eq!(read(name, fine), Err(Reason::Name), "{name:?}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/membership/tests/convergence.rs
@@ -0,0 +1,431 @@
+//! A model of the service and its connection, driven at random: whatever the order, loss and repetition of what the
+//! reconciler hears, its list ends as the tree's, and it announces nothing that was not read.
+//!
+//! `OATBANK_SEEDS=N` plays N schedules instead of the usual ones.
+
+use oatbank_engine::ports::membership::{Member, News};
+use oatbank_membership::payload;
+use oatbank_membership::reconcile::{Event, Reconciler, Settings, Step, Want};
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use topazwind::interface::ServerState;
+
+/// A node: the transaction that created it, and what it holds.
+type Tree = BTreeMap<String, (i64, String)>;
+
+const SETTLE: f64 = 10_000.0;
+
+struct World {
+    rng: Pcg64Mcg,
+    now: f64,
+    /// The tree after each transaction; the index is the transaction.
+    history: Vec<Tree>,
+    /// What the server that is asked has heard of.
+    view: usize,
+    connected: bool,
+    requests: VecDeque<Want>,
+    answers: VecDeque<Event>,
+    folder_watch: bool,
+    data_watches: BTreeSet<String>,
+    reconciler: Reconciler,
+    due: Option<f64>,
+    /// The list as an engine that hears the news has it.
+    heard: Option<BTreeMap<String, Member>>,
+    /// What each node held at its last read that was delivered.
+    read: BTreeMap<String, String>,
+}
+
+impl World {
+    fn new(seed: u64) -> Self {
+        World {
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            now: 1000.0,
+            history: vec![Tree::new()],
+            view: 0,
+            connected: false,
+            requests: VecDeque::new(),
+            answers: VecDeque::new(),
+            folder_watch: false,
+            data_watches: BTreeSet::new(),
+            reconciler: Reconciler::new(Settings { settle: SETTLE }),
+            due: None,
+            heard: None,
+            read: BTreeMap::new(),
+        }
+    }
+
+    fn pick(&mut self, n: usize) -> usize {
+        (self.rng.next_u64() % n as u64) as usize
+    }
+
+    fn tree(&self) -> &Tree {
+        self.history.last().expect("a tree")
+    }
+
+    /// One transaction of some member's.
+    fn mutate(&mut self) {
+        let (which, act, port) = (self.pick(6), self.pick(5), 9000 + self.pick(4));
+        let status = ["ALIVE", "ALIVE", "STOPPING"][self.pick(3)];
+        let id = self.pick(5);
+        let bytes = match self.pick(12) {
+            0 => "{nonsense".to_owned(),
+            _ => format!(
+                r#"{{"id":"e{id}","address":"127.0.0.1","port":{port},"payload":{{"status":"{status}","started_ms":5}}}}"#
+            ),
+        };
+        let mut tree = self.tree().clone();
+        let (name, zxid) = (format!("n{which}"), self.history.len() as i64);
+        match (act, tree.contains_key(&name)) {
+            (0 | 1, true) => _ = tree.remove(&name),
+            (2, true) => {
+                tree.remove(&name);
+                tree.insert(name, (zxid, bytes));
+            }
+            (_, true) => _ = tree.entry(name).and_modify(|node| node.1 = bytes),
+            (_, false) => _ = tree.insert(name, (zxid, bytes)),
+        }
+        self.history.push(tree);
+    }
+
+    /// The server hears of the next transaction, and its watches fire.
+    fn advance(&mut self) {
+        if self.view + 1 >= self.history.len() {
+            return;
+        }
+        let (old, new) = (&self.history[self.view], &self.history[self.view + 1]);
+        if self.folder_watch && !old.keys().eq(new.keys()) {
+            self.folder_watch = false;
+            self.answers.push_back(Event::Fired(Want::Children));
+        }
+        let changed: Vec<String> =
+            self.data_watches.iter().filter(|n| old.get(*n) != new.get(*n)).cloned().collect();
+        for name in changed {
+            self.data_watches.remove(&name);
+            self.answers.push_back(Event::Fired(Want::Data(name)));
+        }
+        self.view += 1;
+    }
+
+    /// The server answers the oldest request, or fails it.
+    fn serve(&mut self) {
+        let Some(want) = self.requests.pop_front() else { return };
+        if self.pick(15) == 0 {
+            return self.answers.push_back(Event::Failed(want));
+        }
+        let (zxid, tree) = (self.view as i64, &self.history[self.view]);
+        self.answers.push_back(match want {
+            Want::Children => {
+                self.folder_watch = true;
+                Event::Children { zxid, names: tree.keys().cloned().collect() }
+            }
+            Want::Data(name) => match tree.get(&name) {
+                Some((created, text)) => {
+                    self.data_watches.insert(name.clone());
+                    let (created, bytes) = (*created, text.clone().into_bytes());
+                    Event::Data { name, zxid, created, bytes }
+                }
+                None => Event::NoNode { name, zxid },
+            },
+        });
+    }
+
+    fn deliver(&mut self) {
+        let Some(event) = self.answers.pop_front() else { return };
+        if let Event::Data { name, bytes, .. } = &event {
+            self.read.insert(name.clone(), String::from_utf8_lossy(bytes).into_owned());
+        }
+        self.tell(event.clone());
+        if self.pick(20) == 0 && matches!(event, Event::Fired(_)) {
+            self.tell(event);
+        }
+    }
+
+    fn tell(&mut self, event: Event) {
+        let Step { wants, news, due } = self.reconciler.handle(self.now, event);
+        self.requests.extend(wants);
+        self.due = due;
+        if let Some(news) = news {
+            self.hear(news);
+        }
+    }
+
+    /// Takes news as an engine does, and holds each ready member to what was read.
+    fn hear(&mut self, news: News) {
+        let members = match news {
+            News::Complete(members) => {
+                self.heard = Some(BTreeMap::new());
+                members
+            }
+            News::Changes(members) => members,
+            News::Remembered(_) => panic!("the reconciler remembers nothing"),
+        };
+        let heard = self.heard.as_mut().expect("changes before any list");
+        for member in members {
+            if member.state == ServerState::Gone {
+                heard.remove(&member.id);
+                continue;
+            }
+            if member.state == ServerState::Ready {
+                let shown = self.read.iter().any(|(name, text)| {
+                    payload::read(name, text.as_bytes()).is_ok_and(|(m, _)| {
+                        (m.id, m.address, m.state) == (member.id.clone(), member.address, member.state)
+                    })
+                });
+                assert!(shown, "{} was announced ready and no node's last read shows it", member.id);
+            }
+            heard.insert(member.id.clone(), member);
+        }
+        assert_eq!(heard, self.reconciler.list(), "the news make another list than the reconciler's");
+    }
+
+    fn connect(&mut self) {
+        // Some other server of the ensemble, which may lag.
+        let back = self.pick(4);
+        self.view = (self.history.len() - 1).saturating_sub(back);
+        (self.connected, self.folder_watch) = (true, false);
+        self.data_watches.clear();
+        self.tell(Event::Connected);
+    }
+
+    fn lose(&mut self) {
+        self.connected = false;
+        (self.requests, self.answers) = Default::default();
+        self.tell(Event::Lost);
+    }
+
+    fn pass(&mut self, ms: f64) {
+        self.now += ms;
+        if self.due.is_some_and(|at| self.now >= at) {
+            self.tell(Event::Due);
+        }
+    }
+
+    fn random_step(&mut self) {
+        match self.pick(20) {
+            0..=2 => self.mutate(),
+            3..=6 => self.advance(),
+            7..=11 if self.connected => self.serve(),
+            12..=16 if self.connected => self.deliver(),
+            17 if self.connected && self.pick(4) == 0 => self.lose(),
+            18 if !self.connected => self.connect(),
+            _ => {
+                let ms = self.pick(30) as f64;
+                self.pass(ms);
+            }
+        }
+    }
+
+    /// Lets all be heard, with nothing changing any more.
+    fn quiesce(&mut self) {
+        if !self.connected {
+            self.connect();
+        }
+        for _ in 0..10_000 {
+            while self.view + 1 < self.history.len() {
+                self.advance();
+            }
+            self.serve();
+            self.deliver();
+            self.pass(5.0);
+            if self.requests.is_empty() && self.answers.is_empty() && self.due.is_none() {
+                return;
+            }
+        }
+        panic!("it never comes to rest");
+    }
+
+    /// What the tree says: of nodes with one id or one address the newest counts.
+    fn expected(&self) -> BTreeMap<String, ServerState> {
+        let read: Vec<(i64, &String, Member)> = self
+            .tree()
+            .iter()
+            .filter_map(|(name, (created, text))| {
+                Some((*created, name, payload::read(name, text.as_bytes()).ok()?.0))
+            })
+            .collect();
+        let newest = |a: &(i64, &String, Member)| {
+            read.iter().all(|b| {
+                let shares = b.2.id == a.2.id || b.2.address == a.2.address;
+                !shares || (b.0, b.1) <= (a.0, a.1)
+            })
+        };
+        read.iter().filter(|a| newest(a)).map(|(_, _, m)| (m.id.clone(), m.state)).collect()
+    }
+}
+
+#[test]
+fn the_list_becomes_the_trees_whatever_was_lost_on_the_way() {
+    let seeds = std::env::var("OATBANK_SEEDS").ok().and_then(|n| n.parse().ok()).unwrap_or(2000u64);
+    for seed in 0..seeds {
+        let mut world = World::new(seed);
+        let steps = 50 + world.pick(400);
+        (0..steps).for_each(|_| world.random_step());
+        world.quiesce();
+        let list: BTreeMap<String, ServerState> =
+            world.reconciler.list().iter().map(|(id, m)| (id.clone(), m.state)).collect();
+        assert_eq!(list, world.expected(), "seed {seed}");
+        assert!(world.heard.is_some(), "seed {seed}: no list was ever told");
+    }
+}
+
+fn node(port: u16) -> Vec<u8> {
+    format!(r#"{{"address":"127.0.0.1","port":{port}}}"#).into_bytes()
+}
+
+/// Answers all reads from a folder of these members at a transaction.
+fn answer(
+    reconciler: &mut Reconciler,
+    now: f64,
+    zxid: i64,
+    members: &[(&str, u16)],
+    step: Step,
+) -> Vec<News> {
+    let mut news: Vec<News> = step.news.into_iter().collect();
+    let mut wants: VecDeque<Want> = step.wants.into();
+    while let Some(want) = wants.pop_front() {
+        let event = match want {
+            Want::Children => {
+                Event::Children { zxid, names: members.iter().map(|(name, _)| (*name).to_owned()).collect() }
+            }
+            Want::Data(name) => match members.iter().find(|(n, _)| *n == name) {
+                Some((_, port)) => Event::Data { name, zxid, created: 1, bytes: node(*port) },
+                None => Event::NoNode { name, zxid },
+            },
+        };
+        let step = reconciler.handle(now, event);
+        news.extend(step.news);
+        wants.extend(step.wants);
+    }
+    news
+}
+
+fn names(reconciler: &Reconciler) -> Vec<&str> {
+    reconciler.list().keys().map(String::as_str).collect()
+}
+
+fn standing(members: &[(&str, u16)]) -> Reconciler {
+    let mut reconciler = Reconciler::new(Settings { settle: SETTLE });
+    let step = reconciler.handle(0.0, Event::Connected);
+    let news = answer(&mut reconciler, 0.0, 10, members, step);
+    assert!(matches!(&news[..], [News::Complete(all)] if all.len() == members.len()), "{news:?}");
+    reconciler
+}
+
+#[test]
+fn a_deleted_node_is_announced_gone_in_the_step_that_reads_it() {
+    let mut reconciler = standing(&[("a", 1), ("b", 2)]);
+    let step = reconciler.handle(50.0, Event::Fired(Want::Children));
+    let news = answer(&mut reconciler, 50.0, 11, &[("b", 2)], step);
+    assert!(matches!(&news[..], [News::Changes(c)] if c.len() == 1 && c[0].state == ServerState::Gone));
+    // By a data read alone, before the folder is read.
+    let step = reconciler.handle(60.0, Event::Fired(Want::Data("b".into())));
+    assert_eq!(step.wants, [Want::Data("b".into())]);
+    let step = reconciler.handle(60.0, Event::NoNode { name: "b".into(), zxid: 12 });
+    assert!(matches!(step.news, Some(News::Changes(c)) if c[0].state == ServerState::Gone));
+}
+
+#[test]
+fn the_list_holds_while_the_service_is_away_and_members_may_come_back_one_by_one() {
+    let mut reconciler = standing(&[("a", 1), ("b", 2)]);
+    reconciler.handle(100.0, Event::Lost);
+    let step = reconciler.handle(1e6, Event::Due);
+    assert!(step.news.is_none() && names(&reconciler) == ["a", "b"], "the last list holds");
+    assert_eq!(reconciler.current_at(), Some(0.0), "its age is known");
+    // Back with an empty tree: all sessions have expired, and members register anew.
+    let step = reconciler.handle(1e6, Event::Connected);
+    assert!(answer(&mut reconciler, 1e6, 20, &[], step).is_empty() && names(&reconciler) == ["a", "b"]);
+    let step = reconciler.handle(1e6 + 500.0, Event::Fired(Want::Children));
+    answer(&mut reconciler, 1e6 + 500.0, 21, &[("b", 2)], step);
+    assert_eq!(names(&reconciler), ["a", "b"]);
+    // One that came back and goes again is gone at once.
+    let step = reconciler.handle(1e6 + 900.0, Event::Fired(Want::Children));
+    answer(&mut reconciler, 1e6 + 900.0, 22, &[], step);
+    // Who has not come back by the end of the time is gone.
+    let step = reconciler.handle(1e6 + SETTLE, Event::Due);
+    answer(&mut reconciler, 1e6 + SETTLE, 22, &[], step);
+    assert!(names(&reconciler).is_empty());
+}
+
+#[test]
+fn after_a_short_loss_what_has_gone_meanwhile_is_gone_at_the_first_read() {
+    let mut reconciler = standing(&[("a", 1), ("b", 2)]);
+    reconciler.handle(100.0, Event::Lost);
+    let step = reconciler.handle(600.0, Event::Connected);
+    answer(&mut reconciler, 600.0, 12, &[("b", 2)], step);
+    assert_eq!(names(&reconciler), ["b"]);
+}
+
+#[test]
+fn a_server_that_lags_is_not_believed_and_a_history_that_was_set_back_is_in_the_end() {
+    let mut reconciler = standing(&[("a", 1), ("b", 2)]);
+    reconciler.handle(100.0, Event::Lost);
+    let step = reconciler.handle(200.0, Event::Connected);
+    assert!(answer(&mut reconciler, 200.0, 5, &[("a", 1)], step).is_empty());
+    assert_eq!(names(&reconciler), ["a", "b"], "older than what was seen");
+    let mut now = 200.0;
+    while now < 200.0 + 2.0 * SETTLE {
+        now += 60.0;
+        let step = reconciler.handle(now, Event::Due);
+        answer(&mut reconciler, now, 5, &[("a", 1)], step);
+        let believed = names(&reconciler) == ["a"];
+        assert_eq!(believed, now - 200.0 >= SETTLE, "at {now}");
+        if believed {
+            return;
+        }
+    }
+    panic!("never believed");
+}
+
+#[test]
+fn a_node_that_flaps_is_the_same_process_and_a_newcomer_is_not() {
+    let mut reconciler = standing(&[("a", 1)]);
+    for round in 0..100 {
+        let now = 1000.0 + f64::from(round) * 600.0;
+        let step = reconciler.handle(now, Event::Fired(Want::Children));
+        answer(&mut reconciler, now, 20 + i64::from(round) * 2, &[], step);
+        assert!(names(&reconciler).is_empty(), "told, so honoured");
+        let step = reconciler.handle(now + 300.0, Event::Fired(Want::Children));
+        answer(&mut reconciler, now + 300.0, 21 + i64::from(round) * 2, &[("a", 1)], step);
+        assert_eq!(reconciler.list()["a"].started, 0.0, "not taken for one that has just started");
+    }
+    let step = reconciler.handle(100_000.0, Event::Fired(Want::Children));
+    answer(&mut reconciler, 100_000.0, 1000, &[("a", 1), ("n", 9)], step);
+    assert_eq!(reconciler.list()["n"].started, 100_000.0, "may be cold");
+}
+
+#[test]
+fn a_herd_of_members_is_read_in_bounded_steps() {
+    let mut reconciler = Reconciler::new(Settings { settle: SETTLE });
+    reconciler.handle(0.0, Event::Connected);
+    let names: Vec<String> = (0..2000).map(|n| format!("m{n:04}")).collect();
+    let step = reconciler.handle(1.0, Event::Children { zxid: 1, names });
+    let mut wants: VecDeque<Want> = step.wants.into();
+    let (mut most, mut lists) = (wants.len(), 0);
+    while let Some(Want::Data(name)) = wants.pop_front() {
+        let port = 1 + name[1..].parse::<u16>().expect("a number");
+        let step = reconciler.handle(2.0, Event::Data { name, zxid: 1, created: 1, bytes: node(port) });
+        wants.extend(step.wants);
+        most = most.max(wants.len());
+        lists += usize::from(step.news.is_some());
+    }
+    assert_eq!((most, lists, reconciler.list().len()), (64, 1, 2000));
+}
+
+#[test]
+fn the_newest_node_holds_an_id_and_an_address_and_the_older_takes_them_back() {
+    let mut reconciler = standing(&[("a", 1)]);
+    let step = reconciler.handle(10.0, Event::Fired(Want::Children));
+    assert_eq!(step.wants, [Want::Children]);
+    reconciler.handle(10.0, Event::Children { zxid: 11, names: vec!["a".into(), "b".into()] });
+    // Another id at the address of a: an address taken over.
+    let step =
+        reconciler.handle(10.0, Event::Data { name: "b".into(), zxid: 11, created: 11, bytes: node(1) });
+    let Some(News::Changes(changes)) = step.news else { panic!("no news") };
+    assert_eq!(changes.len(), 2, "{changes:?}");
+    assert_eq!(names(&reconciler), ["b"]);
+    assert_eq!(reconciler.left_out().len(), 1);
+    let step = reconciler.handle(20.0, Event::Fired(Want::Children));
+    answer(&mut reconciler, 20.0, 12, &[("a", 1)], step);
+    assert_eq!(names(&reconciler), ["a"]);
+}
