Test kit: a stand-in coordinator that speaks ZooKeeper's client protocol, with faults

Need: membership from ephemeral nodes is to be tested against the published protocol, without a server.

--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod message;
 pub mod server;
 pub mod wait;
+pub mod zookeeper;
 
 pub use client::Client;
 pub use counter::Counter;
