--- /dev/null
+++ b/crates/zookeeper/src/lib.rs
@@ -0,0 +1,256 @@
+//! Membership from ZooKeeper-style ephemeral nodes: keeps a session, makes the reads that
+//! [`oatbank_membership::reconcile`] asks for, and hands its news on. It decides nothing of the list.
+
+use oatbank_engine::ports::clock::Clock;
+use oatbank_engine::ports::membership::Told;
+use oatbank_engine::ports::Local;
+use oatbank_membership::reconcile::{Event, Reconciler, Settings, Want};
+use std::cell::{Cell, RefCell};
+use std::future::pending;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
+use tokio::task::JoinSet;
+use topazwind::interface::Millis;
+use zookeeper_client::{Client, Error, EventType, SessionState};
+
+/// First pause after no session could be had; doubles up to the other.
+const PAUSE: Duration = Duration::from_millis(50);
+const LONGEST_PAUSE: Duration = Duration::from_secs(1);
+/// A read that is not answered in this time has failed.
+const PATIENCE: Duration = Duration::from_secs(2);
+
+/// A session that has brought no good answer for this long, ms, since its connection was lost or a read failed, is
+/// given up for a new one. It owns nothing, so nothing is lost; and a client library may hold on to a dead
+/// connection for the whole session time-out (seen after a frame that could not be read).
+const GIVE_UP: Millis = 500.0;
+
+/// Where the members are.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// The service's addresses, `HOST:PORT,…`, with a chroot behind them if wanted.
+    pub cluster: String,
+    /// The folder whose nodes are the members.
+    pub path: String,
+    /// The session time-out that is asked for. Also how long members may take to come back after the service was
+    /// away for longer than that.
+    pub session_timeout: Duration,
+    /// Scheme and credentials, if the folder's permissions want any.
+    pub auth: Option<(String, Vec<u8>)>,
+}
+
+/// The state of a source, for whoever shows it.
+pub type Shared = Rc<RefCell<Reconciler>>;
+
+/// A source's state before its start.
+pub fn state(config: &Config) -> Shared {
+    let settle = config.session_timeout.as_secs_f64() * 1000.0;
+    Rc::new(RefCell::new(Reconciler::new(Settings { settle })))
+}
+
+/// Follows the folder for the life of the process, inside a [`tokio::task::LocalSet`].
+pub async fn follow(config: Config, clock: Rc<dyn Clock>, told: Told, state: Shared) {
+    let mut pause = PAUSE;
+    loop {
+        let mut connector = Client::connector().with_session_timeout(config.session_timeout);
+        if let Some((scheme, credentials)) = &config.auth {
+            connector = connector.with_auth(scheme, credentials);
+        }
+        match tokio::time::timeout(PATIENCE, connector.connect(&config.cluster)).await {
+            Ok(Ok(client)) => {
+                pause = PAUSE;
+                let source = Source::new(&config, client, clock.clone(), told.clone(), state.clone());
+                let ended = source.run().await;
+                log::warn!("members: the session has ended: {ended:?}; the list holds");
+            }
+            Ok(Err(e)) => log::warn!("members: no session: {e}; again in {} ms", pause.as_millis()),
+            Err(_) => log::warn!("members: no session in time; again in {} ms", pause.as_millis()),
+        }
+        tokio::time::sleep(pause).await;
+        pause = (pause * 2).min(LONGEST_PAUSE);
+    }
+}
+
+/// An event, and the connection that it belongs to.
+type Heard = (u64, Event);
+
+/// One session.
+struct Source {
+    client: Client,
+    path: String,
+    clock: Rc<dyn Clock>,
+    told: Told,
+    state: Shared,
+    heard: UnboundedReceiver<Heard>,
+    reader: Reader,
+    reads: JoinSet<()>,
+    due: Option<Millis>,
+    /// When this session is given up.
+    give_up_at: Option<Millis>,
+}
+
+/// What a read needs.
+#[derive(Clone)]
+struct Reader {
+    client: Client,
+    path: String,
+    connection: u64,
+    tell: UnboundedSender<Heard>,
+    /// The newest state of the folder that was read: a missing folder has no transaction of its own.
+    newest: Rc<Cell<i64>>,
+}
+
+impl Source {
+    fn new(config: &Config, client: Client, clock: Rc<dyn Clock>, told: Told, state: Shared) -> Self {
+        let (tell, heard) = unbounded_channel();
+        let path = config.path.trim_end_matches('/').to_owned();
+        let newest = Rc::new(Cell::new(0));
+        let reader = Reader { client: client.clone(), path: path.clone(), connection: 0, tell, newest };
+        Source {
+            client,
+            path,
+            clock,
+            told,
+            state,
+            heard,
+            reader,
+            reads: JoinSet::new(),
+            due: None,
+            give_up_at: None,
+        }
+    }
+
+    /// Runs until the session is over.
+    async fn run(mut self) -> SessionState {
+        log::info!("members: following {}", self.path);
+        let mut states = self.client.state_watcher();
+        self.connected();
+        loop {
+            let due: Local<()> =
+                match [self.due, self.give_up_at].into_iter().flatten().min_by(f64::total_cmp) {
+                    Some(at) => self.clock.until(at),
+                    None => Box::pin(pending()),
+                };
+            tokio::select! {
+                biased;
+                state = states.changed() => match state {
+                    SessionState::SyncConnected => self.connected(),
+                    SessionState::Disconnected => self.handle(Event::Lost),
+                    over => {
+                        self.handle(Event::Lost);
+                        return over;
+                    }
+                },
+                Some((connection, event)) = self.heard.recv() => {
+                    // An answer of an earlier connection may be older than what is read on this one.
+                    let old = connection != self.reader.connection;
+                    if !old || matches!(event, Event::Fired(_)) {
+                        self.handle(event);
+                    }
+                }
+                Some(_) = self.reads.join_next() => {}
+                () = due => {
+                    if self.give_up_at.is_some_and(|at| self.clock.now() >= at) {
+                        self.handle(Event::Lost);
+                        return self.client.state();
+                    }
+                    self.handle(Event::Due);
+                }
+            }
+        }
+    }
+
+    fn connected(&mut self) {
+        self.reader.connection += 1;
+        self.handle(Event::Connected);
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Lost | Event::Failed(_) => _ = self.give_up_at.get_or_insert(self.clock.now() + GIVE_UP),
+            Event::Children { .. } | Event::Data { .. } | Event::NoNode { .. } => self.give_up_at = None,
+            Event::Connected | Event::Fired(_) | Event::Due => {}
+        }
+        let step = self.state.borrow_mut().handle(self.clock.now(), event);
+        if let Some(news) = step.news {
+            (self.told)(news);
+        }
+        for want in step.wants {
+            self.reads.spawn_local(self.reader.clone().read(want));
+        }
+        self.due = step.due;
+    }
+}
+
+impl Reader {
+    fn say(&self, event: Event) {
+        // A source that has ended needs no news.
+        let _ = self.tell.send((self.connection, event));
+    }
+
+    /// Makes a read and then waits for its watch.
+    async fn read(self, want: Want) {
+        let reading = async {
+            match &want {
+                Want::Children => self.children().await,
+                Want::Data(name) => self.data(name).await,
+            }
+        };
+        // The watch is waited for without end; a read is not.
+        match reading.await {
+            Ok(()) => {}
+            Err(e) => {
+                log::debug!("members: {want:?}: {e}");
+                self.say(Event::Failed(want));
+            }
+        }
+    }
+
+    async fn children(&self) -> Result<(), Error> {
+        let read = self.client.get_and_watch_children(&self.path);
+        match within(read).await {
+            Ok((names, stat, watcher)) => {
+                self.newest.set(self.newest.get().max(stat.pzxid));
+                self.say(Event::Children { zxid: stat.pzxid, names });
+                self.fired(watcher.changed().await.event_type, Want::Children);
+            }
+            Err(Error::NoNode) => {
+                let (found, watcher) = within(self.client.check_and_watch_stat(&self.path)).await?;
+                if found.is_none() {
+                    self.say(Event::Children { zxid: self.newest.get(), names: Vec::new() });
+                    self.fired(watcher.changed().await.event_type, Want::Children);
+                } else {
+                    self.say(Event::Failed(Want::Children));
+                }
+            }
+            Err(e) => return Err(e),
+        }
+        Ok(())
+    }
+
+    async fn data(&self, name: &str) -> Result<(), Error> {
+        let path = format!("{}/{name}", self.path);
+        match within(self.client.get_and_watch_data(&path)).await {
+            Ok((bytes, stat, watcher)) => {
+                let (zxid, created) = (stat.mzxid, stat.czxid);
+                self.say(Event::Data { name: name.to_owned(), zxid, created, bytes });
+                self.fired(watcher.changed().await.event_type, Want::Data(name.to_owned()));
+            }
+            // The client never goes back to an address that has seen less than it has, so this is the newest.
+            Err(Error::NoNode) => self.say(Event::NoNode { name: name.to_owned(), zxid: i64::MAX }),
+            Err(e) => return Err(e),
+        }
+        Ok(())
+    }
+
+    /// A watch has fired; one that ended with its session tells nothing.
+    fn fired(&self, kind: EventType, want: Want) {
+        if kind != EventType::Session {
+            self.say(Event::Fired(want));
+        }
+    }
+}
+
+async fn within<T>(read: impl std::future::Future<Output = Result<T, Error>>) -> Result<T, Error> {
+    tokio::time::timeout(PATIENCE, read).await.unwrap_or(Err(Error::Timeout))
+}
