--- a/crates/daemon/src/standalone.rs
+++ b/crates/daemon/src/standalone.rs
@@ -1,15 +1,18 @@
 //! Serving without a platform: servers, counter and all else from a file of oatbank's own.
 
 use crate::serve::{on_one_thread, Limits, Plan, Serving, Signals};
-use oatbank_engine::config::{Config, CounterKind};
+use oatbank_engine::config::{Config, CounterKind, ZooKeeper};
 use oatbank_engine::counters::local::{LocalCounter, Numbers};
 use oatbank_engine::counters::text::TextCounter;
 use oatbank_engine::engine::Engine;
 use oatbank_engine::members::fixed;
 use oatbank_engine::ports::clock::{Clock, SystemClock};
 use oatbank_engine::ports::counter::Counter;
+use oatbank_engine::ports::membership::{Member, News};
+use oatbank_engine::supervise::keep_running;
 use oatbank_engine::upstreams::http1::Http1;
 use std::rc::Rc;
+use std::time::Duration;
 
 /// Serves from the file at `path` until a signal ends it. SIGHUP takes over the file's list of servers; a file
 /// that cannot be read changes nothing.
@@ -41,11 +44,32 @@
         CounterKind::Text(address) => Some(TextCounter::start(Some(address), clock, engine.ends())),
     };
     engine.use_counter(counter);
-    fixed::tell(&engine.told(), config.members.clone());
+    match &config.zookeeper {
+        Some(folder) => follow(&engine, folder, config.members.clone()),
+        None => fixed::tell(&engine.told(), config.members.clone()),
+    }
     let serving = Serving::start(&plan, engine.clone()).map_err(|e| format!("{}: {e}", config.listen))?;
     Ok((engine, serving))
 }
 
+/// The folder's list counts from its first read on; until then the file's does.
+fn follow(engine: &Rc<Engine<Http1>>, folder: &ZooKeeper, until_then: Vec<Member>) {
+    let told = engine.told();
+    told(News::Remembered(until_then));
+    let auth = folder.auth.as_ref().and_then(|a| a.split_once(':'));
+    let source = oatbank_zookeeper::Config {
+        cluster: folder.zookeeper.clone(),
+        path: folder.path.clone(),
+        session_timeout: Duration::from_millis(folder.session_timeout_ms),
+        auth: auth.map(|(scheme, credentials)| (scheme.to_owned(), credentials.as_bytes().to_vec())),
+    };
+    let clock: Rc<dyn Clock> = Rc::new(SystemClock::new());
+    let state = oatbank_zookeeper::state(&source);
+    keep_running("members", move || {
+        oatbank_zookeeper::follow(source.clone(), clock.clone(), told.clone(), state.clone())
+    });
+}
+
 fn plan(config: &Config) -> Plan {
     let (sockets, memory_mb) = config.limits;
     Plan {
@@ -60,6 +84,9 @@
 
 fn reload(path: &str, engine: &Rc<Engine<Http1>>) {
     match Config::load(path) {
+        Ok(config) if config.zookeeper.is_some() => {
+            log::info!("configuration: the servers are those of {:?}", config.zookeeper.map(|z| z.path));
+        }
         Ok(config) => {
             log::info!("configuration: {} servers", config.members.len());
             fixed::tell(&engine.told(), config.members);
--- a/crates/daemon/tests/cli.rs
+++ b/crates/daemon/tests/cli.rs
@@ -1,41 +1,12 @@
 //! The command line: what it prints, how it ends, and that what it starts really serves.
 
-use oatbank_testkit::{eventually, Act, Client, Server, PATIENCE};
-use std::io::{BufRead, BufReader};
-use std::net::SocketAddr;
-use std::path::PathBuf;
-use std::process::{Child, Command, Output, Stdio};
-use std::sync::atomic::{AtomicUsize, Ordering};
+use oatbank_testkit::{eventually, Act, Client, Scratch, Server, Standalone, PATIENCE};
+use std::process::{Command, Output};
 
-fn oatbank(arguments: &[&str]) -> Output {
-    Command::new(env!("CARGO_BIN_EXE_oatbank")).args(arguments).output().expect("oatbank runs")
-}
-
-/// A file that goes with its test.
-struct Scratch(PathBuf);
-
-impl Scratch {
-    fn new(text: &str) -> Scratch {
-        static NEXT: AtomicUsize = AtomicUsize::new(0);
-        let name = format!("oatbank-cli-{}-{}.toml", std::process::id(), NEXT.fetch_add(1, Ordering::SeqCst));
-        let file = Scratch(std::env::temp_dir().join(name));
-        file.write(text);
-        file
-    }
-
-    fn write(&self, text: &str) {
-        std::fs::write(&self.0, text).expect("a file");
-    }
-
-    fn path(&self) -> &str {
-        self.0.to_str().expect("a path of plain text")
-    }
-}
+const OATBANK: &str = env!("CARGO_BIN_EXE_oatbank");
 
-impl Drop for Scratch {
-    fn drop(&mut self) {
-        let _ = std::fs::remove_file(&self.0);
-    }
+fn oatbank(arguments: &[&str]) -> Output {
+    Command::new(OATBANK).args(arguments).output().expect("oatbank runs")
 }
 
 fn config(servers: &[&Server]) -> String {
@@ -87,57 +58,13 @@
     assert!(!done.status.success() && String::from_utf8_lossy(&done.stderr).contains("/nowhere/at/all.toml"));
 }
 
-/// A process that is killed with its test.
-struct Process {
-    child: Child,
-    address: SocketAddr,
-    log: BufReader<std::process::ChildStderr>,
-}
-
-impl Process {
-    fn serve(file: &Scratch) -> Process {
-        let mut command = Command::new(env!("CARGO_BIN_EXE_oatbank"));
-        command.args(["serve", "--config", file.path()]).stderr(Stdio::piped());
-        let mut child = command.spawn().expect("oatbank");
-        let log = BufReader::new(child.stderr.take().expect("a log"));
-        let mut process = Process { child, address: SocketAddr::from(([0, 0, 0, 0], 0)), log };
-        let line = process.line_with(" serves ");
-        let (_, address) = line.split_once(" serves ").expect("an address");
-        process.address = address.trim().parse().expect("an address");
-        process
-    }
-
-    fn line_with(&mut self, mark: &str) -> String {
-        let mut line = String::new();
-        loop {
-            line.clear();
-            assert!(self.log.read_line(&mut line).expect("a line") > 0, "the log ended before {mark:?}");
-            if line.contains(mark) {
-                return line;
-            }
-        }
-    }
-
-    fn signal(&self, name: &str) {
-        let pid = self.child.id().to_string();
-        assert!(Command::new("kill").args([name, &pid]).status().expect("kill").success());
-    }
-}
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
 #[test]
 fn it_serves_from_a_file_moves_to_new_servers_and_ends_on_a_signal() {
     let old = Server::ok();
     let new = Server::start(|_| Act::Write(oatbank_testkit::answer("200 OK", "", b"new")));
     let file = Scratch::new(&config(&[&old]));
-    let mut process = Process::serve(&file);
-    let ask = |process: &Process| Client::connect(process.address).look_of_one();
+    let mut process = Standalone::serve(OATBANK, &file);
+    let ask = |process: &Standalone| Client::connect(process.address).look_of_one();
     assert_eq!(ask(&process).status(), 200);
     // A bad file changes nothing.
     file.write(&config(&[&new]).replace("aim_ms = 1500", "aim_ms = 0"));
--- a/crates/engine/src/config.rs
+++ b/crates/engine/src/config.rs
@@ -77,6 +77,41 @@
     Text(SocketAddr),
 }
 
+/// A folder of ephemeral nodes from which the list of servers comes.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ZooKeeper {
+    /// The service's addresses, `HOST:PORT,…`.
+    pub zookeeper: String,
+    /// The folder whose nodes are the members.
+    pub path: String,
+    /// The session time-out that is asked for, ms.
+    #[serde(default = "session_timeout")]
+    pub session_timeout_ms: u64,
+    /// `SCHEME:CREDENTIALS`, if the folder's permissions want any.
+    pub auth: Option<String>,
+}
+
+fn session_timeout() -> u64 {
+    4000
+}
+
+impl ZooKeeper {
+    fn check(&self) -> Result<(), ConfigError> {
+        if self.zookeeper.is_empty() || self.zookeeper.split(',').any(|a| !a.contains(':')) {
+            return Err(invalid("members.zookeeper", "\"HOST:PORT\", and more behind commas, is allowed"));
+        }
+        let path = &self.path;
+        if !path.starts_with('/') || path.ends_with('/') || path.contains("//") {
+            return Err(invalid("members.path", "a path as \"/services/quotes\" is allowed"));
+        }
+        if self.auth.as_ref().is_some_and(|a| !a.contains(':')) {
+            return Err(invalid("members.auth", "\"SCHEME:CREDENTIALS\" is allowed"));
+        }
+        within("members.session_timeout_ms", self.session_timeout_ms as f64, 100.0, 60_000.0)
+    }
+}
+
 /// What a file says, checked.
 #[derive(Clone, Debug)]
 pub struct Config {
@@ -86,8 +121,10 @@
     pub listen: SocketAddr,
     /// What the engine is told.
     pub setup: Setup,
-    /// The servers.
+    /// The servers; with [`Config::zookeeper`], those that count until it has told its first list.
     pub members: Vec<Member>,
+    /// Where the list of servers comes from, if not from here.
+    pub zookeeper: Option<ZooKeeper>,
     /// The counter.
     pub counter: CounterKind,
     /// Descriptors and memory in MB that the process may take.
@@ -119,6 +156,7 @@
     max_units: f64,
     #[serde(default)]
     servers: Vec<ServerLine>,
+    members: Option<ZooKeeper>,
     classes: Vec<ClassLine>,
     plans: Vec<PlanLine>,
     #[serde(default)]
@@ -335,6 +373,7 @@
         within("cold.warm_after_ms", self.cold.warm_after_ms, 0.0, LONGEST)?;
         within("limits.sockets", self.limits.sockets as f64, 64.0, 1e6)?;
         within("limits.memory_mb", self.limits.memory_mb, 16.0, 1e6)?;
+        self.members.as_ref().map_or(Ok(()), ZooKeeper::check)?;
         self.servers.iter().enumerate().try_for_each(|(i, s)| s.check(i, &self.zones))?;
         self.classes.iter().enumerate().try_for_each(|(i, c)| c.check(i))?;
         self.plans.iter().enumerate().try_for_each(|(i, p)| p.check(i))
@@ -395,6 +434,7 @@
             setup: Setup { settings, names, seed: seed(&self.name) },
             name: self.name,
             members: self.servers.into_iter().map(ServerLine::member).collect(),
+            zookeeper: self.members,
             counter,
             limits: (self.limits.sockets, self.limits.memory_mb),
             keep_idle: self.attempts.keep_idle_ms,
@@ -533,6 +573,18 @@
             ("repeat = \"keyed\"", "repeat = \"often\"", "repeat", "`safe`, `keyed`, `unsafe`"),
             ("rate = 5", "rat = 5", "rat", "unknown field"),
             ("9001", "none", "address", "socket address"),
+            (
+                "[[plans]]",
+                "[members]\nzookeeper = \"x\"\npath = \"/a\"\n[[plans]]",
+                "members.zookeeper",
+                "HOST:PORT",
+            ),
+            (
+                "[[plans]]",
+                "[members]\nzookeeper = \"x:1\"\npath = \"a/\"\n[[plans]]",
+                "members.path",
+                "/services",
+            ),
         ] {
             assert!(GOOD.contains(of), "{of}");
             let e = Config::parse(&GOOD.replacen(of, with, 1)).expect_err(with).to_string();
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod limiter;
 pub mod message;
 pub mod server;
+pub mod standalone;
 pub mod wait;
 pub mod zookeeper;
 
@@ -17,4 +18,5 @@
 pub use limiter::{Limiter, Setup, WIDE};
 pub use message::{answer, read_message, Message};
 pub use server::{Act, Server};
+pub use standalone::{Scratch, Standalone};
 pub use wait::{eventually, PATIENCE};
--- /dev/null
+++ b/crates/testkit/src/standalone.rs
@@ -0,0 +1,80 @@
+//! The daemon without a platform, started from a file.
+
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+/// A file that goes with its test.
+pub struct Scratch(PathBuf);
+
+impl Scratch {
+    pub fn new(text: &str) -> Scratch {
+        static NEXT: AtomicUsize = AtomicUsize::new(0);
+        let name = format!("oatbank-cli-{}-{}.toml", std::process::id(), NEXT.fetch_add(1, Ordering::SeqCst));
+        let file = Scratch(std::env::temp_dir().join(name));
+        file.write(text);
+        file
+    }
+
+    pub fn write(&self, text: &str) {
+        std::fs::write(&self.0, text).expect("a file");
+    }
+
+    pub fn path(&self) -> &str {
+        self.0.to_str().expect("a path of plain text")
+    }
+}
+
+impl Drop for Scratch {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.0);
+    }
+}
+
+/// A process that is killed with its test.
+pub struct Standalone {
+    pub child: Child,
+    pub address: SocketAddr,
+    log: BufReader<std::process::ChildStderr>,
+}
+
+impl Standalone {
+    /// Starts `oatbank serve` at the path `program` and waits until it serves.
+    pub fn serve(program: &str, file: &Scratch) -> Standalone {
+        let mut command = Command::new(program);
+        command.args(["serve", "--config", file.path()]).stderr(Stdio::piped());
+        let mut child = command.spawn().expect("oatbank");
+        let log = BufReader::new(child.stderr.take().expect("a log"));
+        let mut process = Standalone { child, address: SocketAddr::from(([0, 0, 0, 0], 0)), log };
+        let line = process.line_with(" serves ");
+        let (_, address) = line.split_once(" serves ").expect("an address");
+        process.address = address.trim().parse().expect("an address");
+        process
+    }
+
+    /// The next line of the log that holds this.
+    pub fn line_with(&mut self, mark: &str) -> String {
+        let mut line = String::new();
+        loop {
+            line.clear();
+            assert!(self.log.read_line(&mut line).expect("a line") > 0, "the log ended before {mark:?}");
+            if line.contains(mark) {
+                return line;
+            }
+        }
+    }
+
+    pub fn signal(&self, name: &str) {
+        let pid = self.child.id().to_string();
+        assert!(Command::new("kill").args([name, &pid]).status().expect("kill").success());
+    }
+}
+
+impl Drop for Standalone {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
