--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -3,6 +3,7 @@
 mod demo;
 mod front;
 mod logging;
+mod members;
 mod platform;
 mod serve;
 mod standalone;
@@ -34,6 +35,15 @@
         /// The file (TOML).
         file: String,
     },
+    /// Print the list of servers as a limiter would have it.
+    Members {
+        /// The file (TOML).
+        #[arg(long)]
+        config: String,
+        /// Go on, and print what changes.
+        #[arg(long)]
+        follow: bool,
+    },
     /// Start engines and a limiter on loopback, let some fail, and print what happens.
     Demo,
 }
@@ -46,6 +56,7 @@
             standalone::run(config)
         }
         Some(Command::Check { file }) => check(&file),
+        Some(Command::Members { config, follow }) => members::run(&config, follow),
         Some(Command::Demo) => demo::run(),
     };
     match done {
--- a/crates/daemon/src/standalone.rs
+++ b/crates/daemon/src/standalone.rs
@@ -1,5 +1,6 @@
 //! Serving without a platform: servers, counter and all else from a file of oatbank's own.
 
+use crate::members;
 use crate::serve::{on_one_thread, Limits, Plan, Serving, Signals};
 use oatbank_engine::config::{Config, CounterKind, ZooKeeper};
 use oatbank_engine::counters::local::{LocalCounter, Numbers};
@@ -12,7 +13,6 @@
 use oatbank_engine::supervise::keep_running;
 use oatbank_engine::upstreams::http1::Http1;
 use std::rc::Rc;
-use std::time::Duration;
 
 /// Serves from the file at `path` until a signal ends it. SIGHUP takes over the file's list of servers; a file
 /// that cannot be read changes nothing.
@@ -56,13 +56,7 @@
 fn follow(engine: &Rc<Engine<Http1>>, folder: &ZooKeeper, until_then: Vec<Member>) {
     let told = engine.told();
     told(News::Remembered(until_then));
-    let auth = folder.auth.as_ref().and_then(|a| a.split_once(':'));
-    let source = oatbank_zookeeper::Config {
-        cluster: folder.zookeeper.clone(),
-        path: folder.path.clone(),
-        session_timeout: Duration::from_millis(folder.session_timeout_ms),
-        auth: auth.map(|(scheme, credentials)| (scheme.to_owned(), credentials.as_bytes().to_vec())),
-    };
+    let source = members::source(folder);
     let clock: Rc<dyn Clock> = Rc::new(SystemClock::new());
     let state = oatbank_zookeeper::state(&source);
     keep_running("members", move || {
--- a/crates/daemon/tests/membership.rs
+++ b/crates/daemon/tests/membership.rs
@@ -2,6 +2,8 @@
 
 use oatbank_testkit::zookeeper::Coordinator;
 use oatbank_testkit::{answer, eventually, Act, Client, Scratch, Server, Standalone};
+use std::io::{BufRead, BufReader};
+use std::process::{Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -97,3 +99,27 @@
     let (asked, refused) = (asked.into_inner(), refused.into_inner());
     assert!(refused * 100 <= asked, "{refused} of {asked} were not served");
 }
+
+#[test]
+fn the_list_is_printed_with_what_is_left_out_and_why_and_followed() {
+    let coordinator = Coordinator::start(1);
+    coordinator.put(&path(1), br#"{"address":"127.0.0.1","port":9001,"payload":{"zone":"a"}}"#);
+    coordinator.put(&path(2), br#"{"address":"nowhere","port":9002}"#);
+    let file = config(&coordinator);
+    let done = Command::new(OATBANK).args(["members", "--config", file.path()]).output().expect("oatbank");
+    let text = String::from_utf8_lossy(&done.stdout).into_owned();
+    assert!(done.status.success(), "{text}");
+    for part in ["s-00000001", "ready", "127.0.0.1:9001", "zone a", "left out: no address", "1 members"] {
+        assert!(text.contains(part), "no {part:?} in {text}");
+    }
+    let mut command = Command::new(OATBANK);
+    command.args(["members", "--follow", "--config", file.path()]).stdout(Stdio::piped());
+    let mut follower = command.spawn().expect("oatbank");
+    let mut lines = BufReader::new(follower.stdout.take().expect("output")).lines().map_while(Result::ok);
+    assert!(lines.any(|line| line.contains("1 members")), "the first list");
+    assert!(coordinator.delete(&path(1)));
+    let change = lines.next().expect("a change");
+    assert!(change.contains("s-00000001") && change.contains("gone"), "{change}");
+    follower.kill().expect("a kill");
+    follower.wait().expect("its end");
+}
