--- a/crates/membership/src/reconcile.rs
+++ b/crates/membership/src/reconcile.rs
@@ -14,7 +14,9 @@
 
 use crate::payload::{self, Reason};
 use oatbank_engine::ports::membership::{Member, News};
+use std::collections::hash_map::Entry;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::hash::Hash;
 use std::net::SocketAddr;
 use topazwind::interface::{Millis, ServerState};
 
@@ -108,6 +110,9 @@
     held: Option<Result<Member, Reason>>,
 }
 
+/// A node that claims an id or an address, and the transaction that created it; the newest holds it.
+type Claim = (i64, String);
+
 /// The folder's state, and the list that was told.
 #[derive(Debug)]
 pub struct Reconciler {
@@ -128,8 +133,8 @@
     nodes: BTreeMap<String, Node>,
     queue: VecDeque<String>,
     reading: usize,
-    by_id: HashMap<String, BTreeSet<(i64, String)>>,
-    by_address: HashMap<SocketAddr, BTreeSet<(i64, String)>>,
+    by_id: HashMap<String, BTreeSet<Claim>>,
+    by_address: HashMap<SocketAddr, BTreeSet<Claim>>,
     told: BTreeMap<String, Member>,
     first_due: Option<Millis>,
     started: bool,
@@ -397,32 +402,16 @@
     fn index(&mut self, name: &str, add: bool) {
         let Some(node) = self.nodes.get(name) else { return };
         let Some(Ok(member)) = &node.held else { return };
-        let key = (node.created, name.to_owned());
-        let ids = self.by_id.entry(member.id.clone()).or_default();
-        if add {
-            _ = ids.insert(key.clone())
-        } else {
-            _ = ids.remove(&key)
-        }
-        if ids.is_empty() {
-            self.by_id.remove(&member.id);
-        }
+        let claim = (node.created, name.to_owned());
         if let Some(address) = member.address {
-            let addresses = self.by_address.entry(address).or_default();
-            if add {
-                _ = addresses.insert(key)
-            } else {
-                _ = addresses.remove(&key)
-            }
-            if addresses.is_empty() {
-                self.by_address.remove(&address);
-            }
+            put(&mut self.by_address, address, claim.clone(), add);
         }
+        put(&mut self.by_id, member.id.clone(), claim, add);
     }
 
     fn beaten(&self, name: &str, node: &Node, member: &Member) -> Option<Reason> {
         let key = (node.created, name.to_owned());
-        let last = |set: Option<&BTreeSet<(i64, String)>>| set.and_then(BTreeSet::last) == Some(&key);
+        let last = |set: Option<&BTreeSet<Claim>>| set.and_then(BTreeSet::last) == Some(&key);
         if !last(self.by_id.get(&member.id)) {
             return Some(Reason::SameId);
         }
@@ -525,3 +514,15 @@
         }
     }
 }
+
+/// Adds a node's claim to what it claims, or takes it away.
+fn put<K: Eq + Hash>(claims: &mut HashMap<K, BTreeSet<Claim>>, key: K, claim: Claim, add: bool) {
+    if add {
+        claims.entry(key).or_default().insert(claim);
+    } else if let Entry::Occupied(mut held) = claims.entry(key) {
+        held.get_mut().remove(&claim);
+        if held.get().is_empty() {
+            held.remove();
+        }
+    }
+}
--- a/crates/testkit/src/zookeeper/server.rs
+++ b/crates/testkit/src/zookeeper/server.rs
@@ -75,7 +75,7 @@
     fn spread(&mut self, changes: &[Change]) {
         for connection in self.connections.values_mut() {
             if !self.lagging.contains_key(&connection.endpoint) {
-                tell(connection, changes, self.tree.zxid);
+                tell(connection, changes);
             }
         }
     }
@@ -95,7 +95,7 @@
     }
 }
 
-fn tell(connection: &mut Connection, changes: &[Change], _zxid: i64) {
+fn tell(connection: &mut Connection, changes: &[Change]) {
     for (kind, path) in changes.iter().filter_map(|c| connection.watches.hear(c)).collect::<Vec<_>>() {
         let mut out = Writer::default();
         out.int(-1).long(-1).int(0).int(kind).int(3).buffer(path.as_bytes());
@@ -525,7 +525,6 @@
                 Ok(_) => {}
             }
         }
-        let zxid = tree.zxid;
         let watches = self.watches()?;
         watches.data.extend(data);
         watches.exist.extend(exist);
@@ -534,7 +533,7 @@
             watches.persistent.extend(input.strings()?);
             watches.recursive.extend(input.strings()?);
         }
-        tell(self.state.connections.get_mut(&self.number)?, &missed, zxid);
+        tell(self.state.connections.get_mut(&self.number)?, &missed);
         Some(Ok(()))
     }
 }
--- a/crates/zookeeper/src/lib.rs
+++ b/crates/zookeeper/src/lib.rs
@@ -76,8 +76,6 @@
 
 /// One session.
 struct Source {
-    client: Client,
-    path: String,
     clock: Rc<dyn Clock>,
     told: Told,
     state: Shared,
@@ -105,25 +103,14 @@
         let (tell, heard) = unbounded_channel();
         let path = config.path.trim_end_matches('/').to_owned();
         let newest = Rc::new(Cell::new(0));
-        let reader = Reader { client: client.clone(), path: path.clone(), connection: 0, tell, newest };
-        Source {
-            client,
-            path,
-            clock,
-            told,
-            state,
-            heard,
-            reader,
-            reads: JoinSet::new(),
-            due: None,
-            give_up_at: None,
-        }
+        let reader = Reader { client, path, connection: 0, tell, newest };
+        Source { clock, told, state, heard, reader, reads: JoinSet::new(), due: None, give_up_at: None }
     }
 
     /// Runs until the session is over.
     async fn run(mut self) -> SessionState {
-        log::info!("members: following {}", self.path);
-        let mut states = self.client.state_watcher();
+        log::info!("members: following {}", self.reader.path);
+        let mut states = self.reader.client.state_watcher();
         self.connected();
         loop {
             let due: Local<()> =
@@ -152,7 +139,7 @@
                 () = due => {
                     if self.give_up_at.is_some_and(|at| self.clock.now() >= at) {
                         self.handle(Event::Lost);
-                        return self.client.state();
+                        return self.reader.client.state();
                     }
                     self.handle(Event::Due);
                 }
@@ -188,21 +175,15 @@
         let _ = self.tell.send((self.connection, event));
     }
 
-    /// Makes a read and then waits for its watch.
+    /// Makes a read, which must be answered in time, and then waits for its watch, however long.
     async fn read(self, want: Want) {
-        let reading = async {
-            match &want {
-                Want::Children => self.children().await,
-                Want::Data(name) => self.data(name).await,
-            }
+        let done = match &want {
+            Want::Children => self.children().await,
+            Want::Data(name) => self.data(name).await,
         };
-        // The watch is waited for without end; a read is not.
-        match reading.await {
-            Ok(()) => {}
-            Err(e) => {
-                log::debug!("members: {want:?}: {e}");
-                self.say(Event::Failed(want));
-            }
+        if let Err(e) = done {
+            log::debug!("members: {want:?}: {e}");
+            self.say(Event::Failed(want));
         }
     }
 
