One piece each for open names, the end's span and the start of a counter

Need: read again, three things stood in several places: names of open requests (daemon, client), the span in which an end answers what was taken (daemon, handle, layer), and the counter that a configuration names (daemon, library). Change: open_ids, finish_within and counters::start in the engine serve all of them; the standalone daemon uses one clock for engine and membership. Behaviour is as before.

--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -11,10 +11,11 @@
 use hyper_util::rt::TokioIo;
 use oatbank_engine::classify::{self, Rejection};
 use oatbank_engine::engine::{Answer, Engine};
+use oatbank_engine::open_ids::OpenIds;
 use oatbank_engine::respond::{self, plain};
 use oatbank_engine::upstreams::http1::{Forward, Http1};
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::convert::Infallible;
 use std::io;
 use std::pin::{pin, Pin};
@@ -169,32 +170,6 @@
     }
 }
 
-/// Names of requests that are open. One that comes again meanwhile is another client's, and a server's
-/// answer could reach the wrong one.
-type OpenIds = RefCell<HashSet<Box<str>>>;
-
-/// Holds a request's name while it is open, whichever way it ends.
-struct Held<'a> {
-    ids: &'a OpenIds,
-    id: Box<str>,
-}
-
-impl<'a> Held<'a> {
-    fn new(ids: &'a OpenIds, id: &str) -> Option<Self> {
-        let id: Box<str> = id.into();
-        if !ids.borrow_mut().insert(id.clone()) {
-            return None;
-        }
-        Some(Held { ids, id })
-    }
-}
-
-impl Drop for Held<'_> {
-    fn drop(&mut self) {
-        self.ids.borrow_mut().remove(&self.id);
-    }
-}
-
 /// All client connections.
 pub struct Front {
     engine: Rc<Engine<Http1>>,
@@ -214,7 +189,7 @@
         Rc::new(Front {
             engine,
             peers: RefCell::default(),
-            ids: RefCell::default(),
+            ids: OpenIds::default(),
             most,
             next: Cell::new(0),
             stopping: Cell::new(false),
@@ -366,9 +341,7 @@
             head.uri = path.clone().into();
         }
         let id = classify::single(&headers, &classify::CORRELATION)?.unwrap_or_default();
-        let Some(_held) = Held::new(&self.ids, id) else {
-            return Err(Rejection { status: StatusCode::CONFLICT, why: "a request of this name is open\n" });
-        };
+        let _held = self.ids.hold(id)?;
         let forward = Forward { method: head.method, uri: head.uri, headers: headers.clone(), body };
         peer.enter(Phase::Busy, self.engine.now());
         let (sender, receiver) = oneshot::channel();
--- a/crates/daemon/src/serve.rs
+++ b/crates/daemon/src/serve.rs
@@ -1,7 +1,7 @@
 //! The life of a serving process: from its listener to the last answer.
 
 use crate::front::Front;
-use oatbank_engine::engine::{Engine, Setup};
+use oatbank_engine::engine::{finish_within, Engine, Setup};
 use oatbank_engine::ports::clock::Clock;
 use oatbank_engine::supervise::keep_running;
 use oatbank_engine::upstreams::http1::{Connections, Http1};
@@ -31,9 +31,6 @@
 const BACKLOG: u32 = 1024;
 /// After SIGTERM new connections still come for up to 0.4 s.
 const KEEP_ACCEPTING: Duration = Duration::from_millis(450);
-/// After SIGTERM all that was taken is answered by the longest deadline, within these bounds, and this more.
-const LONGEST_FINISH: f64 = 3000.0;
-const FINISH_MARGIN: Duration = Duration::from_millis(550);
 /// How often the end of a shutdown looks whether all is done, and how long it waits for last bytes.
 const LOOK: Duration = Duration::from_millis(10);
 const LAST_BYTES: Duration = Duration::from_millis(60);
@@ -118,7 +115,7 @@
     address: SocketAddr,
     front: Rc<Front>,
     accepting: AbortHandle,
-    longest: Millis,
+    finish_within: Duration,
 }
 
 impl Serving {
@@ -146,8 +143,8 @@
         let looking = front.clone();
         keep_running("look round", move || looking.clone().look_round());
         log::info!("{} serves {address}", plan.name);
-        let longest = plan.setup.settings.classes.iter().map(|c| c.deadline).fold(0.0, f64::max);
-        Ok(Serving { name: plan.name.clone(), engine, address, front, accepting, longest })
+        let finish_within = finish_within(&plan.setup.settings);
+        Ok(Serving { name: plan.name.clone(), engine, address, front, accepting, finish_within })
     }
 
     /// Where clients connect.
@@ -164,8 +161,7 @@
         front.stop();
         tokio::time::sleep(KEEP_ACCEPTING).await;
         self.accepting.abort();
-        let longest = Duration::from_secs_f64(self.longest.min(LONGEST_FINISH) / 1000.0);
-        finish(engine, front, stopped + longest + FINISH_MARGIN).await;
+        finish(engine, front, stopped + self.finish_within).await;
         log::info!("{} ends after {} ms", self.name, stopped.elapsed().as_millis());
     }
 }
--- a/crates/daemon/src/standalone.rs
+++ b/crates/daemon/src/standalone.rs
@@ -2,13 +2,11 @@
 
 use crate::members;
 use crate::serve::{on_one_thread, Limits, Plan, Serving, Signals};
-use oatbank_engine::config::{Config, CounterKind, ZooKeeper};
-use oatbank_engine::counters::local::{LocalCounter, Numbers};
-use oatbank_engine::counters::text::TextCounter;
+use oatbank_engine::config::{Config, ZooKeeper};
+use oatbank_engine::counters::{self, local::Numbers};
 use oatbank_engine::engine::Engine;
 use oatbank_engine::members::fixed;
 use oatbank_engine::ports::clock::{Clock, SystemClock};
-use oatbank_engine::ports::counter::Counter;
 use oatbank_engine::ports::membership::{Member, News};
 use oatbank_engine::supervise::keep_running;
 use oatbank_engine::upstreams::http1::Http1;
@@ -38,14 +36,9 @@
     let clock: Rc<dyn Clock> = Rc::new(SystemClock::new());
     let plan = plan(config);
     let engine = Serving::engine(&plan, clock.clone());
-    let counter: Option<Rc<dyn Counter>> = match config.counter {
-        CounterKind::None => None,
-        CounterKind::Local => Some(LocalCounter::start(Numbers::default(), clock, engine.ends())),
-        CounterKind::Text(address) => Some(TextCounter::start(Some(address), clock, engine.ends())),
-    };
-    engine.use_counter(counter);
+    engine.use_counter(counters::start(config.counter, Numbers::default(), clock.clone(), engine.ends()));
     match &config.zookeeper {
-        Some(folder) => follow(&engine, folder, config.members.clone()),
+        Some(folder) => follow(&engine, clock, folder, config.members.clone()),
         None => fixed::tell(&engine.told(), config.members.clone()),
     }
     let serving = Serving::start(&plan, engine.clone()).map_err(|e| format!("{}: {e}", config.listen))?;
@@ -53,11 +46,10 @@
 }
 
 /// The folder's list counts from its first read on; until then the file's does.
-fn follow(engine: &Rc<Engine<Http1>>, folder: &ZooKeeper, until_then: Vec<Member>) {
+fn follow(engine: &Rc<Engine<Http1>>, clock: Rc<dyn Clock>, folder: &ZooKeeper, until_then: Vec<Member>) {
     let told = engine.told();
     told(News::Remembered(until_then));
     let source = members::source(folder);
-    let clock: Rc<dyn Clock> = Rc::new(SystemClock::new());
     let state = oatbank_zookeeper::state(&source);
     keep_running("members", move || {
         oatbank_zookeeper::follow(source.clone(), clock.clone(), told.clone(), state.clone())
--- a/crates/engine/src/counters/mod.rs
+++ b/crates/engine/src/counters/mod.rs
@@ -2,3 +2,25 @@
 
 pub mod local;
 pub mod text;
+
+use crate::config::CounterKind;
+use crate::ports::clock::Clock;
+use crate::ports::counter::{Counter, Ends};
+use local::{LocalCounter, Numbers};
+use std::rc::Rc;
+use text::TextCounter;
+
+/// Starts the counter that a configuration names, inside the engine's local set; `numbers` are those of a counter
+/// within the process.
+pub fn start(
+    kind: CounterKind,
+    numbers: Numbers,
+    clock: Rc<dyn Clock>,
+    ends: Ends,
+) -> Option<Rc<dyn Counter>> {
+    match kind {
+        CounterKind::None => None,
+        CounterKind::Local => Some(LocalCounter::start(numbers, clock, ends)),
+        CounterKind::Text(address) => Some(TextCounter::start(Some(address), clock, ends)),
+    }
+}
--- a/crates/engine/src/direct.rs
+++ b/crates/engine/src/direct.rs
@@ -5,8 +5,8 @@
 //! held for one event at a time, never while a handler runs or anything is waited for.
 
 use crate::engine::core::{Core, Output};
-use crate::engine::{Answer, Setup};
-use crate::handle::{Ended, FINISH_MARGIN, FULL_RETRY, LONGEST_FINISH};
+use crate::engine::{finish_within, Answer, Setup};
+use crate::handle::{Ended, FULL_RETRY};
 use crate::ports::clock::{Clock, SystemClock};
 use crate::ports::counter::{Call, CallEnd, Counter, Ends};
 use crate::ports::membership::{Member, News};
@@ -215,9 +215,7 @@
     /// and completes when all is answered.
     pub async fn shutdown(&self) {
         self.shared().stopping.store(true, Ordering::Release);
-        let longest = self.setup().settings.classes.iter().map(|c| c.deadline).fold(0.0, f64::max);
-        let span = Duration::from_secs_f64((longest.min(LONGEST_FINISH) + FINISH_MARGIN) / 1000.0);
-        let end = tokio::time::Instant::now() + span;
+        let end = tokio::time::Instant::now() + finish_within(&self.setup().settings);
         while self.shared().lock().owed() > 0 && tokio::time::Instant::now() < end {
             tokio::time::sleep(LOOK).await;
         }
--- a/crates/engine/src/engine/mod.rs
+++ b/crates/engine/src/engine/mod.rs
@@ -19,6 +19,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::task::AbortHandle;
 use topazwind::interface::*;
@@ -50,6 +51,17 @@
     pub seed: u64,
 }
 
+/// Longest deadline that the end of a limiter waits for, ms, and what it waits more.
+const LONGEST_FINISH: Millis = 3000.0;
+const FINISH_MARGIN: Millis = 550.0;
+
+/// How long the end of a limiter waits for answers to what was taken: 0.55 s after the longest deadline, of which
+/// 3 s count at most. After that the rest is failed.
+pub fn finish_within(settings: &Settings) -> Duration {
+    let longest = settings.classes.iter().map(|c| c.deadline).fold(0.0, f64::max);
+    Duration::from_secs_f64((longest.min(LONGEST_FINISH) + FINISH_MARGIN) / 1000.0)
+}
+
 /// The one owner of a decision module. Guarantees, whatever the ports do:
 /// - each request that was taken on gets exactly one [`Answer`], at the latest 8 ms before its time is up;
 /// - an attempt's end reaches the module once; one that has no end is ended by its time-out;
--- a/crates/engine/src/handle.rs
+++ b/crates/engine/src/handle.rs
@@ -3,7 +3,7 @@
 //! An engine lives on one thread. A [`Handle`] may be cloned and used from any thread and runtime; what it
 //! sends waits in a bounded queue until the engine takes it.
 
-use crate::engine::{Answer, Engine, Setup};
+use crate::engine::{finish_within, Answer, Engine, Setup};
 use crate::ports::membership::{News, Told};
 use crate::ports::upstream::Upstream;
 use std::collections::HashMap;
@@ -24,10 +24,6 @@
 pub const USUAL_QUEUE: usize = 4096;
 /// A request that finds the queue full is told to come back after this, ms: the queue is then empty again.
 pub const FULL_RETRY: Millis = 50.0;
-/// Longest time that a shutdown waits for answers, ms, and the margin after the longest deadline.
-pub(crate) const LONGEST_FINISH: Millis = 3000.0;
-pub(crate) const FINISH_MARGIN: Millis = 550.0;
-
 /// How a request ended that was given to a [`Handle`].
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Ended<A> {
@@ -240,9 +236,7 @@
         tickets: &Tickets,
         told: &Told,
     ) {
-        let longest = engine.settings().classes.iter().map(|c| c.deadline).fold(0.0, f64::max);
-        let span = Duration::from_secs_f64((longest.min(LONGEST_FINISH) + FINISH_MARGIN) / 1000.0);
-        let end = Instant::now() + span;
+        let end = Instant::now() + finish_within(engine.settings());
         let mut more = Vec::new();
         while (engine.owed() > 0 || !self.commands.is_empty()) && Instant::now() < end {
             match tokio::time::timeout(Duration::from_millis(5), self.commands.recv()).await {
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! | module | holds |
 //! | --- | --- |
+//! | [`open_ids`] | names of requests that are open |
 //! | [`ports`] | the seams: clock, counter, membership, the way to a server; with the guarantees of each |
 //! | [`engine`] | the one owner of the decision module; knows ports only |
 //! | [`classify`] | what the module is told of a request, from the platform's headers |
@@ -21,6 +22,7 @@
 pub mod engine;
 pub mod handle;
 pub mod members;
+pub mod open_ids;
 pub mod ports;
 pub mod respond;
 pub mod supervise;
--- a/crates/tower/src/client.rs
+++ b/crates/tower/src/client.rs
@@ -7,14 +7,13 @@
 use oatbank_engine::classify::{self, Rejection};
 use oatbank_engine::config::Config;
 use oatbank_engine::handle::{Handle, Pending};
+use oatbank_engine::open_ids::{Held, OpenIds};
 use oatbank_engine::ports::membership::News;
 use oatbank_engine::respond;
 use oatbank_engine::upstreams::http1::Forward;
-use std::collections::HashSet;
 use std::convert::Infallible;
 use std::future::Future;
 use std::pin::Pin;
-use std::sync::{Arc, Mutex, PoisonError};
 use std::task::{ready, Context, Poll};
 use tower::Service;
 
@@ -124,29 +123,3 @@
         }))
     }
 }
-
-/// Names of requests that are open. One that comes again meanwhile is another's, and a server's answer could
-/// reach the wrong one.
-#[derive(Clone, Default)]
-struct OpenIds(Arc<Mutex<HashSet<Box<str>>>>);
-
-impl OpenIds {
-    fn hold(&self, id: &str) -> Result<Held, Rejection> {
-        let id: Box<str> = id.into();
-        if !self.0.lock().unwrap_or_else(PoisonError::into_inner).insert(id.clone()) {
-            return Err(Rejection { status: StatusCode::CONFLICT, why: "a request of this name is open\n" });
-        }
-        Ok(Held { ids: self.clone(), id })
-    }
-}
-
-struct Held {
-    ids: OpenIds,
-    id: Box<str>,
-}
-
-impl Drop for Held {
-    fn drop(&mut self) {
-        self.ids.0.lock().unwrap_or_else(PoisonError::into_inner).remove(&self.id);
-    }
-}
--- a/crates/tower/src/start.rs
+++ b/crates/tower/src/start.rs
@@ -1,15 +1,13 @@
 //! Puts an engine together from a configuration and runs it on a thread of its own.
 
 use bytes::Bytes;
-use oatbank_engine::config::{Config, CounterKind};
-use oatbank_engine::counters::local::{LocalCounter, Numbers};
-use oatbank_engine::counters::text::TextCounter;
+use oatbank_engine::config::Config;
+use oatbank_engine::counters::{self, local::Numbers};
 use oatbank_engine::direct::{self, Direct};
 use oatbank_engine::engine::{Engine, Setup};
 use oatbank_engine::handle::{self, Handle, USUAL_QUEUE};
 use oatbank_engine::members::fixed;
 use oatbank_engine::ports::clock::{Clock, SystemClock};
-use oatbank_engine::ports::counter::{Counter, Ends};
 use oatbank_engine::ports::membership::Member;
 use oatbank_engine::ports::upstream::Upstream;
 use oatbank_engine::upstreams::http1::{Connections, Forward, Http1};
@@ -116,7 +114,7 @@
         (settings.max_attempts, settings.parallel_tries, settings.gateways) = (1, false, 1.0);
         let (limiter, work) = direct::pair(setup, &config.setup, queue);
         let kind = config.counter;
-        let start = move |clock, ends| counter(kind, numbers, clock, ends);
+        let start = move |clock, ends| counters::start(kind, numbers, clock, ends);
         match place {
             Place::Thread => direct::spawn(work, start).map_err(StartError::Thread)?,
             Place::Here => drop(tokio::task::spawn_local(work.run(start))),
@@ -168,15 +166,7 @@
 ) -> Rc<Engine<U>> {
     let engine = Engine::new(&config.setup, clock.clone(), upstream);
     engine.start();
-    engine.use_counter(counter(config.counter, numbers, clock, engine.ends()));
+    engine.use_counter(counters::start(config.counter, numbers, clock, engine.ends()));
     fixed::tell(&engine.told(), members);
     engine
 }
-
-fn counter(kind: CounterKind, numbers: Numbers, clock: Rc<dyn Clock>, ends: Ends) -> Option<Rc<dyn Counter>> {
-    match kind {
-        CounterKind::None => None,
-        CounterKind::Local => Some(LocalCounter::start(numbers, clock, ends)),
-        CounterKind::Text(address) => Some(TextCounter::start(Some(address), clock, ends)),
-    }
-}
