--- a/benches/src/bin/admission.rs
+++ b/benches/src/bin/admission.rs
@@ -7,6 +7,7 @@
 use governor::{Quota, RateLimiter};
 use hdrhistogram::Histogram;
 use http::{Request, Response};
+use oatbank_benches::cpu;
 use oatbank_testkit::{answer, Act, Client, Server};
 use oatbank_tower::{Builder, Config, LimitLayer, PlatformHeaders};
 use std::convert::Infallible;
@@ -58,14 +59,6 @@
     service_fn(|_: Request<()>| async { Ok::<_, Infallible>(Response::new(Body::empty())) })
 }
 
-/// CPU time of a process so far.
-fn cpu(process: &str) -> Duration {
-    let stat = std::fs::read_to_string(format!("/proc/{process}/stat")).expect("a process");
-    let fields: Vec<&str> = stat.rsplit(") ").next().expect("fields").split(' ').collect();
-    let ticks: u64 = fields[11..13].iter().map(|f| f.parse::<u64>().expect("ticks")).sum();
-    Duration::from_millis(ticks * 10)
-}
-
 struct Row {
     what: String,
     rate: f64,
--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -12,7 +12,7 @@
 use oatbank_engine::classify::{self, Rejection};
 use oatbank_engine::engine::{Answer, Engine};
 use oatbank_engine::open_ids::OpenIds;
-use oatbank_engine::respond::{self, plain};
+use oatbank_engine::respond::{self, plain, ComeBack};
 use oatbank_engine::upstreams::http1::{Forward, Http1};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -173,6 +173,7 @@
 /// All client connections.
 pub struct Front {
     engine: Rc<Engine<Http1>>,
+    come_back: ComeBack,
     peers: RefCell<HashMap<u64, Rc<Peer>>>,
     ids: OpenIds,
     most: usize,
@@ -185,9 +186,10 @@
 
 impl Front {
     /// A front that holds `most` connections at most.
-    pub fn new(engine: Rc<Engine<Http1>>, most: usize) -> Rc<Self> {
+    pub fn new(engine: Rc<Engine<Http1>>, most: usize, come_back: ComeBack) -> Rc<Self> {
         Rc::new(Front {
             engine,
+            come_back,
             peers: RefCell::default(),
             ids: OpenIds::default(),
             most,
@@ -213,7 +215,7 @@
                     tokio::task::spawn_local(self.clone().serve(stream, self.next.get()));
                 }
                 Err(e) => {
-                    log::warn!("accept: {e}");
+                    tracing::warn!(reason = %e, "accept: {e}");
                     tokio::time::sleep(ACCEPT_PAUSE).await;
                 }
             }
@@ -347,15 +349,24 @@
         let (sender, receiver) = oneshot::channel();
         // A client that has just left needs no answer.
         let reply = Box::new(move |answer| drop(sender.send(answer)));
-        let id = self.engine.arrive(request, forward, reply);
+        let (begun, account) = (self.engine.now(), request.customer.0);
+        let span = tracing::debug_span!("request", id = head_id(&forward), account);
+        let id = span.in_scope(|| self.engine.arrive(request, forward, reply));
         let mut watch = Watch { engine: &self.engine, id, answered: false };
         // The sender is only lost with the request's entry, and that is a defect: it has then failed.
         let answer = receiver.await.unwrap_or(Answer::Failed);
         watch.answered = true;
-        Ok(respond::answered(answer, |body| Response::new(Full::new(body))))
+        let ms = self.engine.now() - begun;
+        span.in_scope(|| tracing::debug!(ms, outcome = answer.name(), "answered"));
+        Ok(respond::answered(answer, self.come_back, |body| Response::new(Full::new(body))))
     }
 }
 
+/// The client's name for a request, for the log.
+fn head_id(forward: &Forward) -> &str {
+    forward.headers.get(&classify::CORRELATION).and_then(|id| id.to_str().ok()).unwrap_or_default()
+}
+
 /// Takes a connection off the list whichever way it ends.
 struct Listed {
     front: Rc<Front>,
--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -1,42 +1,188 @@
-//! The log: lines on standard error.
+//! The log: lines on standard error, a bounded number a second. A log must not outgrow the troubles told in it.
 
-use log::{Level, LevelFilter, Log, Metadata, Record};
-use std::io::Write;
-use std::sync::Mutex;
+use clap::ValueEnum;
+use std::fmt::Debug;
+use std::sync::{Mutex, OnceLock};
 use std::time::{Duration, Instant};
+use tracing::field::{Field, Visit};
+use tracing::subscriber::Subscriber;
+use tracing::{Event, Level, Metadata};
+use tracing_subscriber::filter::{LevelFilter, Targets};
+use tracing_subscriber::fmt::format::Writer;
+use tracing_subscriber::fmt::{FmtContext, FormatEvent, FormatFields};
+use tracing_subscriber::layer::{Context, Filter, SubscriberExt};
+use tracing_subscriber::registry::LookupSpan;
+use tracing_subscriber::util::SubscriberInitExt;
+use tracing_subscriber::Layer;
 
-/// Writes to standard error, a bounded number of lines a second: a log must not outgrow the troubles told in it.
-struct Lines(Mutex<(Instant, u32)>);
-
+/// Lines that are written in one second; what comes beyond is counted.
 const LINES_A_SECOND: u32 = 20;
+/// Events of this target tell of the log itself, and always pass.
+const OF_THE_LOG: &str = "oatbank::log";
 
-impl Log for Lines {
-    fn enabled(&self, metadata: &Metadata<'_>) -> bool {
-        metadata.level() <= Level::Info
-    }
+/// What a line of the log looks like.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+pub enum Format {
+    /// Time, level, module, what happened, and its fields.
+    Text,
+    /// One JSON object a line.
+    Json,
+}
+
+/// The start of the present second, the lines written in it, and what was left out since that was last told, by level.
+struct Second {
+    began: Instant,
+    written: u32,
+    left_out: [u64; 5],
+}
+
+/// Lets so many lines a second pass.
+struct Bound(Mutex<Second>);
 
-    fn log(&self, record: &Record<'_>) {
-        if !self.enabled(record.metadata()) {
-            return;
+static BOUND: OnceLock<Bound> = OnceLock::new();
+
+fn bound() -> &'static Bound {
+    BOUND.get_or_init(|| Bound(Mutex::new(Second { began: Instant::now(), written: 0, left_out: [0; 5] })))
+}
+
+const LEVELS: [Level; 5] = [Level::ERROR, Level::WARN, Level::INFO, Level::DEBUG, Level::TRACE];
+
+impl Bound {
+    fn admit(&self, level: Level, now: Instant) -> bool {
+        // A thread that panicked here left whole numbers behind.
+        let mut second = self.0.lock().unwrap_or_else(|broken| broken.into_inner());
+        if now.duration_since(second.began) > Duration::from_secs(1) {
+            (second.began, second.written) = (now, 0);
+        }
+        second.written += 1;
+        if second.written <= LINES_A_SECOND {
+            return true;
         }
-        let Ok(mut window) = self.0.lock() else { return };
-        if window.0.elapsed() > Duration::from_secs(1) {
-            *window = (Instant::now(), 0);
+        if let Some(place) = LEVELS.iter().position(|l| *l == level) {
+            second.left_out[place] += 1;
         }
-        window.1 += 1;
-        if window.1 <= LINES_A_SECOND {
+        false
+    }
+
+    /// How many lines were left out since this was last asked, by level from errors down.
+    fn take_left_out(&self) -> [u64; 5] {
+        let mut second = self.0.lock().unwrap_or_else(|broken| broken.into_inner());
+        std::mem::take(&mut second.left_out)
+    }
+}
+
+impl<S: Subscriber> Filter<S> for &'static Bound {
+    fn enabled(&self, _: &Metadata<'_>, _: &Context<'_, S>) -> bool {
+        true
+    }
+
+    fn event_enabled(&self, event: &Event<'_>, _: &Context<'_, S>) -> bool {
+        let metadata = event.metadata();
+        metadata.target() == OF_THE_LOG || self.admit(*metadata.level(), Instant::now())
+    }
+}
+
+/// The platform's lines: level and message.
+struct Platform;
+
+struct Message<'w, 'f>(&'w mut Writer<'f>);
+
+impl Visit for Message<'_, '_> {
+    fn record_debug(&mut self, field: &Field, value: &dyn Debug) {
+        if field.name() == "message" {
             // There is nowhere to tell of a log that cannot be written.
-            let _ = writeln!(std::io::stderr(), "{} {}", record.level(), record.args());
+            let _ = write!(self.0, "{value:?}");
         }
     }
+}
+
+impl<S, N> FormatEvent<S, N> for Platform
+where
+    S: Subscriber + for<'a> LookupSpan<'a>,
+    N: for<'a> FormatFields<'a> + 'static,
+{
+    fn format_event(
+        &self,
+        _: &FmtContext<'_, S, N>,
+        mut writer: Writer<'_>,
+        event: &Event<'_>,
+    ) -> std::fmt::Result {
+        write!(writer, "{} ", event.metadata().level())?;
+        event.record(&mut Message(&mut writer));
+        writeln!(writer)
+    }
+}
 
-    fn flush(&self) {}
+/// Logs as the platform reads it, from the level of information up.
+pub fn start_platform() {
+    let lines = tracing_subscriber::fmt::layer().with_writer(std::io::stderr).event_format(Platform);
+    install(lines.with_filter(bound()).with_filter(LevelFilter::INFO));
 }
 
-/// Sends what is logged to standard error from now on.
-pub fn start() {
-    let lines = Box::new(Lines(Mutex::new((Instant::now(), 0))));
-    if log::set_boxed_logger(lines).is_ok() {
-        log::set_max_level(LevelFilter::Info);
+/// Logs in a format, at levels by module.
+pub fn start(format: Format, levels: Targets) {
+    let lines = tracing_subscriber::fmt::layer().with_writer(std::io::stderr).with_ansi(false);
+    match format {
+        Format::Text => install(lines.with_filter(bound()).with_filter(levels)),
+        Format::Json => install(lines.json().with_filter(bound()).with_filter(levels)),
+    }
+}
+
+/// Reads `info,oatbank_zookeeper=debug`.
+///
+/// # Errors
+/// When a word is no level: alone it would be taken for a module, of which all is logged.
+pub fn levels(text: &str) -> Result<Targets, String> {
+    let allowed = "allowed are off, error, warn, info, debug and trace, also as MODULE=LEVEL behind commas";
+    if let Some(word) = text.split(',').find(|w| !w.contains('=') && w.parse::<LevelFilter>().is_err()) {
+        return Err(format!("{word:?} is no level; {allowed}"));
+    }
+    text.parse().map_err(|e| format!("{e}; {allowed}"))
+}
+
+fn install(lines: impl Layer<tracing_subscriber::Registry> + Send + Sync) {
+    // A second start in one process is a defect of no consequence: the first one's log goes on.
+    let _ = tracing_subscriber::registry().with(lines).try_init();
+}
+
+/// Whether there is a log to tell an error to.
+pub fn is_on() -> bool {
+    BOUND.get().is_some()
+}
+
+/// Tells once a second, for the life of the process, how many lines were left out.
+pub async fn tell_what_was_left_out() {
+    loop {
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        let [errors, warnings, infos, debugs, traces] = bound().take_left_out();
+        if errors + warnings + infos + debugs + traces > 0 {
+            tracing::warn!(
+                target: OF_THE_LOG,
+                errors,
+                warnings,
+                infos,
+                debugs,
+                traces,
+                "lines were left out of the log: {LINES_A_SECOND} a second are written"
+            );
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_second_has_so_many_lines_and_the_rest_is_counted_by_level() {
+        let start = Instant::now();
+        let bound = Bound(Mutex::new(Second { began: start, written: 0, left_out: [0; 5] }));
+        let passed = (0..LINES_A_SECOND + 5).filter(|_| bound.admit(Level::WARN, start)).count();
+        assert_eq!(passed, LINES_A_SECOND as usize);
+        assert!(!bound.admit(Level::ERROR, start));
+        let later = start + Duration::from_millis(1001);
+        assert!(bound.admit(Level::INFO, later));
+        assert_eq!(bound.take_left_out(), [1, 5, 0, 0, 0]);
+        assert_eq!(bound.take_left_out(), [0; 5], "told once");
     }
 }
--- a/crates/daemon/src/members.rs
+++ b/crates/daemon/src/members.rs
@@ -30,7 +30,7 @@
 /// # Errors
 /// When the configuration cannot be used, or no list comes.
 pub fn run(path: &str, follow: bool) -> Result<(), String> {
-    let config = Config::load(path).map_err(|e| format!("{path}: {e}"))?;
+    let config = Config::load(path, std::env::vars()).map_err(|e| e.lines(path).join("\n"))?;
     let Some(folder) = config.zookeeper else {
         config.members.iter().for_each(|m| println!("{}", line("file", m, None)));
         return Ok(());
--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -6,6 +6,7 @@
 use oatbank_engine::members::agent::{self, ServerList};
 use oatbank_engine::ports::clock::{Clock, SystemClock};
 use oatbank_engine::ports::membership::{News, Told};
+use oatbank_engine::respond::ComeBack;
 use oatbank_engine::supervise::keep_running;
 use serde::Deserialize;
 use serde_json::Value;
@@ -15,6 +16,7 @@
 use std::time::Duration;
 use tokio::task::AbortHandle;
 use topazwind::wire::{parse_settings, WireError};
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Why the limiter cannot start from its configuration.
 #[derive(Debug)]
@@ -96,7 +98,7 @@
         let ceiling = |key: &str, absent: f64| {
             set["ceilings"][key].as_f64().filter(|v| v.is_finite() && *v > 0.0).unwrap_or(absent)
         };
-        let seed = u64::from_str_radix(&file.seed, 16).unwrap_or_else(|_| fallback_seed(&file.seed));
+        let seed = u64::from_str_radix(&file.seed, 16).unwrap_or_else(|_| xxh3_64(file.seed.as_bytes()));
         let plan = Plan {
             name: file.name,
             listen: file.listen,
@@ -104,6 +106,7 @@
             limits: file.limits,
             conn_idle: ceiling("conn_idle", 15_000.0),
             connect_timeout: ceiling("connect_timeout", 250.0),
+            come_back: ComeBack::Decimal,
         };
         Ok(Config { plan, discovery: file.discovery, counter: file.counter, known: file.known })
     }
@@ -170,19 +173,14 @@
 fn reload(path: &str, counter: &TextCounter, following: &mut Following) {
     match Config::load(path) {
         Ok(config) => {
-            log::info!("configuration: discovery {}, counter {:?}", config.discovery, config.counter);
+            tracing::info!("configuration: discovery {}, counter {:?}", config.discovery, config.counter);
             following.move_to(config.discovery);
             counter.move_to(config.counter);
         }
-        Err(e) => log::error!("the configuration is kept as it was: {e}"),
+        Err(e) => tracing::error!("the configuration is kept as it was: {e}"),
     }
 }
 
-/// A seed for a text that is no hexadecimal number.
-fn fallback_seed(text: &str) -> u64 {
-    text.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
-}
-
 fn names_of(list: &Value) -> Vec<String> {
     list.as_array()
         .map(|l| l.iter().map(|v| v["name"].as_str().unwrap_or("").to_owned()).collect())
--- a/crates/daemon/src/serve.rs
+++ b/crates/daemon/src/serve.rs
@@ -3,6 +3,7 @@
 use crate::front::Front;
 use oatbank_engine::engine::{finish_within, Engine, Setup};
 use oatbank_engine::ports::clock::Clock;
+use oatbank_engine::respond::ComeBack;
 use oatbank_engine::supervise::keep_running;
 use oatbank_engine::upstreams::http1::{Connections, Http1};
 use serde::Deserialize;
@@ -74,6 +75,8 @@
     pub conn_idle: Millis,
     /// A connection that is not up within this, ms, has failed.
     pub connect_timeout: Millis,
+    /// How refusals say when to come back.
+    pub come_back: ComeBack,
 }
 
 /// The signals that a serving process follows.
@@ -135,14 +138,14 @@
     /// # Errors
     /// When the address cannot be had.
     pub fn start(plan: &Plan, engine: Rc<Engine<Http1>>) -> std::io::Result<Self> {
-        let front = Front::new(engine.clone(), clients(most_connections(plan.limits)));
+        let front = Front::new(engine.clone(), clients(most_connections(plan.limits)), plan.come_back);
         let listener = Rc::new(bind(plan.listen)?);
         let address = listener.local_addr()?;
         let accepting = front.clone();
         let accepting = keep_running("accept", move || accepting.clone().accept(listener.clone()));
         let looking = front.clone();
         keep_running("look round", move || looking.clone().look_round());
-        log::info!("{} serves {address}", plan.name);
+        tracing::info!(limiter = plan.name, "{} serves {address}", plan.name);
         let finish_within = finish_within(&plan.setup.settings);
         Ok(Serving { name: plan.name.clone(), engine, address, front, accepting, finish_within })
     }
@@ -157,12 +160,12 @@
     pub async fn stop(self) {
         let (engine, front) = (&self.engine, &self.front);
         let stopped = Instant::now();
-        log::info!("{} stops: {} connections, {} owed", self.name, front.open(), engine.owed());
+        tracing::info!("{} stops: {} connections, {} owed", self.name, front.open(), engine.owed());
         front.stop();
         tokio::time::sleep(KEEP_ACCEPTING).await;
         self.accepting.abort();
         finish(engine, front, stopped + self.finish_within).await;
-        log::info!("{} ends after {} ms", self.name, stopped.elapsed().as_millis());
+        tracing::info!("{} ends after {} ms", self.name, stopped.elapsed().as_millis());
     }
 }
 
--- a/crates/daemon/src/standalone.rs
+++ b/crates/daemon/src/standalone.rs
@@ -1,13 +1,14 @@
 //! Serving without a platform: servers, counter and all else from a file of oatbank's own.
 
-use crate::members;
 use crate::serve::{on_one_thread, Limits, Plan, Serving, Signals};
+use crate::{logging, members};
 use oatbank_engine::config::{Config, ZooKeeper};
 use oatbank_engine::counters::{self, local::Numbers};
 use oatbank_engine::engine::Engine;
 use oatbank_engine::members::fixed;
 use oatbank_engine::ports::clock::{Clock, SystemClock};
 use oatbank_engine::ports::membership::{Member, News};
+use oatbank_engine::respond::ComeBack;
 use oatbank_engine::supervise::keep_running;
 use oatbank_engine::upstreams::http1::Http1;
 use std::rc::Rc;
@@ -18,9 +19,10 @@
 /// # Errors
 /// Why it cannot start.
 pub fn run(path: String) -> Result<(), String> {
-    let config = Config::load(&path).map_err(|e| format!("{path}: {e}"))?;
+    let config = Config::load(&path, std::env::vars()).map_err(|e| e.lines(&path).join("\n"))?;
     on_one_thread(async move {
         let mut signals = Signals::new().map_err(|e| e.to_string())?;
+        keep_running("log", logging::tell_what_was_left_out);
         let (engine, serving) = start(&config)?;
         signals.until_stop(|| reload(&path, &engine)).await;
         serving.stop().await;
@@ -65,18 +67,19 @@
         limits: Limits { sockets, memory_mb },
         conn_idle: config.keep_idle,
         connect_timeout: config.connect_timeout,
+        come_back: ComeBack::Standard,
     }
 }
 
 fn reload(path: &str, engine: &Rc<Engine<Http1>>) {
-    match Config::load(path) {
+    match Config::load(path, std::env::vars()) {
         Ok(config) if config.zookeeper.is_some() => {
-            log::info!("configuration: the servers are those of {:?}", config.zookeeper.map(|z| z.path));
+            tracing::info!("configuration: the servers are those of {:?}", config.zookeeper.map(|z| z.path));
         }
         Ok(config) => {
-            log::info!("configuration: {} servers", config.members.len());
+            tracing::info!("configuration: {} servers", config.members.len());
             fixed::tell(&engine.told(), config.members);
         }
-        Err(e) => log::error!("the configuration is kept as it was: {path}: {e}"),
+        Err(e) => tracing::error!("the configuration is kept as it was: {path}: {e}"),
     }
 }
--- a/crates/daemon/tests/cli.rs
+++ b/crates/daemon/tests/cli.rs
@@ -37,27 +37,102 @@
 }
 
 #[test]
-fn a_file_is_checked_and_a_mistake_is_told_with_its_key() {
+fn a_file_is_checked_and_each_mistake_is_told_with_its_line_and_key() {
     let server = Server::ok();
     let good = Scratch::new(&config(&[&server]));
     let done = oatbank(&["check", good.path()]);
     assert!(done.status.success());
     assert!(String::from_utf8_lossy(&done.stdout).contains("1 servers"));
-    for (of, with, says) in [
-        ("aim_ms = 1500", "aim_ms = -1", "classes[0].aim_ms"),
-        ("rate = 100000", "rate = \"much\"", "line 14"),
-        ("repeat = \"safe\"", "", "missing field `repeat`"),
-        ("name = \"cli\"", "nam = \"cli\"", "unknown field `nam`"),
-    ] {
-        let bad = Scratch::new(&config(&[&server]).replace(of, with));
-        let done = oatbank(&["check", bad.path()]);
-        let told = String::from_utf8_lossy(&done.stderr).into_owned();
-        assert!(!done.status.success() && told.contains(says) && told.contains(bad.path()), "{with}: {told}");
+    let of_all = config(&[&server])
+        .replace("aim_ms = 1500", "aim_ms = -1")
+        .replace("rate = 100000", "rate = \"much\"")
+        .replace("repeat = \"safe\"\n", "")
+        .replace("name = \"cli\"", "nam = \"cli\"");
+    let bad = Scratch::new(&of_all);
+    let done = oatbank(&["check", bad.path()]);
+    let told = String::from_utf8_lossy(&done.stderr).into_owned();
+    let says = [
+        ":1: nam: no such key; allowed are attempts, classes",
+        ":7: classes[0].repeat: missing; needed is whether a request may run again",
+        ":9: classes[0].aim_ms: -1 is not allowed; a number from 1 to 3600000 is",
+        ":13: plans[0].rate: \"much\" is not allowed; a number is from 0",
+    ];
+    assert!(!done.status.success() && told.lines().count() == says.len(), "{told}");
+    for (line, says) in told.lines().zip(says) {
+        assert!(line.contains(&format!("{}{says}", bad.path())), "{line}");
     }
     let done = oatbank(&["check", "/nowhere/at/all.toml"]);
     assert!(!done.status.success() && String::from_utf8_lossy(&done.stderr).contains("/nowhere/at/all.toml"));
 }
 
+#[test]
+fn a_variable_overrides_a_key_and_a_wrong_one_is_named() {
+    let server = Server::ok();
+    let good = Scratch::new(&config(&[&server]));
+    let check = |value: &str| {
+        let mut command = Command::new(OATBANK);
+        command.args(["check", good.path()]).env("OATBANK__LISTEN", value).output().expect("oatbank runs")
+    };
+    assert!(String::from_utf8_lossy(&check("127.0.0.1:7777").stdout).contains("127.0.0.1:7777"));
+    let told = String::from_utf8_lossy(&check("here").stderr).into_owned();
+    assert!(told.contains("OATBANK__LISTEN: listen: \"here\" is not allowed"), "{told}");
+}
+
+#[test]
+fn the_schema_the_completions_and_an_example_for_each_command_are_printed() {
+    let schema: serde_json::Value =
+        serde_json::from_slice(&oatbank(&["config", "schema"]).stdout).expect("JSON");
+    assert!(schema["properties"]["plans"]["items"]["properties"]["rate"]["description"].is_string());
+    for shell in ["bash", "zsh", "fish"] {
+        let done = oatbank(&["completions", shell]);
+        assert!(
+            done.status.success() && String::from_utf8_lossy(&done.stdout).contains("members"),
+            "{shell}"
+        );
+    }
+    for command in
+        [&["serve"][..], &["check"], &["members"], &["demo"], &["completions"], &["config", "schema"]]
+    {
+        let done = oatbank(&[command, &["--help"]].concat());
+        let text = String::from_utf8_lossy(&done.stdout).into_owned();
+        assert!(text.contains(&format!("Example:\n  oatbank {}", command.join(" "))), "{text}");
+    }
+}
+
+#[test]
+fn without_servers_a_client_is_told_a_span_that_any_client_understands() {
+    let file = Scratch::new(&config(&[]).replace("aim_ms = 1500", "aim_ms = 300"));
+    let process = Standalone::serve(OATBANK, &file);
+    let answer = Client::connect(process.address).look_of_one();
+    assert_eq!(answer.status(), 429);
+    // The class's aim, as whole seconds rounded up, and exactly.
+    assert_eq!(answer.header("retry-after"), Some("1"));
+    assert_eq!(answer.header("x-oatbank-retry-after"), Some("0.300"));
+}
+
+#[test]
+fn the_log_is_json_where_it_is_asked_for_at_levels_by_module_and_says_what_it_left_out() {
+    let server = Server::ok();
+    let file = Scratch::new(&config(&[&server]));
+    let further = ["--log-format", "json", "--log-level", "info,oatbank=debug"];
+    let mut process = Standalone::serve_with(OATBANK, &file, &further);
+    let mut client = Client::connect(process.address);
+    assert_eq!(client.look_of_one().status(), 200);
+    let line = process.line_with("answered");
+    let line: serde_json::Value = serde_json::from_str(&line).expect("JSON");
+    assert_eq!((&line["level"], &line["fields"]["outcome"]), (&"DEBUG".into(), &"served".into()));
+    assert!(line["fields"]["ms"].is_number() && line["span"]["account"].is_number(), "{line}");
+    // More lines than a second has: the rest is counted by level, and that is told.
+    for _ in 0..60 {
+        assert_eq!(client.look_of_one().status(), 200);
+    }
+    let told = process.line_with("left out of the log");
+    let told: serde_json::Value = serde_json::from_str(&told).expect("JSON");
+    assert!(told["fields"]["debugs"].as_u64().is_some_and(|n| n >= 20), "{told}");
+    let done = oatbank(&["serve", "--config", file.path(), "--log-level", "loud"]);
+    assert!(String::from_utf8_lossy(&done.stderr).contains("--log-level"));
+}
+
 #[test]
 fn it_serves_from_a_file_moves_to_new_servers_and_ends_on_a_signal() {
     let old = Server::ok();
@@ -93,5 +168,5 @@
     let bad = Scratch::new("name = \"x\"\nclasses = []\nplans = []\n");
     let done = oatbank(&["serve", "--config", bad.path()]);
     let told = String::from_utf8_lossy(&done.stderr).into_owned();
-    assert!(!done.status.success() && told.contains("classes: at least one is needed"), "{told}");
+    assert!(!done.status.success() && told.contains("classes: at least 1 is needed"), "{told}");
 }
--- /dev/null
+++ b/crates/engine/src/config/mistake.rs
@@ -0,0 +1,205 @@
+//! What is wrong in a configuration, where it stands, and what is allowed there.
+
+use regex_lite::Regex;
+use serde_json::Value;
+
+/// Where a key stands.
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Place {
+    /// Not known.
+    #[default]
+    Nowhere,
+    /// A line of the file, from 1.
+    Line(usize),
+    /// An environment variable.
+    Variable(String),
+}
+
+/// One step to a key: a table's key or an element's number.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// A key of a table.
+    Key(String),
+    /// An element of an array, from 0.
+    Element(usize),
+}
+
+/// One mistake.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Mistake {
+    /// Where it stands.
+    pub place: Place,
+    /// The way to its key.
+    pub path: Vec<Step>,
+    /// What is wrong, and what is allowed.
+    pub allowed: String,
+}
+
+impl Mistake {
+    pub(super) fn at(path: Vec<Step>, allowed: impl Into<String>) -> Self {
+        Mistake { place: Place::Nowhere, path, allowed: allowed.into() }
+    }
+
+    /// The key as it would be written: `plans[0].rate`.
+    pub fn key(&self) -> String {
+        let mut key = String::new();
+        for step in &self.path {
+            match step {
+                Step::Key(name) if key.is_empty() => key.push_str(name),
+                Step::Key(name) => key.extend([".", name.as_str()]),
+                Step::Element(i) => key.push_str(&format!("[{i}]")),
+            }
+        }
+        key
+    }
+
+    /// The mistake as one line, with the file's name.
+    pub fn line(&self, file: &str) -> String {
+        match &self.place {
+            Place::Line(n) => format!("{file}:{n}: {}: {}", self.key(), self.allowed),
+            Place::Variable(name) => format!("{name}: {}: {}", self.key(), self.allowed),
+            Place::Nowhere => format!("{file}: {}: {}", self.key(), self.allowed),
+        }
+    }
+}
+
+impl std::fmt::Display for Mistake {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match &self.place {
+            Place::Line(n) => write!(f, "line {n}, ")?,
+            Place::Variable(name) => write!(f, "{name}, ")?,
+            Place::Nowhere => {}
+        }
+        write!(f, "{}: {}", self.key(), self.allowed)
+    }
+}
+
+/// The way to `key` in the table at `path`.
+pub(super) fn below(path: &[Step], key: &str) -> Vec<Step> {
+    path.iter().cloned().chain([Step::Key(key.to_owned())]).collect()
+}
+
+/// All mistakes of a value against a schema of the keywords that [`super::file`] brings up. That these are read as a
+/// kept validator reads them is tested; in the program it would take more than the rest of it (5 MB).
+pub(super) fn against(schema: &Value, value: &Value) -> Vec<Mistake> {
+    let mut mistakes = Vec::new();
+    walk(schema, value, &[], &mut mistakes);
+    mistakes
+}
+
+fn walk(schema: &Value, value: &Value, path: &[Step], mistakes: &mut Vec<Mistake>) {
+    if let Some(why) = scalar(schema, value) {
+        return mistakes.push(Mistake::at(path.to_vec(), why));
+    }
+    match value {
+        Value::Object(table) => {
+            let known = |key: &str| schema["properties"].get(key);
+            for key in schema["required"].as_array().into_iter().flatten().filter_map(Value::as_str) {
+                if !table.contains_key(key) {
+                    let needed = known(key).map_or(String::new(), meaning);
+                    mistakes.push(Mistake::at(below(path, key), format!("missing; needed is {needed}")));
+                }
+            }
+            for (key, value) in table {
+                match known(key) {
+                    Some(schema) => walk(schema, value, &below(path, key), mistakes),
+                    None => mistakes.push(unknown(schema, path, key)),
+                }
+            }
+        }
+        Value::Array(elements) => {
+            for (i, element) in elements.iter().enumerate() {
+                let path: Vec<Step> = path.iter().cloned().chain([Step::Element(i)]).collect();
+                walk(&schema["items"], element, &path, mistakes);
+            }
+        }
+        _ => {}
+    }
+}
+
+/// What is wrong with a value, whatever is in it.
+fn scalar(schema: &Value, value: &Value) -> Option<String> {
+    let found = shown(value);
+    if let Some(options) = schema["enum"].as_array() {
+        let told: Vec<String> = options.iter().map(ToString::to_string).collect();
+        return (!options.contains(value))
+            .then(|| format!("{found} is not allowed; {} are", told.join(", ")));
+    }
+    let wanted = schema["type"].as_str().unwrap_or_default();
+    if !is_a(wanted, value) {
+        return Some(format!("{found} is not allowed; {} is{}", type_of(wanted), range(schema)));
+    }
+    let bound = |key: &str| schema[key].as_f64();
+    let out = value.as_f64().is_some_and(|n| {
+        bound("minimum").is_some_and(|least| n < least) || bound("maximum").is_some_and(|most| n > most)
+    });
+    if out {
+        return Some(format!("{found} is not allowed; a number{} is", range(schema)));
+    }
+    if let (Some(pattern), Some(text)) = (schema["pattern"].as_str(), value.as_str()) {
+        let fits = Regex::new(pattern).is_ok_and(|pattern| pattern.is_match(text));
+        return (!fits).then(|| format!("{found} is not allowed; {} is", meaning(schema)));
+    }
+    let count = value.as_array().map(Vec::len)?;
+    let least = schema["minItems"].as_u64().unwrap_or(0);
+    let most = schema["maxItems"].as_u64().unwrap_or(u64::MAX);
+    if (count as u64) < least {
+        return Some(format!("at least {least} is needed"));
+    }
+    (count as u64 > most).then(|| format!("{most} at most are allowed"))
+}
+
+fn is_a(wanted: &str, value: &Value) -> bool {
+    match wanted {
+        "string" => value.is_string(),
+        "number" => value.is_number(),
+        "integer" => value.is_i64() || value.is_u64() || value.as_f64().is_some_and(|n| n.fract() == 0.0),
+        "boolean" => value.is_boolean(),
+        "array" => value.is_array(),
+        "object" => value.is_object(),
+        _ => true,
+    }
+}
+
+/// A value as the file shows it, within reason.
+fn shown(value: &Value) -> String {
+    let text = value.to_string();
+    if text.chars().count() <= 60 {
+        return text;
+    }
+    text.chars().take(57).chain("...".chars()).collect()
+}
+
+fn unknown(around: &Value, path: &[Step], key: &str) -> Mistake {
+    let known = around["properties"].as_object();
+    let known: Vec<&str> = known.into_iter().flat_map(|p| p.keys().map(String::as_str)).collect();
+    Mistake::at(below(path, key), format!("no such key; allowed are {}", known.join(", ")))
+}
+
+/// What the key is for, as its schema says.
+fn meaning(schema: &Value) -> String {
+    let said = schema["description"].as_str().unwrap_or("a value").trim_end_matches('.');
+    let mut letters = said.chars();
+    let first = letters.next().map(|c| c.to_ascii_lowercase());
+    first.into_iter().chain(letters).collect()
+}
+
+fn type_of(wanted: &str) -> &'static str {
+    match wanted {
+        "string" => "text",
+        "number" => "a number",
+        "integer" => "a whole number",
+        "boolean" => "true or false",
+        "array" => "a list",
+        _ => "a table",
+    }
+}
+
+fn range(schema: &Value) -> String {
+    let bound = |key: &str| schema[key].as_f64();
+    match (bound("minimum"), bound("maximum")) {
+        (Some(least), Some(most)) => format!(" from {least} to {most}"),
+        (Some(least), None) => format!(" from {least}"),
+        _ => String::new(),
+    }
+}
--- /dev/null
+++ b/crates/engine/src/config/rules.rs
@@ -0,0 +1,115 @@
+//! What a key allows only together with another, and texts that stand for something else.
+
+use super::mistake::{below, Mistake, Step};
+use super::CounterKind;
+use serde_json::Value;
+use std::collections::HashSet;
+use std::net::SocketAddr;
+
+/// Adds the mistakes that no schema tells. What the schema tells already (a wrong type) is passed over.
+pub(super) fn check(file: &Value, mistakes: &mut Vec<Mistake>) {
+    let all = [
+        once(file, "zones", None),
+        once(file, "servers", Some("id")),
+        once(file, "classes", Some("name")),
+        once(file, "plans", Some("name")),
+        each(file, "classes", class),
+        each(file, "plans", plan),
+        each(file, "servers", |path, server| here(path, server, file)),
+        zone(file, &[], &file["zone"]),
+        address(file, &[], "listen"),
+        counter(file),
+    ];
+    mistakes.extend(all.into_iter().flatten());
+}
+
+/// The elements of a list in the file, with the way to each.
+fn elements<'f>(file: &'f Value, of: &'f str) -> impl Iterator<Item = (Vec<Step>, &'f Value)> {
+    let list = file[of].as_array().map(Vec::as_slice).unwrap_or_default();
+    list.iter().enumerate().map(move |(i, e)| (vec![Step::Key(of.into()), Step::Element(i)], e))
+}
+
+fn each(file: &Value, of: &str, rule: impl Fn(&[Step], &Value) -> Vec<Mistake>) -> Vec<Mistake> {
+    elements(file, of).flat_map(|(path, element)| rule(&path, element)).collect()
+}
+
+/// Each name stands once.
+fn once(file: &Value, of: &str, key: Option<&str>) -> Vec<Mistake> {
+    let mut seen = HashSet::new();
+    let mut mistakes = Vec::new();
+    for (path, element) in elements(file, of) {
+        let Some(name) = key.map_or(element, |k| &element[k]).as_str() else { continue };
+        if !seen.insert(name) {
+            let path = key.map_or(path.clone(), |k| below(&path, k));
+            mistakes.push(Mistake::at(path, format!("{name:?} stands twice; each name may stand once")));
+        }
+    }
+    mistakes
+}
+
+/// `key` of `element` is at least `least`, for the reason given.
+fn at_least(path: &[Step], element: &Value, key: &str, least: f64, reason: &str) -> Option<Mistake> {
+    let found = element.get(key).map_or(Some(0.0), Value::as_f64)?;
+    let low = found < least || least == 0.0 && found == 0.0;
+    let bound = if least == 0.0 { "over 0".into() } else { format!("from {least}") };
+    low.then(|| {
+        Mistake::at(below(path, key), format!("{found} is not allowed {reason}; a number {bound} is"))
+    })
+}
+
+fn class(path: &[Step], class: &Value) -> Vec<Mistake> {
+    let mut mistakes = Vec::new();
+    if let (Some(aim), Some(_)) = (class["aim_ms"].as_f64(), class["deadline_ms"].as_f64()) {
+        mistakes.extend(at_least(path, class, "deadline_ms", aim.max(1.0), "beside its aim_ms"));
+    }
+    if class["repeat"] == "keyed" {
+        mistakes.extend(at_least(path, class, "key_window_ms", 1.0, "where repeat is \"keyed\""));
+    }
+    mistakes
+}
+
+fn plan(path: &[Step], plan: &Value) -> Vec<Mistake> {
+    let mut mistakes = Vec::new();
+    for (rate, burst) in [("rate", "burst"), ("ceiling_rate", "ceiling_burst")] {
+        if plan[rate].as_f64().is_some_and(|r| r > 0.0) {
+            mistakes.extend(at_least(path, plan, burst, 0.0, &format!("where there is a {rate}")));
+        }
+    }
+    mistakes
+}
+
+fn here(path: &[Step], server: &Value, file: &Value) -> Vec<Mistake> {
+    [zone(file, path, &server["zone"]), address(server, path, "address")].concat()
+}
+
+fn zone(file: &Value, path: &[Step], zone: &Value) -> Vec<Mistake> {
+    let Some(name) = zone.as_str().filter(|z| !z.is_empty()) else { return Vec::new() };
+    let mut zones = file["zones"].as_array().into_iter().flatten();
+    if zones.any(|z| z == name) {
+        return Vec::new();
+    }
+    vec![Mistake::at(below(path, "zone"), format!("{name:?} is not among zones; one of them is allowed"))]
+}
+
+fn address(table: &Value, path: &[Step], key: &str) -> Vec<Mistake> {
+    let Some(text) = table[key].as_str() else { return Vec::new() };
+    if text.parse::<SocketAddr>().is_ok() {
+        return Vec::new();
+    }
+    let allowed = "an address in figures with its port, \"10.0.0.1:8000\", is";
+    vec![Mistake::at(below(path, key), format!("{text:?} is not allowed; {allowed}"))]
+}
+
+fn counter(file: &Value) -> Vec<Mistake> {
+    let Some(text) = file.get("counter").map_or(Some("local"), Value::as_str) else { return Vec::new() };
+    let shared = file["limiters"].as_f64().is_some_and(|n| n > 1.0);
+    let why = match CounterKind::parse(text) {
+        None => format!("{text:?} is not allowed; \"none\", \"local\" and \"text://ADDRESS:PORT\" are"),
+        Some(CounterKind::Local) if shared => {
+            "\"local\" is not shared, and limiters is over 1; \"text://ADDRESS:PORT\" and \"none\" are allowed"
+                .into()
+        }
+        Some(_) => return Vec::new(),
+    };
+    vec![Mistake::at(below(&[], "counter"), why)]
+}
--- /dev/null
+++ b/crates/engine/src/config/text.rs
@@ -0,0 +1,132 @@
+//! The text of a configuration as a value, with the place of each key, and environment variables laid over it.
+
+use super::mistake::{Mistake, Place, Step};
+use super::OVERRIDE;
+use serde_json::{Map, Number, Value};
+use toml::de::{DeTable, DeValue};
+use toml::Spanned;
+
+/// What was read.
+pub(super) struct Read<'t> {
+    pub(super) value: Value,
+    pub(super) places: Places<'t>,
+    pub(super) mistakes: Vec<Mistake>,
+}
+
+impl<'t> Read<'t> {
+    pub(super) fn new(
+        text: &'t str,
+        variables: impl Iterator<Item = (String, String)>,
+    ) -> Result<Self, toml::de::Error> {
+        let mut value = json(toml::Value::Table(toml::from_str(text)?));
+        let mut places = Places { text, table: DeTable::parse(text)?, overridden: Vec::new() };
+        let mut mistakes = Vec::new();
+        // In one order whatever the system's: an element may be added by the one and filled by the next.
+        let mut variables: Vec<(String, String)> =
+            variables.filter(|(name, _)| name.starts_with(OVERRIDE)).collect();
+        variables.sort();
+        for (name, said) in variables {
+            let path = steps(&name[OVERRIDE.len()..]);
+            if let Err(why) = put(&mut value, &path, scalar(&said)) {
+                mistakes.push(Mistake::at(path.clone(), why));
+            }
+            places.overridden.push((path, name));
+        }
+        Ok(Read { value, places, mistakes })
+    }
+}
+
+/// Where each key stands.
+pub(super) struct Places<'t> {
+    text: &'t str,
+    table: Spanned<DeTable<'t>>,
+    overridden: Vec<(Vec<Step>, String)>,
+}
+
+impl Places<'_> {
+    /// The place of a key, or of the nearest table around it that is there.
+    pub(super) fn of(&self, path: &[Step]) -> Place {
+        let named = |(there, _): &&(Vec<Step>, String)| path.starts_with(there) || there.starts_with(path);
+        if let Some((_, name)) = self.overridden.iter().rev().find(named) {
+            if !path.is_empty() {
+                return Place::Variable(name.clone());
+            }
+        }
+        let at = self.offset(path);
+        Place::Line(1 + self.text.as_bytes()[..at].iter().filter(|b| **b == b'\n').count())
+    }
+
+    fn offset(&self, path: &[Step]) -> usize {
+        let Some((Step::Key(first), rest)) = path.split_first() else { return 0 };
+        let Some((key, mut value)) = self.table.get_ref().get_key_value(first.as_str()) else { return 0 };
+        let mut at = key.span().start;
+        for step in rest {
+            match (step, value.get_ref()) {
+                (Step::Key(name), DeValue::Table(table)) => match table.get_key_value(name.as_str()) {
+                    Some((key, below)) => (at, value) = (key.span().start, below),
+                    None => return at,
+                },
+                (Step::Element(i), DeValue::Array(elements)) => match elements.get(*i) {
+                    Some(below) => (at, value) = (below.span().start, below),
+                    None => return at,
+                },
+                _ => return at,
+            }
+        }
+        at.min(self.text.len())
+    }
+}
+
+/// `PLANS__0__RATE` as the way to `plans[0].rate`.
+fn steps(name: &str) -> Vec<Step> {
+    let step = |part: &str| part.parse().map_or_else(|_| Step::Key(part.to_ascii_lowercase()), Step::Element);
+    name.split("__").map(step).collect()
+}
+
+/// A variable's text as TOML would read it, or else as plain text.
+fn scalar(said: &str) -> Value {
+    let line = format!("value = {said}");
+    let read = toml::from_str::<toml::Table>(&line).ok().filter(|t| t.len() == 1);
+    let value = read.and_then(|mut table| table.remove("value"));
+    value.map_or_else(|| Value::String(said.to_owned()), json)
+}
+
+/// Puts a value at the end of the path; the last element of an array may be a new one.
+fn put(at: &mut Value, path: &[Step], new: Value) -> Result<(), String> {
+    let Some((step, rest)) = path.split_first() else {
+        *at = new;
+        return Ok(());
+    };
+    if at.is_null() {
+        *at = match step {
+            Step::Key(_) => Value::Object(Map::new()),
+            Step::Element(_) => Value::Array(Vec::new()),
+        };
+    }
+    match (step, at) {
+        (Step::Key(name), Value::Object(table)) => put(table.entry(name).or_insert(Value::Null), rest, new),
+        (Step::Element(i), Value::Array(elements)) => {
+            if *i == elements.len() {
+                elements.push(Value::Null);
+            }
+            let there = elements.len();
+            let element = elements.get_mut(*i).ok_or_else(|| format!("0 to {there} are allowed here"))?;
+            put(element, rest, new)
+        }
+        (Step::Key(name), _) => Err(format!("{name:?} is a key, and no table stands here")),
+        (Step::Element(_), _) => Err("a number is an element, and no list stands here".into()),
+    }
+}
+
+/// TOML as JSON; what JSON has no form for becomes text, which no key that wants a number allows.
+fn json(value: toml::Value) -> Value {
+    match value {
+        toml::Value::String(text) => Value::String(text),
+        toml::Value::Integer(n) => n.into(),
+        toml::Value::Float(n) => Number::from_f64(n).map_or_else(|| n.to_string().into(), Value::Number),
+        toml::Value::Boolean(b) => b.into(),
+        toml::Value::Datetime(d) => d.to_string().into(),
+        toml::Value::Array(elements) => elements.into_iter().map(json).collect(),
+        toml::Value::Table(table) => table.into_iter().map(|(k, v)| (k, json(v))).collect(),
+    }
+}
--- a/crates/engine/src/counters/text.rs
+++ b/crates/engine/src/counters/text.rs
@@ -209,7 +209,7 @@
 async fn serve(counter: Rc<TextCounter>, stream: TcpStream, index: usize, link: Rc<Link>) {
     let ending = Ending { counter, index, link };
     if let Err(e) = converse(&ending.counter, stream, &ending.link).await {
-        log::warn!("counter: connection {index} is lost: {e}");
+        tracing::warn!("counter: connection {index} is lost: {e}");
     }
 }
 
--- a/crates/engine/src/direct.rs
+++ b/crates/engine/src/direct.rs
@@ -303,7 +303,7 @@
         let local = tokio::task::LocalSet::new();
         let working = local.spawn_local(work.run(start));
         if let Err(e) = local.block_on(&runtime, working) {
-            log::error!("the limiter's thread: {e}");
+            tracing::error!("the limiter's thread: {e}");
         }
     })?;
     Ok(())
--- a/crates/engine/src/engine/book.rs
+++ b/crates/engine/src/engine/book.rs
@@ -17,6 +17,18 @@
     TimedOut,
 }
 
+impl<A> Answer<A> {
+    /// What became of the request, in a word for logs.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Answer::Served(_) => "served",
+            Answer::Refused(_) => "refused",
+            Answer::Failed => "failed",
+            Answer::TimedOut => "timed out",
+        }
+    }
+}
+
 /// Takes a request's final answer.
 pub type Reply<A> = Box<dyn FnOnce(Answer<A>) + Send>;
 
--- a/crates/engine/src/engine/core.rs
+++ b/crates/engine/src/engine/core.rs
@@ -122,7 +122,7 @@
                 _ => None,
             };
             if catch_unwind(AssertUnwindSafe(|| self.step(now, next))).is_err() {
-                log::error!("a panic while an event was handled");
+                tracing::error!("a panic while an event was handled");
                 if let Some(id) = arrived {
                     self.answer(id, Answer::Failed);
                 }
@@ -187,7 +187,7 @@
     /// Guards against a module that says nothing: the client is answered while it still waits.
     fn last_call(&mut self, now: Millis, id: RequestId) {
         let Some(reply) = self.book.reply(id) else { return };
-        log::debug!("request {} ended by the clock", id.0);
+        tracing::debug!("request {} ended by the clock", id.0);
         reply(Answer::TimedOut);
         self.feed(now, Event::Gone(id));
         self.book.forget(id);
--- a/crates/engine/src/engine/fleet.rs
+++ b/crates/engine/src/engine/fleet.rs
@@ -6,15 +6,24 @@
 use topazwind::interface::{ListUpdate, ServerEntry, ServerId, ServerState};
 
 struct Known {
-    id: String,
     address: SocketAddr,
     ready: bool,
 }
 
 /// Servers by number.
-#[derive(Default)]
 pub(super) struct Fleet {
     known: HashMap<ServerId, Known>,
+    /// Numbers by id, for as long as a server is known.
+    numbers: HashMap<String, ServerId>,
+    /// The n-th number that an id may have.
+    hash: fn(&str, u64) -> u64,
+}
+
+impl Default for Fleet {
+    fn default() -> Self {
+        let hash = |id: &str, nth| xxhash_rust::xxh3::xxh3_64_with_seed(id.as_bytes(), nth);
+        Fleet { known: HashMap::new(), numbers: HashMap::new(), hash }
+    }
 }
 
 impl Fleet {
@@ -37,30 +46,42 @@
             News::Changes(members) => (ListUpdate::Delta, members),
             News::Remembered(members) => (ListUpdate::Cached, members),
         };
+        // By id: limiters that read the same list give the same numbers, also where two ids want one.
+        let mut members: Vec<&Member> = members.iter().collect();
+        members.sort_by(|a, b| a.id.cmp(&b.id));
         let entries: Vec<ServerEntry> = members.iter().filter_map(|m| self.learn(m, zones)).collect();
         if update != ListUpdate::Delta {
             let named: HashSet<ServerId> = entries.iter().map(|e| e.server).collect();
             self.known.retain(|id, _| named.contains(id));
+            self.numbers.retain(|_, number| named.contains(number));
         }
         (update, entries)
     }
 
+    /// The number of a server, the same at every limiter: a hash of its id. Where another server has that number
+    /// (one chance in 10^11 with 10,000 servers), its next one, so that nobody is left out.
+    fn number(&self, id: &str) -> ServerId {
+        let known = self.numbers.get(id).copied();
+        known.unwrap_or_else(|| {
+            let mut wanted = (0..).map(|nth| ServerId((self.hash)(id, nth)));
+            wanted.find(|n| !self.known.contains_key(n)).unwrap_or_default()
+        })
+    }
+
     /// Takes in one line of a list, unless it makes no sense.
     fn learn(&mut self, member: &Member, zones: &[String]) -> Option<ServerEntry> {
-        let server = server_id(&member.id);
-        if self.known.get(&server).is_some_and(|s| s.id != member.id) {
-            log::error!("members: {} has the number of another server and is left out", member.id);
-            return None;
-        }
+        let server = self.number(&member.id);
         if member.state == ServerState::Gone {
             self.known.remove(&server);
+            self.numbers.remove(&member.id);
         } else {
             let Some(address) = member.address else {
-                log::warn!("members: {} has no address that can be read", member.id);
+                tracing::warn!(server = member.id, "members: {} has no address that can be read", member.id);
                 return None;
             };
             let ready = member.state == ServerState::Ready;
-            self.known.insert(server, Known { id: member.id.clone(), address, ready });
+            self.known.insert(server, Known { address, ready });
+            self.numbers.insert(member.id.clone(), server);
         }
         let zone = zones.iter().position(|z| *z == member.zone);
         Some(ServerEntry {
@@ -74,15 +95,6 @@
     }
 }
 
-/// The number of a server, the same at every limiter: the hexadecimal part of its id, or else a hash of it.
-fn server_id(id: &str) -> ServerId {
-    let tail = id.rsplit('-').next().unwrap_or(id);
-    let number = if tail.len() == 8 { u32::from_str_radix(tail, 16).ok() } else { None };
-    ServerId(number.unwrap_or_else(|| {
-        id.bytes().fold(0x811c_9dc5, |h: u32, b| (h ^ u32::from(b)).wrapping_mul(0x0100_0193))
-    }))
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -96,17 +108,53 @@
         let mut fleet = Fleet::default();
         fleet.take(&News::Complete(vec![member("s-00000001"), member("s-00000002")]), &[]);
         fleet.take(&News::Changes(vec![member("s-00000003")]), &[]);
-        assert!([1, 2, 3].iter().all(|n| fleet.is_ready(ServerId(*n))));
+        let ids = ["s-00000001", "s-00000002", "s-00000003"];
+        let numbers = ids.map(|id| fleet.number(id));
+        assert_eq!(numbers.map(|n| fleet.is_ready(n)), [true; 3]);
         fleet.take(&News::Complete(vec![member("s-00000002")]), &[]);
-        assert!(!fleet.is_ready(ServerId(1)) && fleet.is_ready(ServerId(2)) && !fleet.is_ready(ServerId(3)));
+        assert_eq!(numbers.map(|n| fleet.is_ready(n)), [false, true, false]);
+        assert_eq!(fleet.numbers.len(), 1, "what has gone is not remembered");
+    }
+
+    /// The numbers of a list, by id.
+    fn numbers(fleet: &mut Fleet, ids: &[&str]) -> Vec<ServerId> {
+        let (_, entries) = fleet.take(&News::Complete(ids.iter().map(|id| member(id)).collect()), &[]);
+        assert_eq!(entries.len(), ids.len(), "nobody is left out");
+        let mut ids = ids.to_vec();
+        ids.sort_unstable();
+        ids.iter().map(|id| fleet.number(id)).collect()
+    }
+
+    #[test]
+    fn ids_that_shared_a_number_of_32_bits_have_their_own() {
+        // The same last eight figures, and two with one FNV-1a of 32 bits.
+        for pair in [["s-00000001", "x-00000001"], ["costarring", "liquid"]] {
+            let told = numbers(&mut Fleet::default(), &pair);
+            assert_ne!(told[0], told[1], "{pair:?}");
+        }
+    }
+
+    #[test]
+    fn servers_that_want_one_number_are_both_known_and_numbered_alike_everywhere() {
+        // All want 7, then one that depends on the id.
+        let all_alike = || Fleet {
+            hash: |id, nth| if nth == 0 { 7 } else { 100 * nth + id.len() as u64 },
+            ..Fleet::default()
+        };
+        let (mut here, mut there) = (all_alike(), all_alike());
+        let told = numbers(&mut here, &["a", "bb", "ccc"]);
+        assert_eq!(told, [7, 102, 103].map(ServerId));
+        assert_eq!(numbers(&mut there, &["ccc", "a", "bb"]), told, "in whatever order the list comes");
+        // One that stays keeps its number when the others go, and a newcomer takes what is free.
+        assert_eq!(numbers(&mut here, &["ccc"]), [ServerId(103)]);
+        assert_eq!(numbers(&mut here, &["ccc", "dddd"]), [103, 7].map(ServerId));
     }
 
     #[test]
-    fn a_server_with_anothers_number_or_without_an_address_is_left_out() {
+    fn a_server_without_an_address_is_left_out() {
         let mut fleet = Fleet::default();
         let nowhere = Member { address: None, ..member("s-00000002") };
-        let (_, entries) =
-            fleet.take(&News::Complete(vec![member("s-00000001"), member("x-00000001"), nowhere]), &[]);
+        let (_, entries) = fleet.take(&News::Complete(vec![member("s-00000001"), nowhere]), &[]);
         assert_eq!(entries.len(), 1);
         let gone = Member { state: ServerState::Gone, address: None, ..member("s-00000001") };
         assert_eq!(fleet.take(&News::Changes(vec![gone]), &[]).1.len(), 1, "one that goes needs no address");
--- a/crates/engine/src/handle.rs
+++ b/crates/engine/src/handle.rs
@@ -290,7 +290,7 @@
             }
         });
         if let Err(e) = local.block_on(&runtime, serving) {
-            log::error!("the engine's thread: {e}");
+            tracing::error!("the engine's thread: {e}");
         }
     })?;
     let lost = || std::io::Error::other("the engine's thread ended before it had started");
--- a/crates/engine/src/members/agent.rs
+++ b/crates/engine/src/members/agent.rs
@@ -74,7 +74,7 @@
             "Terminating" => ServerState::Draining,
             "Gone" => ServerState::Gone,
             other => {
-                log::warn!("discovery: {} is in unknown phase {other:?}", self.id);
+                tracing::warn!("discovery: {} is in unknown phase {other:?}", self.id);
                 return None;
             }
         };
@@ -96,7 +96,7 @@
         let read = self.members.iter().filter_map(|m| match Line::deserialize(m) {
             Ok(line) => Some(line),
             Err(e) => {
-                log::warn!("discovery: an entry cannot be read: {e}");
+                tracing::warn!("discovery: an entry cannot be read: {e}");
                 None
             }
         });
@@ -117,7 +117,7 @@
     let mut state = Follower { told, agent, since: known, pause: PAUSE };
     loop {
         let Err(e) = state.round().await;
-        log::warn!("discovery: {e}; again in {} ms", state.pause.as_millis());
+        tracing::warn!("discovery: {e}; again in {} ms", state.pause.as_millis());
         tokio::time::sleep(state.pause).await;
         state.pause = (state.pause * 2).min(LONGEST_PAUSE);
     }
@@ -180,7 +180,7 @@
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
     tokio::task::spawn_local(async move {
         if let Err(e) = connection.await {
-            log::debug!("discovery: {e}");
+            tracing::debug!("discovery: {e}");
         }
     });
     let request = Request::get(path).header("host", agent.to_string()).body(Empty::<Bytes>::new())?;
--- a/crates/engine/src/respond.rs
+++ b/crates/engine/src/respond.rs
@@ -3,7 +3,7 @@
 use crate::classify::Rejection;
 use crate::engine::Answer;
 use crate::handle::Ended;
-use http::header::{HeaderValue, RETRY_AFTER};
+use http::header::{HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
 use http::{Response, StatusCode};
 use topazwind::interface::Millis;
 
@@ -19,24 +19,62 @@
     plain(rejection.status, rejection.why)
 }
 
-fn refused<B: From<&'static str>>(status: StatusCode, why: &'static str, wait: Millis) -> Response<B> {
-    let mut response = plain(status, why);
-    if wait > 0.0 {
-        if let Ok(wait) = HeaderValue::try_from(format!("{:.3}", wait / 1000.0)) {
-            response.headers_mut().insert(RETRY_AFTER, wait);
+/// The wait in seconds with decimals, where `Retry-After` holds whole ones.
+pub const EXACT_RETRY_AFTER: HeaderName = HeaderName::from_static("x-oatbank-retry-after");
+
+/// How a refusal says when to come back.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum ComeBack {
+    /// Whole seconds, rounded up, in `Retry-After` (RFC 9110, 10.2.3), and decimal ones in
+    /// [`EXACT_RETRY_AFTER`].
+    #[default]
+    Standard,
+    /// Decimal seconds in `Retry-After`, as the platform's clients read it.
+    Decimal,
+}
+
+impl ComeBack {
+    fn tell(self, headers: &mut HeaderMap, wait: Millis) {
+        if wait.is_nan() || wait <= 0.0 {
+            return;
+        }
+        // Rounded up to what the form can say: a client is never sent back too early, and never told "now".
+        let exact = format!("{:.3}", wait.ceil() / 1000.0);
+        let whole = format!("{:.0}", (wait / 1000.0).ceil());
+        let told = match self {
+            ComeBack::Decimal => [(RETRY_AFTER, Some(exact)), (EXACT_RETRY_AFTER, None)],
+            ComeBack::Standard => [(RETRY_AFTER, Some(whole)), (EXACT_RETRY_AFTER, Some(exact))],
+        };
+        for (name, text) in told {
+            if let Some(value) = text.and_then(|text| HeaderValue::try_from(text).ok()) {
+                headers.insert(name, value);
+            }
         }
     }
+}
+
+fn refused<B: From<&'static str>>(
+    status: StatusCode,
+    why: &'static str,
+    wait: Millis,
+    form: ComeBack,
+) -> Response<B> {
+    let mut response = plain(status, why);
+    form.tell(response.headers_mut(), wait);
     response
 }
 
 /// The response that carries a final answer; one that was served is passed to `served`.
 pub fn answered<A, B: From<&'static str>>(
     answer: Answer<A>,
+    form: ComeBack,
     served: impl FnOnce(A) -> Response<B>,
 ) -> Response<B> {
     match answer {
         Answer::Served(answer) => served(answer),
-        Answer::Refused(wait) => refused(StatusCode::TOO_MANY_REQUESTS, "over the quota or too busy\n", wait),
+        Answer::Refused(wait) => {
+            refused(StatusCode::TOO_MANY_REQUESTS, "over the quota or too busy\n", wait, form)
+        }
         Answer::Failed => plain(StatusCode::BAD_GATEWAY, "no answer from the servers\n"),
         Answer::TimedOut => plain(StatusCode::GATEWAY_TIMEOUT, "no answer in time\n"),
     }
@@ -48,10 +86,34 @@
     served: impl FnOnce(A) -> Response<B>,
 ) -> Response<B> {
     match ended {
-        Ended::Answered(answer) => answered(answer, served),
+        Ended::Answered(answer) => answered(answer, ComeBack::Standard, served),
         Ended::NotTaken(wait) => {
-            refused(StatusCode::SERVICE_UNAVAILABLE, "too many requests wait for the limiter\n", wait)
+            let why = "too many requests wait for the limiter\n";
+            refused(StatusCode::SERVICE_UNAVAILABLE, why, wait, ComeBack::Standard)
         }
         Ended::Lost => plain(StatusCode::BAD_GATEWAY, "the limiter has ended\n"),
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn told(form: ComeBack, wait: Millis) -> (Option<String>, Option<String>) {
+        let answer = Answer::<()>::Refused(wait);
+        let response: Response<&'static str> = answered(answer, form, |()| Response::new(""));
+        let text = |name| response.headers().get(name).map(|v| v.to_str().expect("text").to_owned());
+        (text(RETRY_AFTER), text(EXACT_RETRY_AFTER))
+    }
+
+    #[test]
+    fn a_wait_is_rounded_up_and_never_told_as_now() {
+        let some = |text: &str| Some(text.to_owned());
+        assert_eq!(told(ComeBack::Standard, 0.2), (some("1"), some("0.001")));
+        assert_eq!(told(ComeBack::Standard, 1000.0), (some("1"), some("1.000")));
+        assert_eq!(told(ComeBack::Standard, 1000.4), (some("2"), some("1.001")));
+        assert_eq!(told(ComeBack::Decimal, 0.2), (some("0.001"), None));
+        assert_eq!(told(ComeBack::Decimal, 1500.0), (some("1.500"), None));
+        assert_eq!(told(ComeBack::Standard, 0.0), (None, None));
+    }
+}
--- a/crates/engine/src/supervise.rs
+++ b/crates/engine/src/supervise.rs
@@ -16,7 +16,7 @@
         let mut task = tokio::task::JoinSet::new();
         task.spawn_local(start());
         while let Some(Err(e)) = task.join_next().await {
-            log::error!("{name}: {e}");
+            tracing::error!("{name}: {e}");
             tokio::time::sleep(RESTART_PAUSE).await;
             task.spawn_local(start());
         }
--- a/crates/testkit/src/conformance/upstream.rs
+++ b/crates/testkit/src/conformance/upstream.rs
@@ -43,7 +43,7 @@
     may_send: Rc<dyn Fn() -> bool>,
 ) -> End<<T::Way as Upstream>::Answer> {
     let (address, request) = test.server(behaviour);
-    let (server, request) = (ServerId(behaviour as u32), Arc::new(request));
+    let (server, request) = (ServerId(behaviour as u64), Arc::new(request));
     test.way().attempt(Job { server, address, request, span: 1000.0, may_send }).await
 }
 
@@ -84,7 +84,7 @@
 async fn called_off<T: UnderTest>(test: &T, yes: Rc<dyn Fn() -> bool>) {
     let (reached, noticed) = (test.reached(), test.called_off());
     let (address, request) = test.server(Behaviour::Silent);
-    let (server, request) = (ServerId(Behaviour::Silent as u32), Arc::new(request));
+    let (server, request) = (ServerId(Behaviour::Silent as u64), Arc::new(request));
     let job = Job { server, address, request, span: 1000.0, may_send: yes };
     let mut attempting = Box::pin(test.way().attempt(job));
     tokio::select! {
--- a/crates/testkit/src/standalone.rs
+++ b/crates/testkit/src/standalone.rs
@@ -37,20 +37,26 @@
 pub struct Standalone {
     pub child: Child,
     pub address: SocketAddr,
-    log: BufReader<std::process::ChildStderr>,
+    log: Option<BufReader<std::process::ChildStderr>>,
 }
 
 impl Standalone {
     /// Starts `oatbank serve` at the path `program` and waits until it serves.
     pub fn serve(program: &str, file: &Scratch) -> Standalone {
+        Standalone::serve_with(program, file, &[])
+    }
+
+    /// The same with further arguments.
+    pub fn serve_with(program: &str, file: &Scratch, further: &[&str]) -> Standalone {
         let mut command = Command::new(program);
-        command.args(["serve", "--config", file.path()]).stderr(Stdio::piped());
+        command.args(["serve", "--config", file.path()]).args(further).stderr(Stdio::piped());
         let mut child = command.spawn().expect("oatbank");
-        let log = BufReader::new(child.stderr.take().expect("a log"));
+        let log = child.stderr.take().map(BufReader::new);
         let mut process = Standalone { child, address: SocketAddr::from(([0, 0, 0, 0], 0)), log };
         let line = process.line_with(" serves ");
-        let (_, address) = line.split_once(" serves ").expect("an address");
-        process.address = address.trim().parse().expect("an address");
+        let (_, rest) = line.split_once(" serves ").expect("an address");
+        let address = rest.split(|c: char| !(c.is_ascii_digit() || ".:".contains(c))).next();
+        process.address = address.and_then(|a| a.parse().ok()).expect("an address");
         process
     }
 
@@ -59,13 +65,21 @@
         let mut line = String::new();
         loop {
             line.clear();
-            assert!(self.log.read_line(&mut line).expect("a line") > 0, "the log ended before {mark:?}");
+            let log = self.log.as_mut().expect("a log that is not drained");
+            assert!(log.read_line(&mut line).expect("a line") > 0, "the log ended before {mark:?}");
             if line.contains(mark) {
                 return line;
             }
         }
     }
 
+    /// Reads the rest of the log beside the test, so that the process never waits for its reader.
+    pub fn drain_log(&mut self) {
+        if let Some(mut log) = self.log.take() {
+            std::thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
+        }
+    }
+
     pub fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
         assert!(Command::new("kill").args([name, &pid]).status().expect("kill").success());
--- a/crates/topazwind/src/interface.rs
+++ b/crates/topazwind/src/interface.rs
@@ -8,9 +8,9 @@
 /// A request as the gateway holds it; a client's repeat has a new one.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct RequestId(pub u32);
-/// A server of the fleet.
+/// A server of the fleet; the same number at every gateway.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct ServerId(pub u32);
+pub struct ServerId(pub u64);
 /// A customer, whose quota all gateways keep together.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct CustomerId(pub u64);
--- a/crates/topazwind/src/logic.rs
+++ b/crates/topazwind/src/logic.rs
@@ -683,10 +683,10 @@
             }
             known.entry = entry;
         }
+        self.flow.ready = self.servers.values().filter(|s| s.entry.state == ServerState::Ready).count();
         self.ranked = self.servers.keys().copied().collect();
         let salt = self.salt;
-        self.ranked
-            .sort_by_key(|s| (u64::from(s.0) ^ salt).wrapping_mul(0x9e37_79b9_7f4a_7c15).rotate_left(29));
+        self.ranked.sort_by_key(|s| (s.0 ^ salt).wrapping_mul(0x9e37_79b9_7f4a_7c15).rotate_left(29));
         if self.flow.limit <= 0.0 {
             self.flow.limit = START_LIMIT * self.servers.len() as f64 / self.set.gateways.max(1.0);
         }
@@ -973,11 +973,15 @@
 
     /// When a refused client may find room: once its quota has refilled, and no sooner than an answer takes.
     fn come_back(&self, open: &Open) -> Millis {
-        let Some(c) = self.customers.get(&open.request.customer) else { return 0.0 };
+        // Without a server an answer's time says nothing, and where answers take less than a housekeeping it
+        // would say "at once".
+        let least = if self.flow.ready == 0 { open.class.aim } else { self.mean(open).max(TICK) };
         let units = open.request.units;
-        let short = if c.thin { units } else { (c.used + units - c.plan.burst).max(0.0) };
-        let refill = if c.plan.rate > 0.0 { 1000.0 * short / c.plan.rate } else { 0.0 };
-        refill.max(self.mean(open)).min(self.set.max_retry_after)
+        let refill = self.customers.get(&open.request.customer).filter(|c| c.plan.rate > 0.0).map(|c| {
+            let short = if c.thin { units } else { (c.used + units - c.plan.burst).max(0.0) };
+            1000.0 * short / c.plan.rate
+        });
+        refill.unwrap_or(0.0).max(least).min(self.set.max_retry_after)
     }
 
     /// Forgets customers that have not come for long, some at a time.
--- a/crates/topazwind/src/state.rs
+++ b/crates/topazwind/src/state.rs
@@ -96,6 +96,8 @@
     pub(crate) slowness: f64,
     /// This gateway keeps to a part of the fleet.
     pub(crate) subset: bool,
+    /// Servers on the list that take requests.
+    pub(crate) ready: usize,
     /// Nothing is sent before this.
     pub(crate) rest_until: Millis,
     /// Mean reported crowding.
--- a/crates/topazwind/src/wire/host.rs
+++ b/crates/topazwind/src/wire/host.rs
@@ -133,7 +133,7 @@
             1030 => Event::Ended {
                 id: RequestId(r.u32(6)?),
                 attempt: r.u8(28)?,
-                server: ServerId(r.u32(22)?),
+                server: ServerId(r.u32(22)?.into()),
                 outcome: outcome(r.u8(26)?)?,
                 complete: r.u8(27)? != 0,
                 took: r.f64(14)?,
@@ -144,7 +144,7 @@
             1100 => Event::Gone(RequestId(r.u32(6)?)),
             1070 => Event::Timer(r.u64(6)?),
             1000 => Event::Probed {
-                server: ServerId(r.u32(7)?),
+                server: ServerId(r.u32(7)?.into()),
                 outcome: outcome(r.u8(6)?)?,
                 took: r.f64(11)?,
                 load: stats(r, 19)?,
@@ -167,7 +167,7 @@
 fn entry(e: Fields<'_>) -> Result<ServerEntry, WireError> {
     Ok(ServerEntry {
         weight: e.f32(0)?,
-        server: ServerId(e.u32(4)?),
+        server: ServerId(e.u32(4)?.into()),
         zone: e.u16(8)?,
         started: e.f64(11)?,
         cell: e.u16(19)?,
@@ -205,12 +205,12 @@
 fn encode(who: u32, action: &Action) -> Record {
     match *action {
         Action::Send { id, server, timeout } => {
-            Record::new(1000, who).u32(6, id.0).u32(10, server.0).f64(14, timeout)
+            Record::new(1000, who).u32(6, id.0).u32(10, number(server)).f64(14, timeout)
         }
         Action::Refuse { id, retry_after } => Record::new(1010, who).u32(6, id.0).f64(10, retry_after),
         Action::Fail(id) => Record::new(1020, who).u32(6, id.0),
         Action::Cancel { id, attempt } => Record::new(1030, who).u32(6, id.0).put(10, &[attempt]),
-        Action::Probe(server) => Record::new(1050, who).u32(6, server.0),
+        Action::Probe(server) => Record::new(1050, who).u32(6, number(server)),
         Action::Count { name, add, ttl } => Record::new(1120, who)
             .put(6, &name.0.to_le_bytes())
             .put(14, &(add as f32).to_le_bytes())
@@ -219,3 +219,8 @@
         Action::Watch => Record::new(1100, who).put(6, &[1]),
     }
 }
+
+/// A server's number as the wire has it; all of them came from there.
+fn number(server: ServerId) -> u32 {
+    server.0 as u32
+}
--- a/crates/topazwind/tests/logic.rs
+++ b/crates/topazwind/tests/logic.rs
@@ -29,12 +29,12 @@
     }
 }
 
-fn server(n: u32) -> ServerEntry {
+fn server(n: u64) -> ServerEntry {
     ServerEntry { server: ServerId(n), weight: 1.0, ..ServerEntry::default() }
 }
 
 impl Rig {
-    fn new(settings: Settings, servers: u32) -> Self {
+    fn new(settings: Settings, servers: u64) -> Self {
         let mut rig = Rig { gateway: Gateway::new(settings, 11), actions: Vec::new(), next: 1 };
         let entries = (1..=servers).map(server).collect();
         rig.feed(0.0, Event::Servers { update: ListUpdate::Cached, entries });
@@ -197,6 +197,42 @@
     assert!(refused(&actions));
 }
 
+#[test]
+fn a_refusal_never_says_come_back_now() {
+    // Found in use: engines that answer in well under a millisecond, then none: "come back after 0.000 s".
+    let mut set = settings();
+    set.plans[0] = Plan { rate: 1e6, burst: 1e6, ..set.plans[0].clone() };
+    set.max_retry_after = 60_000.0;
+    let mut rig = Rig::new(set, 4);
+    for i in 0..400u32 {
+        let (id, actions) = rig.ask(1000.0 + f64::from(i));
+        let server = sent(&actions).expect("a server");
+        let (outcome, load) = (Outcome::Ok, Vec::new());
+        let (attempt, complete, took, settled) = (0, true, 0.2, 0.0);
+        rig.feed(
+            1000.2 + f64::from(i),
+            Event::Ended { id, attempt, server, outcome, complete, took, settled, load },
+        );
+    }
+    let wait = |actions: &[Action]| {
+        actions.iter().find_map(|a| match a {
+            Action::Refuse { retry_after, .. } => Some(*retry_after),
+            _ => None,
+        })
+    };
+    let late = Request { id: RequestId(9000), units: 1.0, time_left: 6.0, spread: 3.0, ..Request::default() };
+    let at_once = wait(&rig.feed(1500.0, Event::Request(late))).expect("a refusal");
+    assert!(at_once >= 20.0, "{at_once} ms while servers take requests");
+    rig.feed(1600.0, Event::Servers { update: ListUpdate::Full, entries: Vec::new() });
+    let (_, mut actions) = rig.ask(1600.0);
+    let mut now = 1600.0;
+    while wait(&actions).is_none() && now < 3200.0 {
+        now += 20.0;
+        actions = rig.feed(now, Event::Timer(0));
+    }
+    assert_eq!(wait(&actions), Some(500.0), "without servers: the class's aim");
+}
+
 #[test]
 fn a_cold_server_gets_a_trickle() {
     let mut rig = Rig::new(settings(), 0);
--- a/crates/tower/src/layer.rs
+++ b/crates/tower/src/layer.rs
@@ -180,7 +180,7 @@
     poll_fn(|cx| match catch_unwind(AssertUnwindSafe(|| handling.as_mut().poll(cx))) {
         Ok(poll) => poll.map(Some),
         Err(_) => {
-            log::error!("the handler panicked");
+            tracing::error!("the handler panicked");
             Poll::Ready(None)
         }
     })
--- a/crates/tower/tests/layer.rs
+++ b/crates/tower/tests/layer.rs
@@ -257,7 +257,8 @@
         for answer in asked {
             let answer = answer.await.expect("an answer");
             if answer.status() == 503 {
-                assert_eq!(answer.headers()["retry-after"], "0.050");
+                assert_eq!(answer.headers()["retry-after"], "1");
+                assert_eq!(answer.headers()["x-oatbank-retry-after"], "0.050");
             }
             statuses.push(answer.status().as_u16());
         }
--- a/crates/zookeeper/src/lib.rs
+++ b/crates/zookeeper/src/lib.rs
@@ -12,6 +12,7 @@
 use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
 use tokio::task::JoinSet;
 use topazwind::interface::Millis;
+use tracing::Instrument;
 use zookeeper_client::{Client, Error, EventType, SessionState};
 
 /// First pause after no session could be had; doubles up to the other.
@@ -60,11 +61,12 @@
             Ok(Ok(client)) => {
                 pause = PAUSE;
                 let source = Source::new(&config, client, clock.clone(), told.clone(), state.clone());
-                let ended = source.run().await;
-                log::warn!("members: the session has ended: {ended:?}; the list holds");
+                let span = tracing::info_span!("session", path = config.path);
+                let ended = source.run().instrument(span).await;
+                tracing::warn!("members: the session has ended: {ended:?}; the list holds");
             }
-            Ok(Err(e)) => log::warn!("members: no session: {e}; again in {} ms", pause.as_millis()),
-            Err(_) => log::warn!("members: no session in time; again in {} ms", pause.as_millis()),
+            Ok(Err(e)) => tracing::warn!("members: no session: {e}; again in {} ms", pause.as_millis()),
+            Err(_) => tracing::warn!("members: no session in time; again in {} ms", pause.as_millis()),
         }
         tokio::time::sleep(pause).await;
         pause = (pause * 2).min(LONGEST_PAUSE);
@@ -109,7 +111,7 @@
 
     /// Runs until the session is over.
     async fn run(mut self) -> SessionState {
-        log::info!("members: following {}", self.reader.path);
+        tracing::info!("members: following {}", self.reader.path);
         let mut states = self.reader.client.state_watcher();
         self.connected();
         loop {
@@ -182,7 +184,7 @@
             Want::Data(name) => self.data(name).await,
         };
         if let Err(e) = done {
-            log::debug!("members: {want:?}: {e}");
+            tracing::debug!("members: {want:?}: {e}");
             self.say(Event::Failed(want));
         }
     }
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -1,11 +1,12 @@
 #!/bin/bash
-# The project's whole test: format, lints, release build, tests, size and width of the decision module.
+# The project's whole test: format, lints, release build, README's commands, tests, size and width of the decision module.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 cargo fmt --check
 cargo clippy --locked --workspace --all-targets -- -D warnings
 cargo build --locked --release
-cargo test --locked --release --workspace
+scripts/readme.sh
+cargo test --locked --profile tested --workspace
 policy=crates/topazwind/src/logic.rs
 lines=$(grep -cve '^[[:space:]]*$' "$policy")
 wide=$(awk 'length($0) > 110' "$policy" | wc -l)
