--- a/benches/src/bin/members.rs
+++ b/benches/src/bin/members.rs
@@ -1,13 +1,17 @@
 //! What a membership source costs by the size of the folder: time to the first whole list, and from a change's
 //! write to the engine's being told, over the stand-in coordinator on loopback.
 //!
-//! `cargo run --release -p oatbank-benches --bin members`
+//! Then the daemon by the same sizes: memory and CPU for the first list, and CPU for each change after it.
+//!
+//! `cargo build --release && cargo run --release -p oatbank-benches --bin members`
 
+use oatbank_benches::cpu;
 use oatbank_engine::ports::clock::{Clock, SystemClock};
 use oatbank_engine::ports::membership::{News, Told};
 use oatbank_engine::supervise::keep_running;
 use oatbank_testkit::conformance::on_local_set;
 use oatbank_testkit::zookeeper::Coordinator;
+use oatbank_testkit::{Scratch, Standalone};
 use oatbank_zookeeper::{follow, state, Config};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -59,8 +63,57 @@
     );
 }
 
+/// Resident memory of a process now, and at most so far, MB.
+fn memory(pid: &str) -> (f64, f64) {
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).expect("a process");
+    let field = |name: &str| {
+        let line = status.lines().find(|l| l.starts_with(name)).expect("a field");
+        line.split_whitespace().nth(1).and_then(|kb| kb.parse::<f64>().ok()).expect("kB") / 1024.0
+    };
+    (field("VmRSS:"), field("VmHWM:"))
+}
+
+/// The daemon with a folder of so many members, which change one after another.
+fn daemon(members: usize) {
+    let coordinator = Coordinator::start(1);
+    (0..members).for_each(|i| coordinator.put(&path(i), &node(i)));
+    let file = Scratch::new(&format!(
+        "listen = \"127.0.0.1:0\"\n[members]\nzookeeper = \"{}\"\npath = \"/services/quotes\"\n[[classes]]\n\
+         name = \"look\"\naim_ms = 1500\ndeadline_ms = 2000\nrepeat = \"safe\"\n[[plans]]\nname = \"team\"\n",
+        coordinator.cluster()
+    ));
+    let mut process = Standalone::serve("target/release/oatbank", &file);
+    process.drain_log();
+    let pid = process.child.id().to_string();
+    let rest = || {
+        // Until a whole second brings next to no work: there is no other sign that it has read all.
+        let mut before = cpu(&pid);
+        loop {
+            std::thread::sleep(Duration::from_secs(1));
+            let now = cpu(&pid);
+            if now - before <= Duration::from_millis(20) {
+                return now;
+            }
+            before = now;
+        }
+    };
+    let first = rest();
+    let (held, most) = memory(&pid);
+    for i in 0..CHANGES {
+        coordinator.delete(&path(i));
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    let changed = cpu(&pid) - first;
+    println!(
+        "{members:>5} members, the daemon: {held:>5.1} MB, {most:>5.1} at most; CPU {:>4} ms for the list, {:>5.2} ms a change",
+        first.as_millis(),
+        changed.as_secs_f64() * 1000.0 / CHANGES as f64
+    );
+}
+
 fn main() {
     for members in [100, 1000, 5000] {
         on_local_set(run(members));
     }
+    [10, 100, 1000, 5000].into_iter().for_each(daemon);
 }
--- a/crates/daemon/src/demo.rs
+++ b/crates/daemon/src/demo.rs
@@ -5,7 +5,7 @@
 mod traffic;
 
 use crate::serve::on_one_thread;
-use crate::standalone;
+use crate::standalone::Running;
 use engines::SmallEngine;
 use oatbank_engine::config::Config;
 use oatbank_engine::ports::membership::{Member, News};
@@ -53,10 +53,11 @@
     }
     let mut config = Config::parse(CONFIG).map_err(|e| e.to_string())?;
     config.members = engines.iter().map(|e| Member::ready(e.name.clone(), e.address)).collect();
-    let (engine, serving) = standalone::start(&config)?;
-    println!("A limiter on {} in front of three engines, for four seconds of requests.", serving.address());
-    let team = Customer::start("team, 60 a second, within its quota", serving.address(), "team", 1, 60);
-    let free = Customer::start("free, 25 a second, quota of 5 a second", serving.address(), "free", 2, 25);
+    let running = Running::start(&config)?;
+    let address = running.address();
+    println!("A limiter on {} in front of three engines, for four seconds of requests.", address);
+    let team = Customer::start("team, 60 a second, within its quota", address, "team", 1, 60);
+    let free = Customer::start("free, 25 a second, quota of 5 a second", address, "free", 2, 25);
 
     tokio::time::sleep(FAILS_AT).await;
     println!("  1.0 s  engine-2 begins to fail: every request ends in 500");
@@ -67,7 +68,7 @@
     tokio::time::sleep(DRAINS_AT - RECOVERS_AT).await;
     println!("  2.5 s  engine-3 drains: it finishes what it has and wants nothing new");
     let leaving = Member { state: ServerState::Draining, ..config.members[2].clone() };
-    engine.told()(News::Changes(vec![leaving]));
+    running.engine.told()(News::Changes(vec![leaving]));
     let told = tokio::time::Instant::now();
     tokio::time::sleep(ENDS_AT - DRAINS_AT).await;
 
@@ -84,6 +85,6 @@
     for customer in [team, free] {
         println!("  {}", customer.finish());
     }
-    serving.stop().await;
+    running.stop().await;
     Ok(())
 }
--- /dev/null
+++ b/crates/daemon/src/feed.rs
@@ -0,0 +1,65 @@
+//! Carries several sources' news through [`Intake`] to the engine.
+
+use oatbank_engine::ports::clock::Clock;
+use oatbank_engine::ports::membership::{News, Told};
+use oatbank_engine::supervise::keep_running;
+use oatbank_membership::intake::Intake;
+use std::cell::RefCell;
+use std::rc::Rc;
+use tokio::sync::Notify;
+
+/// One list of servers, fed by sources of different rank.
+pub struct Feed {
+    intake: RefCell<Intake>,
+    told: Told,
+    clock: Rc<dyn Clock>,
+    sooner: Notify,
+}
+
+impl Feed {
+    /// Tells `told` what passes `intake`, from now on for the life of the process.
+    pub fn start(intake: Intake, told: Told, clock: Rc<dyn Clock>) -> Rc<Self> {
+        let feed = Rc::new(Feed { intake: RefCell::new(intake), told, clock, sooner: Notify::new() });
+        let letting_in = feed.clone();
+        keep_running("members held back", move || letting_in.clone().let_in());
+        feed
+    }
+
+    /// Where the source of this rank tells its news. What passes is told before this returns.
+    pub fn source(self: &Rc<Self>, rank: usize) -> Told {
+        let feed = self.clone();
+        Rc::new(move |news| {
+            let news = feed.intake.borrow_mut().told(feed.clock.now(), rank, news);
+            feed.pass(news);
+            feed.sooner.notify_one();
+        })
+    }
+
+    /// Looks at the whole of it.
+    pub fn look<T>(&self, how: impl FnOnce(&Intake) -> T) -> T {
+        how(&self.intake.borrow())
+    }
+
+    fn pass(&self, news: Option<News>) {
+        if let Some(news) = news {
+            (self.told)(news);
+        }
+    }
+
+    /// Lets in the servers that have been held back for long enough.
+    async fn let_in(self: Rc<Self>) {
+        loop {
+            let next = self.intake.borrow().next_due();
+            match next {
+                None => self.sooner.notified().await,
+                Some(at) => tokio::select! {
+                    () = self.sooner.notified() => {}
+                    () = self.clock.until(at) => {
+                        let news = self.intake.borrow_mut().due(self.clock.now());
+                        self.pass(news);
+                    }
+                },
+            }
+        }
+    }
+}
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,6 +1,7 @@
 //! The limiter as a daemon: `oatbank` alone serves on the platform; see `oatbank --help` for the rest.
 
 mod demo;
+mod feed;
 mod front;
 mod logging;
 mod members;
--- a/crates/daemon/src/members.rs
+++ b/crates/daemon/src/members.rs
@@ -1,10 +1,13 @@
 //! `oatbank members`: prints the list of servers as a limiter would have it.
 
+use crate::feed::Feed;
 use crate::serve::on_one_thread;
-use oatbank_engine::config::{Config, ZooKeeper};
+use oatbank_engine::config::{Config, FileServers, ZooKeeper};
 use oatbank_engine::ports::clock::{Clock, SystemClock};
 use oatbank_engine::ports::membership::{Member, News, Told};
 use oatbank_engine::supervise::keep_running;
+use oatbank_membership::damping;
+use oatbank_membership::intake::{Intake, Standing};
 use oatbank_zookeeper::Shared;
 use std::rc::Rc;
 use std::time::Duration;
@@ -25,68 +28,104 @@
     }
 }
 
+/// Ranks of the sources.
+pub const TREE: usize = 0;
+/// See [`TREE`].
+pub const FILE: usize = 1;
+
+/// The way from the sources of a configuration to one list.
+pub fn intake(config: &Config) -> Intake {
+    let hold_down = config.zookeeper.as_ref().is_some_and(|z| z.hold_down);
+    Intake::new(&["zookeeper", "file"], hold_down.then(damping::Settings::default))
+}
+
+/// What the file's servers are told as: beside a folder they count until that is read, unless wanted otherwise.
+pub fn of_file(config: &Config) -> News {
+    let members = config.members.clone();
+    match &config.zookeeper {
+        Some(folder) if folder.servers == FileServers::UntilRead => News::Remembered(members),
+        _ => News::Complete(members),
+    }
+}
+
 /// Prints the list; with `follow`, what changes in it until the process is ended.
 ///
 /// # Errors
 /// When the configuration cannot be used, or no list comes.
 pub fn run(path: &str, follow: bool) -> Result<(), String> {
     let config = Config::load(path, std::env::vars()).map_err(|e| e.lines(path).join("\n"))?;
-    let Some(folder) = config.zookeeper else {
-        config.members.iter().for_each(|m| println!("{}", line("file", m, None)));
-        return Ok(());
-    };
-    on_one_thread(show(folder, follow))
+    on_one_thread(show(config, follow))
 }
 
-async fn show(folder: ZooKeeper, follow: bool) -> Result<(), String> {
+async fn show(config: Config, follow: bool) -> Result<(), String> {
     let clock: Rc<dyn Clock> = Rc::new(SystemClock::new());
-    let source = source(&folder);
-    let state = oatbank_zookeeper::state(&source);
     let (tell, mut heard) = unbounded_channel();
     // This command ends with its process, so somebody reads to the end.
     let told: Told = Rc::new(move |news| _ = tell.send(news));
-    let (beside, there) = (clock.clone(), state.clone());
-    keep_running("members", move || {
-        oatbank_zookeeper::follow(source.clone(), beside.clone(), told.clone(), there.clone())
-    });
-    let first = tokio::time::timeout(PATIENCE, heard.recv()).await;
-    first.map_err(|_| format!("{}: no list from {} in 10 s", folder.path, folder.zookeeper))?;
-    print(&state, clock.now());
-    if !follow {
-        return Ok(());
+    let feed = Feed::start(intake(&config), told, clock.clone());
+    feed.source(FILE)(of_file(&config));
+    let mut tree = None;
+    if let Some(folder) = &config.zookeeper {
+        let source = source(folder);
+        let state = oatbank_zookeeper::state(&source);
+        let (beside, told, there) = (clock.clone(), feed.source(TREE), state.clone());
+        keep_running("members", move || {
+            oatbank_zookeeper::follow(source.clone(), beside.clone(), told.clone(), there.clone())
+        });
+        let read = async {
+            while state.borrow().current_at().is_none() {
+                if heard.recv().await.is_none() {
+                    break;
+                }
+            }
+        };
+        let read = tokio::time::timeout(PATIENCE, read).await;
+        read.map_err(|_| format!("{}: no list from {} in 10 s", folder.path, folder.zookeeper))?;
+        tree = Some(state);
     }
-    while let Some(news) = heard.recv().await {
+    print(&feed, tree.as_ref(), clock.now());
+    while let Some(news) = if follow { heard.recv().await } else { None } {
         let (kind, members) = match news {
             News::Complete(members) => ("all", members),
             News::Changes(members) | News::Remembered(members) => ("change", members),
         };
-        members.iter().for_each(|m| println!("{kind:<8} {}", line("zookeeper", m, Some(clock.now()))));
+        members.iter().for_each(|m| println!("{kind:<8} {}", line(m, clock.now())));
     }
     Ok(())
 }
 
-fn print(state: &Shared, now: Millis) {
-    let state = state.borrow();
-    state.list().values().for_each(|m| println!("{}", line("zookeeper", m, Some(now))));
-    for (node, reason) in state.left_out() {
-        println!("{node:<24} left out: {reason}");
+fn print(feed: &Feed, tree: Option<&Shared>, now: Millis) {
+    let rows = feed.look(Intake::rows);
+    for (row, standing) in &rows {
+        let standing = match standing {
+            Standing::Told => String::new(),
+            Standing::Covered => ", left out: a source of higher rank has its id or address".into(),
+            Standing::HeldUntil(at) => {
+                format!(", held back for {:.1} s: it comes and goes", (at - now) / 1000.0)
+            }
+        };
+        println!("{} from {}{standing}", line(&row.member, now), row.source);
+    }
+    if let Some(state) = tree.map(|t| t.borrow()) {
+        state.left_out().iter().for_each(|(node, reason)| println!("{node:<24} left out: {reason}"));
+        let age =
+            state.current_at().map_or("never read whole".into(), |at| format!("{:.0} ms old", now - at));
+        println!(
+            "{} members; the folder's list is {age}",
+            rows.iter().filter(|r| r.1 == Standing::Told).count()
+        );
     }
-    let age = state.current_at().map_or("never read whole".into(), |at| format!("{:.0} ms old", now - at));
-    println!("{} members; the list is {age}", state.list().len());
 }
 
-fn line(source: &str, member: &Member, now: Option<Millis>) -> String {
+fn line(member: &Member, now: Millis) -> String {
     let state = match member.state {
         ServerState::Ready => "ready",
         ServerState::Draining => "draining",
         ServerState::Gone => "gone",
     };
     let address = member.address.map_or("-".into(), |a| a.to_string());
-    let up = now.filter(|_| member.started > 0.0).map(|now| (now - member.started) / 1000.0);
+    let up = Some(member.started).filter(|started| *started > 0.0).map(|started| (now - started) / 1000.0);
     let up = up.map_or("-".into(), |s| format!("{s:.0} s"));
     let zone = if member.zone.is_empty() { "-" } else { &member.zone };
-    format!(
-        "{:<24} {state:<9} {address:<22} zone {zone} weight {} up {up} from {source}",
-        member.id, member.weight
-    )
+    format!("{:<24} {state:<9} {address:<22} zone {zone} weight {} up {up}", member.id, member.weight)
 }
--- a/crates/daemon/src/standalone.rs
+++ b/crates/daemon/src/standalone.rs
@@ -1,18 +1,32 @@
 //! Serving without a platform: servers, counter and all else from a file of oatbank's own.
 
+use crate::feed::Feed;
 use crate::serve::{on_one_thread, Limits, Plan, Serving, Signals};
 use crate::{logging, members};
 use oatbank_engine::config::{Config, ZooKeeper};
 use oatbank_engine::counters::{self, local::Numbers};
 use oatbank_engine::engine::Engine;
-use oatbank_engine::members::fixed;
 use oatbank_engine::ports::clock::{Clock, SystemClock};
-use oatbank_engine::ports::membership::{Member, News};
+use oatbank_engine::ports::membership::Told;
 use oatbank_engine::respond::ComeBack;
 use oatbank_engine::supervise::keep_running;
 use oatbank_engine::upstreams::http1::Http1;
+use oatbank_membership::register::{Life, Place};
+use oatbank_zookeeper::register::Registrar;
+use std::hash::{BuildHasher, Hasher, RandomState};
+use std::net::SocketAddr;
 use std::rc::Rc;
 
+/// A limiter that serves, and what is to be told to it or ended with it.
+pub struct Running {
+    /// Its engine.
+    pub engine: Rc<Engine<Http1>>,
+    serving: Serving,
+    /// Where the servers of the file are told.
+    from_file: Told,
+    registrar: Option<Rc<Registrar>>,
+}
+
 /// Serves from the file at `path` until a signal ends it. SIGHUP takes over the file's list of servers; a file
 /// that cannot be read changes nothing.
 ///
@@ -23,34 +37,51 @@
     on_one_thread(async move {
         let mut signals = Signals::new().map_err(|e| e.to_string())?;
         keep_running("log", logging::tell_what_was_left_out);
-        let (engine, serving) = start(&config)?;
-        signals.until_stop(|| reload(&path, &engine)).await;
-        serving.stop().await;
+        let running = Running::start(&config)?;
+        signals.until_stop(|| reload(&path, &running.from_file)).await;
+        running.stop().await;
         Ok(())
     })
 }
 
-/// Starts a limiter from a configuration, on the present thread's local set.
-///
-/// # Errors
-/// When its address cannot be had.
-pub fn start(config: &Config) -> Result<(Rc<Engine<Http1>>, Serving), String> {
-    let clock: Rc<dyn Clock> = Rc::new(SystemClock::new());
-    let plan = plan(config);
-    let engine = Serving::engine(&plan, clock.clone());
-    engine.use_counter(counters::start(config.counter, Numbers::default(), clock.clone(), engine.ends()));
-    match &config.zookeeper {
-        Some(folder) => follow(&engine, clock, folder, config.members.clone()),
-        None => fixed::tell(&engine.told(), config.members.clone()),
+impl Running {
+    /// Starts a limiter from a configuration, on the present thread's local set.
+    ///
+    /// # Errors
+    /// When its address cannot be had.
+    pub fn start(config: &Config) -> Result<Self, String> {
+        let clock: Rc<dyn Clock> = Rc::new(SystemClock::new());
+        let plan = plan(config);
+        let engine = Serving::engine(&plan, clock.clone());
+        engine.use_counter(counters::start(config.counter, Numbers::default(), clock.clone(), engine.ends()));
+        let feed = Feed::start(members::intake(config), engine.told(), clock.clone());
+        let from_file = feed.source(members::FILE);
+        from_file(members::of_file(config));
+        if let Some(folder) = &config.zookeeper {
+            follow(folder, clock.clone(), feed.source(members::TREE));
+        }
+        let serving = Serving::start(&plan, engine.clone()).map_err(|e| format!("{}: {e}", config.listen))?;
+        let registrar = config.zookeeper.as_ref().and_then(|folder| register(&config.name, folder, clock));
+        Ok(Running { engine, serving, from_file, registrar })
+    }
+
+    /// Where clients connect.
+    pub fn address(&self) -> SocketAddr {
+        self.serving.address()
+    }
+
+    /// Answers what it has, lets the other limiters know, and ends.
+    pub async fn stop(self) {
+        let leaving = async {
+            if let Some(registrar) = &self.registrar {
+                registrar.leave().await;
+            }
+        };
+        tokio::join!(leaving, self.serving.stop());
     }
-    let serving = Serving::start(&plan, engine.clone()).map_err(|e| format!("{}: {e}", config.listen))?;
-    Ok((engine, serving))
 }
 
-/// The folder's list counts from its first read on; until then the file's does.
-fn follow(engine: &Rc<Engine<Http1>>, clock: Rc<dyn Clock>, folder: &ZooKeeper, until_then: Vec<Member>) {
-    let told = engine.told();
-    told(News::Remembered(until_then));
+fn follow(folder: &ZooKeeper, clock: Rc<dyn Clock>, told: Told) {
     let source = members::source(folder);
     let state = oatbank_zookeeper::state(&source);
     keep_running("members", move || {
@@ -58,6 +89,22 @@
     });
 }
 
+fn register(name: &str, folder: &ZooKeeper, clock: Rc<dyn Clock>) -> Option<Rc<Registrar>> {
+    let path = folder.register.clone()?;
+    let config = oatbank_zookeeper::Config { path, ..members::source(folder) };
+    // The standard library's seed of hash maps, which is random.
+    let instance = RandomState::new().build_hasher().finish();
+    let life = Life { started_ms: clock.now() as u64, instance };
+    let placed = |place: Place| {
+        let (number, count) = (place.number, place.count);
+        tracing::info!(number, count, "register: this is limiter {} of {count}", number + 1);
+    };
+    let registrar = Registrar::new(config, name, life, clock, placed);
+    let running = registrar.clone();
+    keep_running("registration", move || running.clone().run());
+    Some(registrar)
+}
+
 fn plan(config: &Config) -> Plan {
     let (sockets, memory_mb) = config.limits;
     Plan {
@@ -71,14 +118,11 @@
     }
 }
 
-fn reload(path: &str, engine: &Rc<Engine<Http1>>) {
+fn reload(path: &str, from_file: &Told) {
     match Config::load(path, std::env::vars()) {
-        Ok(config) if config.zookeeper.is_some() => {
-            tracing::info!("configuration: the servers are those of {:?}", config.zookeeper.map(|z| z.path));
-        }
         Ok(config) => {
             tracing::info!("configuration: {} servers", config.members.len());
-            fixed::tell(&engine.told(), config.members);
+            from_file(members::of_file(&config));
         }
         Err(e) => tracing::error!("the configuration is kept as it was: {path}: {e}"),
     }
--- a/crates/engine/src/config/file.rs
+++ b/crates/engine/src/config/file.rs
@@ -39,6 +39,31 @@
     #[serde(default)]
     #[schemars(with = "String", regex(pattern = "^[^:]+:.*$"))]
     pub auth: Option<String>,
+    /// What the file's [[servers]] are beside the folder's: "until_read", or "beside" with the lower rank.
+    #[serde(default)]
+    pub servers: FileServers,
+    /// Hold back servers that come and go too often.
+    #[serde(default = "yes")]
+    pub hold_down: bool,
+    /// The folder in which this limiter registers itself by its name, a path as "/services/limiters".
+    #[serde(default)]
+    #[schemars(with = "String", regex(pattern = "^(/[^/]+)+$"))]
+    pub register: Option<String>,
+}
+
+/// What the file's servers are where there is a folder of members.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize, JsonSchema)]
+#[serde(rename_all = "snake_case")]
+pub enum FileServers {
+    #[default]
+    #[allow(missing_docs)]
+    UntilRead,
+    #[allow(missing_docs)]
+    Beside,
+}
+
+fn yes() -> bool {
+    true
 }
 
 fn session_timeout() -> u64 {
--- a/crates/engine/src/config/mod.rs
+++ b/crates/engine/src/config/mod.rs
@@ -34,7 +34,7 @@
 mod rules;
 mod text;
 
-pub use file::ZooKeeper;
+pub use file::{FileServers, ZooKeeper};
 pub use mistake::{Mistake, Place};
 
 use crate::engine::Setup;
--- a/crates/engine/src/config/rules.rs
+++ b/crates/engine/src/config/rules.rs
@@ -19,6 +19,7 @@
         zone(file, &[], &file["zone"]),
         address(file, &[], "listen"),
         counter(file),
+        register(file),
     ];
     mistakes.extend(all.into_iter().flatten());
 }
@@ -113,3 +114,26 @@
     };
     vec![Mistake::at(below(&[], "counter"), why)]
 }
+
+/// A limiter's node has its name, and stands in a folder of its own.
+fn register(file: &Value) -> Vec<Mistake> {
+    let members = &file["members"];
+    let Some(folder) = members["register"].as_str() else { return Vec::new() };
+    let mut mistakes = Vec::new();
+    if members["path"] == folder {
+        let why = "the engines' folder is not allowed; one of the limiters' own is";
+        mistakes.push(Mistake::at(below(&[members_step()], "register"), why));
+    }
+    let name = file["name"].as_str().unwrap_or("oatbank");
+    let plain = |c: char| c.is_ascii_graphic() && c != '/';
+    if name.is_empty() || name.len() > 64 || !name.chars().all(plain) {
+        let why =
+            format!("{name:?} cannot be registered; 1 to 64 printable characters without '/' are allowed");
+        mistakes.push(Mistake::at(below(&[], "name"), why));
+    }
+    mistakes
+}
+
+fn members_step() -> Step {
+    Step::Key("members".into())
+}
--- a/crates/engine/src/config/tests.rs
+++ b/crates/engine/src/config/tests.rs
@@ -104,6 +104,20 @@
             "members.path",
             "/services",
         ),
+        (
+            "[[plans]]",
+            "[members]\nzookeeper = \"x:1\"\npath = \"/a\"\nregister = \"/a\"\n[[plans]]",
+            18,
+            "members.register",
+            "the limiters' own",
+        ),
+        (
+            "name = \"x\"",
+            "name = \"x/y\"\nmembers = { zookeeper = \"x:1\", path = \"/a\", register = \"/b\" }",
+            2,
+            "name",
+            "without '/'",
+        ),
     ] {
         assert!(GOOD.contains(of), "{of}");
         let told = lines(&GOOD.replacen(of, with, 1));
--- a/crates/engine/src/upstreams/http1.rs
+++ b/crates/engine/src/upstreams/http1.rs
@@ -41,6 +41,10 @@
 /// a request that crosses with the close is lost.
 const IDLE_SHARE: f64 = 0.6;
 
+/// Idle connections of a server that left the list are kept this long, ms, should it be back at once: a member whose
+/// session flaps is the same process, and one that did restart has closed them.
+const KEEP_OVER_FLAP: Millis = 1000.0;
+
 const LOAD: HeaderName = HeaderName::from_static("x-backend-load");
 const NOT_RUN: HeaderName = HeaderName::from_static("x-unprocessed");
 const TIME_LEFT: HeaderName = HeaderName::from_static("x-time-left");
@@ -161,6 +165,8 @@
 /// The connections that wait for a request.
 struct Pool {
     idle: RefCell<HashMap<ServerId, Vec<Connection>>>,
+    /// Since when servers with idle connections have taken nothing new.
+    parked: RefCell<HashMap<ServerId, Millis>>,
     open: Rc<Cell<usize>>,
     most: usize,
     longest_idle: Millis,
@@ -172,6 +178,7 @@
     fn new(conn_idle: Millis, connect_timeout: Millis, most: usize) -> Self {
         Pool {
             idle: RefCell::default(),
+            parked: RefCell::default(),
             open: Rc::default(),
             most,
             longest_idle: conn_idle * IDLE_SHARE,
@@ -200,15 +207,29 @@
 
     /// Retires what has stood idle too long or was closed from the other side.
     fn sweep(&self, now: Millis) {
-        self.idle.borrow_mut().retain(|_, waiting| {
+        let mut parked = self.parked.borrow_mut();
+        self.idle.borrow_mut().retain(|server, waiting| {
+            if parked.get(server).is_some_and(|since| now - since >= KEEP_OVER_FLAP) {
+                return false;
+            }
             waiting.retain(|c| !c.sender.is_closed() && now - c.idle_since < self.longest_idle);
             !waiting.is_empty()
         });
+        let idle = self.idle.borrow();
+        parked.retain(|server, _| idle.contains_key(server));
     }
 
-    /// Drops the idle connections of servers that take nothing new.
-    fn keep_only(&self, ready: &dyn Fn(ServerId) -> bool) {
-        self.idle.borrow_mut().retain(|server, _| ready(*server));
+    /// Notes which servers take nothing new: their idle connections go soon, unless they are back before. Until then
+    /// no request meets them, as none is sent to such a server.
+    fn keep_only(&self, ready: &dyn Fn(ServerId) -> bool, now: Millis) {
+        let mut parked = self.parked.borrow_mut();
+        for server in self.idle.borrow().keys() {
+            if ready(*server) {
+                parked.remove(server);
+            } else {
+                parked.entry(*server).or_insert(now);
+            }
+        }
     }
 
     /// A place for one more connection; at the limit the longest idle one gives way.
@@ -280,7 +301,7 @@
     }
 
     fn keep_only(&self, ready: &dyn Fn(ServerId) -> bool) {
-        self.shared.pool.keep_only(ready);
+        self.shared.pool.keep_only(ready, self.shared.clock.now());
     }
 
     fn upkeep(&self, now: Millis) {
--- /dev/null
+++ b/crates/membership/src/damping.rs
@@ -0,0 +1,171 @@
+//! Hold-down of members that come and go: route flap damping as in RFC 2439, on servers.
+//!
+//! Each time a server stops being ready it gets one point; points halve every [`Settings::half_life`]. Over
+//! [`Settings::suppress`] its return is held back until they have fallen below [`Settings::reuse`].
+//!
+//! Guarantees:
+//! - that a server drains or is gone passes at once, always: only returns are held back;
+//! - one flap, or two in a row, hold nothing back;
+//! - a held server is let in at the latest when its points are spent, with what was last said of it;
+//! - never more servers are held than are ready: where all flap it is not they that are ill, and the fleet does
+//!   not empty for it. Those with the fewest points are let in first.
+
+use oatbank_engine::ports::membership::{Member, News};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use topazwind::interface::{Millis, ServerState};
+
+/// What the hold-down goes by; see [`Settings::default`].
+#[derive(Clone, Copy, Debug)]
+pub struct Settings {
+    /// Points halve in this time, ms.
+    pub half_life: Millis,
+    /// Over so many points a return is held back.
+    pub suppress: f64,
+    /// Below so many it is let in.
+    pub reuse: f64,
+    /// The most points that are kept.
+    pub most: f64,
+}
+
+impl Default for Settings {
+    /// The third flap within some seconds is held back, for 5 to 8 s; one that goes on for a minute, for 15 s at most.
+    fn default() -> Self {
+        Settings { half_life: 5000.0, suppress: 2.5, reuse: 1.0, most: 8.0 }
+    }
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Mark {
+    points: f64,
+    at: Millis,
+    suppressed: bool,
+}
+
+/// What is known of servers that went.
+#[derive(Debug, Default)]
+pub struct Damping {
+    settings: Settings,
+    marks: HashMap<String, Mark>,
+    ready: BTreeSet<String>,
+    held: BTreeMap<String, Member>,
+}
+
+impl Damping {
+    /// Knows of no flap yet.
+    pub fn new(settings: Settings) -> Self {
+        Damping { settings, ..Damping::default() }
+    }
+
+    /// Takes in news, and gives what passes.
+    pub fn told(&mut self, now: Millis, news: News) -> Option<News> {
+        match news {
+            News::Remembered(members) => Some(News::Remembered(members)),
+            News::Complete(members) => {
+                let named: BTreeSet<&String> = members.iter().map(|m| &m.id).collect();
+                let known = self.ready.iter().chain(self.held.keys());
+                let gone: Vec<String> = known.filter(|id| !named.contains(id)).cloned().collect();
+                gone.iter().for_each(|id| self.withdraw(now, id));
+                let mut passed = self.pass(now, members);
+                passed.extend(self.balance(now));
+                Some(News::Complete(passed))
+            }
+            News::Changes(members) => {
+                let mut passed = self.pass(now, members);
+                passed.extend(self.balance(now));
+                (!passed.is_empty()).then_some(News::Changes(passed))
+            }
+        }
+    }
+
+    /// Lets in what has been held for long enough.
+    pub fn due(&mut self, now: Millis) -> Option<News> {
+        let free: Vec<String> = self.held.keys().filter(|id| now >= self.free_at(id)).cloned().collect();
+        let passed: Vec<Member> = free.iter().filter_map(|id| self.release(id)).collect();
+        let settings = self.settings;
+        self.marks.retain(|_, mark| mark.now(now, settings) > 0.05);
+        (!passed.is_empty()).then_some(News::Changes(passed))
+    }
+
+    /// When [`Damping::due`] is to be called, if nothing comes before.
+    pub fn next_due(&self) -> Option<Millis> {
+        self.held.keys().map(|id| self.free_at(id)).min_by(f64::total_cmp)
+    }
+
+    /// The servers that are held back, and until when at most.
+    pub fn held(&self) -> Vec<(&Member, Millis)> {
+        self.held.iter().map(|(id, member)| (member, self.free_at(id))).collect()
+    }
+
+    fn pass(&mut self, now: Millis, members: Vec<Member>) -> Vec<Member> {
+        let mut passed = Vec::new();
+        for member in members {
+            if member.state != ServerState::Ready {
+                let held = self.held.contains_key(&member.id);
+                self.withdraw(now, &member.id);
+                // Of one that is held only its coming was kept back: that it goes is no news to anybody.
+                if !held || member.state == ServerState::Draining {
+                    passed.push(member);
+                }
+            } else if self.ready.contains(&member.id) || !self.is_suppressed(now, &member.id) {
+                self.held.remove(&member.id);
+                self.ready.insert(member.id.clone());
+                passed.push(member);
+            } else {
+                self.held.insert(member.id.clone(), member);
+            }
+        }
+        passed
+    }
+
+    fn withdraw(&mut self, now: Millis, id: &str) {
+        let held = self.held.remove(id).is_some();
+        if !self.ready.remove(id) && !held {
+            return;
+        }
+        let settings = self.settings;
+        let mark = self.marks.entry(id.to_owned()).or_default();
+        mark.points = (mark.now(now, settings) + 1.0).min(settings.most);
+        mark.at = now;
+        mark.suppressed |= mark.points > settings.suppress;
+    }
+
+    fn is_suppressed(&mut self, now: Millis, id: &str) -> bool {
+        let settings = self.settings;
+        let Some(mark) = self.marks.get_mut(id) else { return false };
+        mark.suppressed &= mark.now(now, settings) > settings.reuse;
+        mark.suppressed
+    }
+
+    fn free_at(&self, id: &str) -> Millis {
+        let settings = self.settings;
+        let mark = self.marks.get(id).copied().unwrap_or_default();
+        mark.at + settings.half_life * (mark.points / settings.reuse).max(1.0).log2()
+    }
+
+    fn release(&mut self, id: &str) -> Option<Member> {
+        let member = self.held.remove(id)?;
+        if let Some(mark) = self.marks.get_mut(id) {
+            mark.suppressed = false;
+        }
+        self.ready.insert(id.to_owned());
+        Some(member)
+    }
+
+    /// Lets in servers until no more are held than are ready.
+    fn balance(&mut self, now: Millis) -> Vec<Member> {
+        let mut passed = Vec::new();
+        while self.held.len() > self.ready.len() {
+            let points = |id: &String| self.marks.get(id).map_or(0.0, |m| m.now(now, self.settings));
+            let least = self.held.keys().min_by(|a, b| points(a).total_cmp(&points(b))).cloned();
+            let Some(member) = least.and_then(|id| self.release(&id)) else { break };
+            passed.push(member);
+        }
+        passed
+    }
+}
+
+impl Mark {
+    fn now(&self, now: Millis, settings: Settings) -> f64 {
+        self.points * (-(now - self.at).max(0.0) / settings.half_life).exp2()
+    }
+}
--- /dev/null
+++ b/crates/membership/src/register.rs
@@ -0,0 +1,288 @@
+//! A limiter's own node: made, kept, made anew, removed; and from the folder of all limiters this one's number and how
+//! many there are.
+//!
+//! The caller keeps a session and carries out what [`Step::wants`] asks for, one after the other, and tells what came of
+//! each and which watch fired.
+//!
+//! Guarantees, for any order, loss and repetition of events:
+//! - a name has one node, since the name is the node's path: one that an earlier life left behind is deleted and made
+//!   anew in one transaction, and only while it is still the one that was read;
+//! - of two processes with one name the one that started last holds it; the other says so and waits until it is gone;
+//! - a node that went without our doing (an expired session, an operator) is made anew;
+//! - the number of limiters that is told rises at once and falls only after it has been lower for [`Settings::settle`]:
+//!   whoever takes a part of something takes too little in doubt, never too much. While the service is away it holds;
+//! - after [`Event::Leave`] nothing is made any more, and the node is removed if it is ours.
+
+use crate::payload::is_plain;
+use serde::{Deserialize, Serialize};
+use topazwind::interface::Millis;
+
+/// What could not be done is tried again after this, ms.
+const RETRY: Millis = 100.0;
+
+/// What the registration goes by.
+#[derive(Clone, Copy, Debug)]
+pub struct Settings {
+    /// How long limiters may take to come back, ms: at least their session time-out.
+    pub settle: Millis,
+}
+
+/// Which process this is. Of two with one name the greater one is the newer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Life {
+    /// When the process started, Unix ms.
+    pub started_ms: u64,
+    /// A random number, should two have started in one millisecond.
+    pub instance: u64,
+}
+
+/// What is to be done, in this order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Want {
+    /// Make the folder, and those above it.
+    Folder,
+    /// Make the node, ephemeral.
+    Create,
+    /// Read the node, with a watch.
+    Read,
+    /// Delete the node if it still has this version, and make it, in one transaction.
+    Replace {
+        /// The version of the node that was read.
+        version: i32,
+    },
+    /// Read the folder's names, with a watch.
+    Names,
+    /// Delete the node if it still has this version.
+    Remove {
+        /// The version of the node that was read.
+        version: i32,
+    },
+}
+
+/// What has happened.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Event {
+    /// The session stands, on a new connection; watches are to be set anew.
+    Connected {
+        /// The session's number.
+        session: i64,
+    },
+    /// The connection is lost, or the session has expired; what is out will not be answered.
+    Lost,
+    /// What was wanted is done. A folder that is there already is made, a node that is gone is removed.
+    Done(Want),
+    /// The node could not be made: there is one.
+    Taken,
+    /// The node could not be made, or the names not read: there is no folder.
+    NoFolder,
+    /// The node was read.
+    Node {
+        /// The session that owns it.
+        owner: i64,
+        /// Its version.
+        version: i32,
+        /// What it holds.
+        bytes: Vec<u8>,
+    },
+    /// There is no node.
+    NoNode,
+    /// The folder was read.
+    Names(Vec<String>),
+    /// What was wanted could not be done; nothing is known by it.
+    Failed(Want),
+    /// The watch that this set has fired.
+    Fired(Want),
+    /// [`Step::due`] has come.
+    Due,
+    /// The process is to end.
+    Leave,
+}
+
+/// Where the registration stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum State {
+    /// Not registered, or not known to be.
+    Out,
+    /// The node is there and this session's.
+    Registered,
+    /// A process of the same name that started later has the node.
+    Superseded(Life),
+    /// The node is removed, for good.
+    Left,
+}
+
+/// This limiter among all of them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Place {
+    /// Its number, from 0, in the order of names.
+    pub number: usize,
+    /// How many there are, on the safe side: see [`self`].
+    pub count: usize,
+}
+
+/// What comes of an event.
+#[derive(Debug, Default, PartialEq)]
+pub struct Step {
+    /// What is to be done.
+    pub wants: Vec<Want>,
+    /// The place, if it has changed.
+    pub place: Option<Place>,
+    /// When [`Event::Due`] is to be told, if nothing comes before.
+    pub due: Option<Millis>,
+}
+
+/// One limiter's registration.
+#[derive(Debug)]
+pub struct Registration {
+    settings: Settings,
+    name: String,
+    life: Life,
+    session: Option<i64>,
+    state: State,
+    leaving: bool,
+    /// The version of our own node.
+    version: i32,
+    /// What failed, to be tried again at this time.
+    again: Vec<Want>,
+    again_at: Option<Millis>,
+    names: Vec<String>,
+    /// The count that is told, and since when fewer have been seen.
+    count: usize,
+    fewer_since: Option<Millis>,
+    told: Option<Place>,
+}
+
+impl Registration {
+    /// A registration of `name`, which [`is_plain`] and without `/`.
+    pub fn new(settings: Settings, name: &str, life: Life) -> Self {
+        Registration {
+            settings,
+            name: name.to_owned(),
+            life,
+            session: None,
+            state: State::Out,
+            leaving: false,
+            version: 0,
+            again: Vec::new(),
+            again_at: None,
+            names: Vec::new(),
+            count: 0,
+            fewer_since: None,
+            told: None,
+        }
+    }
+
+    /// What the node holds.
+    pub fn payload(&self) -> Vec<u8> {
+        // A struct of two numbers has a form in JSON.
+        serde_json::to_vec(&self.life).unwrap_or_default()
+    }
+
+    /// Where it stands.
+    pub fn state(&self) -> State {
+        self.state
+    }
+
+    /// This limiter's place as it was last told.
+    pub fn place(&self) -> Option<Place> {
+        self.told
+    }
+
+    /// Takes in what has happened.
+    pub fn handle(&mut self, now: Millis, event: Event) -> Step {
+        let mut wants = Vec::new();
+        match event {
+            Event::Connected { session } => {
+                // A new session owns nothing; of a kept one the watches are gone.
+                let kept = self.session.replace(session) == Some(session);
+                if !kept && self.state == State::Registered {
+                    self.state = State::Out;
+                }
+                (self.again, self.again_at) = (Vec::new(), None);
+                wants.extend([if kept || self.leaving { Want::Read } else { Want::Create }, Want::Names]);
+            }
+            Event::Lost => (self.again, self.again_at) = (Vec::new(), None),
+            Event::Done(Want::Folder) => wants.extend([Want::Create, Want::Names]),
+            Event::Done(Want::Remove { .. }) => self.state = State::Left,
+            Event::Done(_) | Event::Taken | Event::Fired(Want::Read) => wants.push(Want::Read),
+            Event::NoFolder => wants.push(Want::Folder),
+            Event::Node { owner, version, bytes } => wants.extend(self.node(owner, version, &bytes)),
+            Event::NoNode => {
+                self.state = if self.leaving { State::Left } else { State::Out };
+                wants.push(Want::Create);
+            }
+            Event::Names(names) => self.names = names,
+            Event::Failed(want) => self.retry(now, want),
+            Event::Fired(_) => wants.push(Want::Names),
+            Event::Due => {
+                if self.again_at.is_some_and(|at| now >= at) {
+                    self.again_at = None;
+                    wants.append(&mut self.again);
+                }
+            }
+            Event::Leave => {
+                self.leaving = true;
+                wants.push(Want::Read);
+            }
+        }
+        if self.leaving {
+            wants.retain(|w| matches!(w, Want::Read | Want::Remove { .. }));
+        }
+        if self.state == State::Left || self.session.is_none() {
+            wants.clear();
+        }
+        Step { wants, place: self.place_now(now), due: self.due() }
+    }
+
+    fn retry(&mut self, now: Millis, want: Want) {
+        // What a version says may be old by now: it is read again.
+        let want = match want {
+            Want::Replace { .. } | Want::Remove { .. } => Want::Read,
+            other => other,
+        };
+        if !self.again.contains(&want) {
+            self.again.push(want);
+        }
+        self.again_at.get_or_insert(now + RETRY);
+    }
+
+    fn node(&mut self, owner: i64, version: i32, bytes: &[u8]) -> Option<Want> {
+        let theirs = serde_json::from_slice::<Life>(bytes).ok();
+        if self.session == Some(owner) && theirs == Some(self.life) {
+            (self.state, self.version) = (State::Registered, version);
+            return self.leaving.then_some(Want::Remove { version });
+        }
+        if let Some(newer) = theirs.filter(|theirs| *theirs > self.life) {
+            self.state = if self.leaving { State::Left } else { State::Superseded(newer) };
+            return None;
+        }
+        if self.leaving {
+            // Our own of an expired session, or an earlier life's: it goes with its session.
+            self.state = State::Left;
+            return None;
+        }
+        self.state = State::Out;
+        Some(Want::Replace { version })
+    }
+
+    fn place_now(&mut self, now: Millis) -> Option<Place> {
+        let mut names: Vec<&String> = self.names.iter().filter(|name| is_plain(name)).collect();
+        names.sort_unstable();
+        let since = *self.fewer_since.get_or_insert(now);
+        if names.len() >= self.count || now - since >= self.settings.settle {
+            (self.count, self.fewer_since) = (names.len(), None);
+        }
+        let number = names.iter().position(|name| **name == self.name)?;
+        let place = Place { number, count: self.count };
+        let news = self.state == State::Registered && self.told != Some(place);
+        if news {
+            self.told = Some(place);
+        }
+        news.then_some(place)
+    }
+
+    fn due(&self) -> Option<Millis> {
+        let falls = self.fewer_since.map(|since| since + self.settings.settle);
+        [self.again_at, falls].into_iter().flatten().min_by(f64::total_cmp)
+    }
+}
--- /dev/null
+++ b/crates/membership/tests/intake.rs
@@ -0,0 +1,192 @@
+//! Several sources and members that flap.
+
+use oatbank_engine::ports::membership::{Member, News};
+use oatbank_membership::damping::{Damping, Settings};
+use oatbank_membership::intake::{Intake, Standing};
+use oatbank_membership::sources::Sources;
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::collections::{BTreeMap, BTreeSet};
+use topazwind::interface::ServerState;
+
+fn member(id: &str, port: u16) -> Member {
+    Member::ready(id, std::net::SocketAddr::from(([127, 0, 0, 1], port)))
+}
+
+fn gone(id: &str) -> Member {
+    Member { state: ServerState::Gone, address: None, ..member(id, 1) }
+}
+
+/// What the engine would have.
+#[derive(Default)]
+struct Told(BTreeMap<String, Member>);
+
+impl Told {
+    fn take(&mut self, news: Option<News>) {
+        match news {
+            None => {}
+            Some(News::Complete(members) | News::Remembered(members)) => {
+                self.0 = members.into_iter().map(|m| (m.id.clone(), m)).collect();
+            }
+            Some(News::Changes(members)) => members.into_iter().for_each(|m| match m.state {
+                ServerState::Gone => _ = self.0.remove(&m.id),
+                _ => _ = self.0.insert(m.id.clone(), m),
+            }),
+        }
+    }
+
+    fn ready(&self) -> BTreeSet<&str> {
+        self.0.values().filter(|m| m.state == ServerState::Ready).map(|m| m.id.as_str()).collect()
+    }
+}
+
+fn ids<'a>(of: &[&'a str]) -> BTreeSet<&'a str> {
+    of.iter().copied().collect()
+}
+
+#[test]
+fn the_owner_says_when_a_server_is_gone_though_a_lower_list_still_names_it() {
+    let (mut sources, mut told) = (Sources::new(&["tree", "file"]), Told::default());
+    told.take(sources.told(1, News::Complete(vec![member("a", 1), member("b", 2), member("c", 3)])));
+    assert_eq!(told.ready(), ids(&["a", "b", "c"]), "the file alone");
+    // The same id, and the same address under another id.
+    told.take(sources.told(0, News::Complete(vec![member("a", 1), member("tree-b", 2)])));
+    assert_eq!(told.ready(), ids(&["a", "c", "tree-b"]));
+    told.take(sources.told(0, News::Changes(vec![gone("a"), gone("tree-b")])));
+    assert_eq!(told.ready(), ids(&["c"]), "nobody is brought back by a list that was left behind");
+    // The same list anew is no new word; one without and then one with them is.
+    told.take(sources.told(1, News::Complete(vec![member("a", 1), member("b", 2), member("c", 3)])));
+    assert_eq!(told.ready(), ids(&["c"]));
+    told.take(sources.told(1, News::Complete(vec![member("c", 3)])));
+    told.take(sources.told(1, News::Complete(vec![member("a", 1), member("c", 3)])));
+    assert_eq!(told.ready(), ids(&["a", "c"]));
+}
+
+#[test]
+fn a_drain_by_the_owner_holds_and_a_lower_sources_drain_of_its_own_too() {
+    let (mut sources, mut told) = (Sources::new(&["tree", "file"]), Told::default());
+    told.take(sources.told(1, News::Complete(vec![member("a", 1), member("b", 2)])));
+    let draining = Member { state: ServerState::Draining, ..member("a", 1) };
+    told.take(sources.told(0, News::Complete(vec![draining])));
+    assert_eq!(told.ready(), ids(&["b"]));
+    let draining = Member { state: ServerState::Draining, ..member("b", 2) };
+    told.take(sources.told(1, News::Changes(vec![draining, member("a", 1)])));
+    assert_eq!((told.ready(), told.0.len()), (ids(&[]), 2));
+}
+
+#[test]
+fn what_is_remembered_counts_until_the_first_whole_list_and_makes_nothing_ready() {
+    let mut sources = Sources::new(&["tree", "file"]);
+    assert!(
+        matches!(sources.told(1, News::Remembered(vec![member("a", 1)])), Some(News::Remembered(m)) if m.len() == 1)
+    );
+    assert!(
+        matches!(sources.told(0, News::Complete(vec![member("b", 2)])), Some(News::Complete(m)) if m.len() == 2)
+    );
+    assert_eq!(sources.told(0, News::Remembered(vec![])), None, "older than what it has told");
+    assert_eq!(sources.told(0, News::Complete(vec![member("b", 2)])), None, "no news");
+}
+
+#[test]
+fn whatever_sources_say_the_list_is_what_their_ranks_make_of_it() {
+    for seed in 0..500 {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let mut roll = |n: u64| (rng.next_u64() % n) as usize;
+        let (mut sources, mut told) = (Sources::new(&["x", "y", "z"]), Told::default());
+        let mut lists = [const { BTreeMap::<String, Member>::new() }; 3];
+        (0..3).for_each(|rank| told.take(sources.told(rank, News::Complete(Vec::new()))));
+        for _ in 0..60 {
+            let (rank, which) = (roll(3), roll(6));
+            let m = member(&format!("s{which}"), 1 + roll(6) as u16);
+            if roll(2) == 0 {
+                lists[rank].remove(&m.id);
+                told.take(sources.told(rank, News::Changes(vec![gone(&m.id)])));
+            } else {
+                lists[rank].insert(m.id.clone(), m.clone());
+                told.take(sources.told(rank, News::Changes(vec![m])));
+            }
+            // The highest source's list holds as it is, and no id or address is told that no source names.
+            for (id, m) in &lists[0] {
+                assert_eq!(told.0.get(id), Some(m), "seed {seed}");
+            }
+            for (id, m) in &told.0 {
+                assert!(lists.iter().any(|l| l.get(id) == Some(m)), "seed {seed}: {id}");
+            }
+        }
+    }
+}
+
+/// Plays flaps of one of four servers, 100 ms down and 400 ms up, and gives how many changes passed.
+fn flap(damping: &mut Damping, told: &mut Told, from: f64, times: usize) -> usize {
+    let mut passed = 0;
+    for i in 0..times {
+        let at = from + 500.0 * i as f64;
+        for (now, m) in [(at, gone("a")), (at + 100.0, member("a", 1))] {
+            let news = damping.told(now, News::Changes(vec![m.clone()]));
+            passed += usize::from(news.is_some());
+            told.take(news);
+            assert!(m.state == ServerState::Ready || !told.ready().contains("a"), "gone at once");
+        }
+    }
+    passed
+}
+
+fn four() -> (Damping, Told) {
+    let (mut damping, mut told) = (Damping::new(Settings::default()), Told::default());
+    let all = ["a", "b", "c", "d"].iter().enumerate().map(|(i, id)| member(id, 1 + i as u16)).collect();
+    told.take(damping.told(0.0, News::Complete(all)));
+    (damping, told)
+}
+
+#[test]
+fn one_flap_passes_and_a_minute_of_flapping_floods_nothing() {
+    let (mut damping, mut told) = four();
+    assert_eq!(flap(&mut damping, &mut told, 1000.0, 1), 2);
+    assert!(told.ready().contains("a"), "one flap is forgiven");
+    let passed = flap(&mut damping, &mut told, 2000.0, 120);
+    assert!(passed < 12, "{passed} of 240 changes passed in a minute");
+    assert_eq!(told.ready(), ids(&["b", "c", "d"]));
+    let until = damping.next_due().expect("a time");
+    assert!((67_000.0..77_500.0).contains(&until), "let in after its last flap at 61.6 s: {until}");
+    assert_eq!(damping.due(until - 1.0), None);
+    told.take(damping.due(until));
+    assert!(told.ready().contains("a") && damping.next_due().is_none());
+}
+
+#[test]
+fn where_all_flap_the_fleet_does_not_empty() {
+    let (mut damping, mut told) = four();
+    let all = ["a", "b", "c", "d"];
+    for i in 0..40 {
+        let at = 1000.0 + 500.0 * f64::from(i);
+        told.take(damping.told(at, News::Changes(all.iter().map(|id| gone(id)).collect())));
+        assert_eq!(told.ready().len(), 0, "told is told");
+        let back = all.iter().enumerate().map(|(n, id)| member(id, 1 + n as u16)).collect();
+        told.take(damping.told(at + 100.0, News::Changes(back)));
+        assert!(told.ready().len() >= 2, "half of them at least: {:?}", told.ready());
+    }
+}
+
+#[test]
+fn rows_tell_who_owns_what_and_who_is_held() {
+    let mut intake = Intake::new(&["tree", "file"], Some(Settings::default()));
+    intake.told(0.0, 1, News::Complete(vec![member("a", 1), member("b", 2), member("c", 3)]));
+    intake.told(0.0, 0, News::Complete(vec![member("a", 1), member("d", 4)]));
+    for i in 0..4 {
+        let at = 100.0 * f64::from(i);
+        intake.told(at, 0, News::Changes(vec![gone("d")]));
+        intake.told(at + 50.0, 0, News::Changes(vec![member("d", 4)]));
+    }
+    let rows: Vec<(String, String, Standing)> =
+        intake.rows().into_iter().map(|(row, standing)| (row.source, row.member.id, standing)).collect();
+    let has = |source: &str, id: &str, is: fn(&Standing) -> bool| {
+        rows.iter().any(|(s, i, standing)| s == source && i == id && is(standing))
+    };
+    assert!(has("tree", "a", |s| *s == Standing::Told) && has("file", "a", |s| *s == Standing::Covered));
+    assert!(
+        has("file", "b", |s| *s == Standing::Told)
+            && has("tree", "d", |s| matches!(s, Standing::HeldUntil(_)))
+    );
+    let until = intake.next_due().expect("a time");
+    assert!(matches!(intake.due(until), Some(News::Changes(m)) if m[0].id == "d"));
+}
--- /dev/null
+++ b/crates/testkit/src/fleet.rs
@@ -0,0 +1,82 @@
+//! Many small engines in one thread: each listens at an address of its own, answers at once and notes when it was met.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+/// What one engine has seen.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Met {
+    pub requests: usize,
+    pub last: Option<Instant>,
+}
+
+/// The engines. They end with the process.
+pub struct Fleet {
+    pub addresses: Vec<SocketAddr>,
+    met: Arc<Mutex<Vec<Met>>>,
+}
+
+impl Fleet {
+    /// So many engines, on loopback.
+    pub fn start(engines: usize) -> Fleet {
+        let met = Arc::new(Mutex::new(vec![Met::default(); engines]));
+        let (tell, told) = std::sync::mpsc::channel();
+        let there = met.clone();
+        std::thread::spawn(move || {
+            let runtime =
+                tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+            runtime.block_on(async move {
+                let mut listeners = Vec::new();
+                for _ in 0..engines {
+                    listeners.push(TcpListener::bind("127.0.0.1:0").await.expect("a port"));
+                }
+                let addresses = listeners.iter().map(|l| l.local_addr().expect("an address")).collect();
+                tell.send(addresses).expect("who asked");
+                for (which, listener) in listeners.into_iter().enumerate() {
+                    tokio::spawn(accept(listener, which, there.clone()));
+                }
+                std::future::pending::<()>().await;
+            });
+        });
+        Fleet { addresses: told.recv().expect("addresses"), met }
+    }
+
+    /// What each engine has seen so far.
+    pub fn met(&self) -> Vec<Met> {
+        self.met.lock().expect("a lock").clone()
+    }
+
+    /// How long after `at` the last request came to an engine.
+    pub fn last_after(&self, which: usize, at: Instant) -> Option<Duration> {
+        self.met.lock().expect("a lock")[which].last.and_then(|last| last.checked_duration_since(at))
+    }
+}
+
+async fn accept(listener: TcpListener, which: usize, met: Arc<Mutex<Vec<Met>>>) {
+    while let Ok((stream, _)) = listener.accept().await {
+        tokio::spawn(serve(stream, which, met.clone()));
+    }
+}
+
+/// Answers requests without a body.
+async fn serve(mut stream: TcpStream, which: usize, met: Arc<Mutex<Vec<Met>>>) {
+    let (mut head, mut buffer) = (Vec::new(), [0; 2048]);
+    while let Ok(n @ 1..) = stream.read(&mut buffer).await {
+        head.extend_from_slice(&buffer[..n]);
+        if !head.ends_with(b"\r\n\r\n") {
+            continue;
+        }
+        head.clear();
+        {
+            let mut met = met.lock().expect("a lock");
+            met[which].requests += 1;
+            met[which].last = Some(Instant::now());
+        }
+        if stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nmade").await.is_err() {
+            return;
+        }
+    }
+}
--- a/crates/zookeeper/src/lib.rs
+++ b/crates/zookeeper/src/lib.rs
@@ -1,6 +1,8 @@
 //! Membership from ZooKeeper-style ephemeral nodes: keeps a session, makes the reads that
 //! [`oatbank_membership::reconcile`] asks for, and hands its news on. It decides nothing of the list.
 
+pub mod register;
+
 use oatbank_engine::ports::clock::Clock;
 use oatbank_engine::ports::membership::Told;
 use oatbank_engine::ports::Local;
@@ -13,7 +15,7 @@
 use tokio::task::JoinSet;
 use topazwind::interface::Millis;
 use tracing::Instrument;
-use zookeeper_client::{Client, Error, EventType, SessionState};
+use zookeeper_client::{Client, Connector, Error, EventType, SessionState};
 
 /// First pause after no session could be had; doubles up to the other.
 const PAUSE: Duration = Duration::from_millis(50);
@@ -40,6 +42,16 @@
     pub auth: Option<(String, Vec<u8>)>,
 }
 
+impl Config {
+    fn connector(&self) -> Connector {
+        let connector = Client::connector().with_session_timeout(self.session_timeout);
+        match &self.auth {
+            Some((scheme, credentials)) => connector.with_auth(scheme, credentials),
+            None => connector,
+        }
+    }
+}
+
 /// The state of a source, for whoever shows it.
 pub type Shared = Rc<RefCell<Reconciler>>;
 
@@ -53,11 +65,7 @@
 pub async fn follow(config: Config, clock: Rc<dyn Clock>, told: Told, state: Shared) {
     let mut pause = PAUSE;
     loop {
-        let mut connector = Client::connector().with_session_timeout(config.session_timeout);
-        if let Some((scheme, credentials)) = &config.auth {
-            connector = connector.with_auth(scheme, credentials);
-        }
-        match tokio::time::timeout(PATIENCE, connector.connect(&config.cluster)).await {
+        match tokio::time::timeout(PATIENCE, config.connector().connect(&config.cluster)).await {
             Ok(Ok(client)) => {
                 pause = PAUSE;
                 let source = Source::new(&config, client, clock.clone(), told.clone(), state.clone());
--- /dev/null
+++ b/crates/zookeeper/src/register.rs
@@ -0,0 +1,261 @@
+//! Registers this limiter as an ephemeral node: keeps a session of its own and does what
+//! [`oatbank_membership::register`] asks for.
+//!
+//! The session is apart from the one that reads the servers: that one is given up for a new one as soon as it seems
+//! dead, and this one's end is what tells others that the limiter has gone.
+
+use crate::{within, Config, LONGEST_PAUSE, PATIENCE, PAUSE};
+use oatbank_engine::ports::clock::Clock;
+use oatbank_engine::ports::Local;
+use oatbank_membership::register::{Event, Life, Place, Registration, Settings, State, Want};
+use std::cell::RefCell;
+use std::future::pending;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
+use tokio::sync::Notify;
+use tokio::task::JoinSet;
+use topazwind::interface::Millis;
+use zookeeper_client::{Acls, Client, CreateMode, Error, EventType, SessionState};
+
+/// The end of a limiter waits so long at most for its node to be removed; after that the session's time-out does it.
+const LEAVE_WITHIN: Duration = Duration::from_millis(500);
+
+/// A limiter's registration. Shared on one thread.
+pub struct Registrar {
+    config: Config,
+    node: String,
+    clock: Rc<dyn Clock>,
+    registration: RefCell<Registration>,
+    placed: Box<dyn Fn(Place)>,
+    leave: Notify,
+    left: Notify,
+}
+
+impl Registrar {
+    /// Of the limiter `name`, below the folder at `config.path`; `placed` is told its number and how many there are, at
+    /// first and whenever that changes.
+    pub fn new(
+        config: Config,
+        name: &str,
+        life: Life,
+        clock: Rc<dyn Clock>,
+        placed: impl Fn(Place) + 'static,
+    ) -> Rc<Self> {
+        let settle = config.session_timeout.as_secs_f64() * 1000.0;
+        Rc::new(Registrar {
+            node: format!("{}/{name}", config.path),
+            config,
+            clock,
+            registration: RefCell::new(Registration::new(Settings { settle }, name, life)),
+            placed: Box::new(placed),
+            leave: Notify::new(),
+            left: Notify::new(),
+        })
+    }
+
+    /// Where it stands.
+    pub fn state(&self) -> State {
+        self.registration.borrow().state()
+    }
+
+    /// Keeps the node for the life of the process, inside a [`tokio::task::LocalSet`]; completes once it has left.
+    pub async fn run(self: Rc<Self>) {
+        let mut pause = PAUSE;
+        while self.state() != State::Left {
+            match tokio::time::timeout(PATIENCE, self.config.connector().connect(&self.config.cluster)).await
+            {
+                Ok(Ok(client)) => {
+                    pause = PAUSE;
+                    Session::new(self.clone(), client).run().await;
+                }
+                Ok(Err(e)) => tracing::warn!(reason = %e, "register: no session: {e}"),
+                Err(_) => tracing::warn!("register: no session in time"),
+            }
+            if self.state() != State::Left {
+                tokio::time::sleep(pause).await;
+                pause = (pause * 2).min(LONGEST_PAUSE);
+            }
+        }
+        self.left.notify_one();
+    }
+
+    /// Removes the node, within half a second; where that fails the session's time-out does it.
+    pub async fn leave(&self) {
+        self.leave.notify_one();
+        if tokio::time::timeout(LEAVE_WITHIN, self.left.notified()).await.is_err() {
+            tracing::warn!("register: the node is left to its session's time-out");
+        }
+    }
+}
+
+/// An event, and the connection that it belongs to.
+type Heard = (u64, Event);
+
+struct Session {
+    registrar: Rc<Registrar>,
+    client: Client,
+    connection: u64,
+    tell: UnboundedSender<Heard>,
+    heard: UnboundedReceiver<Heard>,
+    work: JoinSet<()>,
+    due: Option<Millis>,
+}
+
+impl Session {
+    fn new(registrar: Rc<Registrar>, client: Client) -> Self {
+        let (tell, heard) = unbounded_channel();
+        Session { registrar, client, connection: 0, tell, heard, work: JoinSet::new(), due: None }
+    }
+
+    /// Runs until the session is over or the limiter has left.
+    async fn run(mut self) {
+        let registrar = self.registrar.clone();
+        let mut states = self.client.state_watcher();
+        self.connected();
+        while registrar.state() != State::Left {
+            let due: Local<()> = match self.due {
+                Some(at) => registrar.clock.until(at),
+                None => Box::pin(pending()),
+            };
+            tokio::select! {
+                biased;
+                state = states.changed() => match state {
+                    SessionState::SyncConnected => self.connected(),
+                    SessionState::Disconnected => self.handle(Event::Lost),
+                    over => {
+                        tracing::warn!("register: the session has ended: {over:?}");
+                        return self.handle(Event::Lost);
+                    }
+                },
+                Some((connection, event)) = self.heard.recv() => {
+                    if connection == self.connection || matches!(event, Event::Fired(_)) {
+                        self.handle(event);
+                    }
+                }
+                Some(_) = self.work.join_next() => {}
+                () = registrar.leave.notified() => self.handle(Event::Leave),
+                () = due => self.handle(Event::Due),
+            }
+        }
+    }
+
+    fn connected(&mut self) {
+        self.connection += 1;
+        self.handle(Event::Connected { session: self.client.session_id().0 });
+    }
+
+    fn handle(&mut self, event: Event) {
+        let registrar = self.registrar.clone();
+        let before = registrar.state();
+        let step = registrar.registration.borrow_mut().handle(registrar.clock.now(), event);
+        match (before, registrar.state()) {
+            (old, new) if old == new => {}
+            (_, State::Superseded(life)) => {
+                tracing::error!("register: another process has this name, started at {} ms", life.started_ms);
+            }
+            (_, new) => tracing::info!("register: {}: {new:?}", registrar.node),
+        }
+        if let Some(place) = step.place {
+            (registrar.placed)(place);
+        }
+        for want in step.wants {
+            let work = Work {
+                client: self.client.clone(),
+                registrar: registrar.clone(),
+                connection: self.connection,
+                tell: self.tell.clone(),
+            };
+            self.work.spawn_local(work.carry_out(want));
+        }
+        self.due = step.due;
+    }
+}
+
+struct Work {
+    client: Client,
+    registrar: Rc<Registrar>,
+    connection: u64,
+    tell: UnboundedSender<Heard>,
+}
+
+impl Work {
+    fn say(&self, event: Event) {
+        // A session that has ended needs no news.
+        let _ = self.tell.send((self.connection, event));
+    }
+
+    async fn carry_out(self, want: Want) {
+        if let Err(e) = self.attempt(want).await {
+            tracing::debug!(reason = %e, "register: {want:?}: {e}");
+            self.say(Event::Failed(want));
+        }
+    }
+
+    async fn attempt(&self, want: Want) -> Result<(), Error> {
+        let (client, node) = (&self.client, self.registrar.node.as_str());
+        let ephemeral = CreateMode::Ephemeral.with_acls(Acls::anyone_all());
+        let payload = self.registrar.registration.borrow().payload();
+        let done = match want {
+            Want::Folder => {
+                let persistent = CreateMode::Persistent.with_acls(Acls::anyone_all());
+                within(client.mkdir(&self.registrar.config.path, &persistent)).await
+            }
+            Want::Create => within(client.create(node, &payload, &ephemeral)).await.map(drop),
+            Want::Replace { version } => {
+                let mut both = client.new_multi_writer();
+                both.add_delete(node, Some(version))?;
+                both.add_create(node, &payload, &ephemeral)?;
+                let both = tokio::time::timeout(PATIENCE, both.commit()).await;
+                both.map_err(|_| Error::Timeout)?.map(drop).map_err(|_| Error::BadVersion)
+            }
+            Want::Remove { version } => within(client.delete(node, Some(version))).await,
+            Want::Read => return self.read(node).await,
+            Want::Names => return self.names().await,
+        };
+        match (want, done) {
+            (_, Ok(())) | (Want::Folder, Err(Error::NodeExists)) => self.say(Event::Done(want)),
+            (Want::Remove { .. }, Err(Error::NoNode)) => self.say(Event::Done(want)),
+            (_, Err(Error::NodeExists)) => self.say(Event::Taken),
+            (Want::Create, Err(Error::NoNode)) => self.say(Event::NoFolder),
+            (_, Err(e)) => return Err(e),
+        }
+        Ok(())
+    }
+
+    async fn read(&self, node: &str) -> Result<(), Error> {
+        let watcher = match within(self.client.get_and_watch_data(node)).await {
+            Ok((bytes, stat, watcher)) => {
+                self.say(Event::Node { owner: stat.ephemeral_owner, version: stat.version, bytes });
+                watcher
+            }
+            Err(Error::NoNode) => {
+                self.say(Event::NoNode);
+                return Ok(());
+            }
+            Err(e) => return Err(e),
+        };
+        self.fired(watcher.changed().await.event_type, Want::Read);
+        Ok(())
+    }
+
+    async fn names(&self) -> Result<(), Error> {
+        match within(self.client.get_and_watch_children(&self.registrar.config.path)).await {
+            Ok((names, _, watcher)) => {
+                self.say(Event::Names(names));
+                self.fired(watcher.changed().await.event_type, Want::Names);
+                Ok(())
+            }
+            // Whoever makes the node makes the folder too, and asks again then.
+            Err(Error::NoNode) => Ok(()),
+            Err(e) => Err(e),
+        }
+    }
+
+    /// A watch has fired; one that ended with its session tells nothing.
+    fn fired(&self, kind: EventType, want: Want) {
+        if kind != EventType::Session {
+            self.say(Event::Fired(want));
+        }
+    }
+}
