Choice of server: noise decides nothing, equal servers take turns

Cause, seen in virtual time before the change (10 engines of 0.2 ms: one got 2.6 times the mean, some nothing; 100 engines with uneven answers: one 96 times): the fleet's mean had a floor of 1 ms and a server's own had none, so who had been met lately always won; a mean that stands on 19 answers was taken at its word; a first answer stood alone for its server.

Change: one floor for both; a server's distance from the fleet counts beyond two standard errors only; among equals a last request adds up to 4% until all had a turn, and chance up to 6%; knowledge is forgotten after 30 turns of all servers, if that is sooner, and an answer corrects what is left of it.

--- a/crates/topazwind/src/logic.rs
+++ b/crates/topazwind/src/logic.rs
@@ -81,6 +81,8 @@
 /// A server not heard of drifts back to the fleet's mean with this time constant, ms, so that a slow
 /// spell is not remembered for ever.
 const FORGET: Millis = 4000.0;
+/// And with so many turns of all servers, where these take less time: one that is avoided is heard of again.
+const FORGET_TURNS: f64 = 30.0;
 /// A gateway keeps to as many servers as it sends requests in this time, ms, or to the least: so it hears of
 /// each every few seconds, however many there are.
 const SUBSET_SPAN: Millis = 3000.0;
@@ -95,6 +97,17 @@
 const FULL_PAUSE: Millis = 100.0;
 /// That pause is this many times longer where a server is met every few seconds only.
 const RARE_PAUSE: f64 = 20.0;
+/// Answer times are told apart from here on, ms: below it they are mostly the way there and back.
+const LEAST_MEAN: Millis = 1.0;
+/// Requests that a server's mean answer time stands on, with MEAN_GAIN: (2 - g) / g.
+const SAMPLES: f64 = (2.0 - MEAN_GAIN) / MEAN_GAIN;
+/// A server's mean within so many standard errors of the fleet's says nothing of the server.
+const NOISE: f64 = 2.0;
+/// How much cost a server's last request adds, fading over the time in which all have their turn: equal ones take
+/// turns. Less than CROSS_ZONE.
+const TURN: f64 = 0.04;
+/// The same for chance: gateways are not to take turns in step.
+const CHANCE: f64 = 0.06;
 /// Cost of another zone beside the near one: a tie-breaker only.
 const CROSS_ZONE: f64 = 1.1;
 /// Further attempts earned by each first one; RETRY_SAVED is the most that can be saved up.
@@ -716,6 +729,17 @@
         let size = (self.flow.send_rate * SUBSET_SPAN).max(SUBSET_LEAST);
         let subset = size < ready as f64;
         self.flow.subset = subset;
+        // Noise decides nothing: danger is that the server which was luckiest so far gets all, and is the only
+        // one that is heard of. What lies beyond it counts from there.
+        let fleet = self.flow.mean.max(LEAST_MEAN);
+        let noise = NOISE * (self.flow.spread / SAMPLES).sqrt();
+        let told = |mean: Millis| match mean.max(LEAST_MEAN) - fleet {
+            _ if mean <= 0.0 => fleet,
+            off => fleet + (off.abs() - noise).max(0.0).copysign(off),
+        };
+        let round = ready as f64 / self.flow.send_rate.max(1e-6);
+        let keep = (FORGET * if subset { SPARSE_FORGET } else { 1.0 }).min(FORGET_TURNS * round);
+        self.flow.keep = keep;
         let mut able = Vec::new();
         for id in self.ranked.clone() {
             if subset && able.len() as f64 >= size {
@@ -723,7 +747,6 @@
             }
             let roll = self.chance();
             let warmth = self.warmth(now, &self.servers[&id]);
-            let fleet = self.flow.mean.max(1.0);
             let Some(s) = self.servers.get_mut(&id) else { continue };
             if s.entry.state != ServerState::Ready || s.paused_until > now {
                 continue;
@@ -754,13 +777,14 @@
                 }
             }
             let slack = if subset { SPARSE_FORGET } else { 1.0 };
-            let stale = (-(now - s.heard).max(0.0) / (FORGET * slack)).exp();
-            let mean = if s.mean > 0.0 { fleet + (s.mean - fleet) * stale } else { fleet };
+            let stale = (-(now - s.heard).max(0.0) / keep).exp();
+            let mean = fleet + (told(s.mean) - fleet) * stale;
             let fade = (-(now - s.crowd_at).max(0.0) / (FAST_SPAN * slack * slack)).exp();
             let usual = if subset { self.flow.crowd } else { 0.0 };
             let crowd = usual + (s.crowd - usual) * fade;
             let zone = if s.entry.zone == self.set.zone { 1.0 } else { CROSS_ZONE };
-            let cost = mean * (1.0 + s.out + crowd) * zone * (1.0 + 0.1 * roll) / warmth;
+            let turn = TURN * (-(now - s.sent_at).max(0.0) / round).exp() + CHANCE * roll;
+            let cost = mean * (1.0 + s.out + crowd) * zone * (1.0 + turn) / warmth;
             able.push((cost, id));
         }
         if subset && able.len() > 2 {
@@ -797,7 +821,9 @@
             Outcome::Full => s.paused_until = now + FULL_PAUSE * if rare { RARE_PAUSE } else { 1.0 },
             Outcome::Ok => {
                 (s.fails, s.ejections, s.unreachable) = (0, 0, false);
-                self.flow.mean += if self.flow.mean > 0.0 { 0.02 * (took - self.flow.mean) } else { took };
+                let off = took - self.flow.mean;
+                self.flow.mean += if self.flow.mean > 0.0 { 0.02 * off } else { took };
+                self.flow.spread += 0.02 * (off * off - self.flow.spread);
             }
             Outcome::Cancelled => {}
             _ => {
@@ -818,7 +844,11 @@
         {
             // With few samples an attempt that found no end may be the only sign of a slow server.
             let gain = if outcome == Outcome::Ok || !rare { MEAN_GAIN } else { LOST_GAIN };
-            s.mean = if s.mean > 0.0 { s.mean + gain * (took - s.mean) } else { took };
+            // One answer is no more than one: it neither stands for a server alone nor brings back what was forgotten.
+            let (fleet, stale) =
+                (self.flow.mean, (-(now - s.heard).max(0.0) / self.flow.keep.max(1.0)).exp());
+            let known = if s.mean > 0.0 { fleet + (s.mean - fleet) * stale } else { fleet.max(LEAST_MEAN) };
+            s.mean = known + gain * (took - known);
             s.heard = now;
         }
     }
@@ -835,6 +865,7 @@
         if let Some(s) = self.servers.get_mut(&server) {
             s.out += 1.0;
             s.tokens -= 1.0;
+            s.sent_at = now;
         }
         let until = if open.class.late_worth > 0.0 { open.ends_at } else { open.aim_at };
         let timeout = (until - now).max(1.0);
--- a/crates/topazwind/src/state.rs
+++ b/crates/topazwind/src/state.rs
@@ -50,6 +50,8 @@
     pub(crate) out: f64,
     pub(crate) mean: Millis,
     pub(crate) heard: Millis,
+    /// When it was last sent an attempt.
+    pub(crate) sent_at: Millis,
     pub(crate) crowd: f64,
     pub(crate) crowd_at: Millis,
     pub(crate) fails: u32,
@@ -94,6 +96,10 @@
     /// Mean answer time of the fleet, and its ratio to the aims.
     pub(crate) mean: Millis,
     pub(crate) slowness: f64,
+    /// How long what is known of a server's answer time is kept.
+    pub(crate) keep: Millis,
+    /// Variance of the fleet's answer times.
+    pub(crate) spread: f64,
     /// This gateway keeps to a part of the fleet.
     pub(crate) subset: bool,
     /// Servers on the list that take requests.
--- /dev/null
+++ b/crates/topazwind/tests/spread.rs
@@ -0,0 +1,144 @@
+//! How evenly equal engines are used: the module before model engines, in virtual time, from fixed seeds.
+
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap};
+use topazwind::interface::*;
+use topazwind::logic::Gateway;
+
+/// Engines that each work on everything at once, as idle ones do.
+#[derive(Clone, Copy)]
+struct Model {
+    engines: u64,
+    clients: u32,
+    /// Mean service time, ms.
+    service: f64,
+    exponential: bool,
+}
+
+fn settings() -> Settings {
+    Settings {
+        gateways: 1.0,
+        classes: vec![Class { aim: 1500.0, deadline: 4000.0, worth: 1.0, ..Class::default() }],
+        plans: vec![Plan { rate: 1e9, burst: 1e9, price: 1.0, ..Plan::default() }],
+        max_units: 1.0,
+        max_attempts: 3,
+        // The model ends one attempt a request.
+        parallel_tries: false,
+        cancelling: true,
+        cold_start: 0.2,
+        warm_after: 10_000.0,
+        ..Settings::default()
+    }
+}
+
+fn micros(ms: f64) -> u64 {
+    (ms * 1000.0) as u64
+}
+
+/// Plays clients that ask again at once, and gives the requests that each engine served.
+fn play(model: Model, requests: usize) -> Vec<u64> {
+    let mut rng = Pcg64Mcg::seed_from_u64(7);
+    let mut gateway = Gateway::new(settings(), 3);
+    let mut actions = Vec::new();
+    let entries = (1..=model.engines)
+        .map(|n| ServerEntry { server: ServerId(n), weight: 1.0, ..ServerEntry::default() })
+        .collect();
+    gateway.handle(1.0, Event::Servers { update: ListUpdate::Full, entries }, &mut actions);
+    let mut served = vec![0u64; model.engines as usize];
+    // Requests that begin (0), attempts that end (1) and ticks (2), by time.
+    let mut due: BinaryHeap<Reverse<(u64, u8, u32)>> = BinaryHeap::new();
+    let mut out: HashMap<u32, (ServerId, f64)> = HashMap::new();
+    (0..model.clients).for_each(|id| due.push(Reverse((micros(1000.0), 0, id))));
+    due.push(Reverse((micros(1000.0), 2, 0)));
+    let (mut next, mut begun) = (model.clients, 0);
+    while let Some(Reverse((at, kind, id))) = due.pop() {
+        let now = at as f64 / 1000.0;
+        actions.clear();
+        match kind {
+            0 if begun >= requests => continue,
+            0 => {
+                begun += 1;
+                let customer = CustomerId(u64::from(id) % 64);
+                let request = Request {
+                    id: RequestId(id),
+                    customer,
+                    units: 1.0,
+                    time_left: 4000.0,
+                    spread: 1.0,
+                    ..Request::default()
+                };
+                gateway.handle(now, Event::Request(request), &mut actions);
+            }
+            1 => {
+                let Some((server, sent)) = out.remove(&id) else { continue };
+                served[server.0 as usize - 1] += 1;
+                let (id, outcome, complete, took) = (RequestId(id), Outcome::Ok, true, now - sent);
+                let load = Vec::new();
+                let ended =
+                    Event::Ended { id, attempt: 0, server, outcome, complete, took, settled: 0.0, load };
+                gateway.handle(now, ended, &mut actions);
+                due.push(Reverse((at, 0, next)));
+                next += 1;
+            }
+            _ => {
+                gateway.handle(now, Event::Timer(0), &mut actions);
+                if begun < requests || !out.is_empty() {
+                    due.push(Reverse((at + micros(20.0), 2, 0)));
+                }
+            }
+        }
+        for action in &actions {
+            match action {
+                Action::Send { id, server, .. } if !out.contains_key(&id.0) => {
+                    let uniform = ((rng.next_u64() >> 11) as f64 + 1.0) / (1u64 << 53) as f64;
+                    let took = model.service * if model.exponential { -uniform.ln() } else { 1.0 };
+                    out.insert(id.0, (*server, now));
+                    due.push(Reverse((at + micros(took).max(1), 1, id.0)));
+                }
+                Action::Refuse { .. } => {
+                    due.push(Reverse((at + micros(10.0), 0, next)));
+                    next += 1;
+                }
+                _ => {}
+            }
+        }
+    }
+    served
+}
+
+/// The busiest and the least busy engine beside the mean.
+fn spread(served: &[u64]) -> (f64, f64) {
+    let mean = served.iter().sum::<u64>() as f64 / served.len() as f64;
+    let (least, most) = (served.iter().min().expect("engines"), served.iter().max().expect("engines"));
+    (*most as f64 / mean, *least as f64 / mean)
+}
+
+#[test]
+fn equal_engines_get_equal_load() {
+    let mut uneven = Vec::new();
+    for engines in [10, 100] {
+        for clients in [1, 8, 64] {
+            for service in [0.2, 5.0, 100.0] {
+                for exponential in [false, true] {
+                    let model = Model { engines, clients, service, exponential };
+                    // Where each engine would be met too rarely, the module keeps to a part of them.
+                    let rate = f64::from(clients) / service;
+                    if rate * 3000.0 < 2.0 * engines as f64 {
+                        continue;
+                    }
+                    let (most, least) = spread(&play(model, 1000 * engines as usize));
+                    println!(
+                        "{engines:>4} engines {clients:>3} clients {service:>5} ms exponential {exponential:<5}: \
+                         most {most:.2}, least {least:.2} of the mean"
+                    );
+                    if most > 1.3 || least < 0.7 {
+                        uneven.push((engines, clients, service, exponential, most, least));
+                    }
+                }
+            }
+        }
+    }
+    assert!(uneven.is_empty(), "{uneven:#?}");
+}
