--- a/crates/topazwind/src/logic.rs
+++ b/crates/topazwind/src/logic.rs
@@ -103,8 +103,8 @@
 const SAMPLES: f64 = (2.0 - MEAN_GAIN) / MEAN_GAIN;
 /// A server's mean within so many standard errors of the fleet's says nothing of the server.
 const NOISE: f64 = 2.0;
-/// How much cost a server's last request adds, fading over the time in which all have their turn: equal ones take
-/// turns. Less than CROSS_ZONE.
+/// Cost that a server's last request adds, fading while all others have their turn: equal ones take turns.
+/// Less than CROSS_ZONE.
 const TURN: f64 = 0.04;
 /// The same for chance: gateways are not to take turns in step.
 const CHANCE: f64 = 0.06;
@@ -729,8 +729,8 @@
         let size = (self.flow.send_rate * SUBSET_SPAN).max(SUBSET_LEAST);
         let subset = size < ready as f64;
         self.flow.subset = subset;
-        // Noise decides nothing: danger is that the server which was luckiest so far gets all, and is the only
-        // one that is heard of. What lies beyond it counts from there.
+        // Noise decides nothing: danger is that the server which was luckiest so far gets all, and is the
+        // only one that is heard of. What lies beyond it counts from there.
         let fleet = self.flow.mean.max(LEAST_MEAN);
         let noise = NOISE * (self.flow.spread / SAMPLES).sqrt();
         let told = |mean: Millis| match mean.max(LEAST_MEAN) - fleet {
@@ -844,7 +844,7 @@
         {
             // With few samples an attempt that found no end may be the only sign of a slow server.
             let gain = if outcome == Outcome::Ok || !rare { MEAN_GAIN } else { LOST_GAIN };
-            // One answer is no more than one: it neither stands for a server alone nor brings back what was forgotten.
+            // One answer is no more than one: it neither stands alone nor brings back what was forgotten.
             let (fleet, stale) =
                 (self.flow.mean, (-(now - s.heard).max(0.0) / self.flow.keep.max(1.0)).exp());
             let known = if s.mean > 0.0 { fleet + (s.mean - fleet) * stale } else { fleet.max(LEAST_MEAN) };
