Test: an answer of the counter comes after the limit that now stands, 200 ms

The stand-in answered at 150 ms, three of the told time-outs; since a call is waited for four, that answer counts, and the test failed with the 429 that its total asks for. What the test is for stays: an answer after the limit is dropped in its place and costs no connection. Its assertions are unchanged.

--- a/crates/daemon/tests/real.rs
+++ b/crates/daemon/tests/real.rs
@@ -464,10 +464,11 @@
 
 #[test]
 fn a_late_answer_of_the_counter_is_dropped_in_its_place() {
-    // The first answer comes after its time-out and names a total that would fill the quota.
+    // The first answer comes after its call was given up (four time-outs, 200 ms) and names a total that would fill
+    // the quota.
     let counter = Counter::start(|call, total| {
         if call == 0 {
-            std::thread::sleep(Duration::from_millis(150));
+            std::thread::sleep(Duration::from_millis(400));
             return b"ok 100000000\r\n".to_vec();
         }
         format!("ok {total}\r\n").into_bytes()
