Module: where many gateways share a fleet, cold servers are drawn by weight

To blame: choose() divided the cost by the warmth, on top of the tokens, so a cold server lost every comparison; servers whose answers took 1.9 s were met as often as others, because one sample moved a mean by a tenth and each limiter met each server every 3 s. Ruled out: discovery (the list had them, 'changed to ready' 2 s before) and the concurrency limit (the same with three times the limit).

Where a gateway keeps to a subset, two candidates are now drawn by warmth, the tokens are the gateway's part of a subset with a random start, rare answers count three times as much, one time-out ejects, an attempt that is overdue counts before it ends, and the subset is half as large.

--- a/crates/topazwind/src/logic.rs
+++ b/crates/topazwind/src/logic.rs
@@ -78,6 +78,8 @@
 const COUNT_WAIT: Millis = 60.0;
 /// Weight of a new sample in a server's or class's mean answer time: about the last ten.
 const MEAN_GAIN: f64 = 0.1;
+/// The same where a server is met every few seconds only: its last three answers are all that counts.
+const RARE_GAIN: f64 = 0.3;
 /// The same for an attempt that was given up.
 const LOST_GAIN: f64 = 0.4;
 /// A server not heard of drifts back to the fleet's mean with this time constant, ms, so that a slow
@@ -87,10 +89,12 @@
 const FORGET_TURNS: f64 = 30.0;
 /// A gateway keeps to as many servers as it sends requests in this time, ms, or to the least: so it hears of
 /// each every few seconds, however many there are.
-const SUBSET_SPAN: Millis = 3000.0;
+const SUBSET_SPAN: Millis = 1500.0;
 const SUBSET_LEAST: f64 = 8.0;
 /// With a subset, what is known of a server is kept this many times longer; reported crowding its square.
 const SPARSE_FORGET: f64 = 3.0;
+/// With a subset, a cold server may get this many times its part of this gateway's traffic.
+const COLD_PART: f64 = 1.5;
 /// Failures in a row that eject a server.
 const EJECT_AFTER: u32 = 3;
 /// First ejection, ms; doubles up to eight times this.
@@ -697,12 +701,15 @@
                 self.servers.remove(&entry.server);
                 continue;
             }
-            let (started, fleet) = (entry.started, self.flow.mean);
+            let (started, fleet, roll) = (entry.started, self.flow.mean, self.chance());
             let known = self.servers.entry(entry.server).or_default();
             if known.heard == 0.0 || known.entry.started != started {
                 // A new process: what was known of the old one is void, but its attempts still end.
                 let (out, mean) = (known.out, fleet);
                 *known = Server { out, mean, heard: now, tokens_at: started, ..Server::default() };
+                if self.flow.subset {
+                    (known.tokens, known.tokens_at) = (roll, now);
+                }
             }
             known.entry = entry;
         }
@@ -750,6 +757,12 @@
         let round = ready as f64 / self.flow.send_rate.max(1e-6);
         let keep = (FORGET * if subset { SPARSE_FORGET } else { 1.0 }).min(FORGET_TURNS * round);
         self.flow.keep = keep;
+        let fair = self.flow.send_rate / size.min(ready as f64);
+        let mut overdue = BTreeMap::new();
+        for a in self.open.values().flat_map(|o| &o.attempts).filter(|a| subset && a.live) {
+            let age = overdue.entry(a.server).or_insert(0.0);
+            *age = f64::max(*age, now - a.sent);
+        }
         let mut able = Vec::new();
         for id in self.ranked.clone() {
             if subset && able.len() as f64 >= size {
@@ -779,7 +792,7 @@
             if warmth < 1.0 {
                 // Slow start: each gateway sends a cold server no more than its own mean rate to a warm one,
                 // scaled by the surely present capacity; danger is toppling it, by a burst or together.
-                let rate = warmth * per_server.max(0.0005);
+                let rate = warmth * if subset { COLD_PART * fair } else { per_server.max(0.0005) };
                 s.tokens = (s.tokens + (now - s.tokens_at).max(0.0) * rate).min(1.0);
                 s.tokens_at = now;
                 if s.tokens < 1.0 {
@@ -794,15 +807,30 @@
             let crowd = usual + (s.crowd - usual) * fade;
             let zone = if s.entry.zone == self.set.zone { 1.0 } else { CROSS_ZONE };
             let turn = TURN * (-(now - s.sent_at).max(0.0) / round).exp() + CHANCE * roll;
-            let cost = mean * (1.0 + s.out + crowd) * zone * (1.0 + turn) / warmth;
-            able.push((cost, id));
+            // An attempt that is out for longer than that says so before it ends.
+            let mean = if subset { mean.max(overdue.get(&id).copied().unwrap_or(0.0)) } else { mean };
+            let cold = if subset { 1.0 } else { warmth };
+            able.push((mean * (1.0 + s.out + crowd) * zone * (1.0 + turn) / cold, id, warmth));
         }
         if subset && able.len() > 2 {
-            let first = (self.chance() * able.len() as f64) as usize;
-            let other = (first + 1 + (self.chance() * (able.len() - 1) as f64) as usize) % able.len();
-            able = vec![able[first], able[other]];
+            // Cold ones are met as rarely as they are weak: so all gateways together send each its part.
+            let first = self.draw(&able);
+            let one = able.swap_remove(first);
+            let other = able[self.draw(&able)];
+            able = vec![one, other];
         }
-        able.into_iter().min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, id)| id)
+        able.into_iter().min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, id, _)| id)
+    }
+
+    /// One of those that may be chosen, by chance, as often as its weight says.
+    fn draw(&mut self, able: &[(f64, ServerId, f64)]) -> usize {
+        let mut left = self.chance() * able.iter().map(|a| a.2).sum::<f64>();
+        able.iter()
+            .position(|a| {
+                left -= a.2;
+                left < 0.0
+            })
+            .unwrap_or(0)
     }
 
     fn note_load(&mut self, now: Millis, server: ServerId, load: &[f64]) {
@@ -840,7 +868,8 @@
                 s.unreachable = matches!(outcome, Outcome::ConnectFailed | Outcome::Reset);
                 // A server that fails at once looks quick. Where each is met rarely, the first such failure
                 // has to do, and the ejection to outlast the time between two requests to it.
-                s.fails += if rare && s.unreachable { EJECT_AFTER } else { 1 };
+                s.fails +=
+                    if rare && (s.unreachable || outcome == Outcome::TimedOut) { EJECT_AFTER } else { 1 };
                 if s.fails >= EJECT_AFTER {
                     let span = EJECT_FOR * if rare { SPARSE_FORGET } else { 1.0 };
                     s.ejected_until = now + span * f64::from(1 << s.ejections.min(3));
@@ -853,7 +882,11 @@
             || outcome == Outcome::Cancelled && took > s.mean
         {
             // With few samples an attempt that found no end may be the only sign of a slow server.
-            let gain = if outcome == Outcome::Ok || !rare { MEAN_GAIN } else { LOST_GAIN };
+            let gain = match outcome {
+                Outcome::Ok if rare => RARE_GAIN,
+                _ if rare => LOST_GAIN,
+                _ => MEAN_GAIN,
+            };
             // One answer is no more than one: it neither stands alone nor brings back what was forgotten.
             let (fleet, stale) =
                 (self.flow.mean, (-(now - s.heard).max(0.0) / self.flow.keep.max(1.0)).exp());
