--- a/crates/topazwind/src/logic.rs
+++ b/crates/topazwind/src/logic.rs
@@ -42,7 +42,7 @@
 /// The same under a ceiling, where a call for each request would be needed else.
 const THIN_CAPPED: f64 = 2.0;
 /// Span of a thin customer's counter name, in windows: long enough to average, short enough to follow spikes.
-const THIN_EPOCH: f64 = 4.0;
+const THIN_EPOCH: f64 = 1.5;
 /// A thin customer's rate read within this, ms, is used as it is; after it, a call is waited for.
 const FRESH: Millis = 1000.0;
 /// Time constant at which a thin customer's last rate is forgotten, ms: overuse lasts for seconds to hours.
@@ -75,7 +75,7 @@
 /// Period of the housekeeping timer, ms: short beside any aim.
 const TICK: Millis = 20.0;
 /// A request waiting for the counter is decided without it after this, ms.
-const COUNT_WAIT: Millis = 60.0;
+const COUNT_WAIT: Millis = 200.0;
 /// Weight of a new sample in a server's or class's mean answer time: about the last ten.
 const MEAN_GAIN: f64 = 0.1;
 /// The same where a server is met every few seconds only: its last three answers are all that counts.
@@ -159,10 +159,12 @@
 
     /// Takes in a thin customer's total: what is asked in the window is the rise since the last read, and
     /// for what of the window lies before that, the habit.
-    fn glimpse(&mut self, now: Millis, total: f64) {
+    fn glimpse(&mut self, now: Millis, total: f64, own: f64) {
         let (window, habit) = (self.window(), self.habit(now));
         let tally = &mut self.tallies[ACCEPTED];
         let rise = if total < tally.total { total } else { total - tally.total };
+        // What this call added itself stands in every total: counted, each read would see that much too much.
+        let rise = (rise - own).max(0.0);
         let span = (now - tally.read_at).max(1.0);
         let before = habit * (window - span).max(0.0) / 1000.0;
         (tally.total, tally.read_at) = (total, now);
@@ -657,9 +659,9 @@
         let Some((customer, kind)) = self.calls.remove(&name) else { return };
         let Some(c) = self.customers.get_mut(&customer) else { return };
         if c.thin {
-            c.tallies[ACCEPTED].in_flight = None;
+            let own = c.tallies[ACCEPTED].in_flight.take().unwrap_or(0.0);
             if ok {
-                c.glimpse(now, total);
+                c.glimpse(now, total, own);
             }
             return;
         }
