--- a/crates/topazwind/src/logic.rs
+++ b/crates/topazwind/src/logic.rs
@@ -93,7 +93,7 @@
 const SUBSET_LEAST: f64 = 8.0;
 /// With a subset, what is known of a server is kept this many times longer; reported crowding its square.
 const SPARSE_FORGET: f64 = 3.0;
-/// With a subset, a cold server may get this much of its part of this gateway's traffic, scaled by its warmth.
+/// With a subset, a cold server may get this much of its part of a gateway's traffic, scaled by its warmth.
 /// By 1.5 one toppled by chance: what a hundred gateways send at once adds up to more than the mean.
 const COLD_PART: f64 = 1.0;
 /// Failures in a row that eject a server.
