Module: only the two drawn servers are weighed, and no walk of open requests elsewhere

Read again: choose() built a map of all open attempts for each choice, also where no subset is kept and it was never read, worked out the cost of a dozen servers to compare two, and counted warm servers for a rate that a subset does not use. The cost is now worked out for those that are compared, the age of an attempt looked up for these alone; the two rates for a cold server are one value, and COLD_PART, which was 1, is gone. In learn() the condition is told by the one outcome that it leaves out. The test's queue is one ordered map.

--- a/crates/topazwind/src/logic.rs
+++ b/crates/topazwind/src/logic.rs
@@ -93,9 +93,6 @@
 const SUBSET_LEAST: f64 = 8.0;
 /// With a subset, what is known of a server is kept this many times longer; reported crowding its square.
 const SPARSE_FORGET: f64 = 3.0;
-/// With a subset, a cold server may get this much of its part of a gateway's traffic, scaled by its warmth.
-/// By 1.5 one toppled by chance: what a hundred gateways send at once adds up to more than the mean.
-const COLD_PART: f64 = 1.0;
 /// Failures in a row that eject a server.
 const EJECT_AFTER: u32 = 3;
 /// First ejection, ms; doubles up to eight times this.
@@ -320,6 +317,13 @@
     Refuse,
 }
 
+/// A server that a request may go to.
+struct Able {
+    id: ServerId,
+    warmth: f64,
+    roll: f64,
+}
+
 /// One gateway's decision module.
 pub struct Gateway {
     set: Settings,
@@ -736,8 +740,6 @@
     fn choose(&mut self, now: Millis, open: &Open) -> Option<ServerId> {
         let ran = open.attempts.iter().find(|a| a.may_have_run).copied();
         let bound = ran.and_then(|a| self.servers.get(&a.server)).map(|s| (s.entry.zone, s.entry.cell));
-        let warm = self.servers.values().filter(|s| self.warmth(now, s) >= 1.0).count().max(1) as f64;
-        let per_server = self.flow.send_rate / warm;
         let ready = self.servers.values().filter(|s| s.entry.state == ServerState::Ready).count();
         let sound = |s: &Server| s.ejected_until <= now && (s.fails < EJECT_AFTER || s.out < 1.0);
         let healthy = self.servers.values().filter(|s| sound(s)).count();
@@ -758,12 +760,12 @@
         let round = ready as f64 / self.flow.send_rate.max(1e-6);
         let keep = (FORGET * if subset { SPARSE_FORGET } else { 1.0 }).min(FORGET_TURNS * round);
         self.flow.keep = keep;
-        let fair = self.flow.send_rate / size.min(ready as f64);
-        let mut overdue = BTreeMap::new();
-        for a in self.open.values().flat_map(|o| &o.attempts).filter(|a| subset && a.live) {
-            let age = overdue.entry(a.server).or_insert(0.0);
-            *age = f64::max(*age, now - a.sent);
-        }
+        let rate_to_warm = if subset {
+            self.flow.send_rate / size
+        } else {
+            let warm = self.servers.values().filter(|s| self.warmth(now, s) >= 1.0).count().max(1) as f64;
+            (self.flow.send_rate / warm).max(0.0005)
+        };
         let mut able = Vec::new();
         for id in self.ranked.clone() {
             if subset && able.len() as f64 >= size {
@@ -792,43 +794,56 @@
             }
             if warmth < 1.0 {
                 // Slow start: each gateway sends a cold server no more than its own mean rate to a warm one,
-                // scaled by the surely present capacity; danger is toppling it, by a burst or together.
-                let rate = warmth * if subset { COLD_PART * fair } else { per_server.max(0.0005) };
+                // scaled by the surely present capacity; danger is toppling it, by a burst or together. Half
+                // as much again from each of a hundred gateways toppled one by chance.
+                let rate = warmth * rate_to_warm;
                 s.tokens = (s.tokens + (now - s.tokens_at).max(0.0) * rate).min(1.0);
                 s.tokens_at = now;
                 if s.tokens < 1.0 {
                     continue;
                 }
             }
-            let slack = if subset { SPARSE_FORGET } else { 1.0 };
-            let stale = (-(now - s.heard).max(0.0) / keep).exp();
-            let mean = fleet + (told(s.mean) - fleet) * stale;
-            let fade = (-(now - s.crowd_at).max(0.0) / (FAST_SPAN * slack * slack)).exp();
-            let usual = if subset { self.flow.crowd } else { 0.0 };
-            let crowd = usual + (s.crowd - usual) * fade;
-            let zone = if s.entry.zone == self.set.zone { 1.0 } else { CROSS_ZONE };
-            let turn = TURN * (-(now - s.sent_at).max(0.0) / round).exp() + CHANCE * roll;
-            // An attempt that is out for longer than that says so before it ends.
-            let mean = if subset { mean.max(overdue.get(&id).copied().unwrap_or(0.0)) } else { mean };
-            let cold = if subset { 1.0 } else { warmth };
-            able.push((mean * (1.0 + s.out + crowd) * zone * (1.0 + turn) / cold, id, warmth));
+            able.push(Able { id, warmth, roll });
         }
         if subset && able.len() > 2 {
             // Cold ones are met as rarely as they are weak: so all gateways together send each its part.
             let first = self.draw(&able);
             let one = able.swap_remove(first);
-            let other = able[self.draw(&able)];
+            let other = able.swap_remove(self.draw(&able));
             able = vec![one, other];
         }
-        able.into_iter().min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, id, _)| id)
+        let slack = if subset { SPARSE_FORGET } else { 1.0 };
+        let usual = if subset { self.flow.crowd } else { 0.0 };
+        let cost = |able: Able| {
+            let s = &self.servers[&able.id];
+            let stale = (-(now - s.heard).max(0.0) / keep).exp();
+            let mean = fleet + (told(s.mean) - fleet) * stale;
+            let fade = (-(now - s.crowd_at).max(0.0) / (FAST_SPAN * slack * slack)).exp();
+            let crowd = usual + (s.crowd - usual) * fade;
+            let zone = if s.entry.zone == self.set.zone { 1.0 } else { CROSS_ZONE };
+            let turn = TURN * (-(now - s.sent_at).max(0.0) / round).exp() + CHANCE * able.roll;
+            // An attempt that is out for longer says so before it ends; warmth the draw has weighed.
+            let (mean, warmth) = match subset {
+                true => (mean.max(self.longest_out(now, able.id)), 1.0),
+                false => (mean, able.warmth),
+            };
+            (mean * (1.0 + s.out + crowd) * zone * (1.0 + turn) / warmth, able.id)
+        };
+        able.into_iter().map(cost).min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, id)| id)
+    }
+
+    /// How long the oldest attempt that is out at a server has been so.
+    fn longest_out(&self, now: Millis, server: ServerId) -> Millis {
+        let attempts = self.open.values().flat_map(|o| &o.attempts);
+        attempts.filter(|a| a.live && a.server == server).map(|a| now - a.sent).fold(0.0, f64::max)
     }
 
-    /// One of those that may be chosen, by chance, as often as its weight says.
-    fn draw(&mut self, able: &[(f64, ServerId, f64)]) -> usize {
-        let mut left = self.chance() * able.iter().map(|a| a.2).sum::<f64>();
+    /// One of those that may be chosen, by chance, as often as it is warm.
+    fn draw(&mut self, able: &[Able]) -> usize {
+        let mut left = self.chance() * able.iter().map(|a| a.warmth).sum::<f64>();
         able.iter()
             .position(|a| {
-                left -= a.2;
+                left -= a.warmth;
                 left < 0.0
             })
             .unwrap_or(0)
@@ -867,10 +882,10 @@
             Outcome::Cancelled => {}
             _ => {
                 s.unreachable = matches!(outcome, Outcome::ConnectFailed | Outcome::Reset);
-                // A server that fails at once looks quick. Where each is met rarely, the first such failure
-                // has to do, and the ejection to outlast the time between two requests to it.
-                s.fails +=
-                    if rare && (s.unreachable || outcome == Outcome::TimedOut) { EJECT_AFTER } else { 1 };
+                // A server that fails at once looks quick, and one that is silent costs a whole aim. Where
+                // each is met rarely, the first such failure has to do, and the ejection to outlast the time
+                // between two requests to it.
+                s.fails += if rare && outcome != Outcome::Error { EJECT_AFTER } else { 1 };
                 if s.fails >= EJECT_AFTER {
                     let span = EJECT_FOR * if rare { SPARSE_FORGET } else { 1.0 };
                     s.ejected_until = now + span * f64::from(1 << s.ejections.min(3));
--- a/crates/topazwind/tests/fleet.rs
+++ b/crates/topazwind/tests/fleet.rs
@@ -3,8 +3,7 @@
 
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap};
+use std::collections::BTreeMap;
 use topazwind::interface::*;
 use topazwind::logic::Gateway;
 
@@ -46,31 +45,30 @@
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
     let mut fleet: Vec<Gateway> =
         (0..gateways).map(|n| Gateway::new(settings(), seed << 16 | n as u64)).collect();
-    let (mut due, mut kept, mut serial) = (BinaryHeap::new(), BTreeMap::new(), 0u64);
+    // What comes to which gateway, by time (us) and by when it was thought of; without an event, a new request.
+    let (mut due, mut serial) = (BTreeMap::new(), 0u64);
     let mut out = Play { sends: BTreeMap::new(), asked: 0, refused: 0 };
     let begin = 10_000.0;
     let list = Event::Servers { update: ListUpdate::Full, entries: entries.to_vec() };
-    let mut post = |due: &mut BinaryHeap<Reverse<(u64, u64)>>, kept: &mut BTreeMap<u64, _>, at: f64, what| {
+    let mut post = |due: &mut BTreeMap<(u64, u64), _>, at: f64, what: (usize, Option<Event>)| {
         serial += 1;
-        kept.insert(serial, what);
-        due.push(Reverse(((at * 1000.0) as u64, serial)));
+        due.insert(((at * 1000.0) as u64, serial), what);
     };
     for n in 0..gateways {
-        post(&mut due, &mut kept, begin, (n, Some(list.clone())));
-        post(&mut due, &mut kept, begin + 1.0, (n, None));
+        post(&mut due, begin, (n, Some(list.clone())));
+        post(&mut due, begin + 1.0, (n, None));
     }
     let end = begin + 1000.0 * seconds;
     let (mut actions, mut numbers, mut tries) = (Vec::new(), 0u32, BTreeMap::<(usize, u32), u8>::new());
-    while let Some(Reverse((at, serial))) = due.pop() {
+    while let Some(((at, _), (n, event))) = due.pop_first() {
         let now = at as f64 / 1000.0;
-        let Some((n, event)) = kept.remove(&serial) else { continue };
         if now > end {
             break;
         }
         let event = event.unwrap_or_else(|| {
             let chance = (f64::from(rng.next_u32()) + 1.0) / (f64::from(u32::MAX) + 2.0);
             let gap = -chance.ln() * 1000.0 * GATEWAYS as f64 / RATE;
-            post(&mut due, &mut kept, now + gap, (n, None));
+            post(&mut due, now + gap, (n, None));
             (numbers, out.asked) = (numbers + 1, out.asked + 1);
             let (id, customer) = (RequestId(numbers), CustomerId(u64::from(numbers % 500)));
             Event::Request(Request {
@@ -94,12 +92,10 @@
                     let load = Vec::new();
                     let ended =
                         Event::Ended { id, attempt, server, outcome, complete, took, settled: 0.0, load };
-                    post(&mut due, &mut kept, now + took, (n, Some(ended)));
+                    post(&mut due, now + took, (n, Some(ended)));
                 }
                 Action::Refuse { .. } | Action::Fail(_) => out.refused += 1,
-                Action::Timer { after, name } => {
-                    post(&mut due, &mut kept, now + after, (n, Some(Event::Timer(name))))
-                }
+                Action::Timer { after, name } => post(&mut due, now + after, (n, Some(Event::Timer(name)))),
                 _ => {}
             }
         }
