--- /dev/null
+++ b/crates/daemon/src/control.rs
@@ -0,0 +1,169 @@
+//! The second address, where operators call: HTTP/1.1, one call to a connection.
+//!
+//! | call | answer |
+//! | --- | --- |
+//! | `GET /v1/readyz` | 200 if this process is ready to serve, else 503 |
+//! | `POST /v1/servers/ID/suspend` | 200 once nothing new goes to that server; 404 for one that was never listed |
+//! | `POST /v1/servers/ID/resume` | 200 once that server is used again; 404 likewise |
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::header::{HeaderValue, ALLOW, CONTENT_TYPE};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use oatbank_engine::engine::Engine;
+use oatbank_engine::supervise::keep_running;
+use oatbank_engine::upstreams::http1::Http1;
+use percent_encoding::percent_decode_str;
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+
+/// Connections that may be open; of more, the one that has said nothing whole for the longest gives way. What the
+/// limits of descriptors are to spare for this address.
+pub const MOST_CALLERS: usize = 32;
+/// A caller that has not made its call by then is let go.
+const PATIENCE: Duration = Duration::from_secs(5);
+/// Buffer of a caller's connection.
+const BUFFER: usize = 8 * 1024;
+/// Pause after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// A caller that has made no whole call yet.
+struct Caller {
+    /// Its call is being answered: it gives way to nobody.
+    heard: Cell<bool>,
+    leave: Notify,
+}
+
+/// The second address.
+pub struct Control {
+    engine: Rc<Engine<Http1>>,
+    callers: RefCell<VecDeque<Rc<Caller>>>,
+}
+
+impl Control {
+    /// Listens at `address` from now on.
+    ///
+    /// # Errors
+    /// When the address cannot be had; names the key.
+    pub fn start(address: SocketAddr, engine: Rc<Engine<Http1>>) -> std::io::Result<()> {
+        let named = |e: std::io::Error| std::io::Error::new(e.kind(), format!("control {address}: {e}"));
+        let listener = Rc::new(crate::serve::bind(address).map_err(named)?);
+        tracing::info!("operators call at {}", listener.local_addr()?);
+        let control = Rc::new(Control { engine, callers: RefCell::default() });
+        keep_running("control", move || control.clone().accept(listener.clone()));
+        Ok(())
+    }
+
+    async fn accept(self: Rc<Self>, listener: Rc<TcpListener>) {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    self.make_room();
+                    let caller = Rc::new(Caller { heard: Cell::new(false), leave: Notify::new() });
+                    self.callers.borrow_mut().push_back(caller.clone());
+                    tokio::task::spawn_local(self.clone().serve(stream, caller));
+                }
+                Err(e) => {
+                    tracing::warn!("control: accept: {e}");
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    /// Lets go of the oldest caller that has said nothing whole, if there are too many.
+    fn make_room(&self) {
+        let mut callers = self.callers.borrow_mut();
+        if callers.len() >= MOST_CALLERS {
+            let silent = callers.iter().position(|c| !c.heard.get());
+            if let Some(caller) = silent.and_then(|i| callers.remove(i)) {
+                caller.leave.notify_one();
+            }
+        }
+    }
+
+    async fn serve(self: Rc<Self>, stream: TcpStream, caller: Rc<Caller>) {
+        // An answer is one small write, and is wanted now.
+        let _ = stream.set_nodelay(true);
+        let service = service_fn(|request| {
+            caller.heard.set(true);
+            let control = self.clone();
+            async move { Ok::<_, Infallible>(control.answer(&request)) }
+        });
+        let mut builder = http1::Builder::new();
+        builder.keep_alive(false).max_buf_size(BUFFER);
+        {
+            let connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
+            tokio::select! {
+                _ = connection => {}
+                () = caller.leave.notified() => {}
+                () = tokio::time::sleep(PATIENCE) => {}
+            }
+        }
+        self.callers.borrow_mut().retain(|c| !Rc::ptr_eq(c, &caller));
+    }
+
+    fn answer(&self, request: &Request<Incoming>) -> Response<Full<Bytes>> {
+        let parts: Vec<&str> = request.uri().path().split('/').skip(1).collect();
+        match parts.as_slice() {
+            ["v1", "readyz"] => match *request.method() {
+                Method::GET | Method::HEAD => self.ready(),
+                _ => not_allowed("GET, HEAD"),
+            },
+            ["v1", "servers", id, call @ ("suspend" | "resume")] => match *request.method() {
+                Method::POST => self.operate(id, *call == "suspend"),
+                _ => not_allowed("POST"),
+            },
+            _ => told(StatusCode::NOT_FOUND, "no such call\n".into()),
+        }
+    }
+
+    fn ready(&self) -> Response<Full<Bytes>> {
+        if self.engine.is_ready() {
+            told(StatusCode::OK, "ready\n".into())
+        } else {
+            told(StatusCode::SERVICE_UNAVAILABLE, "starting\n".into())
+        }
+    }
+
+    fn operate(&self, id: &str, out: bool) -> Response<Full<Bytes>> {
+        let Ok(id) = percent_decode_str(id).decode_utf8() else {
+            return told(StatusCode::BAD_REQUEST, "the id is no UTF-8\n".into());
+        };
+        let (call, state) = if out { ("suspend", "out") } else { ("resume", "in") };
+        match self.engine.operate(&id, out) {
+            Ok(()) => {
+                tracing::info!(server = %id, call, "control: {call} {id}");
+                told(StatusCode::OK, format!("{id} is {state}\n"))
+            }
+            Err(e) => {
+                tracing::warn!(server = %id, call, "control: {call} {id}: {e}");
+                told(StatusCode::NOT_FOUND, format!("{id}: {e}\n"))
+            }
+        }
+    }
+}
+
+fn told(status: StatusCode, text: String) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from(text)));
+    *response.status_mut() = status;
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("text/plain; charset=utf-8"));
+    response
+}
+
+fn not_allowed(allowed: &'static str) -> Response<Full<Bytes>> {
+    let mut response = told(StatusCode::METHOD_NOT_ALLOWED, format!("allowed: {allowed}\n"));
+    response.headers_mut().insert(ALLOW, HeaderValue::from_static(allowed));
+    response
+}
--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -332,7 +332,10 @@
                 plain(StatusCode::SERVICE_UNAVAILABLE, "starting\n")
             });
         }
-        let request = classify::by_path(&head, self.engine.names(), self.engine.settings())?;
+        let revision = self.engine.revision();
+        let mut request = classify::by_path(&head, revision.names(), revision.settings())?;
+        // Its body may take seconds, and the settings may change meanwhile.
+        request.rules = revision.rules(request.class);
         let headers = classify::headers_on(&head.headers);
         let body = read_body(body).await?;
         if head.method == Method::GET && !body.is_empty() {
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,11 +1,13 @@
 //! The limiter as a daemon: `oatbank` alone serves on the platform; see `oatbank --help` for the rest.
 
+mod control;
 mod demo;
 mod feed;
 mod front;
 mod logging;
 mod members;
 mod platform;
+mod reload;
 mod serve;
 mod standalone;
 
--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -1,13 +1,16 @@
 //! The platform's configuration: the file that `PROXY_CONFIG` names.
 
+use crate::control::Control;
+use crate::reload;
 use crate::serve::{on_one_thread, Limits, Plan, Serving, Signals};
 use oatbank_engine::counters::text::TextCounter;
-use oatbank_engine::engine::{Names, Setup};
+use oatbank_engine::engine::{Engine, Names, Setup};
 use oatbank_engine::members::agent::{self, ServerList};
 use oatbank_engine::ports::clock::{Clock, SystemClock};
 use oatbank_engine::ports::membership::{News, Told};
 use oatbank_engine::respond::ComeBack;
 use oatbank_engine::supervise::keep_running;
+use oatbank_engine::upstreams::http1::Http1;
 use serde::Deserialize;
 use serde_json::Value;
 use std::fmt::Write as _;
@@ -48,6 +51,7 @@
     listen: SocketAddr,
     discovery: SocketAddr,
     counter: Option<SocketAddr>,
+    control: Option<SocketAddr>,
     #[serde(default)]
     seed: String,
     known: Option<ServerList>,
@@ -69,6 +73,10 @@
     pub counter: Option<SocketAddr>,
     /// The list of servers as this limiter last had it.
     pub known: Option<ServerList>,
+    /// Where operators call, if they do.
+    pub control: Option<SocketAddr>,
+    /// The file as it stands.
+    pub form: Value,
 }
 
 impl Config {
@@ -86,7 +94,8 @@
     /// # Errors
     /// When it does not hold what a limiter needs.
     pub fn parse(text: &str) -> Result<Config, ConfigError> {
-        let file: File = serde_json::from_str(text).map_err(ConfigError::Malformed)?;
+        let form: Value = serde_json::from_str(text).map_err(ConfigError::Malformed)?;
+        let file = File::deserialize(&form).map_err(ConfigError::Malformed)?;
         let settings = parse_settings(&flatten(&file.settings)).map_err(ConfigError::Settings)?;
         let set = &file.settings;
         let names = Names {
@@ -108,7 +117,8 @@
             connect_timeout: ceiling("connect_timeout", 250.0),
             come_back: ComeBack::Decimal,
         };
-        Ok(Config { plan, discovery: file.discovery, counter: file.counter, known: file.known })
+        let File { discovery, counter, known, control, .. } = file;
+        Ok(Config { plan, discovery, counter, known, control, form })
     }
 }
 
@@ -138,8 +148,12 @@
         tokio::time::sleep(LIST_WAIT).await;
         waiting.set_ready();
     });
-    let serving = Serving::start(&config.plan, engine)?;
-    signals.until_stop(|| reload(&path, &counter, &mut following)).await;
+    if let Some(address) = control(&config)? {
+        Control::start(address, engine.clone())?;
+    }
+    let serving = Serving::start(&config.plan, engine.clone())?;
+    let mut taken = config.form;
+    signals.until_stop(|| reload(&path, &mut taken, &engine, &counter, &mut following)).await;
     serving.stop().await;
     Ok(())
 }
@@ -170,17 +184,46 @@
     }
 }
 
-/// Takes over where discovery and the counter are now; all else in the file counts at a start only. A file
-/// that cannot be read changes nothing.
-fn reload(path: &str, counter: &TextCounter, following: &mut Following) {
-    match Config::load(path) {
-        Ok(config) => {
-            tracing::info!("configuration: discovery {}, counter {:?}", config.discovery, config.counter);
-            following.move_to(config.discovery);
-            counter.move_to(config.counter);
-        }
-        Err(e) => tracing::error!("the configuration is kept as it was: {e}"),
+/// Where operators call: what the environment names, else what the file does.
+fn control(config: &Config) -> std::io::Result<Option<SocketAddr>> {
+    let Ok(named) = std::env::var("PROXY_CONTROL") else { return Ok(config.control) };
+    let unreadable = |e| {
+        let why =
+            format!("PROXY_CONTROL {named:?}: {e}; an address with a port is wanted, as 127.0.0.1:9901");
+        std::io::Error::new(std::io::ErrorKind::InvalidInput, why)
+    };
+    named.parse().map(Some).map_err(unreadable)
+}
+
+/// Takes over the file: where discovery and the counter are, and the settings. It is checked whole first, and
+/// one that does not pass changes nothing.
+fn reload(
+    path: &str,
+    taken: &mut Value,
+    engine: &Rc<Engine<Http1>>,
+    counter: &TextCounter,
+    following: &mut Following,
+) {
+    let checked = Config::load(path).map_err(|e| e.to_string()).and_then(|config| {
+        reload::check(taken, &config.form).map_err(|e| format!("configuration {path:?}: {e}"))?;
+        Ok(config)
+    });
+    let config = match checked {
+        Ok(config) => config,
+        Err(e) => return tracing::error!("the configuration is kept as it was: {e}"),
+    };
+    let (discovery, at) = (config.discovery, config.counter);
+    if taken["settings"] != config.form["settings"] {
+        engine.revise(&config.plan.setup.names, &config.plan.setup.settings);
+    }
+    let number = engine.revision().number();
+    tracing::info!(number, "configuration: settings {number}, discovery {discovery}, counter {at:?}");
+    for key in reload::only_at_a_start(taken, &config.form) {
+        tracing::warn!(key, "configuration: {key} has changed, which counts after a restart only");
     }
+    following.move_to(config.discovery);
+    counter.move_to(config.counter);
+    *taken = config.form;
 }
 
 fn names_of(list: &Value) -> Vec<String> {
--- /dev/null
+++ b/crates/daemon/src/reload.rs
@@ -0,0 +1,196 @@
+//! Whether a configuration that came by SIGHUP may be taken: checked whole, against the form of the one in force.
+//!
+//! A start takes a file that leaves something out, as there is a usual value. A reload does not: what stood in the
+//! file before and is missing now is far likelier a file that was cut short than a wish.
+
+use serde_json::Value;
+
+/// Objects whose keys, once there, must all be there again.
+const WHOLE: [&str; 5] = ["", "settings", "settings.ceilings", "settings.family_info", "settings.safety"];
+/// Keys of the file that may come and go: they count at a start, or not at all.
+const FREE: [&str; 5] = ["known", "control", "seed", "limits", "name"];
+/// What each class must have.
+const CLASS: [&str; 4] = ["name", "deadline", "idempotency", "importance"];
+/// Keys that count at a start only.
+const AT_START: [&str; 5] = ["name", "listen", "control", "limits", "settings.ceilings.conn_idle"];
+
+/// Checks a file that is to follow one in force.
+///
+/// # Errors
+/// The key that is wrong, and what is allowed.
+pub fn check(before: &Value, now: &Value) -> Result<(), String> {
+    for path in WHOLE {
+        let (Some(was), Some(is)) = (at(before, path).as_object(), at(now, path).as_object()) else {
+            if at(before, path).is_object() {
+                return Err(format!("{path}: missing, or no object; it was one before"));
+            }
+            continue;
+        };
+        let missing = was.keys().find(|key| !(is.contains_key(*key) || path.is_empty() && free(key)));
+        if let Some(key) = missing {
+            return Err(format!("{}: missing; the configuration in force has it", join(path, key)));
+        }
+    }
+    let (classes, plans) = (at(now, "settings.classes"), at(now, "settings.plans"));
+    let classes = classes.as_array().filter(|c| !c.is_empty());
+    let classes = classes.ok_or("settings.classes: a list of one class at least is wanted")?;
+    names("settings.classes", classes)?;
+    for (i, class) in classes.iter().enumerate() {
+        let key = |name: &str| format!("settings.classes.{i}.{name}");
+        if let Some(name) = CLASS.into_iter().find(|name| class.get(name).is_none_or(Value::is_null)) {
+            return Err(format!("{}: missing", key(name)));
+        }
+        positive(&key("deadline"), &class["deadline"])?;
+        for name in ["goal_time", "importance"] {
+            if let Some(value) = class.get(name) {
+                positive(&key(name), value)?;
+            }
+        }
+    }
+    if !at(before, "settings.plans").is_null() {
+        let plans = plans.as_array().ok_or("settings.plans: missing, or no list")?;
+        names("settings.plans", plans)?;
+    }
+    let attempts = at(now, "settings.ceilings.max_attempts");
+    if !attempts.is_null() || !at(before, "settings.ceilings.max_attempts").is_null() {
+        positive("settings.ceilings.max_attempts", attempts)?;
+        if attempts.as_f64().is_some_and(|n| n.fract() != 0.0) {
+            return Err(format!("settings.ceilings.max_attempts: {attempts}; a whole number is wanted"));
+        }
+    }
+    Ok(())
+}
+
+/// The keys whose change has no effect before a restart.
+pub fn only_at_a_start<'a>(before: &'a Value, now: &'a Value) -> impl Iterator<Item = &'static str> + 'a {
+    AT_START.into_iter().filter(|key| at(before, key) != at(now, key))
+}
+
+fn free(key: &str) -> bool {
+    FREE.contains(&key)
+}
+
+fn at<'a>(value: &'a Value, path: &str) -> &'a Value {
+    path.split('.').filter(|key| !key.is_empty()).fold(value, |v, key| &v[key])
+}
+
+fn join(path: &str, key: &str) -> String {
+    if path.is_empty() {
+        key.to_owned()
+    } else {
+        format!("{path}.{key}")
+    }
+}
+
+fn positive(key: &str, value: &Value) -> Result<(), String> {
+    match value.as_f64() {
+        Some(number) if number.is_finite() && number > 0.0 => Ok(()),
+        _ => Err(format!("{key}: {value}; a number above 0 is wanted")),
+    }
+}
+
+/// Each has a name of its own.
+fn names(key: &str, list: &[Value]) -> Result<(), String> {
+    let mut seen = std::collections::HashSet::new();
+    for (i, entry) in list.iter().enumerate() {
+        let name = entry["name"].as_str().filter(|n| !n.is_empty());
+        let name = name.ok_or_else(|| format!("{key}.{i}.name: missing, or no text"))?;
+        if !seen.insert(name) {
+            return Err(format!("{key}.{i}.name: {name:?} stands twice"));
+        }
+    }
+    Ok(())
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use serde_json::json;
+
+    fn file() -> Value {
+        json!({
+            "name": "n0", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "counter": "127.0.0.1:3",
+            "known": {}, "settings": {
+                "balancers": 2, "classes": [
+                    {"name": "a", "deadline": 100, "goal_time": 50, "idempotency": "free", "importance": 1},
+                    {"name": "b", "deadline": 100.5, "idempotency": "single_shot", "importance": 1},
+                ],
+                "plans": [{"name": "p", "rate": 1}],
+                "ceilings": {"max_attempts": 4, "conn_idle": 1000}, "safety": {"warm_after": 1},
+            }
+        })
+    }
+
+    /// What the check says of the file with the value at `path` changed, or taken out.
+    fn with(path: &str, value: Option<Value>) -> Result<(), String> {
+        let mut now = file();
+        let (parent, key) = path.rsplit_once('/').expect("a pointer");
+        let parent = now.pointer_mut(parent).expect("a parent");
+        match (parent, value) {
+            (Value::Array(list), Some(value)) => list.push(value),
+            (Value::Array(list), None) => drop(list.remove(key.parse().expect("a number"))),
+            (Value::Object(fields), Some(value)) => drop(fields.insert(key.into(), value)),
+            (Value::Object(fields), None) => drop(fields.remove(key)),
+            other => panic!("{path} is {other:?}"),
+        }
+        check(&file(), &now)
+    }
+
+    #[test]
+    fn what_operators_change_is_taken() {
+        let class =
+            json!({"name": "c", "deadline": 1, "idempotency": "guarded", "importance": 2, "group": "all"});
+        assert_eq!(check(&file(), &file()), Ok(()));
+        assert_eq!(with("/settings/classes/2", Some(class)), Ok(()));
+        assert_eq!(with("/settings/classes/0", None), Ok(()));
+        assert_eq!(with("/settings/classes/0/idempotency", Some(json!("single_shot"))), Ok(()));
+        assert_eq!(with("/settings/ceilings/max_attempts", Some(json!(1))), Ok(()));
+        assert_eq!(with("/known", None), Ok(()));
+    }
+
+    #[test]
+    fn a_file_that_is_not_whole_is_told_by_its_key() {
+        for path in [
+            "/listen",
+            "/counter",
+            "/settings",
+            "/settings/classes",
+            "/settings/plans",
+            "/settings/ceilings",
+            "/settings/safety",
+            "/settings/balancers",
+            "/settings/safety/warm_after",
+            "/settings/ceilings/max_attempts",
+            "/settings/classes/0/deadline",
+            "/settings/classes/1/name",
+            "/settings/classes/1/idempotency",
+            "/settings/classes/0/importance",
+            "/settings/plans/0/name",
+        ] {
+            let key = path.trim_start_matches('/').replace('/', ".");
+            let told = with(path, None).expect_err(path);
+            assert!(told.starts_with(&key), "{path}: {told}");
+        }
+        assert!(check(&file(), &Value::Null).is_err());
+    }
+
+    #[test]
+    fn a_deadline_and_a_number_of_attempts_are_above_nothing() {
+        for bad in [json!(0), json!(-1), json!("4"), json!(null), json!([4]), json!(true)] {
+            for path in ["/settings/classes/0/deadline", "/settings/ceilings/max_attempts"] {
+                assert!(with(path, Some(bad.clone())).is_err(), "{path}: {bad}");
+            }
+        }
+        assert!(with("/settings/ceilings/max_attempts", Some(json!(1.5))).is_err());
+        let twice = json!({"name": "a", "deadline": 1, "idempotency": "free", "importance": 1});
+        assert!(with("/settings/classes/2", Some(twice)).is_err());
+    }
+
+    #[test]
+    fn what_a_restart_only_changes_is_told() {
+        let mut now = file();
+        now["limits"] = json!({"sockets": 2});
+        now["settings"]["ceilings"]["max_attempts"] = json!(2);
+        assert_eq!(only_at_a_start(&file(), &now).collect::<Vec<_>>(), ["limits"]);
+    }
+}
--- a/crates/daemon/src/serve.rs
+++ b/crates/daemon/src/serve.rs
@@ -118,7 +118,6 @@
     address: SocketAddr,
     front: Rc<Front>,
     accepting: AbortHandle,
-    finish_within: Duration,
 }
 
 impl Serving {
@@ -146,8 +145,7 @@
         let looking = front.clone();
         keep_running("look round", move || looking.clone().look_round());
         tracing::info!(limiter = plan.name, "{} serves {address}", plan.name);
-        let finish_within = finish_within(&plan.setup.settings);
-        Ok(Serving { name: plan.name.clone(), engine, address, front, accepting, finish_within })
+        Ok(Serving { name: plan.name.clone(), engine, address, front, accepting })
     }
 
     /// Where clients connect.
@@ -164,7 +162,8 @@
         front.stop();
         tokio::time::sleep(KEEP_ACCEPTING).await;
         self.accepting.abort();
-        finish(engine, front, stopped + self.finish_within).await;
+        let within = finish_within(engine.revision().settings());
+        finish(engine, front, stopped + within).await;
         tracing::info!("{} ends after {} ms", self.name, stopped.elapsed().as_millis());
     }
 }
@@ -209,7 +208,7 @@
 }
 
 /// Listens at once also where the process before left connections behind.
-fn bind(address: SocketAddr) -> std::io::Result<TcpListener> {
+pub fn bind(address: SocketAddr) -> std::io::Result<TcpListener> {
     let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
     socket.set_reuseaddr(true)?;
     socket.bind(address)?;
--- a/crates/engine/src/engine/book.rs
+++ b/crates/engine/src/engine/book.rs
@@ -43,6 +43,8 @@
     reply: Option<Reply<A>>,
     pub(super) request: Arc<Q>,
     pub(super) ends: Millis,
+    /// Attempts it may have; 0: no limit.
+    pub(super) most: u32,
     attempts: Vec<Attempt>,
 }
 
@@ -84,13 +86,14 @@
     }
 
     /// Enters a request and gives it a number that no other has.
-    pub(super) fn open(&mut self, request: Q, ends: Millis, reply: Reply<A>) -> RequestId {
+    pub(super) fn open(&mut self, request: Q, ends: Millis, most: u32, reply: Reply<A>) -> RequestId {
         while self.entries.contains_key(&RequestId(self.next)) {
             self.next = self.next.wrapping_add(1);
         }
         let id = RequestId(self.next);
         self.next = self.next.wrapping_add(1);
-        let entry = Entry { reply: Some(reply), request: Arc::new(request), ends, attempts: Vec::new() };
+        let entry =
+            Entry { reply: Some(reply), request: Arc::new(request), ends, most, attempts: Vec::new() };
         self.entries.insert(id, entry);
         self.owing += 1;
         id
@@ -156,7 +159,7 @@
         let mut book: Book<(), ()> = Book::new();
         let answers = Arc::new(AtomicUsize::new(0));
         let told = answers.clone();
-        let id = book.open((), 10.0, Box::new(move |_| _ = told.fetch_add(1, Ordering::SeqCst)));
+        let id = book.open((), 10.0, 0, Box::new(move |_| _ = told.fetch_add(1, Ordering::SeqCst)));
         let entry = book.get_mut(id).expect("an entry");
         assert_eq!((entry.begin(ServerId(1), 1.0), entry.begin(ServerId(2), 2.0)), (0, 1));
         book.reply(id).expect("the right")(Answer::Failed);
@@ -173,9 +176,9 @@
     #[test]
     fn numbers_in_use_are_passed_over_when_they_come_round() {
         let mut book: Book<(), ()> = Book::new();
-        let first = book.open((), 0.0, Box::new(|_| ()));
+        let first = book.open((), 0.0, 0, Box::new(|_| ()));
         book.next = u32::MAX;
-        assert_eq!(book.open((), 0.0, Box::new(|_| ())), RequestId(u32::MAX));
-        assert_ne!(book.open((), 0.0, Box::new(|_| ())), first);
+        assert_eq!(book.open((), 0.0, 0, Box::new(|_| ())), RequestId(u32::MAX));
+        assert_ne!(book.open((), 0.0, 0, Box::new(|_| ())), first);
     }
 }
--- a/crates/engine/src/engine/core.rs
+++ b/crates/engine/src/engine/core.rs
@@ -11,6 +11,7 @@
 use crate::ports::counter::{Call, CallEnd, CallId};
 use crate::ports::membership::News;
 use crate::ports::upstream::End;
+use oatbank_operations::suspension::{Marks, NeverListed};
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::panic::{catch_unwind, AssertUnwindSafe};
@@ -173,7 +174,8 @@
         reply: Reply<A>,
     ) -> RequestId {
         let ends = now + request.time_left;
-        let id = self.book.open(forward, ends, reply);
+        let most = request.rules.as_ref().map_or(self.settings.max_attempts, |r| r.max_attempts);
+        let id = self.book.open(forward, ends, most, reply);
         self.timers.arm(ends - LAST_CALL, Due::LastCall(id));
         request.id = id;
         request.time_left = (request.time_left - WAY_BACK).max(1.0);
@@ -214,7 +216,6 @@
     // ---- Attempts -----------------------------------------------------------------------------
 
     fn send(&mut self, now: Millis, id: RequestId, server: ServerId, timeout: Millis) {
-        let most = self.settings.max_attempts as usize;
         let Some(entry) = self.book.get_mut(id) else {
             let (outcome, load) = (Outcome::Moot, Vec::new());
             let (attempt, complete, took, settled) = (0, true, 0.0, 0.0);
@@ -223,6 +224,7 @@
         };
         let attempt = entry.begin(server, now);
         let Ok(number) = u8::try_from(attempt) else { return };
+        let most = entry.most as usize;
         let left = entry.ends - WAY_BACK - now;
         let span = if timeout > 0.0 { timeout.min(left) } else { left };
         if entry.over() || span <= 0.0 || most > 0 && attempt >= most {
@@ -311,6 +313,32 @@
         update != ListUpdate::Cached
     }
 
+    /// Takes a server out, or puts it in again. When this returns no first byte of a new attempt goes to one that is
+    /// out.
+    pub(crate) fn operate(&mut self, now: Millis, id: &str, out: bool) -> Result<(), NeverListed> {
+        let told = if out { self.fleet.suspend(now, id)? } else { self.fleet.resume(now, id)? };
+        self.relist(now, told.into_iter().collect());
+        Ok(())
+    }
+
+    /// Takes in what another process was told of servers.
+    pub(crate) fn merge(&mut self, now: Millis, marks: &Marks) {
+        let entries = self.fleet.merge(marks);
+        self.relist(now, entries);
+    }
+
+    fn relist(&mut self, now: Millis, entries: Vec<ServerEntry>) {
+        if !entries.is_empty() {
+            self.feed(now, Event::Servers { update: ListUpdate::Delta, entries });
+        }
+    }
+
+    /// From now on these settings hold for what comes in.
+    pub(crate) fn revise(&mut self, now: Millis, names: &Names, settings: &Settings) {
+        (self.names, self.settings) = (names.clone(), settings.clone());
+        self.feed(now, Event::Settings(Box::new(settings.clone())));
+    }
+
     // ---- Timers -------------------------------------------------------------------------------
 
     /// Works off one timer that is due; whether there was one.
--- a/crates/engine/src/engine/fleet.rs
+++ b/crates/engine/src/engine/fleet.rs
@@ -1,13 +1,16 @@
 //! The servers that are known, by the numbers that the decision module uses.
 
 use crate::ports::membership::{Member, News};
+use oatbank_operations::suspension::{Marks, NeverListed, Suspensions};
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
-use topazwind::interface::{ListUpdate, ServerEntry, ServerId, ServerState};
+use topazwind::interface::{ListUpdate, Millis, ServerEntry, ServerId, ServerState};
 
 struct Known {
     address: SocketAddr,
-    ready: bool,
+    /// What its list says, before what operators say.
+    entry: ServerEntry,
+    id: String,
 }
 
 /// Servers by number.
@@ -15,6 +18,8 @@
     known: HashMap<ServerId, Known>,
     /// Numbers by id, for as long as a server is known.
     numbers: HashMap<String, ServerId>,
+    /// What operators have taken out: lies over what the list says, and is there before and after it.
+    suspensions: Suspensions,
     /// The n-th number that an id may have.
     hash: fn(&str, u64) -> u64,
 }
@@ -22,7 +27,8 @@
 impl Default for Fleet {
     fn default() -> Self {
         let hash = |id: &str, nth| xxhash_rust::xxh3::xxh3_64_with_seed(id.as_bytes(), nth);
-        Fleet { known: HashMap::new(), numbers: HashMap::new(), hash }
+        let suspensions = Suspensions::default();
+        Fleet { known: HashMap::new(), numbers: HashMap::new(), suspensions, hash }
     }
 }
 
@@ -36,7 +42,45 @@
     }
 
     pub(super) fn is_ready(&self, server: ServerId) -> bool {
-        self.known.get(&server).is_some_and(|s| s.ready)
+        let listed = self.known.get(&server).filter(|s| s.entry.state == ServerState::Ready);
+        listed.is_some_and(|s| !self.suspensions.is_out(&s.id))
+    }
+
+    /// Takes a server out; what the module is to be told.
+    pub(super) fn suspend(&mut self, now: Millis, id: &str) -> Result<Option<ServerEntry>, NeverListed> {
+        let changed = self.suspensions.suspend(now, id)?;
+        Ok(self.entry_of(id).filter(|_| changed))
+    }
+
+    /// Puts a server in again; what the module is to be told.
+    pub(super) fn resume(&mut self, now: Millis, id: &str) -> Result<Option<ServerEntry>, NeverListed> {
+        let changed = self.suspensions.resume(now, id)?;
+        Ok(self.entry_of(id).filter(|_| changed))
+    }
+
+    /// Takes in what another process was told; what the module is to be told.
+    pub(super) fn merge(&mut self, marks: &Marks) -> Vec<ServerEntry> {
+        let changed = self.suspensions.merge(marks);
+        changed.iter().filter_map(|id| self.entry_of(id)).collect()
+    }
+
+    pub(super) fn marks(&self) -> Marks {
+        self.suspensions.marks()
+    }
+
+    /// A known server as the module is to see it.
+    fn entry_of(&self, id: &str) -> Option<ServerEntry> {
+        let known = self.known.get(self.numbers.get(id)?)?;
+        Some(self.overlaid(id, known.entry.clone()))
+    }
+
+    /// What operators say lies over what the list says. One that is out is, to the module, one that drains.
+    fn overlaid(&self, id: &str, mut entry: ServerEntry) -> ServerEntry {
+        if entry.state == ServerState::Ready && self.suspensions.is_out(id) {
+            entry.state = ServerState::Draining;
+        }
+        entry.started = self.suspensions.started(id, entry.started);
+        entry
     }
 
     /// Takes in news of the list, and gives what the module is told.
@@ -71,6 +115,16 @@
     /// Takes in one line of a list, unless it makes no sense.
     fn learn(&mut self, member: &Member, zones: &[String]) -> Option<ServerEntry> {
         let server = self.number(&member.id);
+        self.suspensions.listed(&member.id);
+        let zone = zones.iter().position(|z| *z == member.zone);
+        let entry = ServerEntry {
+            server,
+            weight: member.weight,
+            zone: zone.map_or(u16::MAX, |z| z as u16),
+            cell: member.cell,
+            started: member.started,
+            state: member.state,
+        };
         if member.state == ServerState::Gone {
             self.known.remove(&server);
             self.numbers.remove(&member.id);
@@ -79,19 +133,11 @@
                 tracing::warn!(server = member.id, "members: {} has no address that can be read", member.id);
                 return None;
             };
-            let ready = member.state == ServerState::Ready;
-            self.known.insert(server, Known { address, ready });
+            let known = Known { address, entry: entry.clone(), id: member.id.clone() };
+            self.known.insert(server, known);
             self.numbers.insert(member.id.clone(), server);
         }
-        let zone = zones.iter().position(|z| *z == member.zone);
-        Some(ServerEntry {
-            server,
-            weight: member.weight,
-            zone: zone.map_or(u16::MAX, |z| z as u16),
-            cell: member.cell,
-            started: member.started,
-            state: member.state,
-        })
+        Some(self.overlaid(&member.id, entry))
     }
 }
 
--- a/crates/engine/src/engine/mod.rs
+++ b/crates/engine/src/engine/mod.rs
@@ -6,9 +6,11 @@
 mod book;
 pub(crate) mod core;
 mod fleet;
+mod revision;
 mod timers;
 
 pub use book::{Answer, Reply};
+pub use revision::Revision;
 
 use crate::ports::clock::Clock;
 use crate::ports::counter::{Call, Counter, Ends};
@@ -16,6 +18,7 @@
 use crate::ports::upstream::{End, Job, Upstream};
 use crate::supervise::keep_running;
 use core::{Core, Output};
+use oatbank_operations::suspension::{Marks, NeverListed};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -68,8 +71,7 @@
 /// - no new attempt goes to a server once its departure was told (see [`Told`]).
 pub struct Engine<U: Upstream> {
     clock: Rc<dyn Clock>,
-    names: Names,
-    settings: Settings,
+    revision: RefCell<Rc<Revision>>,
     core: RefCell<Core<U::Request, U::Answer>>,
     /// Attempts that are out.
     tasks: RefCell<HashMap<(RequestId, u8), AbortHandle>>,
@@ -87,8 +89,7 @@
     pub fn new(setup: &Setup, clock: Rc<dyn Clock>, upstream: U) -> Rc<Self> {
         Rc::new(Engine {
             clock,
-            names: setup.names.clone(),
-            settings: setup.settings.clone(),
+            revision: RefCell::new(Rc::new(Revision::first(setup))),
             core: RefCell::new(Core::new(setup)),
             tasks: RefCell::default(),
             sooner: Notify::new(),
@@ -137,14 +138,39 @@
         self.clock.now()
     }
 
-    /// Names of classes, plans, zones and reports.
-    pub fn names(&self) -> &Names {
-        &self.names
+    /// What holds for requests that come in now.
+    pub fn revision(&self) -> Rc<Revision> {
+        self.revision.borrow().clone()
+    }
+
+    /// Takes new settings, whole: what comes in from now on is read and decided by them, what is open keeps those
+    /// that it came with, and what was learnt and counted stays, by name.
+    pub fn revise(self: &Rc<Self>, names: &Names, settings: &Settings) {
+        let next = Rc::new(self.revision().next(names, settings));
+        *self.revision.borrow_mut() = next.clone();
+        self.change(|core, now| core.revise(now, next.names(), next.settings()));
     }
 
-    /// What the module was told at its start.
-    pub fn settings(&self) -> &Settings {
-        &self.settings
+    /// Takes a server out, or puts it in again. From the return on nothing new goes to one that is out, also on
+    /// attempts whose connection is just coming up, whatever the list says or will say.
+    ///
+    /// # Errors
+    /// When the server was never listed.
+    pub fn operate(self: &Rc<Self>, id: &str, out: bool) -> Result<(), NeverListed> {
+        self.change(|core, now| core.operate(now, id, out))?;
+        self.upstream.keep_only(&|id| self.core.borrow().fleet().is_ready(id));
+        Ok(())
+    }
+
+    /// What operators have said of servers.
+    pub fn marks(&self) -> Marks {
+        self.core.borrow().fleet().marks()
+    }
+
+    /// Takes in what another process was told of servers.
+    pub fn merge(self: &Rc<Self>, marks: &Marks) {
+        self.change(|core, now| core.merge(now, marks));
+        self.upstream.keep_only(&|id| self.core.borrow().fleet().is_ready(id));
     }
 
     /// The limiter can serve.
--- a/crates/engine/src/handle.rs
+++ b/crates/engine/src/handle.rs
@@ -236,7 +236,7 @@
         tickets: &Tickets,
         told: &Told,
     ) {
-        let end = Instant::now() + finish_within(engine.settings());
+        let end = Instant::now() + finish_within(engine.revision().settings());
         let mut more = Vec::new();
         while (engine.owed() > 0 || !self.commands.is_empty()) && Instant::now() < end {
             match tokio::time::timeout(Duration::from_millis(5), self.commands.recv()).await {
--- /dev/null
+++ b/crates/operations/src/lib.rs
@@ -0,0 +1,9 @@
+//! What operating a limiter must decide, as pure state: time is handed in, nothing is read, written or waited for.
+//!
+//! | module | holds |
+//! | --- | --- |
+//! | [`places`] | where names stand while lists of them change |
+//! | [`suspension`] | which servers operators have taken out, beside what discovery says |
+
+pub mod places;
+pub mod suspension;
--- /dev/null
+++ b/crates/operations/src/suspension.rs
@@ -0,0 +1,248 @@
+//! Which servers operators have taken out. A state of a server beside what discovery says of it, held by id.
+//!
+//! A call out may be repeated, and one call back ends it. In between nothing that discovery says matters: the server may
+//! be listed as ready, gone, listed again, at another address, or not heard of at all. After the call back it
+//! counts as started then: it has been restarted meanwhile, whatever its list says.
+
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, HashSet, VecDeque};
+
+/// A point in time, Unix ms.
+pub type Millis = f64;
+
+/// Ids ever listed that are remembered; of more, those first listed are forgotten, but none that is out.
+pub const MOST_LISTED: usize = 65_536;
+/// Calls back that are remembered, the latest: each is of use for as long as its server is cold.
+pub const MOST_BACK: usize = 4_096;
+
+/// An id that was never listed: there is nothing to take out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct NeverListed;
+
+impl std::fmt::Display for NeverListed {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("no such server was ever listed")
+    }
+}
+
+impl std::error::Error for NeverListed {}
+
+/// The last call for a server.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Mark {
+    /// The server is out.
+    pub out: bool,
+    /// When that was said.
+    pub at: Millis,
+}
+
+impl Mark {
+    /// Which of two calls holds: the later one. Of two at one time the call out, as it does no harm.
+    fn holds_over(self, other: Mark) -> bool {
+        self.at > other.at || self.at == other.at && self.out && !other.out
+    }
+}
+
+/// All that operators have said of servers, as it is stored and handed to another process.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Marks(pub BTreeMap<String, Mark>);
+
+/// The servers that are out, and the ids that may be named.
+#[derive(Clone, Debug, Default)]
+pub struct Suspensions {
+    marks: BTreeMap<String, Mark>,
+    listed: HashSet<String>,
+    /// The ids listed, by when each first was.
+    order: VecDeque<String>,
+}
+
+impl Suspensions {
+    /// Discovery has named this server.
+    pub fn listed(&mut self, id: &str) {
+        if self.listed.contains(id) {
+            return;
+        }
+        if self.order.len() >= MOST_LISTED {
+            if let Some(first) = self.order.pop_front() {
+                self.listed.remove(&first);
+            }
+        }
+        self.listed.insert(id.to_owned());
+        self.order.push_back(id.to_owned());
+    }
+
+    /// Takes a server out from now on; whether it was in.
+    ///
+    /// # Errors
+    /// When it was never listed.
+    pub fn suspend(&mut self, now: Millis, id: &str) -> Result<bool, NeverListed> {
+        self.known(id)?;
+        let was_out = self.is_out(id);
+        if !was_out {
+            self.mark(id, Mark { out: true, at: now });
+        }
+        Ok(!was_out)
+    }
+
+    /// Puts a server in again; whether it was out.
+    ///
+    /// # Errors
+    /// When it was never listed.
+    pub fn resume(&mut self, now: Millis, id: &str) -> Result<bool, NeverListed> {
+        self.known(id)?;
+        let was_out = self.is_out(id);
+        if was_out {
+            // Never before the call out, should a clock have stepped: else that would hold again where both meet.
+            let at = self.marks.get(id).map_or(now, |m| now.max(m.at + 0.001));
+            self.mark(id, Mark { out: false, at });
+        }
+        Ok(was_out)
+    }
+
+    fn known(&self, id: &str) -> Result<(), NeverListed> {
+        if self.listed.contains(id) || self.marks.contains_key(id) {
+            return Ok(());
+        }
+        Err(NeverListed)
+    }
+
+    fn mark(&mut self, id: &str, mark: Mark) {
+        self.marks.insert(id.to_owned(), mark);
+        let back = |m: &Mark| !m.out;
+        while self.marks.values().filter(|m| back(m)).count() > MOST_BACK {
+            let oldest = self.marks.iter().filter(|(_, m)| back(m));
+            let Some(id) = oldest.min_by(|a, b| a.1.at.total_cmp(&b.1.at)).map(|(id, _)| id.clone()) else {
+                return;
+            };
+            self.marks.remove(&id);
+        }
+    }
+
+    /// Nothing new may go to this server.
+    pub fn is_out(&self, id: &str) -> bool {
+        self.marks.get(id).is_some_and(|m| m.out)
+    }
+
+    /// When this server counts as started, of which its list says `listed` (0: long ago): not before it was put in
+    /// again.
+    pub fn started(&self, id: &str, listed: Millis) -> Millis {
+        self.marks.get(id).filter(|m| !m.out).map_or(listed, |m| listed.max(m.at))
+    }
+
+    /// The servers that are out.
+    pub fn out(&self) -> impl Iterator<Item = &str> {
+        self.marks.iter().filter(|(_, m)| m.out).map(|(id, _)| id.as_str())
+    }
+
+    /// All that was said, for another process.
+    pub fn marks(&self) -> Marks {
+        Marks(self.marks.clone())
+    }
+
+    /// Takes in what another process was told; of two calls for one server the later holds, so that both come to
+    /// the same whatever the order. The ids whose state that changes.
+    pub fn merge(&mut self, marks: &Marks) -> Vec<String> {
+        let mut changed = Vec::new();
+        for (id, mark) in &marks.0 {
+            if !mark.at.is_finite() || self.marks.get(id).is_some_and(|mine| !mark.holds_over(*mine)) {
+                continue;
+            }
+            self.mark(id, *mark);
+            changed.push(id.clone());
+        }
+        changed
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rand_core::{RngCore, SeedableRng};
+    use rand_pcg::Pcg64Mcg;
+
+    fn knowing(ids: &[&str]) -> Suspensions {
+        let mut s = Suspensions::default();
+        ids.iter().for_each(|id| s.listed(id));
+        s
+    }
+
+    #[test]
+    fn calls_out_may_be_repeated_and_one_back_ends_them() {
+        let mut s = knowing(&["a"]);
+        assert_eq!(s.suspend(1.0, "a"), Ok(true));
+        assert_eq!(s.suspend(2.0, "a"), Ok(false));
+        assert!(s.is_out("a"));
+        assert_eq!(s.resume(3.0, "a"), Ok(true));
+        assert_eq!(s.resume(4.0, "a"), Ok(false), "a second call back changes nothing");
+        assert!(!s.is_out("a"));
+        assert_eq!(
+            (s.started("a", 0.0), s.started("a", 9.0)),
+            (3.0, 9.0),
+            "cold from the call back at least"
+        );
+    }
+
+    #[test]
+    fn an_id_that_was_never_listed_is_owed_a_no() {
+        let mut s = knowing(&["a"]);
+        assert_eq!(s.suspend(1.0, "b"), Err(NeverListed));
+        assert_eq!(s.resume(1.0, "b"), Err(NeverListed));
+        assert_eq!(s.marks(), Marks::default());
+    }
+
+    #[test]
+    fn ids_that_were_listed_are_remembered_within_a_bound_and_those_out_for_good() {
+        let mut s = knowing(&["first"]);
+        s.suspend(1.0, "first").expect("it was listed");
+        (0..MOST_LISTED).for_each(|i| s.listed(&format!("s-{i}")));
+        assert_eq!(s.listed.len(), MOST_LISTED);
+        assert_eq!(s.resume(2.0, "first"), Ok(true), "what is out can be put in again");
+        for i in 0..=MOST_BACK {
+            let id = format!("s-{i}");
+            s.suspend(3.0 + i as f64, &id).expect("listed");
+            s.resume(3.5 + i as f64, &id).expect("listed");
+        }
+        assert_eq!(s.marks.len(), MOST_BACK);
+    }
+
+    #[test]
+    fn two_processes_that_tell_each_other_come_to_the_same_in_any_order() {
+        for seed in 0..200 {
+            let mut rng = Pcg64Mcg::seed_from_u64(seed);
+            let ids = ["a", "b", "c"];
+            let mut both = [knowing(&ids), knowing(&ids)];
+            let mut sent: Vec<(usize, Marks)> = Vec::new();
+            for step in 0..60 {
+                let (side, id) = (rng.next_u32() as usize % 2, ids[rng.next_u32() as usize % 3]);
+                let now = f64::from(step / 2);
+                let said = match rng.next_u32() % 2 {
+                    0 => both[side].suspend(now, id),
+                    _ => both[side].resume(now, id),
+                };
+                said.expect("a listed id");
+                sent.push((1 - side, both[side].marks()));
+                // What is on the way comes late and out of order.
+                if rng.next_u32() % 3 == 0 {
+                    let (to, marks) = sent.swap_remove(rng.next_u32() as usize % sent.len());
+                    both[to].merge(&marks);
+                }
+            }
+            sent.iter().for_each(|(to, marks)| _ = both[*to].merge(marks));
+            let last = [both[0].marks(), both[1].marks()];
+            both[0].merge(&last[1]);
+            both[1].merge(&last[0]);
+            assert_eq!(both[0].marks(), both[1].marks(), "seed {seed}");
+        }
+    }
+
+    #[test]
+    fn marks_are_stored_as_they_are_and_nonsense_is_passed_over() {
+        let mut s = knowing(&["a"]);
+        s.suspend(1.5, "a").expect("listed");
+        let text = serde_json::to_string(&s.marks()).expect("text");
+        let read: Marks = serde_json::from_str(&text).expect("marks");
+        assert_eq!(read, s.marks());
+        let wild = Marks([("b".to_owned(), Mark { out: true, at: f64::NAN })].into());
+        assert!(s.merge(&wild).is_empty() && !s.is_out("b"));
+    }
+}
--- a/crates/testkit/src/limiter.rs
+++ b/crates/testkit/src/limiter.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 /// What a limiter is started with.
@@ -20,6 +21,10 @@
     pub conn_idle: f64,
     pub gateways: usize,
     pub plan: &'static str,
+    /// The second address is on, at a port of its own.
+    pub control: bool,
+    /// More that the environment holds.
+    pub env: Vec<(String, String)>,
 }
 
 /// A plan whose quota no test reaches.
@@ -37,6 +42,8 @@
             conn_idle: 15_000.0,
             gateways: 2,
             plan: WIDE,
+            control: false,
+            env: Vec::new(),
         }
     }
 
@@ -53,12 +60,13 @@
             class("long", "single_shot", 20_000, 30_000),
         ];
         format!(
-            r#"{{"name":"n0","listen":"{}","discovery":"{}","counter":"{}","seed":"8c1f30d27a5be964","limits":{{"sockets":{}}},"known":{},
+            r#"{{"name":"n0",{}"listen":"{}","discovery":"{}","counter":"{}","seed":"8c1f30d27a5be964","limits":{{"sockets":{}}},"known":{},
             "settings":{{"balancers":{},"areas":["a","b"],"zone":0,"discovery":"pushed","classes":[{}],"plans":[{}],
             "report":{{"source":"answers","columns":["queue"]}},
             "ceilings":{{"conn_idle":{},"connect_timeout":250,"max_attempts":4,"cancelling":true,"parallel_tries":true,"retry_after":true,"max_retry_after":1000}},
             "family_info":{{"shared_counter":true,"counter_timeout":50,"max_units":2}},
             "safety":{{"start_capacity":0.16,"warm_after":16000,"overload_factor":2,"tip_after":1000}}}}}}"#,
+            if self.control { r#""control":"127.0.0.1:0","# } else { "" },
             self.listen,
             self.discovery,
             self.counter,
@@ -85,17 +93,25 @@
             }
             None => Command::new(program),
         };
-        command.env("PROXY_CONFIG", &path).stderr(Stdio::piped());
+        command.env("PROXY_CONFIG", &path).envs(self.env.iter().cloned()).stderr(Stdio::piped());
         let mut child = command.spawn().expect("the limiter");
         let mut log = BufReader::new(child.stderr.take().expect("a log")).lines();
+        let mut control = None;
         let address = loop {
             let line = log.next().expect("a line of the log").expect("text");
+            if let Some((_, address)) = line.split_once("operators call at ") {
+                control = Some(address.parse().expect("an address"));
+            }
             if let Some((_, address)) = line.split_once(" serves ") {
                 break address.parse().expect("an address");
             }
         };
-        std::thread::spawn(move || log.for_each(drop));
-        let limiter = Limiter { child, address, path };
+        let said = Arc::new(Mutex::new(Vec::new()));
+        let saying = said.clone();
+        std::thread::spawn(move || {
+            log.map_while(Result::ok).for_each(|line| saying.lock().expect("a lock").push(line));
+        });
+        let limiter = Limiter { child, address, control, path, said };
         eventually("healthz", || limiter.client().get("/healthz", "").status() == 200);
         limiter
     }
@@ -105,7 +121,10 @@
 pub struct Limiter {
     pub child: Child,
     pub address: SocketAddr,
+    /// The second address.
+    pub control: Option<SocketAddr>,
     path: std::path::PathBuf,
+    said: Arc<Mutex<Vec<String>>>,
 }
 
 impl Limiter {
@@ -113,6 +132,20 @@
         Client::connect(self.address)
     }
 
+    /// A call at the second address: its status and text.
+    pub fn call(&self, method: &str, path: &str) -> (u16, String) {
+        let address = self.control.expect("a second address");
+        let answer =
+            Client::connect(address).raw(format!("{method} {path} HTTP/1.1\r\nHost: x\r\n\r\n").as_bytes());
+        let answer = answer.expect("an answer");
+        (answer.status(), String::from_utf8(answer.body).expect("text"))
+    }
+
+    /// How many lines of the log have these words, since it said where it serves.
+    pub fn said(&self, words: &str) -> usize {
+        self.said.lock().expect("a lock").iter().filter(|line| line.contains(words)).count()
+    }
+
     pub fn terminate(&self) {
         self.signal("-TERM");
     }
--- a/crates/topazwind/src/interface.rs
+++ b/crates/topazwind/src/interface.rs
@@ -2,6 +2,8 @@
 //!
 //! All times and spans are milliseconds on the caller's monotonic clock ([`Millis`]).
 
+use std::sync::Arc;
+
 /// A point in time or a span, in milliseconds.
 pub type Millis = f64;
 
@@ -69,7 +71,7 @@
 }
 
 /// A plan: quotas that hold for each customer over all gateways together.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Plan {
     /// Units a second; 0: no such quota.
     pub rate: f64,
@@ -210,6 +212,15 @@
     Failed,
 }
 
+/// What holds for a request to its end, whatever the settings become meanwhile.
+#[derive(Clone, Debug, Default)]
+pub struct Rules {
+    /// Its class as it was when the request came.
+    pub class: Class,
+    /// Attempts it may have; 0: no limit.
+    pub max_attempts: u32,
+}
+
 /// A client's request.
 #[derive(Clone, Debug, Default)]
 pub struct Request {
@@ -229,6 +240,8 @@
     pub spread: f64,
     /// Marked as a client's repeat.
     pub repeat: bool,
+    /// What it was read by; without, the settings of the moment hold.
+    pub rules: Option<Arc<Rules>>,
 }
 
 /// How an attempt, a probe or a call ended.
@@ -262,6 +275,9 @@
         /// The lines.
         entries: Vec<ServerEntry>,
     },
+    /// From now on these settings hold for what comes in. Classes and plans stand where they stood before; a class
+    /// that was dropped has no deadline, and its place may be another's later.
+    Settings(Box<Settings>),
     /// A request has come in.
     Request(Request),
     /// An attempt has ended.
--- a/crates/topazwind/src/logic.rs
+++ b/crates/topazwind/src/logic.rs
@@ -110,6 +110,8 @@
 /// Cost that a server's last request adds, fading while all others have their turn: equal ones take turns.
 /// Less than CROSS_ZONE.
 const TURN: f64 = 0.04;
+/// A server that was sent nothing for this long, ms, is no dearer for being cold.
+const OVERDUE: Millis = 1500.0;
 /// The same for chance: gateways are not to take turns in step.
 const CHANCE: f64 = 0.06;
 /// Cost of another zone beside the near one: a tie-breaker only.
@@ -389,6 +391,7 @@
         }
         match event {
             Event::Servers { update, entries } => self.list(now, update, entries),
+            Event::Settings(set) => self.settle(*set),
             Event::Request(request) => self.arrive(now, request),
             Event::Ended { id, attempt, server, outcome, complete, took, load, .. } => {
                 self.learn(now, server, outcome, took, &load);
@@ -404,6 +407,25 @@
         actions.append(&mut self.acts);
     }
 
+    /// Takes new settings. What is open keeps the class it came with; what was learnt of a class or a customer
+    /// stays with it. A class is new where none stood before.
+    fn settle(&mut self, set: Settings) {
+        for (i, class) in set.classes.iter().enumerate() {
+            let stood = self.set.classes.get(i).is_some_and(|c| c.deadline > 0.0);
+            match self.class_mean.get_mut(i) {
+                Some(_) if stood => {}
+                Some(mean) => *mean = class.aim / 5.0,
+                None => self.class_mean.push(class.aim / 5.0),
+            }
+        }
+        for customer in self.customers.values_mut() {
+            if let Some(plan) = set.plans.get(customer.of.0) {
+                customer.plan = plan.clone();
+            }
+        }
+        self.set = set;
+    }
+
     fn chance(&mut self) -> f64 {
         (self.rng.next_u64() >> 11) as f64 / (1u64 << 53) as f64
     }
@@ -415,18 +437,33 @@
     // ---- 1. Quota admission -------------------------------------------------------------------
 
     fn arrive(&mut self, now: Millis, request: Request) {
-        let class = self.set.classes.get(request.class.0).cloned().unwrap_or_default();
+        let of = || self.set.classes.get(request.class.0).cloned().unwrap_or_default();
+        let rules = request.rules.as_ref();
+        let class = rules.map_or_else(of, |r| r.class.clone());
+        let tries = rules.map_or(self.set.max_attempts, |r| r.max_attempts);
         let (id, customer) = (request.id, request.customer);
         let plan = self.set.plans.get(request.plan.0).cloned().unwrap_or_default();
         let entry = self.customers.entry(customer);
         let most = self.set.max_units.max(1.0);
-        entry.or_insert_with(|| Customer::new(plan, request.spread, most, now)).touched = now;
+        let fresh = || Customer { of: request.plan, ..Customer::new(plan, request.spread, most, now) };
+        entry.or_insert_with(fresh).touched = now;
         let (aim_at, ends_at) = (now + class.aim.min(request.time_left), now + request.time_left);
         let asked = self.ask(now, customer, request.units);
         let (attempts, streaming, beyond, passed) = (Vec::new(), false, false, false);
         let arrived = now;
-        let open =
-            Open { arrived, aim_at, ends_at, attempts, streaming, beyond, asked, passed, request, class };
+        let open = Open {
+            arrived,
+            aim_at,
+            ends_at,
+            attempts,
+            streaming,
+            beyond,
+            asked,
+            passed,
+            request,
+            class,
+            tries,
+        };
         let hopeless = open.aim_at - now < self.mean(&open).max(2.0 * TICK) / 2.0;
         self.open.insert(id, open);
         self.untold.insert(customer);
@@ -443,6 +480,8 @@
         match self.admit(now, id) {
             Verdict::Refuse => self.finish(now, id),
             Verdict::Wait => self.hold(id),
+            // All that are known have been taken out: waiting would only tell the client later.
+            _ if self.flow.ready == 0 && !self.servers.is_empty() => self.finish(now, id),
             verdict => {
                 if let Some(open) = self.open.get_mut(&id) {
                     open.beyond = verdict == Verdict::Beyond;
@@ -822,9 +861,11 @@
             let crowd = usual + (s.crowd - usual) * fade;
             let zone = if s.entry.zone == self.set.zone { 1.0 } else { CROSS_ZONE };
             let turn = TURN * (-(now - s.sent_at).max(0.0) / round).exp() + CHANCE * able.roll;
-            // An attempt that is out for longer says so before it ends; warmth the draw has weighed.
+            // An attempt that is out for longer says so before it ends; warmth the draw has weighed. A cold one
+            // that may be sent something and has had nothing for long has its turn: its tokens are its guard.
             let (mean, warmth) = match subset {
                 true => (mean.max(self.longest_out(now, able.id)), 1.0),
+                false if now - s.sent_at > OVERDUE => (mean, 1.0),
                 false => (mean, able.warmth),
             };
             (mean * (1.0 + s.out + crowd) * zone * (1.0 + turn) / warmth, able.id)
@@ -1045,7 +1086,7 @@
             (Repeat::Unsafe, Some(_)) => false,
             (Repeat::Keyed { window, .. }, Some(sent)) => now - sent < window - TICK,
         };
-        let tries = self.set.max_attempts == 0 || (open.attempts.len() as u32) < self.set.max_attempts;
+        let tries = open.tries == 0 || (open.attempts.len() as u32) < open.tries;
         allowed && tries && !open.streaming && open.aim_at - now > mean
     }
 
--- a/crates/topazwind/src/state.rs
+++ b/crates/topazwind/src/state.rs
@@ -22,6 +22,8 @@
 #[derive(Default)]
 pub(crate) struct Customer {
     pub(crate) plan: Plan,
+    /// Where its plan stands in the settings.
+    pub(crate) of: PlanId,
     pub(crate) spread: f64,
     pub(crate) touched: Millis,
     pub(crate) counts: Window,
@@ -76,6 +78,8 @@
 pub(crate) struct Open {
     pub(crate) request: Request,
     pub(crate) class: Class,
+    /// Attempts it may have; 0: no limit.
+    pub(crate) tries: u32,
     pub(crate) arrived: Millis,
     pub(crate) aim_at: Millis,
     pub(crate) ends_at: Millis,
