Upgrade under load: two processes on one passed socket behave as one limiter

Design: Handover in crates/operations decides, without I/O, who takes clients, what part each uses, when a new one is settled, and when a caller may be told; the daemon carries its messages over a Unix stream socket in TMPDIR, as bounded lines of JSON with a version, and keeps what operators said in a file that is renamed into place. Not taken: files alone, as nobody knows who has read one, and a yes must hold at both; handing over quota state, as the counter has it and parts of ceilings start empty, each process growing half of one. The old one yields when the new one serves, not at SIGTERM: so its connections end with their next answers, none is closed before, and it takes clients again should the new one die. The socket is reached through the open folder, as TMPDIR may be longer than a socket's name can be. Also: a close between two requests looks for an unread request on the socket first.

Tests: real processes under load over two upgrades, killed and stopped ones, broken files; 300 random schedules of the pure part, which found that a call made by a clock that is behind was lost at the other process (mended: later than the call before).

--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -6,6 +6,7 @@
 //! | `POST /v1/servers/ID/suspend` | 200 once nothing new goes to that server; 404 for one that was never listed |
 //! | `POST /v1/servers/ID/resume` | 200 once that server is used again; 404 likewise |
 
+use crate::upgrade::Upgrade;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -18,7 +19,7 @@
 use oatbank_engine::supervise::keep_running;
 use oatbank_engine::upstreams::http1::Http1;
 use percent_encoding::percent_decode_str;
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::VecDeque;
 use std::convert::Infallible;
 use std::net::SocketAddr;
@@ -48,6 +49,7 @@
 /// The second address.
 pub struct Control {
     engine: Rc<Engine<Http1>>,
+    upgrade: OnceCell<Rc<Upgrade>>,
     callers: RefCell<VecDeque<Rc<Caller>>>,
 }
 
@@ -56,13 +58,19 @@
     ///
     /// # Errors
     /// When the address cannot be had; names the key.
-    pub fn start(address: SocketAddr, engine: Rc<Engine<Http1>>) -> std::io::Result<()> {
+    pub fn start(address: SocketAddr, engine: Rc<Engine<Http1>>) -> std::io::Result<Rc<Self>> {
         let named = |e: std::io::Error| std::io::Error::new(e.kind(), format!("control {address}: {e}"));
         let listener = Rc::new(crate::serve::bind(address).map_err(named)?);
         tracing::info!("operators call at {}", listener.local_addr()?);
-        let control = Rc::new(Control { engine, callers: RefCell::default() });
-        keep_running("control", move || control.clone().accept(listener.clone()));
-        Ok(())
+        let control = Rc::new(Control { engine, upgrade: OnceCell::new(), callers: RefCell::default() });
+        let accepting = control.clone();
+        keep_running("control", move || accepting.clone().accept(listener.clone()));
+        Ok(control)
+    }
+
+    /// From now on what is said here holds at other processes too, before a caller is told so.
+    pub fn tell_others(&self, upgrade: Rc<Upgrade>) {
+        let _ = self.upgrade.set(upgrade);
     }
 
     async fn accept(self: Rc<Self>, listener: Rc<TcpListener>) {
@@ -99,7 +107,7 @@
         let service = service_fn(|request| {
             caller.heard.set(true);
             let control = self.clone();
-            async move { Ok::<_, Infallible>(control.answer(&request)) }
+            async move { Ok::<_, Infallible>(control.answer(&request).await) }
         });
         let mut builder = http1::Builder::new();
         builder.keep_alive(false).max_buf_size(BUFFER);
@@ -114,7 +122,7 @@
         self.callers.borrow_mut().retain(|c| !Rc::ptr_eq(c, &caller));
     }
 
-    fn answer(&self, request: &Request<Incoming>) -> Response<Full<Bytes>> {
+    async fn answer(&self, request: &Request<Incoming>) -> Response<Full<Bytes>> {
         let parts: Vec<&str> = request.uri().path().split('/').skip(1).collect();
         match parts.as_slice() {
             ["v1", "readyz"] => match *request.method() {
@@ -122,7 +130,7 @@
                 _ => not_allowed("GET, HEAD"),
             },
             ["v1", "servers", id, call @ ("suspend" | "resume")] => match *request.method() {
-                Method::POST => self.operate(id, *call == "suspend"),
+                Method::POST => self.operate(id, *call == "suspend").await,
                 _ => not_allowed("POST"),
             },
             _ => told(StatusCode::NOT_FOUND, "no such call\n".into()),
@@ -137,7 +145,7 @@
         }
     }
 
-    fn operate(&self, id: &str, out: bool) -> Response<Full<Bytes>> {
+    async fn operate(&self, id: &str, out: bool) -> Response<Full<Bytes>> {
         let Ok(id) = percent_decode_str(id).decode_utf8() else {
             return told(StatusCode::BAD_REQUEST, "the id is no UTF-8\n".into());
         };
@@ -145,6 +153,9 @@
         match self.engine.operate(&id, out) {
             Ok(()) => {
                 tracing::info!(server = %id, call, "control: {call} {id}");
+                if let Some(upgrade) = self.upgrade.get() {
+                    upgrade.said().await;
+                }
                 told(StatusCode::OK, format!("{id} is {state}\n"))
             }
             Err(e) => {
--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -14,13 +14,16 @@
 use oatbank_engine::open_ids::OpenIds;
 use oatbank_engine::respond::{self, plain, ComeBack};
 use oatbank_engine::upstreams::http1::{Forward, Http1};
+use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::convert::Infallible;
 use std::io;
+use std::mem::MaybeUninit;
+use std::net::Shutdown;
 use std::pin::{pin, Pin};
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{ready, Context, Poll};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
@@ -64,6 +67,8 @@
     /// Something came while the request before was in hand: the next one has begun.
     ahead: Cell<bool>,
     leave: Notify,
+    /// It has been asked to leave, and has said nothing since.
+    asked: Cell<bool>,
     /// Its time is up: it is dropped, whatever it has sent so far.
     over: Cell<bool>,
 }
@@ -76,6 +81,7 @@
 
     /// Bytes have come.
     fn heard(&self, now: Millis) {
+        self.asked.set(false);
         match self.phase.get() {
             Phase::Idle => self.enter(Phase::Reading, now),
             Phase::Busy | Phase::Writing => self.ahead.set(true),
@@ -100,6 +106,12 @@
         }
     }
 
+    /// Asks it to leave between two requests.
+    fn ask_to_leave(&self) {
+        self.asked.set(true);
+        self.leave.notify_one();
+    }
+
     fn drop_now(&self) {
         self.over.set(true);
         self.leave.notify_one();
@@ -110,6 +122,7 @@
     fn gives_way(&self, now: Millis) -> Option<(u8, Millis)> {
         let since = self.since.get();
         match self.phase.get() {
+            _ if self.asked.get() => None,
             Phase::Busy | Phase::Writing => None,
             Phase::Reading if now - since > FIRST_WORDS => Some((0, since)),
             Phase::Idle => Some((1, since)),
@@ -120,65 +133,94 @@
 
 /// A client's stream, which notes when its peer is heard and has been told all.
 struct Watched {
-    stream: TcpStream,
+    /// Looked at from outside too, for what has come unread.
+    stream: Rc<TcpStream>,
     peer: Rc<Peer>,
     engine: Rc<Engine<Http1>>,
 }
 
 impl AsyncRead for Watched {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let before = buf.filled().len();
-        let done = Pin::new(&mut self.stream).poll_read(cx, buf);
-        if buf.filled().len() > before {
-            self.peer.heard(self.engine.now());
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        loop {
+            ready!(self.stream.poll_read_ready(cx))?;
+            match self.stream.try_read_buf(buf) {
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                Err(e) => return Poll::Ready(Err(e)),
+                Ok(0) => return Poll::Ready(Ok(())),
+                Ok(_) => {
+                    self.peer.heard(self.engine.now());
+                    return Poll::Ready(Ok(()));
+                }
+            }
         }
-        done
     }
 }
 
 impl AsyncWrite for Watched {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        self.write(cx, |stream| stream.try_write(buf))
     }
 
     fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        self.write(cx, |stream| stream.try_write_vectored(bufs))
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        true
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let done = Pin::new(&mut self.stream).poll_flush(cx);
-        if matches!(done, Poll::Ready(Ok(()))) {
-            self.peer.flushed(self.engine.now());
-        }
-        done
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // A socket keeps nothing back.
+        self.peer.flushed(self.engine.now());
+        Poll::Ready(Ok(()))
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(SockRef::from(&*self.stream).shutdown(Shutdown::Write))
     }
 }
 
+impl Watched {
+    fn write(
+        &self,
+        cx: &mut Context<'_>,
+        how: impl Fn(&TcpStream) -> io::Result<usize>,
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.stream.poll_write_ready(cx))?;
+            match how(&self.stream) {
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                done => return Poll::Ready(done),
+            }
+        }
+    }
+}
+
+/// Whether something has come that nobody has read yet. The runtime need not have heard of it.
+fn unread(stream: &TcpStream) -> bool {
+    let mut byte = [MaybeUninit::uninit()];
+    SockRef::from(stream).peek(&mut byte).is_ok_and(|n| n > 0)
+}
+
 /// All client connections.
 pub struct Front {
     engine: Rc<Engine<Http1>>,
     come_back: ComeBack,
     peers: RefCell<HashMap<u64, Rc<Peer>>>,
     ids: OpenIds,
-    most: usize,
+    most: Cell<usize>,
+    /// What `most` is while this process is the whole limiter.
+    whole: usize,
     next: Cell<u64>,
     stopping: Cell<bool>,
+    /// New connections are taken.
+    taking: Cell<bool>,
+    /// Told when that changes.
+    turned: Notify,
     /// All connections have a request in hand and another waits to be accepted.
     crowded: Cell<bool>,
     left: Notify,
@@ -192,9 +234,12 @@
             come_back,
             peers: RefCell::default(),
             ids: OpenIds::default(),
-            most,
+            most: Cell::new(most),
+            whole: most,
             next: Cell::new(0),
             stopping: Cell::new(false),
+            taking: Cell::new(true),
+            turned: Notify::new(),
             crowded: Cell::new(false),
             left: Notify::new(),
         })
@@ -203,13 +248,22 @@
     /// Accepts connections until it is called off.
     pub async fn accept(self: Rc<Self>, listener: Rc<TcpListener>) {
         loop {
-            while self.peers.borrow().len() >= self.most {
+            if !self.taking.get() {
+                self.turned.notified().await;
+                continue;
+            }
+            while self.peers.borrow().len() >= self.most.get() {
                 self.crowded.set(!self.make_room());
                 // One that was asked to leave may have come by a request; then another is asked.
                 let _ = tokio::time::timeout(ACCEPT_PAUSE, self.left.notified()).await;
             }
             self.crowded.set(false);
-            match listener.accept().await {
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                // Nothing has been accepted then.
+                () = self.turned.notified() => continue,
+            };
+            match accepted {
                 Ok((stream, _)) => {
                     self.next.set(self.next.get() + 1);
                     tokio::task::spawn_local(self.clone().serve(stream, self.next.get()));
@@ -229,7 +283,7 @@
         let least = able.min_by(|(a, _), (b, _)| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
         match least {
             // Between two requests it is asked, so that one which has just come in is not lost.
-            Some(((1, _), peer)) => peer.leave.notify_one(),
+            Some(((1, _), peer)) => peer.ask_to_leave(),
             Some((_, peer)) => peer.drop_now(),
             None => return false,
         }
@@ -243,13 +297,29 @@
             let now = self.engine.now();
             for peer in self.peers.borrow().values().filter(|p| now - p.since.get() > p.limit()) {
                 match peer.phase.get() {
-                    Phase::Idle => peer.leave.notify_one(),
+                    Phase::Idle => peer.ask_to_leave(),
                     _ => peer.drop_now(),
                 }
             }
         }
     }
 
+    /// Whether new connections are taken. While none are, another process takes them: answers end their
+    /// connections, so that clients move on to it.
+    pub fn take_clients(&self, taking: bool) {
+        self.taking.set(taking);
+        self.stopping.set(!taking);
+        self.turned.notify_one();
+    }
+
+    /// Connections stay within this part of the limits; those over it give way, from the idlest on.
+    pub fn use_part(&self, part: f64) {
+        self.most.set(((self.whole as f64 * part) as usize).max(1));
+        for _ in self.most.get()..self.peers.borrow().len() {
+            self.make_room();
+        }
+    }
+
     /// From now on answers end their connection, so that clients move on.
     pub fn stop(&self) {
         self.stopping.set(true);
@@ -257,7 +327,7 @@
 
     /// Closes connections as soon as they owe nothing.
     pub fn close_idle(&self) {
-        self.peers.borrow().values().for_each(|peer| peer.leave.notify_one());
+        self.peers.borrow().values().for_each(|peer| peer.ask_to_leave());
     }
 
     /// Connections that are open.
@@ -273,6 +343,7 @@
             since: Cell::new(self.engine.now()),
             ahead: Cell::new(false),
             leave: Notify::new(),
+            asked: Cell::new(false),
             over: Cell::new(false),
         });
         let _listed = Listed::new(self.clone(), number, peer.clone());
@@ -284,7 +355,8 @@
                 Ok::<_, Infallible>(answer)
             }
         });
-        let watched = Watched { stream, peer: peer.clone(), engine: self.engine.clone() };
+        let stream = Rc::new(stream);
+        let watched = Watched { stream: stream.clone(), peer: peer.clone(), engine: self.engine.clone() };
         let mut builder = http1::Builder::new();
         builder.max_buf_size(BUFFER);
         let mut connection = pin!(builder.serve_connection(TokioIo::new(watched), service));
@@ -295,7 +367,10 @@
                     if peer.over.get() {
                         return;
                     }
-                    connection.as_mut().graceful_shutdown();
+                    // A request that has arrived is read and answered first.
+                    if !unread(&stream) {
+                        connection.as_mut().graceful_shutdown();
+                    }
                 }
             }
         }
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -10,6 +10,7 @@
 mod reload;
 mod serve;
 mod standalone;
+mod upgrade;
 
 use clap::{Args, CommandFactory, Parser, Subcommand};
 use oatbank_engine::config::Config;
--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -3,6 +3,7 @@
 use crate::control::Control;
 use crate::reload;
 use crate::serve::{on_one_thread, Limits, Plan, Serving, Signals};
+use crate::upgrade::Upgrade;
 use oatbank_engine::counters::text::TextCounter;
 use oatbank_engine::engine::{Engine, Names, Setup};
 use oatbank_engine::members::agent::{self, ServerList};
@@ -15,6 +16,7 @@
 use serde_json::Value;
 use std::fmt::Write as _;
 use std::net::SocketAddr;
+use std::os::fd::RawFd;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::task::AbortHandle;
@@ -116,6 +118,7 @@
             conn_idle: ceiling("conn_idle", 15_000.0),
             connect_timeout: ceiling("connect_timeout", 250.0),
             come_back: ComeBack::Decimal,
+            passed: None,
         };
         let File { discovery, counter, known, control, .. } = file;
         Ok(Config { plan, discovery, counter, known, control, form })
@@ -127,7 +130,8 @@
 /// # Errors
 /// Why it cannot start.
 pub fn run(path: String) -> Result<(), String> {
-    let config = Config::load(&path).map_err(|e| e.to_string())?;
+    let mut config = Config::load(&path).map_err(|e| e.to_string())?;
+    config.plan.passed = passed()?;
     on_one_thread(async move { serve(config, path).await.map_err(|e| e.to_string()) })
 }
 
@@ -148,13 +152,17 @@
         tokio::time::sleep(LIST_WAIT).await;
         waiting.set_ready();
     });
-    if let Some(address) = control(&config)? {
-        Control::start(address, engine.clone())?;
-    }
+    let upgrades = config.plan.passed.is_some();
+    engine.hold(upgrades);
+    let control = match control(&config)? {
+        Some(address) => Some(Control::start(address, engine.clone())?),
+        None => None,
+    };
     let serving = Serving::start(&config.plan, engine.clone())?;
+    let upgrade = if upgrades { hand_over(&engine, &serving, control).await } else { None };
     let mut taken = config.form;
     signals.until_stop(|| reload(&path, &mut taken, &engine, &counter, &mut following)).await;
-    serving.stop().await;
+    serving.stop(upgrade.is_some_and(|u| u.has_yielded())).await;
     Ok(())
 }
 
@@ -184,6 +192,38 @@
     }
 }
 
+/// The clients' listening socket, if the platform holds it.
+fn passed() -> Result<Option<RawFd>, String> {
+    let Ok(named) = std::env::var("PROXY_PASSED_SOCKET") else { return Ok(None) };
+    let descriptor = named.trim().parse::<RawFd>().ok().filter(|d| *d > 2);
+    let wrong = || format!("PROXY_PASSED_SOCKET {named:?}: a descriptor above 2 is wanted, as 3");
+    descriptor.map(Some).ok_or_else(wrong)
+}
+
+/// Makes this process one limiter with the one before it and the one after it. Without `$TMPDIR` it is a limiter of
+/// its own.
+async fn hand_over(
+    engine: &Rc<Engine<Http1>>,
+    serving: &Serving,
+    control: Option<Rc<Control>>,
+) -> Option<Rc<Upgrade>> {
+    serving.front().take_clients(false);
+    match Upgrade::start(engine.clone(), serving.front()).await {
+        Ok(upgrade) => {
+            if let Some(control) = control {
+                control.tell_others(upgrade.clone());
+            }
+            Some(upgrade)
+        }
+        Err(e) => {
+            tracing::error!("upgrade: TMPDIR {:?}: {e}; other processes are not met", std::env::temp_dir());
+            engine.hold(false);
+            serving.front().take_clients(true);
+            None
+        }
+    }
+}
+
 /// Where operators call: what the environment names, else what the file does.
 fn control(config: &Config) -> std::io::Result<Option<SocketAddr>> {
     let Ok(named) = std::env::var("PROXY_CONTROL") else { return Ok(config.control) };
--- a/crates/daemon/src/serve.rs
+++ b/crates/daemon/src/serve.rs
@@ -7,8 +7,10 @@
 use oatbank_engine::supervise::keep_running;
 use oatbank_engine::upstreams::http1::{Connections, Http1};
 use serde::Deserialize;
+use socket2::SockRef;
 use std::future::Future;
 use std::net::SocketAddr;
+use std::os::fd::RawFd;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpSocket};
@@ -32,6 +34,8 @@
 const BACKLOG: u32 = 1024;
 /// After SIGTERM new connections still come for up to 0.4 s.
 const KEEP_ACCEPTING: Duration = Duration::from_millis(450);
+/// Of the time that a shutdown has, what is left for closing the connections that were kept open.
+const CLOSING: Duration = Duration::from_millis(150);
 /// How often the end of a shutdown looks whether all is done, and how long it waits for last bytes.
 const LOOK: Duration = Duration::from_millis(10);
 const LAST_BYTES: Duration = Duration::from_millis(60);
@@ -77,6 +81,8 @@
     pub connect_timeout: Millis,
     /// How refusals say when to come back.
     pub come_back: ComeBack,
+    /// A listening socket that was handed over, in place of one at `listen`.
+    pub passed: Option<RawFd>,
 }
 
 /// The signals that a serving process follows.
@@ -138,7 +144,10 @@
     /// When the address cannot be had.
     pub fn start(plan: &Plan, engine: Rc<Engine<Http1>>) -> std::io::Result<Self> {
         let front = Front::new(engine.clone(), clients(most_connections(plan.limits)), plan.come_back);
-        let listener = Rc::new(bind(plan.listen)?);
+        let listener = Rc::new(match plan.passed {
+            Some(descriptor) => adopt(descriptor)?,
+            None => bind(plan.listen)?,
+        });
         let address = listener.local_addr()?;
         let accepting = front.clone();
         let accepting = keep_running("accept", move || accepting.clone().accept(listener.clone()));
@@ -148,6 +157,11 @@
         Ok(Serving { name: plan.name.clone(), engine, address, front, accepting })
     }
 
+    /// The clients' side.
+    pub fn front(&self) -> Rc<Front> {
+        self.front.clone()
+    }
+
     /// Where clients connect.
     pub fn address(&self) -> SocketAddr {
         self.address
@@ -155,15 +169,25 @@
 
     /// Answers all that was taken, and ends: new connections are taken for 0.45 s, and what is left is
     /// answered by 0.55 s after the longest deadline (3 s at most).
-    pub async fn stop(self) {
+    ///
+    /// Where a successor has taken over (`yielded`), connections between two requests are kept until the end of that
+    /// time: each one's next answer moves its client on, while a close might cross a request.
+    pub async fn stop(self, yielded: bool) {
         let (engine, front) = (&self.engine, &self.front);
         let stopped = Instant::now();
         tracing::info!("{} stops: {} connections, {} owed", self.name, front.open(), engine.owed());
+        let end = stopped + finish_within(engine.revision().settings());
         front.stop();
-        tokio::time::sleep(KEEP_ACCEPTING).await;
+        if yielded {
+            let last = end - CLOSING;
+            while front.open() > 0 && Instant::now() < last {
+                tokio::time::sleep(LOOK).await;
+            }
+        } else {
+            tokio::time::sleep(KEEP_ACCEPTING).await;
+        }
         self.accepting.abort();
-        let within = finish_within(engine.revision().settings());
-        finish(engine, front, stopped + within).await;
+        finish(engine, front, end).await;
         tracing::info!("{} ends after {} ms", self.name, stopped.elapsed().as_millis());
     }
 }
@@ -207,6 +231,28 @@
     }
 }
 
+/// Takes over a listening socket that this process was started with.
+fn adopt(descriptor: RawFd) -> std::io::Result<TcpListener> {
+    let wrong = |why: String| {
+        std::io::Error::new(
+            std::io::ErrorKind::InvalidInput,
+            format!("PROXY_PASSED_SOCKET {descriptor}: {why}"),
+        )
+    };
+    // The crate goes by the names of systemd's protocol, and forgets them again.
+    std::env::set_var("LISTEN_FDS", "1");
+    std::env::set_var("LISTEN_FDS_FIRST_FD", descriptor.to_string());
+    std::env::remove_var("LISTEN_PID");
+    let taken = listenfd::ListenFd::from_env().take_tcp_listener(0);
+    let listener =
+        taken.map_err(|e| wrong(e.to_string()))?.ok_or_else(|| wrong("nothing is there".into()))?;
+    if !SockRef::from(&listener).is_listener()? {
+        return Err(wrong("a socket that does not listen".into()));
+    }
+    listener.set_nonblocking(true)?;
+    TcpListener::from_std(listener)
+}
+
 /// Listens at once also where the process before left connections behind.
 pub fn bind(address: SocketAddr) -> std::io::Result<TcpListener> {
     let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
--- a/crates/daemon/src/standalone.rs
+++ b/crates/daemon/src/standalone.rs
@@ -77,7 +77,7 @@
                 registrar.leave().await;
             }
         };
-        tokio::join!(leaving, self.serving.stop());
+        tokio::join!(leaving, self.serving.stop(false));
     }
 }
 
@@ -115,6 +115,7 @@
         conn_idle: config.keep_idle,
         connect_timeout: config.connect_timeout,
         come_back: ComeBack::Standard,
+        passed: None,
     }
 }
 
--- a/crates/engine/src/engine/core.rs
+++ b/crates/engine/src/engine/core.rs
@@ -333,6 +333,11 @@
         }
     }
 
+    /// From now on the module uses this part of what is a gateway's own.
+    pub(crate) fn use_part(&mut self, now: Millis, part: f64) {
+        self.feed(now, Event::Part(part));
+    }
+
     /// From now on these settings hold for what comes in.
     pub(crate) fn revise(&mut self, now: Millis, names: &Names, settings: &Settings) {
         (self.names, self.settings) = (names.clone(), settings.clone());
--- a/crates/engine/src/engine/mod.rs
+++ b/crates/engine/src/engine/mod.rs
@@ -80,6 +80,7 @@
     /// What the timers sleep until.
     asleep_until: Cell<Millis>,
     ready: Cell<bool>,
+    held: Cell<bool>,
     upstream: U,
     counter: RefCell<Option<Rc<dyn Counter>>>,
 }
@@ -95,6 +96,7 @@
             sooner: Notify::new(),
             asleep_until: Cell::new(f64::INFINITY),
             ready: Cell::new(false),
+            held: Cell::new(false),
             upstream,
             counter: RefCell::default(),
         })
@@ -175,9 +177,25 @@
 
     /// The limiter can serve.
     pub fn is_ready(&self) -> bool {
+        self.has_list() && !self.held.get()
+    }
+
+    /// It knows which servers there are.
+    pub fn has_list(&self) -> bool {
         self.ready.get() && !self.core.borrow().fleet().is_empty()
     }
 
+    /// Whether the limiter is kept from saying that it can serve.
+    pub fn hold(&self, held: bool) {
+        self.held.set(held);
+    }
+
+    /// Uses this part of what the limiter may: another process uses the rest.
+    pub fn use_part(self: &Rc<Self>, part: f64) {
+        self.change(|core, now| core.use_part(now, part));
+        self.upstream.use_part(part);
+    }
+
     /// From now on the limiter says that it can serve.
     pub fn set_ready(&self) {
         self.ready.set(true);
--- a/crates/engine/src/ports/upstream.rs
+++ b/crates/engine/src/ports/upstream.rs
@@ -61,6 +61,9 @@
     /// The list has changed: what is kept for servers that are not ready may go.
     fn keep_only(&self, _ready: &dyn Fn(ServerId) -> bool) {}
 
+    /// Another process uses the rest of what the limiter may: connections stay within this part of the limits.
+    fn use_part(&self, _part: f64) {}
+
     /// Called about twice a second: for looking after connections.
     fn upkeep(&self, _now: Millis) {}
 }
--- a/crates/engine/src/upstreams/http1.rs
+++ b/crates/engine/src/upstreams/http1.rs
@@ -168,7 +168,9 @@
     /// Since when servers with idle connections have taken nothing new.
     parked: RefCell<HashMap<ServerId, Millis>>,
     open: Rc<Cell<usize>>,
-    most: usize,
+    most: Cell<usize>,
+    /// What `most` is while this process is the whole limiter.
+    whole: usize,
     longest_idle: Millis,
     connect_timeout: Duration,
 }
@@ -180,7 +182,8 @@
             idle: RefCell::default(),
             parked: RefCell::default(),
             open: Rc::default(),
-            most,
+            most: Cell::new(most),
+            whole: most,
             longest_idle: conn_idle * IDLE_SHARE,
             connect_timeout: Duration::from_secs_f64(connect_timeout / 1000.0),
         }
@@ -205,8 +208,9 @@
         }
     }
 
-    /// Retires what has stood idle too long or was closed from the other side.
+    /// Retires what has stood idle too long or was closed from the other side, and what is over the limit.
     fn sweep(&self, now: Millis) {
+        while self.open.get() > self.most.get() && self.retire() {}
         let mut parked = self.parked.borrow_mut();
         self.idle.borrow_mut().retain(|server, waiting| {
             if parked.get(server).is_some_and(|since| now - since >= KEEP_OVER_FLAP) {
@@ -232,12 +236,18 @@
         }
     }
 
+    /// Closes the connection that has been idle for the longest, if there is one.
+    fn retire(&self) -> bool {
+        let mut idle = self.idle.borrow_mut();
+        let waiting = idle.values_mut().filter(|w| !w.is_empty());
+        let oldest = waiting.min_by(|a, b| a[0].idle_since.total_cmp(&b[0].idle_since));
+        oldest.map(|waiting| drop(waiting.remove(0))).is_some()
+    }
+
     /// A place for one more connection; at the limit the longest idle one gives way.
     fn slot(&self) -> Option<Slot> {
-        if self.open.get() >= self.most {
-            let mut idle = self.idle.borrow_mut();
-            let oldest = idle.values_mut().filter(|w| !w.is_empty());
-            oldest.min_by(|a, b| a[0].idle_since.total_cmp(&b[0].idle_since))?.remove(0);
+        if self.open.get() >= self.most.get() && !self.retire() {
+            return None;
         }
         self.open.set(self.open.get() + 1);
         Some(Slot(self.open.clone()))
@@ -304,6 +314,11 @@
         self.shared.pool.keep_only(ready, self.shared.clock.now());
     }
 
+    fn use_part(&self, part: f64) {
+        let pool = &self.shared.pool;
+        pool.most.set(((pool.whole as f64 * part) as usize).max(1));
+    }
+
     fn upkeep(&self, now: Millis) {
         self.shared.pool.sweep(now);
     }
--- a/crates/operations/src/lib.rs
+++ b/crates/operations/src/lib.rs
@@ -2,8 +2,10 @@
 //!
 //! | module | holds |
 //! | --- | --- |
+//! | [`handover`] | a process and the one that follows it, as one limiter while both run |
 //! | [`places`] | where names stand while lists of them change |
 //! | [`suspension`] | which servers operators have taken out, beside what discovery says |
 
+pub mod handover;
 pub mod places;
 pub mod suspension;
--- a/crates/operations/src/suspension.rs
+++ b/crates/operations/src/suspension.rs
@@ -79,7 +79,7 @@
         self.known(id)?;
         let was_out = self.is_out(id);
         if !was_out {
-            self.mark(id, Mark { out: true, at: now });
+            self.mark(id, Mark { out: true, at: self.next(now, id) });
         }
         Ok(!was_out)
     }
@@ -92,13 +92,17 @@
         self.known(id)?;
         let was_out = self.is_out(id);
         if was_out {
-            // Never before the call out, should a clock have stepped: else that would hold again where both meet.
-            let at = self.marks.get(id).map_or(now, |m| now.max(m.at + 0.001));
-            self.mark(id, Mark { out: false, at });
+            self.mark(id, Mark { out: false, at: self.next(now, id) });
         }
         Ok(was_out)
     }
 
+    /// When a call made now counts as made: after the one before, should that have come from a process whose clock
+    /// is ahead. Else the earlier call would hold again where both meet.
+    fn next(&self, now: Millis, id: &str) -> Millis {
+        self.marks.get(id).map_or(now, |m| now.max(m.at + 0.001))
+    }
+
     fn known(&self, id: &str) -> Result<(), NeverListed> {
         if self.listed.contains(id) || self.marks.contains_key(id) {
             return Ok(());
--- a/crates/testkit/src/limiter.rs
+++ b/crates/testkit/src/limiter.rs
@@ -3,7 +3,7 @@
 use crate::client::Client;
 use crate::wait::{eventually, PATIENCE};
 use std::io::{BufRead, BufReader};
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
@@ -23,6 +23,8 @@
     pub plan: &'static str,
     /// The second address is on, at a port of its own.
     pub control: bool,
+    /// Clients' listening socket, handed over as descriptor 3.
+    pub passed: Option<Arc<TcpListener>>,
     /// More that the environment holds.
     pub env: Vec<(String, String)>,
 }
@@ -43,6 +45,7 @@
             gateways: 2,
             plan: WIDE,
             control: false,
+            passed: None,
             env: Vec::new(),
         }
     }
@@ -93,6 +96,12 @@
             }
             None => Command::new(program),
         };
+        if let Some(listener) = &self.passed {
+            // The shell makes descriptor 3 of its standard input.
+            command = Command::new("/bin/sh");
+            command.arg("-c").arg(format!("exec {program} 3<&0 0</dev/null")).env("PROXY_PASSED_SOCKET", "3");
+            command.stdin(std::os::fd::OwnedFd::from(listener.try_clone().expect("a clone")));
+        }
         command.env("PROXY_CONFIG", &path).envs(self.env.iter().cloned()).stderr(Stdio::piped());
         let mut child = command.spawn().expect("the limiter");
         let mut log = BufReader::new(child.stderr.take().expect("a log")).lines();
@@ -112,7 +121,10 @@
             log.map_while(Result::ok).for_each(|line| saying.lock().expect("a lock").push(line));
         });
         let limiter = Limiter { child, address, control, path, said };
-        eventually("healthz", || limiter.client().get("/healthz", "").status() == 200);
+        match (limiter.control, &self.passed) {
+            (Some(_), Some(_)) => eventually("readyz", || limiter.call("GET", "/v1/readyz").0 == 200),
+            _ => eventually("healthz", || limiter.client().get("/healthz", "").status() == 200),
+        }
         limiter
     }
 }
@@ -156,7 +168,8 @@
         self.signal("-HUP");
     }
 
-    fn signal(&self, name: &str) {
+    /// Sends a signal by the name that `kill` knows it by, as `-STOP`.
+    pub fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
         assert!(Command::new("kill").args([name, &pid]).status().expect("kill").success());
     }
--- a/crates/topazwind/src/interface.rs
+++ b/crates/topazwind/src/interface.rs
@@ -278,6 +278,8 @@
     /// From now on these settings hold for what comes in. Classes and plans stand where they stood before; a class
     /// that was dropped has no deadline, and its place may be another's later.
     Settings(Box<Settings>),
+    /// This gateway uses this part of what is a gateway's own: another process is the rest of it.
+    Part(f64),
     /// A request has come in.
     Request(Request),
     /// An attempt has ended.
--- a/crates/topazwind/src/logic.rs
+++ b/crates/topazwind/src/logic.rs
@@ -172,13 +172,13 @@
     }
 
     /// Lets buckets age out and both stores refill.
-    fn age(&mut self, now: Millis) {
+    fn age(&mut self, now: Millis, part: f64) {
         self.counts.drop_before(now - self.window(), BUCKET);
         let past = (now - self.drained_at).max(0.0) / 1000.0;
         self.drained_at = now;
         self.used = (self.used - past * self.plan.rate).max(0.0);
-        self.lease = (self.lease + past * self.plan.ceiling_rate / self.spread)
-            .min(self.plan.ceiling_burst / self.spread);
+        let part = part / self.spread;
+        self.lease = (self.lease + past * self.plan.ceiling_rate * part).min(self.plan.ceiling_burst * part);
     }
 
     /// Books units at a time within the window.
@@ -352,7 +352,7 @@
     pub fn new(set: Settings, seed: u64) -> Self {
         let (class_mean, flow) = (
             set.classes.iter().map(|c| c.aim / 5.0).collect(),
-            Flow { retries: RETRY_SAVED, pace: 1.0, ..Flow::default() },
+            Flow { retries: RETRY_SAVED, pace: 1.0, part: 1.0, ..Flow::default() },
         );
         let (servers, customers, calls, open, untold, looked) = Default::default();
         let (mut rng, held, acts) = (Pcg64Mcg::seed_from_u64(seed), Vec::new(), Vec::new());
@@ -392,6 +392,11 @@
         match event {
             Event::Servers { update, entries } => self.list(now, update, entries),
             Event::Settings(set) => self.settle(*set),
+            Event::Part(part) => {
+                // What has grown so far grew at the part before.
+                let before = std::mem::replace(&mut self.flow.part, part);
+                self.customers.values_mut().for_each(|c| c.age(now, before));
+            }
             Event::Request(request) => self.arrive(now, request),
             Event::Ended { id, attempt, server, outcome, complete, took, load, .. } => {
                 self.learn(now, server, outcome, took, &load);
@@ -503,12 +508,13 @@
         let roll = self.chance();
         let calm = self.flow.out < 0.7 * self.flow.limit && self.held.is_empty();
         let (counter, rare) = (self.set.counter, self.flow.trusted().is_finite());
+        let part = self.flow.part;
         let Some(open) = self.open.get_mut(&id) else { return Verdict::Refuse };
         let (units, waited) = (open.request.units, now - open.arrived);
         let Some(c) = self.customers.get_mut(&open.request.customer) else { return Verdict::Refuse };
         let plan = c.plan.clone();
         if plan.rate > 0.0 {
-            c.age(now);
+            c.age(now, part);
         }
         // A gateway's part of the ceiling is its own, empty at first: danger is that many do not hear each
         // other, restart, or find the counter down. It hurts traffic gathered on one gateway, which waits.
@@ -534,7 +540,7 @@
         if plan.max_open > 0.0 {
             // Open cap: each gateway keeps to a fair share, so it holds though no other can be
             // heard. It hurts a customer gathered on one gateway while servers are slow; it waits for a slot.
-            if c.open >= (plan.max_open / c.spread).floor().max(1.0) {
+            if c.open >= (plan.max_open * part / c.spread).floor().max(1.0) {
                 return Verdict::Wait;
             }
         }
@@ -571,7 +577,7 @@
             let (customer, trusted) = (open.request.customer, self.flow.trusted());
             if let Some(c) = self.customers.get_mut(&customer).filter(|c| c.plan.rate > 0.0) {
                 self.untold.insert(customer);
-                c.age(now);
+                c.age(now, self.flow.part);
                 c.record(now, DECLINED, open.request.units, trusted);
             }
         }
@@ -710,7 +716,7 @@
             return;
         }
         self.untold.insert(customer);
-        c.age(now);
+        c.age(now, self.flow.part);
         c.known = true;
         if c.tallies[kind].closing.is_some_and(|(n, _)| n == name) {
             let Some((_, last)) = c.tallies[kind].closing.take() else { return };
--- a/crates/topazwind/src/state.rs
+++ b/crates/topazwind/src/state.rs
@@ -95,6 +95,8 @@
 #[derive(Default)]
 pub(crate) struct Flow {
     pub(crate) started: bool,
+    /// The part that this process uses of what is a gateway's own.
+    pub(crate) part: f64,
     /// Mean answer time of the fleet, and its ratio to the aims.
     pub(crate) mean: Millis,
     pub(crate) slowness: f64,
