--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front/mod.rs
@@ -1,19 +1,24 @@
-//! Clients: accepts their connections, reads requests whole and writes each one answer.
+//! Clients: accepts their connections, reads requests and writes each one answer.
+
+mod heard;
+mod receive;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::{Body, Incoming};
+use heard::Heard;
+use hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
 use hyper::header::{HeaderMap, HeaderValue};
-use hyper::header::{CONNECTION, HOST, TRANSFER_ENCODING};
+use hyper::header::{CONNECTION, CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use oatbank_engine::body::{Body, Broken, Room, Rooms, Upload};
 use oatbank_engine::classify::{self, Rejection};
 use oatbank_engine::engine::{Answer, Engine};
 use oatbank_engine::open_ids::OpenIds;
 use oatbank_engine::respond::{self, plain, ComeBack};
 use oatbank_engine::upstreams::http1::{Forward, Http1};
+use oatbank_operations::budget::Budget;
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -30,28 +35,43 @@
 use tokio::sync::{oneshot, Notify};
 use topazwind::interface::{Millis, RequestId};
 
-/// Longest body of a request.
-const MOST_BODY: usize = 64 * 1024;
 /// Buffer of a client's connection: room for the longest head that is read.
 const BUFFER: usize = 16 * 1024;
 /// Pause after a failed accept: without descriptors it would fail again at once, and spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-/// A request that is not whole this long after it began, or after its connection came, is given up; so is a
-/// connection that says nothing, and an answer that is not taken. A bad client is owed an end within 3 s; the
-/// rest is for the look round that finds it.
-const WHOLE_WITHIN: Millis = 2000.0;
+/// A head that is not whole this long after it began, or after its connection came, is given up; so is a connection
+/// that says nothing, and a short answer that is not taken. Clients may take 2 s for a head, and a bad one is owed an end
+/// within 3 s; the rest is for the look round that finds it.
+const WHOLE_WITHIN: Millis = 2500.0;
+/// A streamed answer of which nothing is written for this long is given up: its server has been by then, so it is the
+/// client that takes nothing.
+const STREAM_STALL: Millis = 15_000.0;
+/// Room for a body is waited for this long.
+const ROOM_WITHIN: Duration = Duration::from_millis(1000);
+const NO_ROOM: Rejection =
+    Rejection { status: StatusCode::SERVICE_UNAVAILABLE, why: "too many long bodies at once\n" };
 /// A connection between two requests is closed after this: some clients ask once and never close.
 const KEEP_IDLE: Millis = 10_000.0;
 /// How often connections are looked at for that.
-const LOOK: Duration = Duration::from_millis(250);
+const LOOK: Duration = Duration::from_millis(100);
+/// A first head's time counts from its first byte, but from no later than this after the connection came, ms.
+const LATE_START: Millis = 300.0;
+/// A connection that never said anything counts as silent for this many times as long.
+const NEVER_SPOKE: f64 = 10.0;
 /// A new connection's first words are waited for this long, ms, before it may have to give way.
 const FIRST_WORDS: Millis = 100.0;
 
 /// Where a client's connection stands.
 #[derive(Clone, Copy, PartialEq)]
 enum Phase {
-    /// A request is due or half read.
+    /// A request is due or its head half read.
     Reading,
+    /// Its body is coming, and nothing has gone on yet. That it gets on is seen to where it is read.
+    Uploading,
+    /// Its body is coming and goes on.
+    Passing,
+    /// It has its answer, and the rest of its body is still coming.
+    Draining,
     /// A whole request is in hand.
     Busy,
     /// Its answer is being written.
@@ -71,6 +91,15 @@
     asked: Cell<bool>,
     /// Its time is up: it is dropped, whatever it has sent so far.
     over: Cell<bool>,
+    /// A body is coming.
+    uploading: Cell<bool>,
+    /// An answer is on its way that comes piece by piece.
+    streaming: Cell<bool>,
+    /// When it last said something, or came; whether it has said anything.
+    heard_at: Cell<Millis>,
+    spoke: Cell<bool>,
+    /// What it said.
+    said: RefCell<Heard>,
 }
 
 impl Peer {
@@ -80,28 +109,59 @@
     }
 
     /// Bytes have come.
-    fn heard(&self, now: Millis) {
+    fn heard(&self, now: Millis, bytes: &[u8]) {
         self.asked.set(false);
+        // A client may take its time before it begins; but an end is owed within 3 s of its coming.
+        if !self.spoke.replace(true) {
+            self.since.set(now.min(self.since.get() + LATE_START));
+        }
+        self.heard_at.set(now);
+        self.said.borrow_mut().push(bytes);
         match self.phase.get() {
             Phase::Idle => self.enter(Phase::Reading, now),
             Phase::Busy | Phase::Writing => self.ahead.set(true),
-            Phase::Reading => {}
+            Phase::Reading | Phase::Uploading | Phase::Passing | Phase::Draining => {}
+        }
+    }
+
+    /// The body that was coming is whole, or will never be.
+    fn uploaded(&self, now: Millis) {
+        self.uploading.set(false);
+        match self.phase.get() {
+            Phase::Uploading | Phase::Passing => self.enter(Phase::Busy, now),
+            Phase::Draining => self.enter(Phase::Idle, now),
+            _ => {}
+        }
+    }
+
+    /// Some of an answer has been taken.
+    fn wrote(&self, now: Millis) {
+        if self.phase.get() == Phase::Writing {
+            self.since.set(now);
         }
     }
 
     /// All that was written has gone out.
     fn flushed(&self, now: Millis) {
-        if self.phase.get() == Phase::Writing {
-            let next = if self.ahead.take() { Phase::Reading } else { Phase::Idle };
-            self.enter(next, now);
+        if self.phase.get() != Phase::Writing || self.streaming.get() {
+            return;
+        }
+        if self.uploading.get() {
+            self.enter(Phase::Draining, now);
+        } else if self.ahead.take() {
+            self.enter(Phase::Reading, now);
+        } else {
+            self.said.borrow_mut().forget();
+            self.enter(Phase::Idle, now);
         }
     }
 
     fn limit(&self) -> Millis {
         match self.phase.get() {
+            Phase::Writing if self.streaming.get() => STREAM_STALL,
             Phase::Reading | Phase::Writing => WHOLE_WITHIN,
             // The engine sees to it that a request is answered in its time.
-            Phase::Busy => f64::INFINITY,
+            Phase::Busy | Phase::Uploading | Phase::Passing | Phase::Draining => f64::INFINITY,
             Phase::Idle => KEEP_IDLE,
         }
     }
@@ -117,16 +177,18 @@
         self.leave.notify_one();
     }
 
-    /// How readily it gives way to a new connection, or none if it may not: first those that began nothing
-    /// or do not get on, then those between two requests, each by age.
-    fn gives_way(&self, now: Millis) -> Option<(u8, Millis)> {
-        let since = self.since.get();
+    /// How readily it gives way to a new connection, by how long it has been silent; none if it may not. One that writes
+    /// slowly gets on, one that stopped half way or asked once and stayed does not, and one that never said anything is
+    /// worth the least. A newcomer's first words are waited for, if anything else can go.
+    fn gives_way(&self, now: Millis) -> Option<f64> {
+        let silent = now - self.heard_at.get();
         match self.phase.get() {
             _ if self.asked.get() => None,
-            Phase::Busy | Phase::Writing => None,
-            Phase::Reading if now - since > FIRST_WORDS => Some((0, since)),
-            Phase::Idle => Some((1, since)),
-            Phase::Reading => Some((2, since)),
+            Phase::Busy | Phase::Writing | Phase::Passing => None,
+            Phase::Reading | Phase::Uploading if silent <= FIRST_WORDS => Some(silent - FIRST_WORDS),
+            Phase::Reading if self.spoke.get() => Some(silent),
+            Phase::Reading => Some(silent * NEVER_SPOKE),
+            Phase::Idle | Phase::Draining | Phase::Uploading => Some(silent),
         }
     }
 }
@@ -141,6 +203,7 @@
 
 impl AsyncRead for Watched {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
         loop {
             ready!(self.stream.poll_read_ready(cx))?;
             match self.stream.try_read_buf(buf) {
@@ -148,7 +211,7 @@
                 Err(e) => return Poll::Ready(Err(e)),
                 Ok(0) => return Poll::Ready(Ok(())),
                 Ok(_) => {
-                    self.peer.heard(self.engine.now());
+                    self.peer.heard(self.engine.now(), &buf.filled()[before..]);
                     return Poll::Ready(Ok(()));
                 }
             }
@@ -194,7 +257,10 @@
             ready!(self.stream.poll_write_ready(cx))?;
             match how(&self.stream) {
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                done => return Poll::Ready(done),
+                done => {
+                    self.peer.wrote(self.engine.now());
+                    return Poll::Ready(done);
+                }
             }
         }
     }
@@ -213,8 +279,8 @@
     peers: RefCell<HashMap<u64, Rc<Peer>>>,
     ids: OpenIds,
     most: Cell<usize>,
-    /// What `most` is while this process is the whole limiter.
-    whole: usize,
+    /// For the bodies of requests.
+    rooms: Rooms,
     next: Cell<u64>,
     stopping: Cell<bool>,
     /// New connections are taken.
@@ -227,15 +293,15 @@
 }
 
 impl Front {
-    /// A front that holds `most` connections at most.
-    pub fn new(engine: Rc<Engine<Http1>>, most: usize, come_back: ComeBack) -> Rc<Self> {
+    /// A front that stays within its parts of the budget.
+    pub fn new(engine: Rc<Engine<Http1>>, budget: Budget, come_back: ComeBack) -> Rc<Self> {
         Rc::new(Front {
             engine,
             come_back,
             peers: RefCell::default(),
             ids: OpenIds::default(),
-            most: Cell::new(most),
-            whole: most,
+            most: Cell::new(budget.clients),
+            rooms: Rooms::new(budget.uploads_kib),
             next: Cell::new(0),
             stopping: Cell::new(false),
             taking: Cell::new(true),
@@ -280,10 +346,9 @@
     fn make_room(&self) -> bool {
         let (peers, now) = (self.peers.borrow(), self.engine.now());
         let able = peers.values().filter(|p| !p.over.get()).filter_map(|p| Some((p.gives_way(now)?, p)));
-        let least = able.min_by(|(a, _), (b, _)| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
-        match least {
+        match able.max_by(|(a, _), (b, _)| a.total_cmp(b)) {
             // Between two requests it is asked, so that one which has just come in is not lost.
-            Some(((1, _), peer)) => peer.ask_to_leave(),
+            Some((_, peer)) if peer.phase.get() == Phase::Idle => peer.ask_to_leave(),
             Some((_, peer)) => peer.drop_now(),
             None => return false,
         }
@@ -312,9 +377,10 @@
         self.turned.notify_one();
     }
 
-    /// Connections stay within this part of the limits; those over it give way, from the idlest on.
-    pub fn use_part(&self, part: f64) {
-        self.most.set(((self.whole as f64 * part) as usize).max(1));
+    /// From now on stays within its parts of this budget; connections over it give way, from the idlest on.
+    pub fn use_no_more_than(&self, budget: Budget) {
+        self.most.set(budget.clients);
+        self.rooms.resize(budget.uploads_kib);
         for _ in self.most.get()..self.peers.borrow().len() {
             self.make_room();
         }
@@ -344,6 +410,11 @@
             ahead: Cell::new(false),
             leave: Notify::new(),
             asked: Cell::new(false),
+            uploading: Cell::new(false),
+            streaming: Cell::new(false),
+            heard_at: Cell::new(self.engine.now()),
+            spoke: Cell::new(false),
+            said: RefCell::default(),
             over: Cell::new(false),
         });
         let _listed = Listed::new(self.clone(), number, peer.clone());
@@ -352,7 +423,7 @@
             async move {
                 let answer = front.answer(request, &peer).await;
                 peer.enter(Phase::Writing, front.engine.now());
-                Ok::<_, Infallible>(answer)
+                Ok::<_, Infallible>(answer.map(|body| Given::new(body, peer)))
             }
         });
         let stream = Rc::new(stream);
@@ -367,8 +438,9 @@
                     if peer.over.get() {
                         return;
                     }
-                    // A request that has arrived is read and answered first.
-                    if !unread(&stream) {
+                    // A request that has arrived, or has begun to, is read and answered first.
+                    let begun = peer.phase.get() == Phase::Reading && peer.spoke.get();
+                    if !(begun || unread(&stream)) {
                         connection.as_mut().graceful_shutdown();
                     }
                 }
@@ -376,11 +448,14 @@
         }
     }
 
-    async fn answer(&self, request: Request<Incoming>, peer: &Peer) -> Response<Full<Bytes>> {
+    async fn answer(&self, request: Request<Incoming>, peer: &Rc<Peer>) -> Response<Body> {
         let mut response = match self.handle(request, peer).await {
             Ok(response) => response,
             // What stands behind a request that cannot be used may be anything.
-            Err(bad) => closing(respond::rejected(bad)),
+            Err(bad) => {
+                tracing::debug!(status = bad.status.as_u16(), "turned away: {}", bad.why.trim_end());
+                closing(respond::rejected(bad))
+            }
         };
         // Where none can give way, a connection that is kept would lock out the clients that wait for one.
         if self.stopping.get() || self.crowded.get() {
@@ -390,13 +465,9 @@
     }
 
     /// Answers one request; the error is an answer too, to what is none of the limiter's work.
-    async fn handle(
-        &self,
-        request: Request<Incoming>,
-        peer: &Peer,
-    ) -> Result<Response<Full<Bytes>>, Rejection> {
+    async fn handle(&self, request: Request<Incoming>, peer: &Rc<Peer>) -> Result<Response<Body>, Rejection> {
         let (mut head, body) = request.into_parts();
-        framing(&head.headers)?;
+        framing(&head.headers, peer)?;
         // Judged before its body is read: nothing is kept for what is turned away.
         if head.uri.path() == "/healthz" {
             peer.enter(Phase::Busy, self.engine.now());
@@ -412,18 +483,19 @@
         // Its body may take seconds, and the settings may change meanwhile.
         request.rules = revision.rules(request.class);
         let headers = classify::headers_on(&head.headers);
-        let body = read_body(body).await?;
-        if head.method == Method::GET && !body.is_empty() {
+        let (body, room) = self.receive(body, peer).await?;
+        if head.method == Method::GET && !matches!(&body, Upload::Whole(bytes) if bytes.is_empty()) {
             return Err(Rejection::bad("no body is wanted\n"));
         }
+        request.uploading = body.is_stream();
         // A server is asked by path and query, however the client put it.
         if let (Some(_), Some(path)) = (head.uri.scheme(), head.uri.path_and_query()) {
             head.uri = path.clone().into();
         }
         let id = classify::single(&headers, &classify::CORRELATION)?.unwrap_or_default();
         let _held = self.ids.hold(id)?;
-        let forward = Forward { method: head.method, uri: head.uri, headers: headers.clone(), body };
-        peer.enter(Phase::Busy, self.engine.now());
+        let forward = Forward { method: head.method, uri: head.uri, headers: headers.clone(), body, room };
+        peer.enter(if request.uploading { Phase::Passing } else { Phase::Busy }, self.engine.now());
         let (sender, receiver) = oneshot::channel();
         // A client that has just left needs no answer.
         let reply = Box::new(move |answer| drop(sender.send(answer)));
@@ -436,7 +508,61 @@
         watch.answered = true;
         let ms = self.engine.now() - begun;
         span.in_scope(|| tracing::debug!(ms, outcome = answer.name(), "answered"));
-        Ok(respond::answered(answer, self.come_back, |body| Response::new(Full::new(body))))
+        Ok(respond::answered(answer, self.come_back, Response::new))
+    }
+
+    async fn receive(&self, body: Incoming, peer: &Rc<Peer>) -> Result<(Upload, Option<Room>), Rejection> {
+        peer.enter(Phase::Uploading, self.engine.now());
+        peer.uploading.set(true);
+        let length = if body.is_end_stream() { Some(0) } else { body.size_hint().exact() };
+        let room = tokio::time::timeout(ROOM_WITHIN, self.rooms.take(length)).await;
+        let room = room.map_err(|_| {
+            peer.uploading.set(false);
+            NO_ROOM
+        })?;
+        let (engine, uploading) = (self.engine.clone(), peer.clone());
+        let upload = receive::receive(body, move || uploading.uploaded(engine.now())).await;
+        // What could not be taken is answered, and its connection closed.
+        upload.map(|upload| (upload, room)).inspect_err(|_| peer.uploading.set(false))
+    }
+}
+
+/// An answer on its way to a client.
+struct Given {
+    body: Body,
+    peer: Rc<Peer>,
+}
+
+impl Given {
+    fn new(body: Body, peer: Rc<Peer>) -> Self {
+        peer.streaming.set(matches!(body, Body::Stream { .. }));
+        Given { body, peer }
+    }
+}
+
+impl Drop for Given {
+    fn drop(&mut self) {
+        self.peer.streaming.set(false);
+    }
+}
+
+impl HttpBody for Given {
+    type Data = Bytes;
+    type Error = Broken;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
     }
 }
 
@@ -480,35 +606,28 @@
     }
 }
 
-/// Turns away what can be read in two ways: a length beside a coding may hide a second request, and the
-/// parser keeps the coding only. A length is all that is taken.
-fn framing(headers: &HeaderMap) -> Result<(), Rejection> {
+/// Turns away what can be read in two ways, and may so hide a second request: a length beside a coding, or a coding
+/// beside `chunked`.
+fn framing(headers: &HeaderMap, peer: &Peer) -> Result<(), Rejection> {
     if headers.contains_key(TRANSFER_ENCODING) {
-        let why = "Content-Length is wanted, and no Transfer-Encoding\n";
-        return Err(Rejection { status: StatusCode::LENGTH_REQUIRED, why });
+        let coding = classify::single(headers, &TRANSFER_ENCODING)?.unwrap_or_default();
+        if !coding.trim().eq_ignore_ascii_case("chunked") {
+            return Err(Rejection {
+                status: StatusCode::NOT_IMPLEMENTED,
+                why: "no other coding than chunked\n",
+            });
+        }
+        // The parser does not show a length that stands behind the coding, so the bytes are looked at. The name of a
+        // request is its own.
+        let id = classify::single(headers, &classify::CORRELATION)?.unwrap_or_default();
+        if headers.contains_key(CONTENT_LENGTH) || !peer.said.borrow().has_no_length(id.as_bytes()) {
+            return Err(Rejection::bad("Content-Length beside Transfer-Encoding\n"));
+        }
     }
     classify::single(headers, &HOST).map(|_| ())
 }
 
-/// Reads a body whole; a refusal then never meets a client that is still sending.
-async fn read_body(body: Incoming) -> Result<Bytes, Rejection> {
-    if body.is_end_stream() {
-        return Ok(Bytes::new());
-    }
-    let too_long = Rejection { status: StatusCode::PAYLOAD_TOO_LARGE, why: "over 64 KiB\n" };
-    if body.size_hint().lower() > MOST_BODY as u64 {
-        return Err(too_long);
-    }
-    let span = Duration::from_secs_f64(WHOLE_WITHIN / 1000.0);
-    match tokio::time::timeout(span, Limited::new(body, MOST_BODY).collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(e)) if e.is::<LengthLimitError>() => Err(too_long),
-        Ok(Err(_)) => Err(Rejection::bad("the body is not whole\n")),
-        Err(_) => Err(Rejection { status: StatusCode::REQUEST_TIMEOUT, why: "the body takes too long\n" }),
-    }
-}
-
-fn closing(mut response: Response<Full<Bytes>>) -> Response<Full<Bytes>> {
+fn closing(mut response: Response<Body>) -> Response<Body> {
     response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     response
 }
--- /dev/null
+++ b/crates/daemon/src/front/receive.rs
@@ -0,0 +1,139 @@
+//! Bodies of clients' requests: read whole while they are small, else passed on as they come. Progress is judged, and
+//! not the time in all: a client may be slow, but must get on.
+
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::{Body as _, Incoming};
+use hyper::StatusCode;
+use oatbank_engine::body::{self, Broken, Feed, Upload, HELD, LONGEST};
+use oatbank_engine::classify::Rejection;
+use std::time::Duration;
+use tokio::time::{timeout, Instant};
+
+/// A client of which nothing comes for this long, while something is waited for, is given up; with the time for its
+/// head it is so within the 3 s that a bad client is owed an end in.
+const SILENCE: Duration = Duration::from_millis(2000);
+/// What a body may take in all: this long, and a second for so many bytes. A quarter of what slow clients reach.
+const GRACE: Duration = Duration::from_millis(3000);
+const LEAST_RATE: f64 = 16.0 * 1024.0;
+/// A server that takes nothing of a body for this long is given up.
+const STALL: Duration = Duration::from_secs(10);
+/// What comes of a body after its answer is read and thrown away while it gets on, for this long at most, so that a client
+/// which writes to the end before it reads gets its answer and keeps its connection.
+const LINGER: Duration = Duration::from_secs(30);
+
+const TOO_LONG: Rejection = Rejection { status: StatusCode::PAYLOAD_TOO_LARGE, why: "over 64 MiB\n" };
+const TOO_SLOW: Rejection =
+    Rejection { status: StatusCode::REQUEST_TIMEOUT, why: "the body takes too long\n" };
+
+/// What has come so far, against the time it took.
+struct Pace {
+    begun: Instant,
+    bytes: u64,
+}
+
+impl Pace {
+    fn new() -> Self {
+        Pace { begun: Instant::now(), bytes: 0 }
+    }
+
+    /// How long the next piece is waited for.
+    fn patience(&self) -> Duration {
+        let due = GRACE + Duration::from_secs_f64(self.bytes as f64 / LEAST_RATE);
+        SILENCE.min(due.saturating_sub(self.begun.elapsed()))
+    }
+
+    /// The next piece of a body; none at its end.
+    async fn next(&mut self, body: &mut Incoming) -> Result<Option<Bytes>, Broken> {
+        loop {
+            let Ok(frame) = timeout(self.patience(), body.frame()).await else { return Err(Broken::Stalled) };
+            let Some(frame) = frame else { return Ok(None) };
+            // Trailers say nothing that is passed on.
+            let Ok(piece) = frame.map_err(|_| Broken::Left)?.into_data() else { continue };
+            self.bytes += piece.len() as u64;
+            if self.bytes > LONGEST {
+                return Err(Broken::TooLong);
+            }
+            return Ok(Some(piece));
+        }
+    }
+}
+
+fn rejection(why: Broken) -> Rejection {
+    match why {
+        Broken::Left | Broken::Spent => Rejection::bad("the body is not whole\n"),
+        Broken::Stalled => TOO_SLOW,
+        Broken::TooLong => TOO_LONG,
+    }
+}
+
+/// Reads a body whole if it is short, and begins to pass it on if it is not. `whole` is called once its last byte has
+/// come, or it will not.
+///
+/// # Errors
+/// When it is too long, does not get on, or breaks off before it is known to be long.
+pub async fn receive(mut body: Incoming, whole: impl FnOnce() + 'static) -> Result<Upload, Rejection> {
+    if body.is_end_stream() {
+        whole();
+        return Ok(Upload::Whole(Bytes::new()));
+    }
+    let length = body.size_hint().exact();
+    if length.is_some_and(|l| l > LONGEST) {
+        return Err(TOO_LONG);
+    }
+    let mut pace = Pace::new();
+    let (mut first, mut all) = (Bytes::new(), BytesMut::new());
+    while pace.bytes <= HELD as u64 {
+        let Some(piece) = pace.next(&mut body).await.map_err(rejection)? else {
+            whole();
+            return Ok(Upload::Whole(if all.is_empty() { first } else { all.freeze() }));
+        };
+        // What came in one piece, as most does, is not copied.
+        if first.is_empty() && all.is_empty() {
+            first = piece;
+        } else {
+            if all.is_empty() {
+                all.extend_from_slice(&std::mem::take(&mut first));
+            }
+            all.extend_from_slice(&piece);
+        }
+    }
+    let held = if all.is_empty() { first } else { all.freeze() };
+    let (feed, rest) = body::pieces();
+    tokio::task::spawn_local(async move {
+        pass_on(body, pace, feed).await;
+        whole();
+    });
+    Ok(Upload::stream(held, length, rest))
+}
+
+/// Passes a body on as it comes, no faster than it is taken.
+async fn pass_on(mut body: Incoming, mut pace: Pace, feed: Feed) {
+    loop {
+        let piece = tokio::select! {
+            piece = pace.next(&mut body) => piece,
+            () = feed.closed() => return linger(body, pace).await,
+        };
+        let piece = match piece {
+            Ok(Some(piece)) => piece,
+            Ok(None) => return,
+            // Who takes it hears why, unless it has given up.
+            Err(why) => return drop(feed.send(Err(why)).await),
+        };
+        let waits = Instant::now();
+        match timeout(STALL, feed.send(Ok(piece))).await {
+            Ok(Ok(())) => {}
+            Ok(Err(_)) => return linger(body, pace).await,
+            // The server's end of it closes with the channel.
+            Err(_) => return,
+        }
+        // Not the client's delay.
+        pace.begun += waits.elapsed();
+    }
+}
+
+/// Takes the rest of a body whose request has been answered.
+async fn linger(mut body: Incoming, mut pace: Pace) {
+    let end = Instant::now() + LINGER;
+    while let Ok(Ok(Some(_))) = tokio::time::timeout_at(end, pace.next(&mut body)).await {}
+}
--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -1,9 +1,9 @@
 //! The platform's configuration: the file that `PROXY_CONFIG` names.
 
-use crate::control::Control;
+use crate::control::{self, Control};
 use crate::reload;
 use crate::serve::{on_one_thread, Limits, Plan, Serving, Signals};
-use crate::upgrade::Upgrade;
+use crate::upgrade::{self, Upgrade};
 use oatbank_engine::counters::text::TextCounter;
 use oatbank_engine::engine::{Engine, Names, Setup};
 use oatbank_engine::members::agent::{self, ServerList};
@@ -119,6 +119,7 @@
             connect_timeout: ceiling("connect_timeout", 250.0),
             come_back: ComeBack::Decimal,
             passed: None,
+            others: 0,
         };
         let File { discovery, counter, known, control, .. } = file;
         Ok(Config { plan, discovery, counter, known, control, form })
@@ -132,6 +133,9 @@
 pub fn run(path: String) -> Result<(), String> {
     let mut config = Config::load(&path).map_err(|e| e.to_string())?;
     config.plan.passed = passed()?;
+    config.plan.others = if config.plan.passed.is_some() { upgrade::DESCRIPTORS } else { 0 };
+    config.control = control_address(&config).map_err(|e| e.to_string())?;
+    config.plan.others += if config.control.is_some() { control::MOST_CALLERS + 1 } else { 0 };
     on_one_thread(async move { serve(config, path).await.map_err(|e| e.to_string()) })
 }
 
@@ -154,12 +158,12 @@
     });
     let upgrades = config.plan.passed.is_some();
     engine.hold(upgrades);
-    let control = match control(&config)? {
+    let control = match config.control {
         Some(address) => Some(Control::start(address, engine.clone())?),
         None => None,
     };
     let serving = Serving::start(&config.plan, engine.clone())?;
-    let upgrade = if upgrades { hand_over(&engine, &serving, control).await } else { None };
+    let upgrade = if upgrades { hand_over(&engine, &serving, control, config.plan).await } else { None };
     let mut taken = config.form;
     signals.until_stop(|| reload(&path, &mut taken, &engine, &counter, &mut following)).await;
     serving.stop(upgrade.is_some_and(|u| u.has_yielded())).await;
@@ -206,9 +210,11 @@
     engine: &Rc<Engine<Http1>>,
     serving: &Serving,
     control: Option<Rc<Control>>,
+    plan: Plan,
 ) -> Option<Rc<Upgrade>> {
     serving.front().take_clients(false);
-    match Upgrade::start(engine.clone(), serving.front()).await {
+    let budget = Box::new(move |part| plan.budget(part));
+    match Upgrade::start(engine.clone(), serving.front(), budget).await {
         Ok(upgrade) => {
             if let Some(control) = control {
                 control.tell_others(upgrade.clone());
@@ -225,7 +231,7 @@
 }
 
 /// Where operators call: what the environment names, else what the file does.
-fn control(config: &Config) -> std::io::Result<Option<SocketAddr>> {
+fn control_address(config: &Config) -> std::io::Result<Option<SocketAddr>> {
     let Ok(named) = std::env::var("PROXY_CONTROL") else { return Ok(config.control) };
     let unreadable = |e| {
         let why =
--- a/crates/daemon/src/serve.rs
+++ b/crates/daemon/src/serve.rs
@@ -6,6 +6,7 @@
 use oatbank_engine::respond::ComeBack;
 use oatbank_engine::supervise::keep_running;
 use oatbank_engine::upstreams::http1::{Connections, Http1};
+use oatbank_operations::budget::{self, Budget};
 use serde::Deserialize;
 use socket2::SockRef;
 use std::future::Future;
@@ -18,18 +19,6 @@
 use tokio::task::AbortHandle;
 use topazwind::interface::Millis;
 
-/// Descriptors kept for all that is neither a client's nor a server's connection: the counter's (twice while it
-/// moves), discovery's, the listener and the runtime's own.
-const SPARE_SOCKETS: usize = 24;
-/// Share of the rest that goes to clients; servers get what is left. Clients hold a third of all at most for
-/// requests, and each request may need a server's connection, and a second copy another.
-const CLIENT_SHARE: f64 = 0.5;
-/// Memory that connections may take in the worst case, as a share of the limit, and what one of each kind
-/// may take, MB: its buffers, a request's and an answer's body.
-const MEMORY_SHARE: f64 = 0.6;
-const CONNECTION_MB: f64 = 0.16;
-/// Connections of both kinds stay under this, however many descriptors there are: bounds their memory.
-const MOST_CONNECTIONS: usize = 4096;
 /// Connections that may wait to be accepted.
 const BACKLOG: u32 = 1024;
 /// After SIGTERM new connections still come for up to 0.4 s.
@@ -83,6 +72,16 @@
     pub come_back: ComeBack,
     /// A listening socket that was handed over, in place of one at `listen`.
     pub passed: Option<RawFd>,
+    /// Descriptors that what else is switched on may take.
+    pub others: usize,
+}
+
+impl Plan {
+    /// What this process may take, by purpose, while it is this part of the limiter.
+    pub fn budget(&self, part: f64) -> Budget {
+        let limits = budget::Limits { sockets: self.limits.sockets, memory_mb: self.limits.memory_mb };
+        Budget::divide(limits, self.others, part)
+    }
 }
 
 /// The signals that a serving process follows.
@@ -129,9 +128,13 @@
 impl Serving {
     /// Builds the engine and starts it; it takes no request yet.
     pub fn engine(plan: &Plan, clock: Rc<dyn Clock>) -> Rc<Engine<Http1>> {
-        let sockets = most_connections(plan.limits);
-        let most = sockets - clients(sockets);
-        let connections = Connections { idle: plan.conn_idle, connect_timeout: plan.connect_timeout, most };
+        let budget = plan.budget(1.0);
+        let connections = Connections {
+            idle: plan.conn_idle,
+            connect_timeout: plan.connect_timeout,
+            most: budget.servers,
+            bodies_kib: budget.answers_kib,
+        };
         let upstream = Http1::new(clock.clone(), connections, plan.setup.names.report.clone());
         let engine = Engine::new(&plan.setup, clock, upstream);
         engine.start();
@@ -143,7 +146,7 @@
     /// # Errors
     /// When the address cannot be had.
     pub fn start(plan: &Plan, engine: Rc<Engine<Http1>>) -> std::io::Result<Self> {
-        let front = Front::new(engine.clone(), clients(most_connections(plan.limits)), plan.come_back);
+        let front = Front::new(engine.clone(), plan.budget(1.0), plan.come_back);
         let listener = Rc::new(match plan.passed {
             Some(descriptor) => adopt(descriptor)?,
             None => bind(plan.listen)?,
@@ -208,16 +211,6 @@
     local.block_on(&runtime, serving).map_err(|e| e.to_string())?
 }
 
-/// Connections to clients and servers together that the limits bear.
-fn most_connections(limits: Limits) -> usize {
-    let held = (limits.memory_mb * MEMORY_SHARE / CONNECTION_MB).max(0.0) as usize;
-    limits.sockets.saturating_sub(SPARE_SOCKETS).min(held).clamp(16, MOST_CONNECTIONS)
-}
-
-fn clients(connections: usize) -> usize {
-    (connections as f64 * CLIENT_SHARE) as usize
-}
-
 /// Answers what was taken, and fails what is left at `end`.
 async fn finish(engine: &Rc<Engine<Http1>>, front: &Rc<Front>, end: Instant) {
     front.close_idle();
--- a/crates/daemon/src/standalone.rs
+++ b/crates/daemon/src/standalone.rs
@@ -116,6 +116,7 @@
         connect_timeout: config.connect_timeout,
         come_back: ComeBack::Standard,
         passed: None,
+        others: 0,
     }
 }
 
--- a/crates/daemon/src/upgrade.rs
+++ b/crates/daemon/src/upgrade.rs
@@ -9,6 +9,7 @@
 use oatbank_engine::engine::Engine;
 use oatbank_engine::supervise::keep_running;
 use oatbank_engine::upstreams::http1::Http1;
+use oatbank_operations::budget::Budget;
 use oatbank_operations::handover::{Do, Handover, PeerId, Say, Ticket};
 use oatbank_operations::suspension::{Marks, Millis};
 use std::cell::{Cell, RefCell};
@@ -28,6 +29,8 @@
 const SOCKET: &str = "oatbank.sock";
 /// What operators have said.
 const MARKS: &str = "oatbank-suspensions.json";
+/// Descriptors that meeting other processes takes: the folder, the listener, and two that are met at once.
+pub const DESCRIPTORS: usize = 6;
 /// Longest message and longest file that are read: far above what all marks take.
 const MOST_BYTES: u64 = 16 * 1024 * 1024;
 /// Messages that may wait for another process; one that takes none is let go.
@@ -89,6 +92,8 @@
     engine: Rc<Engine<Http1>>,
     front: Rc<Front>,
     folder: Folder,
+    /// What a part of the limiter may take.
+    budget: Box<dyn Fn(f64) -> Budget>,
     handover: RefCell<Handover>,
     /// Ways to the other processes.
     peers: RefCell<HashMap<PeerId, mpsc::Sender<Say>>>,
@@ -105,7 +110,11 @@
     ///
     /// # Errors
     /// When `$TMPDIR` cannot be used; the process is then a limiter of its own.
-    pub async fn start(engine: Rc<Engine<Http1>>, front: Rc<Front>) -> std::io::Result<Rc<Self>> {
+    pub async fn start(
+        engine: Rc<Engine<Http1>>,
+        front: Rc<Front>,
+        budget: Box<dyn Fn(f64) -> Budget>,
+    ) -> std::io::Result<Rc<Self>> {
         let folder = Folder::open()?;
         match folder.read() {
             Ok(marks) => engine.merge(&marks),
@@ -119,6 +128,7 @@
             engine,
             front,
             folder,
+            budget,
             handover,
             peers: RefCell::default(),
             next: Cell::new(1),
@@ -203,8 +213,9 @@
                 self.engine.hold(false);
             }
             Do::Part(part) => {
-                self.engine.use_part(part);
-                self.front.use_part(part);
+                let budget = (self.budget)(part);
+                self.engine.use_part(part, budget);
+                self.front.use_no_more_than(budget);
             }
             Do::Settled => tracing::info!("upgrade: {} servers are out", self.out()),
             Do::Held(ticket) => {
--- /dev/null
+++ b/crates/engine/src/body.rs
@@ -0,0 +1,458 @@
+//! Bodies: held whole while they are small, and passed on piece by piece where they are not.
+//!
+//! A stream's pieces wait in a channel of [`PIECES`] at most: whoever reads slowly holds up whoever writes, and the
+//! window of a stream is bounded whatever its length. A small body is held so that it can be sent, or answered, again.
+
+use bytes::{Bytes, BytesMut};
+use http_body::{Body as HttpBody, Frame, SizeHint};
+use oatbank_operations::budget::{SMALL, STREAM_KIB};
+use std::cell::Cell;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::task::{ready, Context, Poll};
+use tokio::sync::{mpsc, OwnedSemaphorePermit, Semaphore};
+
+/// A body up to this is held whole; of a longer one the start, until the rest is asked for.
+pub const HELD: usize = 64 * 1024;
+/// Longest body that is passed on, bytes: twice what users announced.
+pub const LONGEST: u64 = 64 * 1024 * 1024;
+/// Pieces of a stream that wait for its reader. Each is what one read brought, 16 KiB at most.
+pub const PIECES: usize = 2;
+
+/// Room for bodies: what they may take of the memory together. Whoever finds none waits, in turn.
+#[derive(Clone, Debug)]
+pub struct Rooms {
+    kib: Arc<Semaphore>,
+    /// How much there is in all.
+    most: Rc<Cell<usize>>,
+}
+
+/// Room that a body has, until it is dropped.
+#[derive(Debug)]
+pub struct Room {
+    _permit: OwnedSemaphorePermit,
+}
+
+impl Rooms {
+    /// Room for so many KiB.
+    pub fn new(kib: usize) -> Self {
+        Rooms { kib: Arc::new(Semaphore::new(kib)), most: Rc::new(Cell::new(kib)) }
+    }
+
+    /// From now on there is room for so many KiB; what is taken stays taken until it is given back.
+    pub fn resize(&self, kib: usize) {
+        let before = self.most.replace(kib);
+        if kib >= before {
+            self.kib.add_permits(kib - before);
+        } else {
+            let less = before - kib;
+            let gone = self.kib.forget_permits(less);
+            // What is taken now cannot be taken away: the rest counts as there until the next change.
+            self.most.set(kib + (less - gone));
+        }
+    }
+
+    /// Waits for room for a body of so many bytes, or for a stream's window where it is longer or not known. A small body
+    /// has its room with its connection.
+    pub async fn take(&self, length: Option<u64>) -> Option<Room> {
+        let kib = match length {
+            Some(length) if length <= SMALL as u64 => return None,
+            Some(length) if length <= HELD as u64 => length as usize / 1024 + 1,
+            _ => STREAM_KIB,
+        };
+        // More than there is in all could never be had.
+        let kib = kib.min(self.most.get()).max(1) as u32;
+        // The semaphore is never closed.
+        self.kib.clone().acquire_many_owned(kib).await.ok().map(|permit| Room { _permit: permit })
+    }
+}
+
+/// Why a body has ended before it was whole.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Broken {
+    /// Its sender has left, or broke the rules of HTTP.
+    Left,
+    /// It did not get on for so long that it was given up.
+    Stalled,
+    /// It is longer than [`LONGEST`].
+    TooLong,
+    /// Part of it has gone to a server already and is held no more.
+    Spent,
+}
+
+impl std::fmt::Display for Broken {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(match self {
+            Broken::Left => "the body is not whole",
+            Broken::Stalled => "the body does not get on",
+            Broken::TooLong => "the body is too long",
+            Broken::Spent => "the body is held no more",
+        })
+    }
+}
+
+impl std::error::Error for Broken {}
+
+/// The pieces of a stream.
+pub type Pieces = mpsc::Receiver<Result<Bytes, Broken>>;
+
+/// Where the pieces of a stream are put.
+pub type Feed = mpsc::Sender<Result<Bytes, Broken>>;
+
+/// A stream's two ends.
+pub fn pieces() -> (Feed, Pieces) {
+    mpsc::channel(PIECES)
+}
+
+/// The body of an answer.
+#[derive(Debug)]
+pub enum Body {
+    /// All of it.
+    Whole(Bytes),
+    /// It begins with these bytes; the rest comes.
+    Stream {
+        /// What has come so far.
+        held: Bytes,
+        /// How many bytes it has in all, where that is told.
+        length: Option<u64>,
+        /// What is still to come.
+        rest: Pieces,
+        /// Its room.
+        room: Option<Room>,
+    },
+}
+
+impl Body {
+    /// A body that is all there, and has room.
+    pub fn held(bytes: Bytes, room: Option<Room>) -> Self {
+        if room.is_none() {
+            return Body::Whole(bytes);
+        }
+        let (_, rest) = pieces();
+        Body::Stream { length: Some(bytes.len() as u64), held: bytes, rest, room }
+    }
+
+    /// All of the body, if it is there.
+    pub fn whole(&self) -> Option<&Bytes> {
+        match self {
+            Body::Whole(bytes) => Some(bytes),
+            Body::Stream { .. } => None,
+        }
+    }
+
+    /// Waits for all of the body.
+    ///
+    /// # Errors
+    /// When it breaks off, or is longer than `most` bytes.
+    pub async fn collect(self, most: usize) -> Result<Bytes, Broken> {
+        match self {
+            Body::Whole(bytes) if bytes.len() > most => Err(Broken::TooLong),
+            Body::Whole(bytes) => Ok(bytes),
+            Body::Stream { held, mut rest, .. } => {
+                let mut all = BytesMut::from(&held[..]);
+                while let Some(piece) = rest.recv().await {
+                    all.extend_from_slice(&piece?);
+                    if all.len() > most {
+                        return Err(Broken::TooLong);
+                    }
+                }
+                Ok(all.freeze())
+            }
+        }
+    }
+}
+
+impl Default for Body {
+    fn default() -> Self {
+        Body::Whole(Bytes::new())
+    }
+}
+
+impl From<Bytes> for Body {
+    fn from(bytes: Bytes) -> Self {
+        Body::Whole(bytes)
+    }
+}
+
+impl From<&'static str> for Body {
+    fn from(text: &'static str) -> Self {
+        Body::Whole(Bytes::from(text))
+    }
+}
+
+impl HttpBody for Body {
+    type Data = Bytes;
+    type Error = Broken;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
+        match &mut *self {
+            Body::Whole(bytes) if bytes.is_empty() => Poll::Ready(None),
+            Body::Whole(bytes) => Poll::Ready(Some(Ok(Frame::data(std::mem::take(bytes))))),
+            Body::Stream { held, .. } if !held.is_empty() => {
+                Poll::Ready(Some(Ok(Frame::data(std::mem::take(held)))))
+            }
+            Body::Stream { rest, .. } => rest.poll_recv(cx).map(|piece| piece.map(|p| p.map(Frame::data))),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, Body::Whole(bytes) if bytes.is_empty())
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Body::Whole(bytes) => SizeHint::with_exact(bytes.len() as u64),
+            // Asked before the first piece is taken.
+            Body::Stream { length: Some(length), .. } => SizeHint::with_exact(*length),
+            Body::Stream { held, .. } => {
+                let mut hint = SizeHint::new();
+                hint.set_lower(held.len() as u64);
+                hint
+            }
+        }
+    }
+}
+
+/// The body of a request, for as many attempts as it can be sent in.
+#[derive(Debug)]
+pub enum Upload {
+    /// Held whole: it can be sent again.
+    Whole(Bytes),
+    /// Its start is held until an attempt asks for the rest; after that it cannot be sent again.
+    Stream {
+        /// The start.
+        held: Bytes,
+        /// How many bytes it has in all, where that is told.
+        length: Option<u64>,
+        /// The rest, until an attempt takes it.
+        rest: Mutex<Option<Pieces>>,
+    },
+}
+
+impl Upload {
+    /// A body whose start is held and whose rest is coming.
+    pub fn stream(held: Bytes, length: Option<u64>, rest: Pieces) -> Self {
+        Upload::Stream { held, length, rest: Mutex::new(Some(rest)) }
+    }
+
+    /// Whether the body is still coming.
+    pub fn is_stream(&self) -> bool {
+        matches!(self, Upload::Stream { .. })
+    }
+
+    fn take_rest(&self) -> Option<Pieces> {
+        match self {
+            Upload::Whole(_) => None,
+            // The one change made under the lock is whole.
+            Upload::Stream { rest, .. } => rest.lock().unwrap_or_else(PoisonError::into_inner).take(),
+        }
+    }
+}
+
+impl From<Bytes> for Upload {
+    fn from(bytes: Bytes) -> Self {
+        Upload::Whole(bytes)
+    }
+}
+
+/// How far the body of an attempt has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Progress {
+    /// More than is held has been asked for: no other attempt can send this body.
+    Spent,
+    /// Its last byte is about to be written: from now on the request may run.
+    Sent,
+}
+
+/// What an attempt knows of its body.
+#[derive(Debug, Default)]
+pub struct Gone {
+    /// The last byte has been handed over.
+    pub sent: Cell<bool>,
+    /// The rest could not be had from the client.
+    pub failed: Cell<bool>,
+}
+
+/// One attempt's sending of an [`Upload`].
+pub struct Sending<Q> {
+    request: Arc<Q>,
+    upload: fn(&Q) -> &Upload,
+    begun: bool,
+    rest: Option<Pieces>,
+    left: Option<u64>,
+    tell: Rc<dyn Fn(Progress)>,
+    gone: Rc<Gone>,
+}
+
+impl<Q> Sending<Q> {
+    /// Sends the body that `upload` finds in the request; `tell` hears how far a stream has come.
+    pub fn new(
+        request: Arc<Q>,
+        upload: fn(&Q) -> &Upload,
+        tell: Rc<dyn Fn(Progress)>,
+        gone: Rc<Gone>,
+    ) -> Self {
+        let left = match upload(&request) {
+            Upload::Whole(bytes) => Some(bytes.len() as u64),
+            Upload::Stream { length, .. } => *length,
+        };
+        Sending { request, upload, begun: false, rest: None, left, tell, gone }
+    }
+
+    /// A piece goes out; with the last one the body is sent.
+    fn out(&mut self, piece: Bytes) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
+        if let Some(left) = &mut self.left {
+            *left = left.saturating_sub(piece.len() as u64);
+            if *left == 0 {
+                self.sent();
+            }
+        }
+        Poll::Ready(Some(Ok(Frame::data(piece))))
+    }
+
+    fn sent(&self) {
+        if !self.gone.sent.replace(true) && (self.upload)(&self.request).is_stream() {
+            (self.tell)(Progress::Sent);
+        }
+    }
+
+    fn fails(&self, why: Broken) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
+        self.gone.failed.set(true);
+        Poll::Ready(Some(Err(why)))
+    }
+}
+
+impl<Q> HttpBody for Sending<Q> {
+    type Data = Bytes;
+    type Error = Broken;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
+        let this = &mut *self;
+        if !this.begun {
+            this.begun = true;
+            let held = match (this.upload)(&this.request) {
+                Upload::Whole(bytes) => bytes.clone(),
+                Upload::Stream { held, .. } => held.clone(),
+            };
+            if !held.is_empty() {
+                return this.out(held);
+            }
+        }
+        if !(this.upload)(&this.request).is_stream() || this.left == Some(0) {
+            this.sent();
+            return Poll::Ready(None);
+        }
+        if this.rest.is_none() {
+            let Some(rest) = (this.upload)(&this.request).take_rest() else {
+                return this.fails(Broken::Spent);
+            };
+            this.rest = Some(rest);
+            (this.tell)(Progress::Spent);
+        }
+        let Some(rest) = &mut this.rest else { return this.fails(Broken::Spent) };
+        match ready!(rest.poll_recv(cx)) {
+            Some(Ok(piece)) => this.out(piece),
+            Some(Err(why)) => this.fails(why),
+            None if this.left.is_some_and(|left| left > 0) => this.fails(Broken::Left),
+            None => {
+                this.sent();
+                Poll::Ready(None)
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.left == Some(0) && (self.begun || !(self.upload)(&self.request).is_stream())
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.left.map_or_else(SizeHint::new, SizeHint::with_exact)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use http_body_util::BodyExt;
+    use std::cell::RefCell;
+
+    fn runtime() -> tokio::runtime::Runtime {
+        tokio::runtime::Builder::new_current_thread().build().expect("a runtime")
+    }
+
+    type Told = Rc<RefCell<Vec<Progress>>>;
+
+    fn sending(upload: &Arc<Upload>) -> (Sending<Upload>, Told, Rc<Gone>) {
+        let (told, gone) = (Told::default(), Rc::new(Gone::default()));
+        let hears = told.clone();
+        let tell = Rc::new(move |p| hears.borrow_mut().push(p));
+        (Sending::new(upload.clone(), |u| u, tell, gone.clone()), told, gone)
+    }
+
+    #[test]
+    fn a_held_body_is_sent_as_often_as_it_is_asked_for() {
+        let upload = Arc::new(Upload::from(Bytes::from_static(b"abc")));
+        runtime().block_on(async {
+            for _ in 0..2 {
+                let (body, told, gone) = sending(&upload);
+                assert_eq!(body.size_hint().exact(), Some(3));
+                assert_eq!(body.collect().await.expect("a body").to_bytes(), "abc");
+                assert!(told.borrow().is_empty() && gone.sent.get());
+            }
+        });
+    }
+
+    #[test]
+    fn a_stream_is_spent_once_more_than_its_start_is_asked_for() {
+        for length in [None, Some(6)] {
+            let (feed, rest) = pieces();
+            let upload = Arc::new(Upload::stream(Bytes::from_static(b"abc"), length, rest));
+            runtime().block_on(async {
+                // Only the start: another attempt may still send it all.
+                let (mut body, told, gone) = sending(&upload);
+                assert!(body.frame().await.expect("a piece").is_ok());
+                assert!(told.borrow().is_empty() && !gone.sent.get());
+                let (body, told, gone) = sending(&upload);
+                feed.send(Ok(Bytes::from_static(b"def"))).await.expect("room");
+                drop(feed);
+                assert_eq!(body.collect().await.expect("a body").to_bytes(), "abcdef");
+                assert_eq!(*told.borrow(), [Progress::Spent, Progress::Sent]);
+                assert!(gone.sent.get());
+                let (body, _, gone) = sending(&upload);
+                assert!(matches!(body.collect().await, Err(Broken::Spent)));
+                assert!(gone.failed.get() && !gone.sent.get(), "its last byte never went out");
+            });
+        }
+    }
+
+    #[test]
+    fn a_body_that_ends_early_is_never_taken_for_whole() {
+        for (length, piece) in [(Some(7), Ok(Bytes::from_static(b"def"))), (None, Err(Broken::Left))] {
+            let (feed, rest) = pieces();
+            let upload = Arc::new(Upload::stream(Bytes::from_static(b"abc"), length, rest));
+            runtime().block_on(async {
+                let (body, _, gone) = sending(&upload);
+                feed.send(piece).await.expect("room");
+                drop(feed);
+                assert!(body.collect().await.is_err() && gone.failed.get() && !gone.sent.get());
+            });
+        }
+    }
+
+    #[test]
+    fn an_answer_that_breaks_off_is_told_as_broken() {
+        let (feed, rest) = pieces();
+        let body = Body::Stream { held: Bytes::from_static(b"abc"), length: None, rest, room: None };
+        runtime().block_on(async {
+            feed.send(Err(Broken::Stalled)).await.expect("room");
+            assert!(matches!(BodyExt::collect(body).await, Err(Broken::Stalled)));
+        });
+    }
+}
--- a/crates/engine/src/engine/book.rs
+++ b/crates/engine/src/engine/book.rs
@@ -43,6 +43,8 @@
     reply: Option<Reply<A>>,
     pub(super) request: Arc<Q>,
     pub(super) ends: Millis,
+    /// While its body is coming: how long its client waits from when that is whole, ms.
+    pub(super) left: Option<Millis>,
     /// Attempts it may have; 0: no limit.
     pub(super) most: u32,
     attempts: Vec<Attempt>,
@@ -57,6 +59,13 @@
         self.over() && self.attempts.iter().all(|a| !a.live)
     }
 
+    /// The time of an attempt that is out counts from now.
+    pub(super) fn begin_anew(&mut self, attempt: u8, now: Millis) {
+        if let Some(a) = self.attempts.get_mut(usize::from(attempt)) {
+            a.sent = now;
+        }
+    }
+
     /// Books a new attempt and gives its number.
     pub(super) fn begin(&mut self, server: ServerId, sent: Millis) -> usize {
         self.attempts.push(Attempt { server, sent, live: true });
@@ -92,8 +101,14 @@
         }
         let id = RequestId(self.next);
         self.next = self.next.wrapping_add(1);
-        let entry =
-            Entry { reply: Some(reply), request: Arc::new(request), ends, most, attempts: Vec::new() };
+        let entry = Entry {
+            reply: Some(reply),
+            request: Arc::new(request),
+            ends,
+            left: None,
+            most,
+            attempts: Vec::new(),
+        };
         self.entries.insert(id, entry);
         self.owing += 1;
         id
--- a/crates/engine/src/engine/core.rs
+++ b/crates/engine/src/engine/core.rs
@@ -8,6 +8,7 @@
 use super::fleet::Fleet;
 use super::timers::Timers;
 use super::{Names, Setup};
+use crate::body::Progress;
 use crate::ports::counter::{Call, CallEnd, CallId};
 use crate::ports::membership::News;
 use crate::ports::upstream::End;
@@ -27,6 +28,9 @@
 const CALL_PATIENCE: f64 = 4.0;
 /// A request of which the module has said nothing this long before its client leaves, ms, has failed.
 const LAST_CALL: Millis = 8.0;
+/// Longest time that a body may take to come, ms: the longest that is taken, at 64 kB a second. That it gets on is
+/// looked after where it is read.
+const LONGEST_UPLOAD: Millis = 1_050_000.0;
 
 /// What the shell is to do, in this order.
 pub(crate) enum Output<Q> {
@@ -154,6 +158,7 @@
     fn carry_out(&mut self, now: Millis, action: Action) {
         match action {
             Action::Send { id, server, timeout } => self.send(now, id, server, timeout),
+            Action::Await { id, attempt, timeout } => self.wait_for(now, id, attempt, timeout),
             Action::Refuse { id, retry_after } => self.answer(id, Answer::Refused(retry_after)),
             Action::Fail(id) => self.answer(id, Answer::Failed),
             Action::Cancel { id, attempt } => self.end(now, id, attempt, Outcome::Cancelled, Vec::new()),
@@ -173,10 +178,14 @@
         forward: Q,
         reply: Reply<A>,
     ) -> RequestId {
-        let ends = now + request.time_left;
+        let span = if request.uploading { LONGEST_UPLOAD } else { request.time_left };
+        let ends = now + span;
         let most = request.rules.as_ref().map_or(self.settings.max_attempts, |r| r.max_attempts);
         let id = self.book.open(forward, ends, most, reply);
         self.timers.arm(ends - LAST_CALL, Due::LastCall(id));
+        if let Some(entry) = self.book.get_mut(id).filter(|_| request.uploading) {
+            entry.left = Some(request.time_left);
+        }
         request.id = id;
         request.time_left = (request.time_left - WAY_BACK).max(1.0);
         self.feed(now, Event::Request(request));
@@ -238,6 +247,32 @@
         self.outputs.push_back(Output::Attempt { id, number, server, address, request, span });
     }
 
+    /// How far a body that is still coming has gone with an attempt.
+    pub(crate) fn progress(&mut self, now: Millis, id: RequestId, attempt: u8, progress: Progress) {
+        if !self.book.is_live(id, attempt) {
+            return;
+        }
+        if progress == Progress::Spent {
+            return self.feed(now, Event::Spent(id));
+        }
+        let Some(entry) = self.book.get_mut(id) else { return };
+        entry.begin_anew(attempt, now);
+        if let Some(left) = entry.left.take() {
+            entry.ends = now + left;
+            self.timers.arm(now + left - LAST_CALL, Due::LastCall(id));
+        }
+        self.feed(now, Event::Uploaded { id, attempt });
+    }
+
+    /// Waits so long for an attempt whose body has gone out.
+    fn wait_for(&mut self, now: Millis, id: RequestId, attempt: u8, timeout: Millis) {
+        if let Some(entry) = self.book.get_mut(id) {
+            let left = entry.ends - WAY_BACK - now;
+            let span = if timeout > 0.0 { timeout.min(left) } else { left };
+            self.timers.arm(now + span, Due::Attempt(id, attempt));
+        }
+    }
+
     /// An attempt has ended by itself; late results of ended ones are dropped.
     pub(crate) fn attempt_ended(&mut self, now: Millis, id: RequestId, attempt: u8, end: End<A>) {
         if !self.book.is_live(id, attempt) {
--- a/crates/engine/src/engine/mod.rs
+++ b/crates/engine/src/engine/mod.rs
@@ -18,6 +18,7 @@
 use crate::ports::upstream::{End, Job, Upstream};
 use crate::supervise::keep_running;
 use core::{Core, Output};
+use oatbank_operations::budget::Budget;
 use oatbank_operations::suspension::{Marks, NeverListed};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -190,10 +191,10 @@
         self.held.set(held);
     }
 
-    /// Uses this part of what the limiter may: another process uses the rest.
-    pub fn use_part(self: &Rc<Self>, part: f64) {
+    /// Uses this part of what is a limiter's own: another process uses the rest.
+    pub fn use_part(self: &Rc<Self>, part: f64, budget: Budget) {
         self.change(|core, now| core.use_part(now, part));
-        self.upstream.use_part(part);
+        self.upstream.use_no_more_than(budget.servers, budget.answers_kib);
     }
 
     /// From now on the limiter says that it can serve.
@@ -252,7 +253,11 @@
             Output::Attempt { id, number, server, address, request, span } => {
                 let asked = self.clone();
                 let may_send = Rc::new(move || asked.core.borrow().fleet().is_ready(server));
-                self.attempt(id, number, Job { server, address, request, span, may_send });
+                let told = self.clone();
+                let progress = Rc::new(move |progress| {
+                    told.change(|core, now| core.progress(now, id, number, progress));
+                });
+                self.attempt(id, number, Job { server, address, request, span, may_send, progress });
             }
             Output::CallOff { id, number } => {
                 if let Some(task) = self.tasks.borrow_mut().remove(&(id, number)) {
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! | module | holds |
 //! | --- | --- |
+//! | [`body`] | bodies, held whole or passed on piece by piece |
 //! | [`open_ids`] | names of requests that are open |
 //! | [`ports`] | the seams: clock, counter, membership, the way to a server; with the guarantees of each |
 //! | [`engine`] | the one owner of the decision module; knows ports only |
@@ -15,6 +16,7 @@
 //! | [`respond`] | the limiter's own answers as HTTP |
 //! | [`supervise`] | tasks that must outlive a panic |
 
+pub mod body;
 pub mod classify;
 pub mod config;
 pub mod counters;
--- a/crates/engine/src/ports/upstream.rs
+++ b/crates/engine/src/ports/upstream.rs
@@ -1,6 +1,7 @@
 //! The way to a server: one attempt at a time.
 
 use super::Local;
+use crate::body::Progress;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -19,6 +20,8 @@
     /// Whether this server may still be sent something new. To be asked again right before the first byte
     /// goes out: a connection may take longer to come up than the news of a drain.
     pub may_send: Rc<dyn Fn() -> bool>,
+    /// To be told how far a body that is still coming has gone.
+    pub progress: Rc<dyn Fn(Progress)>,
 }
 
 /// How an attempt ended.
@@ -48,7 +51,9 @@
 /// - nothing is sent after `may_send` has said no; the attempt then ends as [`Outcome::ConnectFailed`];
 /// - a future that is dropped is an attempt called off: its connection is closed, and what it still
 ///   brings is never given to another request;
-/// - an answer is given out only once it is whole.
+/// - an answer is given out once it is whole, or, where it is longer than [`crate::body::HELD`], once it has begun; one
+///   that breaks off after that is told as broken, and is never taken for whole;
+/// - a body that is still coming has not run before [`Progress::Sent`] was told.
 pub trait Upstream: 'static {
     /// What goes to a server.
     type Request: 'static;
@@ -61,8 +66,8 @@
     /// The list has changed: what is kept for servers that are not ready may go.
     fn keep_only(&self, _ready: &dyn Fn(ServerId) -> bool) {}
 
-    /// Another process uses the rest of what the limiter may: connections stay within this part of the limits.
-    fn use_part(&self, _part: f64) {}
+    /// From now on so many connections are open at most, and the bodies of answers take so many KiB together.
+    fn use_no_more_than(&self, _connections: usize, _bodies_kib: usize) {}
 
     /// Called about twice a second: for looking after connections.
     fn upkeep(&self, _now: Millis) {}
--- a/crates/engine/src/upstreams/http1.rs
+++ b/crates/engine/src/upstreams/http1.rs
@@ -3,17 +3,18 @@
 //! Connections are kept here and not in a pooling client: such a client sends again by itself, and does not
 //! tell whether a request went out.
 
+use crate::body::{self, Body, Broken, Feed, Gone, Room, Rooms, Sending, Upload, HELD, LONGEST};
 use crate::ports::clock::Clock;
 use crate::ports::upstream::{End, Job, Upstream};
 use crate::ports::Local;
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::{Body, Incoming};
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::{Body as _, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use hyper::header::{CONNECTION, CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
-use hyper::{Method, Response, StatusCode, Uri};
+use hyper::{Method, Response, StatusCode, Uri, Version};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
@@ -31,8 +32,9 @@
 use tokio::task::AbortHandle;
 use topazwind::interface::*;
 
-/// Longest body taken from a server.
-pub const MOST_BODY: usize = 64 * 1024;
+/// An answer that has begun and of which nothing comes for this long is given up; so is one that its client takes
+/// nothing of.
+const STALL: Duration = Duration::from_secs(10);
 /// Buffer of a server's connection: room for the longest head that is read.
 const BUFFER: usize = 16 * 1024;
 /// Largest figure of a load report that is believed: far above what any server holds.
@@ -58,7 +60,9 @@
     /// The headers that go on.
     pub headers: HeaderMap,
     /// The body.
-    pub body: Bytes,
+    pub body: Upload,
+    /// The body's room.
+    pub room: Option<Room>,
 }
 
 /// A stream that notes whether anything of the present request has been written. In doubt a request may
@@ -138,7 +142,7 @@
 
 /// A connection to a server. Dropped, it closes at once, whatever is out on it.
 struct Connection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<Sending<Forward>>,
     wrote: Rc<Cell<bool>>,
     task: AbortHandle,
     address: SocketAddr,
@@ -169,8 +173,6 @@
     parked: RefCell<HashMap<ServerId, Millis>>,
     open: Rc<Cell<usize>>,
     most: Cell<usize>,
-    /// What `most` is while this process is the whole limiter.
-    whole: usize,
     longest_idle: Millis,
     connect_timeout: Duration,
 }
@@ -183,7 +185,6 @@
             parked: RefCell::default(),
             open: Rc::default(),
             most: Cell::new(most),
-            whole: most,
             longest_idle: conn_idle * IDLE_SHARE,
             connect_timeout: Duration::from_secs_f64(connect_timeout / 1000.0),
         }
@@ -275,6 +276,8 @@
     pool: Pool,
     /// Names of the values in a load report, in the order of the settings.
     report: Vec<String>,
+    /// For the bodies of answers.
+    rooms: Rooms,
 }
 
 /// Servers over HTTP/1.1.
@@ -291,21 +294,23 @@
     pub connect_timeout: Millis,
     /// So many are open at most.
     pub most: usize,
+    /// The bodies of answers take so many KiB together.
+    pub bodies_kib: usize,
 }
 
 impl Http1 {
     /// No connections yet.
     pub fn new(clock: Rc<dyn Clock>, connections: Connections, report: Vec<String>) -> Self {
         let pool = Pool::new(connections.idle, connections.connect_timeout, connections.most);
-        Http1 { shared: Rc::new(Shared { clock, pool, report }) }
+        Http1 { shared: Rc::new(Shared { clock, pool, report, rooms: Rooms::new(connections.bodies_kib) }) }
     }
 }
 
 impl Upstream for Http1 {
     type Request = Forward;
-    type Answer = Bytes;
+    type Answer = Body;
 
-    fn attempt(&self, job: Job<Forward>) -> Local<End<Bytes>> {
+    fn attempt(&self, job: Job<Forward>) -> Local<End<Body>> {
         let shared = self.shared.clone();
         Box::pin(async move { run(&shared, &job).await })
     }
@@ -314,9 +319,9 @@
         self.shared.pool.keep_only(ready, self.shared.clock.now());
     }
 
-    fn use_part(&self, part: f64) {
-        let pool = &self.shared.pool;
-        pool.most.set(((pool.whole as f64 * part) as usize).max(1));
+    fn use_no_more_than(&self, connections: usize, bodies_kib: usize) {
+        self.shared.pool.most.set(connections);
+        self.shared.rooms.resize(bodies_kib);
     }
 
     fn upkeep(&self, now: Millis) {
@@ -324,7 +329,8 @@
     }
 }
 
-async fn run(shared: &Shared, job: &Job<Forward>) -> End<Bytes> {
+async fn run(shared: &Rc<Shared>, job: &Job<Forward>) -> End<Body> {
+    let gone = Rc::new(Gone::default());
     loop {
         let kept = shared.pool.take(job.server, job.address, shared.clock.now());
         let fresh = kept.is_none();
@@ -346,8 +352,18 @@
             return End::without_answer(Outcome::ConnectFailed);
         }
         connection.wrote.set(false);
-        match connection.sender.try_send_request(request(job)).await {
-            Ok(answer) => return receive(shared, job, connection, answer).await,
+        match connection.sender.try_send_request(request(job, &gone)).await {
+            Ok(answer) => {
+                // A body that is held whole goes out with its head, and an empty one is never asked for.
+                let sent = !job.request.body.is_stream() || gone.sent.get();
+                return receive(shared, job, connection, answer, sent).await;
+            }
+            // It was the client that broke off, or nothing is held any more: no server's fault.
+            Err(_) if gone.failed.get() => return End::without_answer(Outcome::Moot),
+            // Part of a stream is no request: it has not run before its last byte was written.
+            Err(_) if job.request.body.is_stream() && !gone.sent.get() && connection.wrote.get() => {
+                return End::without_answer(Outcome::ConnectFailed)
+            }
             Err(e) if connection.wrote.get() => return End::without_answer(broken(e.error())),
             // A kept connection that had been closed before the first byte: nothing was sent on it.
             Err(_) if !fresh => {}
@@ -356,9 +372,10 @@
     }
 }
 
-fn request(job: &Job<Forward>) -> hyper::Request<Full<Bytes>> {
+fn request(job: &Job<Forward>, gone: &Rc<Gone>) -> hyper::Request<Sending<Forward>> {
     let forward = &job.request;
-    let mut request = hyper::Request::new(Full::new(forward.body.clone()));
+    let body = Sending::new(forward.clone(), |f| &f.body, job.progress.clone(), gone.clone());
+    let mut request = hyper::Request::new(body);
     *request.method_mut() = forward.method.clone();
     *request.uri_mut() = forward.uri.clone();
     *request.headers_mut() = forward.headers.clone();
@@ -381,37 +398,66 @@
     }
 }
 
-/// The head's lengths agree with each other and with the most that is taken, and tell where the body ends.
+/// The head's lengths agree with each other and with the most that is taken. Without any the body ends with its
+/// connection, and the head has to say that this ends: else nobody knows whether more is to come.
 fn framed(head: &Parts, body: &Incoming) -> bool {
-    let one = |name| head.headers.get_all(name).iter().count() == 1;
-    let lengths = (one(CONTENT_LENGTH), one(TRANSFER_ENCODING));
-    let absent = |name| !head.headers.contains_key(name);
-    let plain = lengths == (true, false) && absent(TRANSFER_ENCODING)
-        || lengths == (false, true) && absent(CONTENT_LENGTH);
-    plain && !head.status.is_informational() && body.size_hint().lower() <= MOST_BODY as u64
+    let many = |name| head.headers.get_all(name).iter().count();
+    let plain = match many(CONTENT_LENGTH) + many(TRANSFER_ENCODING) {
+        0 => closes(head),
+        lengths => lengths == 1,
+    };
+    plain && !head.status.is_informational() && body.size_hint().lower() <= LONGEST
+}
+
+/// The connection ends with this answer.
+fn closes(head: &Parts) -> bool {
+    let values = head.headers.get_all(CONNECTION).iter();
+    let mut options = values.flat_map(|v| v.as_bytes().split(|b| *b == b','));
+    let mut said = |what: &[u8]| options.any(|option| option.trim_ascii().eq_ignore_ascii_case(what));
+    match head.version {
+        Version::HTTP_10 => !said(b"keep-alive"),
+        _ => said(b"close"),
+    }
 }
 
-/// Reads an answer whole; only then is it known to be one, and its connection free. One that is spoilt ends
-/// its connection at once, however much is still to come.
+/// Reads an answer whole where it is short: only then is it known to be one, and its connection free. One that is
+/// spoilt ends its connection at once, however much is still to come. A long one is passed on as it comes.
 async fn receive(
-    shared: &Shared,
+    shared: &Rc<Shared>,
     job: &Job<Forward>,
     connection: Connection,
     answer: Response<Incoming>,
-) -> End<Bytes> {
-    let (head, body) = answer.into_parts();
+    sent: bool,
+) -> End<Body> {
+    let (head, mut body) = answer.into_parts();
     if !framed(&head, &body) {
         return End::without_answer(Outcome::Error);
     }
     let load = load_report(&head.headers, &shared.report);
-    let body = match Limited::new(body, MOST_BODY).collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(e) => return End { outcome: broken(&*e), answer: None, load },
+    let room = shared.rooms.take(body.size_hint().exact()).await;
+    let held = match hold(&mut body).await {
+        Ok(held) => held,
+        Err(e) => return End { outcome: broken(&e), answer: None, load },
+    };
+
+    // One whose request was answered before it was whole has the rest of it on the way.
+    let kept = (!closes(&head) && sent).then(|| (shared.clone(), job.server, job.may_send.clone()));
+    let begun = Begun { connection, kept };
+    let body = match held {
+        Held::Whole(bytes) => {
+            begun.over();
+            Body::held(bytes, room)
+        }
+        Held::Start(_) if head.status != StatusCode::OK => {
+            return End { outcome: Outcome::Error, answer: None, load }
+        }
+        Held::Start(held) => {
+            let length = body.size_hint().exact().map(|left| left + held.len() as u64);
+            let (feed, rest) = body::pieces();
+            tokio::task::spawn_local(pass_on(body, held.len() as u64, feed, begun));
+            Body::Stream { held, length, rest, room }
+        }
     };
-    let closes = head.headers.get(CONNECTION).is_some_and(|v| v.as_bytes().eq_ignore_ascii_case(b"close"));
-    if !closes && (job.may_send)() {
-        shared.pool.put(job.server, connection, shared.clock.now());
-    }
     let not_run = head.headers.get(NOT_RUN).is_some_and(|v| v.as_bytes() == b"1");
     let outcome = match head.status {
         StatusCode::OK => Outcome::Ok,
@@ -421,6 +467,91 @@
     End { outcome, answer: Some(body), load }
 }
 
+/// What there is of an answer once it is known to be short or long.
+enum Held {
+    Whole(Bytes),
+    Start(Bytes),
+}
+
+/// Reads an answer until it is whole or longer than what is held; of one that says so itself, nothing.
+async fn hold(body: &mut Incoming) -> Result<Held, hyper::Error> {
+    if body.size_hint().lower() > HELD as u64 {
+        return Ok(Held::Start(Bytes::new()));
+    }
+    // A body that came in one piece, as most do, is not copied.
+    let (mut first, mut all) = (Bytes::new(), BytesMut::new());
+    while let Some(frame) = body.frame().await {
+        let Ok(piece) = frame?.into_data() else { continue };
+        if first.is_empty() {
+            first = piece;
+            continue;
+        }
+        if all.is_empty() {
+            all.extend_from_slice(&first);
+        }
+        all.extend_from_slice(&piece);
+        if all.len() > HELD {
+            return Ok(Held::Start(all.freeze()));
+        }
+    }
+    Ok(Held::Whole(if all.is_empty() { first } else { all.freeze() }))
+}
+
+/// Where a connection goes when its answer is whole: to the idle ones of this server, if that is still in use.
+type Kept = (Rc<Shared>, ServerId, Rc<dyn Fn() -> bool>);
+
+/// A connection whose answer has begun, and where it goes once that is whole; dropped before, it closes.
+struct Begun {
+    connection: Connection,
+    kept: Option<Kept>,
+}
+
+impl Begun {
+    /// The answer is whole.
+    fn over(self) {
+        if let Some((shared, server, may_send)) = self.kept {
+            if may_send() {
+                shared.pool.put(server, self.connection, shared.clock.now());
+            }
+        }
+    }
+}
+
+/// Passes a long answer on as it comes, no faster than it is taken. When whoever takes it leaves, it ends.
+async fn pass_on(mut body: Incoming, mut passed: u64, feed: Feed, begun: Begun) {
+    let why = loop {
+        let frame = tokio::select! {
+            frame = tokio::time::timeout(STALL, body.frame()) => frame,
+            () = feed.closed() => return,
+        };
+        let piece = match frame {
+            Err(_) => break Broken::Stalled,
+            Ok(None) => {
+                begun.over();
+                return;
+            }
+            Ok(Some(Err(_))) => break Broken::Left,
+            Ok(Some(Ok(frame))) => match frame.into_data() {
+                Ok(piece) => piece,
+                // Trailers are not passed on.
+                Err(_) => continue,
+            },
+        };
+        passed += piece.len() as u64;
+        if passed > LONGEST {
+            break Broken::TooLong;
+        }
+        match tokio::time::timeout(STALL, feed.send(Ok(piece))).await {
+            Ok(Ok(())) => {}
+            Ok(Err(_)) => return,
+            Err(_) => break Broken::Stalled,
+        }
+    };
+    drop(begun);
+    // Who takes it is told that it is not whole, unless it has left.
+    let _ = feed.send(Err(why)).await;
+}
+
 /// The values of a load report in the order of the settings; none if one is missing or makes no sense.
 fn load_report(headers: &HeaderMap, columns: &[String]) -> Vec<f64> {
     let Some(text) = headers.get(LOAD).and_then(|v| v.to_str().ok()) else { return Vec::new() };
--- /dev/null
+++ b/crates/operations/src/budget.rs
@@ -0,0 +1,111 @@
+//! What a process may take, divided by purpose before any of it is taken, so that the limits hold in sum.
+//!
+//! Descriptors: what runs the limiter first (its own, the counter's, discovery's, the second address), then clients' and
+//! servers' connections by halves. Memory: a share stays for what grows with customers and for the allocator; of the rest
+//! each connection has a fixed part, and bodies have what is left, requests' and answers' by halves, so that neither can
+//! take the other's place. What gives way: at the limit of connections the client that has been silent for the longest;
+//! at the limit of bodies the next body waits, and its sender with it.
+
+/// Descriptors kept for all that is neither a client's nor a server's connection: the counter's (twice while it
+/// moves), discovery's, the listener and the runtime's own.
+const SPARE: usize = 24;
+/// Share of the rest that goes to clients; servers get what is left. Clients hold a third of all at most for
+/// requests, and each request may need a server's connection, and a second copy another.
+const CLIENT_SHARE: f64 = 0.5;
+/// Share of the memory that is divided here.
+const MEMORY_SHARE: f64 = 0.6;
+/// What a connection takes without a body, KiB: its buffer as it is at first, its state and its task, and a body of
+/// [`SMALL`] bytes.
+const CONNECTION_KIB: f64 = 24.0;
+/// Of the divided memory bodies have at least this share; connections are bounded by it where memory is scarce.
+const BODY_SHARE: f64 = 0.4;
+/// Connections of both kinds stay under this, however many descriptors there are.
+const MOST_CONNECTIONS: usize = 4096;
+/// Fewer connections than this are no limiter.
+const LEAST_CONNECTIONS: usize = 16;
+/// A body up to this many bytes is covered by its connection's part.
+pub const SMALL: usize = 4 * 1024;
+/// What a stream takes, KiB, at most: what is held of it for another attempt, and a window on both sides.
+pub const STREAM_KIB: usize = 128;
+
+/// What a process may take.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Limits {
+    /// File descriptors, sockets of all kinds among them.
+    pub sockets: usize,
+    /// Memory, MB.
+    pub memory_mb: f64,
+}
+
+/// The parts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Budget {
+    /// Clients' connections.
+    pub clients: usize,
+    /// Connections to servers.
+    pub servers: usize,
+    /// Bodies of requests, KiB.
+    pub uploads_kib: usize,
+    /// Bodies of answers, KiB.
+    pub answers_kib: usize,
+}
+
+impl Budget {
+    /// Divides the limits, of which `others` descriptors are taken by what else is switched on, and this process has
+    /// `part` while another runs beside it.
+    pub fn divide(limits: Limits, others: usize, part: f64) -> Budget {
+        let part = part.clamp(0.0, 1.0);
+        let memory = limits.memory_mb.max(0.0) * 1024.0 * MEMORY_SHARE * part;
+        let held = (memory * (1.0 - BODY_SHARE) / CONNECTION_KIB) as usize;
+        let sockets = (limits.sockets as f64 * part) as usize;
+        let connections = sockets.saturating_sub(SPARE + others);
+        let connections = connections.min(held).clamp(LEAST_CONNECTIONS, MOST_CONNECTIONS);
+        let clients = (connections as f64 * CLIENT_SHARE) as usize;
+        let bodies = memory - connections as f64 * CONNECTION_KIB;
+        // One stream each way at least, or none could ever pass.
+        let each = ((bodies / 2.0).max(0.0) as usize).max(STREAM_KIB);
+        Budget { clients, servers: connections - clients, uploads_kib: each, answers_kib: each }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rand_core::{RngCore, SeedableRng};
+    use rand_pcg::Pcg64Mcg;
+
+    fn taken_kib(b: Budget) -> f64 {
+        (b.clients + b.servers) as f64 * CONNECTION_KIB + (b.uploads_kib + b.answers_kib) as f64
+    }
+
+    #[test]
+    fn the_parts_stay_within_the_limits_in_sum_also_for_two_processes() {
+        let mut rng = Pcg64Mcg::seed_from_u64(7);
+        for _ in 0..10_000 {
+            let sockets = 200 + rng.next_u32() as usize % 4000;
+            let memory_mb = 16.0 + f64::from(rng.next_u32() % 400);
+            let limits = Limits { sockets, memory_mb };
+            for (processes, part) in [(1, 1.0), (2, 0.5)] {
+                let b = Budget::divide(limits, 36, part);
+                let descriptors = processes * (b.clients + b.servers + SPARE + 36);
+                assert!(descriptors <= sockets, "{limits:?}: {b:?} for {processes}");
+                let kib = processes as f64 * taken_kib(b);
+                assert!(kib <= memory_mb * 1024.0 * MEMORY_SHARE + 1.0, "{limits:?}: {b:?} for {processes}");
+            }
+        }
+    }
+
+    #[test]
+    fn however_little_there_is_somebody_is_served() {
+        let b = Budget::divide(Limits { sockets: 0, memory_mb: 0.0 }, 36, 0.5);
+        assert!(b.clients > 0 && b.servers > 0 && b.uploads_kib >= STREAM_KIB);
+    }
+
+    #[test]
+    fn memory_bounds_connections_where_descriptors_do_not() {
+        let b = Budget::divide(Limits { sockets: 1024, memory_mb: 48.0 }, 36, 1.0);
+        assert!(b.clients > 300, "{b:?}");
+        let scarce = Budget::divide(Limits { sockets: 1024, memory_mb: 24.0 }, 36, 1.0);
+        assert!(scarce.clients < b.clients && scarce.answers_kib >= 2048, "{scarce:?}");
+    }
+}
--- a/crates/testkit/src/conformance/upstream.rs
+++ b/crates/testkit/src/conformance/upstream.rs
@@ -44,7 +44,9 @@
 ) -> End<<T::Way as Upstream>::Answer> {
     let (address, request) = test.server(behaviour);
     let (server, request) = (ServerId(behaviour as u64), Arc::new(request));
-    test.way().attempt(Job { server, address, request, span: 1000.0, may_send }).await
+    test.way()
+        .attempt(Job { server, address, request, span: 1000.0, may_send, progress: Rc::new(|_| ()) })
+        .await
 }
 
 /// Holds an implementation to its guarantees.
@@ -85,7 +87,7 @@
     let (reached, noticed) = (test.reached(), test.called_off());
     let (address, request) = test.server(Behaviour::Silent);
     let (server, request) = (ServerId(Behaviour::Silent as u64), Arc::new(request));
-    let job = Job { server, address, request, span: 1000.0, may_send: yes };
+    let job = Job { server, address, request, span: 1000.0, may_send: yes, progress: Rc::new(|_| ()) };
     let mut attempting = Box::pin(test.way().attempt(job));
     tokio::select! {
         end = &mut attempting => panic!("a silent server ended as {:?}", end.outcome),
--- a/crates/testkit/src/message.rs
+++ b/crates/testkit/src/message.rs
@@ -20,7 +20,7 @@
     }
 }
 
-/// Reads one message with a stated length; none at the end of the connection.
+/// Reads one message with a stated length or in chunks; none at the end of the connection.
 pub fn read_message(reader: &mut impl BufRead) -> Option<Message> {
     let mut message = Message::default();
     let mut line = String::new();
@@ -38,12 +38,35 @@
             message.headers.push((name.to_owned(), value.trim().to_owned()));
         }
     }
+    if message.header("transfer-encoding").is_some() {
+        message.body = read_chunks(reader)?;
+        return Some(message);
+    }
     let length = message.header("content-length").map_or(0, |l| l.parse().expect("a length"));
     message.body = vec![0; length];
     reader.read_exact(&mut message.body).ok()?;
     Some(message)
 }
 
+fn read_chunks(reader: &mut impl BufRead) -> Option<Vec<u8>> {
+    let (mut body, mut line) = (Vec::new(), String::new());
+    loop {
+        line.clear();
+        reader.read_line(&mut line).ok()?;
+        let size = line.trim_end().split(';').next().unwrap_or_default();
+        let size = usize::from_str_radix(size, 16).ok()?;
+        let from = body.len();
+        body.resize(from + size, 0);
+        reader.read_exact(&mut body[from..]).ok()?;
+        // Behind each chunk, and behind the last one where no trailers stand, there is an empty line.
+        line.clear();
+        reader.read_line(&mut line).ok()?;
+        if size == 0 {
+            return Some(body);
+        }
+    }
+}
+
 pub fn answer(status: &str, headers: &str, body: &[u8]) -> Vec<u8> {
     let mut all =
         format!("HTTP/1.1 {status}\r\n{headers}Content-Length: {}\r\n\r\n", body.len()).into_bytes();
--- a/crates/topazwind/src/interface.rs
+++ b/crates/topazwind/src/interface.rs
@@ -240,6 +240,8 @@
     pub spread: f64,
     /// Marked as a client's repeat.
     pub repeat: bool,
+    /// Its body is still coming. Its time counts from [`Event::Uploaded`].
+    pub uploading: bool,
     /// What it was read by; without, the settings of the moment hold.
     pub rules: Option<Arc<Rules>>,
 }
@@ -301,6 +303,15 @@
         /// The server's load report.
         load: Vec<f64>,
     },
+    /// So much of a body that was coming has gone on with an attempt that the request cannot be sent again.
+    Spent(RequestId),
+    /// The last byte of a body that was coming goes out with this attempt: now the request may run.
+    Uploaded {
+        /// The request.
+        id: RequestId,
+        /// The attempt's number.
+        attempt: u8,
+    },
     /// A streamed answer has begun on this attempt.
     Streaming {
         /// The request.
@@ -348,6 +359,15 @@
         /// Time-out; 0: until the client gives up.
         timeout: Millis,
     },
+    /// Wait for an attempt whose body has gone out.
+    Await {
+        /// The request.
+        id: RequestId,
+        /// The attempt.
+        attempt: u8,
+        /// Time-out from now; 0: until the client gives up.
+        timeout: Millis,
+    },
     /// Final answer: refused, harmless to try again.
     Refuse {
         /// The request.
--- a/crates/topazwind/src/logic.rs
+++ b/crates/topazwind/src/logic.rs
@@ -398,7 +398,10 @@
                 self.customers.values_mut().for_each(|c| c.age(now, before));
             }
             Event::Request(request) => self.arrive(now, request),
+            Event::Spent(id) => _ = self.open.entry(id).and_modify(|o| o.spent = true),
+            Event::Uploaded { id, attempt } => self.uploaded(now, id, attempt),
             Event::Ended { id, attempt, server, outcome, complete, took, load, .. } => {
+                let outcome = self.ends_early(id, attempt, server, outcome);
                 self.learn(now, server, outcome, took, &load);
                 self.ended(now, id, attempt, outcome, complete);
             }
@@ -454,7 +457,7 @@
         entry.or_insert_with(fresh).touched = now;
         let (aim_at, ends_at) = (now + class.aim.min(request.time_left), now + request.time_left);
         let asked = self.ask(now, customer, request.units);
-        let (attempts, streaming, beyond, passed) = (Vec::new(), false, false, false);
+        let (attempts, streaming, spent, beyond, passed) = (Vec::new(), false, false, false, false);
         let arrived = now;
         let open = Open {
             arrived,
@@ -462,6 +465,7 @@
             ends_at,
             attempts,
             streaming,
+            spent,
             beyond,
             asked,
             passed,
@@ -968,17 +972,23 @@
         let chosen = if free { self.choose(now, &open) } else { None };
         let open = self.open.entry(id).or_insert(open);
         let Some(server) = chosen else { return false };
+        // While a body is coming its server does nothing yet: it counts as out, and its time runs, once it is whole.
+        let whole = !open.request.uploading;
+        let counts = if whole { 1.0 } else { 0.0 };
         if let Some(s) = self.servers.get_mut(&server) {
-            s.out += 1.0;
+            s.out += counts;
             s.tokens -= 1.0;
             s.sent_at = now;
         }
         let until = if open.class.late_worth > 0.0 { open.ends_at } else { open.aim_at };
-        let timeout = (until - now).max(1.0);
+        let timeout = if open.request.uploading { 0.0 } else { (until - now).max(1.0) };
         self.acts.push(Action::Send { id, server, timeout });
         let (first, trusted) = (open.attempts.is_empty(), self.flow.trusted());
-        open.attempts.push(Attempt { server, sent: now, live: true, may_have_run: true });
-        self.flow.out += 1.0;
+        open.attempts.push(Attempt { server, sent: now, live: true, may_have_run: true, whole });
+        if !whole {
+            (open.aim_at, open.ends_at) = (f64::INFINITY, f64::INFINITY);
+        }
+        self.flow.out += counts;
         if let Some(c) = self.customers.get_mut(&open.request.customer) {
             c.open += 1.0;
             if first && c.plan.rate > 0.0 {
@@ -1027,6 +1037,40 @@
 
     // ---- 6. Further attempts ------------------------------------------------------------------
 
+    /// The last byte of a body goes out: the request's time begins, and its server has something to do.
+    fn uploaded(&mut self, now: Millis, id: RequestId, attempt: u8) {
+        let Some(open) = self.open.get_mut(&id).filter(|o| o.ends_at == f64::INFINITY) else { return };
+        let Some(a) = open.attempts.get_mut(usize::from(attempt)).filter(|a| a.live && !a.whole) else {
+            return;
+        };
+        (a.whole, a.sent) = (true, now);
+        if let Some(s) = self.servers.get_mut(&a.server) {
+            s.out += 1.0;
+        }
+        self.flow.out += 1.0;
+        let left = open.request.time_left;
+        (open.aim_at, open.ends_at) = (now + open.class.aim.min(left), now + left);
+        let until = if open.class.late_worth > 0.0 { open.ends_at } else { open.aim_at };
+        self.acts.push(Action::Await { id, attempt, timeout: (until - now).max(1.0) });
+    }
+
+    /// An attempt that ends before its body was whole never counted as out, has not run whatever brought it down,
+    /// and tells nothing of its server's speed.
+    fn ends_early(&mut self, id: RequestId, attempt: u8, server: ServerId, outcome: Outcome) -> Outcome {
+        let attempt = self.open.get(&id).and_then(|o| o.attempts.get(usize::from(attempt)));
+        if attempt.is_none_or(|a| a.whole || !a.live) {
+            return outcome;
+        }
+        if let Some(s) = self.servers.get_mut(&server) {
+            s.out += 1.0;
+        }
+        self.flow.out += 1.0;
+        match outcome {
+            Outcome::Cancelled | Outcome::TimedOut => Outcome::Moot,
+            outcome => outcome,
+        }
+    }
+
     fn ended(&mut self, now: Millis, id: RequestId, attempt: u8, outcome: Outcome, complete: bool) {
         self.flow.out = (self.flow.out - 1.0).max(0.0);
         let Some(open) = self.open.get_mut(&id) else { return };
@@ -1093,7 +1137,7 @@
             (Repeat::Keyed { window, .. }, Some(sent)) => now - sent < window - TICK,
         };
         let tries = open.tries == 0 || (open.attempts.len() as u32) < open.tries;
-        allowed && tries && !open.streaming && open.aim_at - now > mean
+        allowed && tries && !open.streaming && !open.spent && open.aim_at - now > mean
     }
 
     /// The final answer: refused where that is true and harmless, else failed.
@@ -1146,7 +1190,9 @@
         let calm = self.flow.out < 0.8 * self.flow.limit && self.set.parallel_tries;
         let hedges = self.open.iter().filter(|(_, open)| {
             let late = open.attempts.last().is_some_and(|a| now - a.sent > HEDGE_AFTER * self.mean(open));
-            late && open.ends_at > now && open.attempts.iter().filter(|a| a.live).count() == 1
+            late && !open.request.uploading
+                && open.ends_at > now
+                && open.attempts.iter().filter(|a| a.live).count() == 1
         });
         let hedges: Vec<RequestId> = hedges.map(|(id, _)| *id).collect();
         for id in hedges {
--- a/crates/topazwind/src/state.rs
+++ b/crates/topazwind/src/state.rs
@@ -72,6 +72,8 @@
     pub(crate) live: bool,
     /// It is not proven that it never ran.
     pub(crate) may_have_run: bool,
+    /// Its body has gone out, and it counts as out.
+    pub(crate) whole: bool,
 }
 
 /// A request that is owed an answer.
@@ -85,6 +87,8 @@
     pub(crate) ends_at: Millis,
     pub(crate) attempts: Vec<Attempt>,
     pub(crate) streaming: bool,
+    /// Its body cannot be sent again.
+    pub(crate) spent: bool,
     pub(crate) beyond: bool,
     /// It waits for its customer's count; it has passed the quota.
     pub(crate) asked: bool,
--- a/crates/topazwind/src/wire/host.rs
+++ b/crates/topazwind/src/wire/host.rs
@@ -79,7 +79,8 @@
             let who = event.u32(2).map_err(at)?;
             self.actions.clear();
             self.event(now, who, event, tail).map_err(at)?;
-            for action in &self.actions {
+            // On the wire every body is there with its request, so that none is waited for.
+            for action in self.actions.iter().filter(|a| !matches!(a, Action::Await { .. })) {
                 reply.extend_from_slice(encode(who, action).bytes());
                 written += 1;
             }
@@ -129,6 +130,7 @@
                 time_left: r.f64(20)?,
                 spread: r.f32(16)?,
                 repeat: r.u16(10)? & 2 != 0,
+                uploading: false,
                 rules: None,
             }),
             1030 => Event::Ended {
@@ -208,6 +210,9 @@
         Action::Send { id, server, timeout } => {
             Record::new(1000, who).u32(6, id.0).u32(10, number(server)).f64(14, timeout)
         }
+        Action::Await { id, attempt, timeout } => {
+            Record::new(1000, who).u32(6, id.0).put(10, &[attempt]).f64(14, timeout)
+        }
         Action::Refuse { id, retry_after } => Record::new(1010, who).u32(6, id.0).f64(10, retry_after),
         Action::Fail(id) => Record::new(1020, who).u32(6, id.0),
         Action::Cancel { id, attempt } => Record::new(1030, who).u32(6, id.0).put(10, &[attempt]),
--- a/crates/tower/src/client.rs
+++ b/crates/tower/src/client.rs
@@ -4,6 +4,7 @@
 use crate::start::{Builder, Place, StartError};
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
+use oatbank_engine::body::{Body, LONGEST};
 use oatbank_engine::classify::{self, Rejection};
 use oatbank_engine::config::Config;
 use oatbank_engine::handle::{Handle, Pending};
@@ -17,16 +18,13 @@
 use std::task::{ready, Context, Poll};
 use tower::Service;
 
-/// Longest body of a request, as at the daemon.
-const MOST_BODY: usize = 64 * 1024;
-
 /// A limiter as a [`tower::Service`]: each request gets one response, as the daemon would give it. It is
 /// always ready: what is too much is refused at once, with when to come back.
 ///
 /// Dropping the response future is the client's leaving. When the last clone is dropped, the limiter ends.
 #[derive(Clone)]
 pub struct Client<E = PlatformPath> {
-    handle: Handle<Forward, Bytes>,
+    handle: Handle<Forward, Body>,
     extract: E,
     open: OpenIds,
 }
@@ -72,23 +70,27 @@
         self.handle.shutdown().await;
     }
 
-    fn take(&self, request: Request<Bytes>) -> Result<(Pending<Forward, Bytes>, Held), Rejection> {
+    fn take(&self, request: Request<Bytes>) -> Result<(Pending<Forward, Body>, Held), Rejection> {
         let (head, body) = request.into_parts();
         let request = self.extract.extract(&head, self.handle.setup())?;
-        if body.len() > MOST_BODY {
-            return Err(Rejection { status: StatusCode::PAYLOAD_TOO_LARGE, why: "over 64 KiB\n" });
+        if body.len() as u64 > LONGEST {
+            return Err(Rejection { status: StatusCode::PAYLOAD_TOO_LARGE, why: "over 64 MiB\n" });
         }
         let id = classify::single(&head.headers, &classify::CORRELATION)?.unwrap_or_default();
         let held = self.open.hold(id)?;
         let headers = classify::headers_on(&head.headers);
         let path = head.uri.path_and_query().cloned();
         let uri = path.map_or_else(|| head.uri.clone(), http::Uri::from);
-        Ok((self.handle.call(request, Forward { method: head.method, uri, headers, body }), held))
+        Ok((
+            self.handle
+                .call(request, Forward { method: head.method, uri, headers, body: body.into(), room: None }),
+            held,
+        ))
     }
 }
 
 impl<E: Extract> Service<Request<Bytes>> for Client<E> {
-    type Response = Response<Bytes>;
+    type Response = Response<Body>;
     type Error = Infallible;
     type Future = ClientFuture;
 
@@ -105,7 +107,7 @@
 }
 
 enum State {
-    Taken(Pending<Forward, Bytes>, #[allow(dead_code, reason = "held until the answer")] Held),
+    Taken(Pending<Forward, Body>, #[allow(dead_code, reason = "held until the answer")] Held),
     Rejected(Rejection),
 }
 
@@ -114,7 +116,7 @@
 pub struct ClientFuture(State);
 
 impl Future for ClientFuture {
-    type Output = Result<Response<Bytes>, Infallible>;
+    type Output = Result<Response<Body>, Infallible>;
 
     fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Self::Output> {
         Poll::Ready(Ok(match &mut self.0 {
--- a/crates/tower/src/start.rs
+++ b/crates/tower/src/start.rs
@@ -1,6 +1,6 @@
 //! Puts an engine together from a configuration and runs it on a thread of its own.
 
-use bytes::Bytes;
+use oatbank_engine::body::Body;
 use oatbank_engine::config::Config;
 use oatbank_engine::counters::{self, local::Numbers};
 use oatbank_engine::direct::{self, Direct};
@@ -16,6 +16,9 @@
 /// Share of the descriptors that go to servers; the rest is the application's.
 const SERVER_SHARE: f64 = 0.5;
 
+/// Room for the bodies of answers, KiB: the application's own memory is not ours to divide.
+const BODIES_KIB: usize = 64 * 1024;
+
 /// Why a limiter did not start.
 #[derive(Debug)]
 pub enum StartError {
@@ -87,13 +90,17 @@
     }
 
     /// An engine that calls servers over HTTP/1.1.
-    pub(crate) fn client(self, place: Place) -> Result<Handle<Forward, Bytes>, StartError> {
+    pub(crate) fn client(self, place: Place) -> Result<Handle<Forward, Body>, StartError> {
         self.check()?;
         let Builder { config, queue, numbers } = self;
         let setup = config.setup.clone();
         let most = ((config.limits.0 as f64 * SERVER_SHARE) as usize).max(16);
-        let connections =
-            Connections { idle: config.keep_idle, connect_timeout: config.connect_timeout, most };
+        let connections = Connections {
+            idle: config.keep_idle,
+            connect_timeout: config.connect_timeout,
+            most,
+            bodies_kib: BODIES_KIB,
+        };
         let build = move || {
             let clock: Rc<dyn Clock> = Rc::new(SystemClock::new());
             let report = config.setup.names.report.clone();
