--- a/crates/topazwind/src/logic.rs
+++ b/crates/topazwind/src/logic.rs
@@ -777,12 +777,12 @@
     }
 
     /// Share of its full capacity that a server surely has by now.
-    fn warmth(&self, now: Millis, server: &Server) -> f64 {
+    fn warmth(set: &Settings, now: Millis, server: &Server) -> f64 {
         let age = now - server.entry.started;
-        if server.entry.started <= 0.0 || age >= self.set.warm_after {
+        if server.entry.started <= 0.0 || age >= set.warm_after {
             return 1.0;
         }
-        self.set.cold_start + (1.0 - self.set.cold_start) * (age / self.set.warm_after).max(0.0)
+        set.cold_start + (1.0 - set.cold_start) * (age / set.warm_after).max(0.0)
     }
 
     /// The cheapest server a request may go to: mean answer time times what is out there already.
@@ -812,7 +812,8 @@
         let rate_to_warm = if subset {
             self.flow.send_rate / size
         } else {
-            let warm = self.servers.values().filter(|s| self.warmth(now, s) >= 1.0).count().max(1) as f64;
+            let warm = self.servers.values().filter(|s| Self::warmth(&self.set, now, s) >= 1.0).count().max(1)
+                as f64;
             (self.flow.send_rate / warm).max(0.0005)
         };
         let mut able = Vec::new();
@@ -821,7 +822,7 @@
                 break;
             }
             let roll = self.chance();
-            let warmth = self.warmth(now, &self.servers[&id]);
+            let warmth = Self::warmth(&self.set, now, &self.servers[&id]);
             let Some(s) = self.servers.get_mut(&id) else { continue };
             if s.entry.state != ServerState::Ready || s.paused_until > now {
                 continue;
@@ -919,6 +920,7 @@
     fn learn(&mut self, now: Millis, server: ServerId, outcome: Outcome, took: Millis, load: &[f64]) {
         self.note_load(now, server, load);
         let rare = self.flow.subset;
+        let took = took * self.servers.get(&server).map_or(1.0, |s| Self::warmth(&self.set, now, s));
         let Some(s) = self.servers.get_mut(&server) else { return };
         s.out = (s.out - 1.0).max(0.0);
         match outcome {
@@ -1074,8 +1076,11 @@
     fn ended(&mut self, now: Millis, id: RequestId, attempt: u8, outcome: Outcome, complete: bool) {
         self.flow.out = (self.flow.out - 1.0).max(0.0);
         let Some(open) = self.open.get_mut(&id) else { return };
+        // A cold server takes long because it is cold: that is no queue, and no reason to send the others less.
+        let at = open.attempts.get(usize::from(attempt)).and_then(|a| self.servers.get(&a.server));
+        let warmth = at.map_or(1.0, |s| Self::warmth(&self.set, now, s));
         let Some(a) = open.attempts.get_mut(usize::from(attempt)) else { return };
-        let took = now - a.sent;
+        let took = (now - a.sent) * warmth;
         a.live = false;
         a.may_have_run = !matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot);
         if let Some(c) = self.customers.get_mut(&open.request.customer) {
