--- a/crates/topazwind/tests/logic.rs
+++ b/crates/topazwind/tests/logic.rs
@@ -647,3 +647,95 @@
     let kept = rig.gateway.remembered();
     assert!(kept <= 3200, "{kept} customers are remembered");
 }
+
+#[test]
+fn an_open_request_keeps_the_class_and_the_attempts_it_came_with() {
+    let mut rig = Rig::new(settings(), 4);
+    let (id, actions) = rig.ask(1000.0);
+    let first = sent(&actions).expect("an attempt");
+    // From now on one attempt only, and the class may not be repeated.
+    let mut new = settings();
+    new.max_attempts = 1;
+    new.classes[0].repeat = Repeat::Unsafe;
+    rig.feed(1010.0, Event::Settings(Box::new(new)));
+    let again = rig.end(1020.0, id, first, Outcome::Reset);
+    assert!(sent(&again).is_some(), "it came as one that may be sent again");
+    let (id, actions) = rig.ask(1030.0);
+    let server = sent(&actions).expect("an attempt");
+    let ended = rig.end(1040.0, id, server, Outcome::Reset);
+    assert!(sent(&ended).is_none() && ended.contains(&Action::Fail(id)), "{ended:?}");
+}
+
+#[test]
+fn a_plan_that_changes_keeps_what_its_customers_have_used() {
+    let mut rig = Rig::new(settings(), 4);
+    assert_eq!(burst(&mut rig, 1000.0, 10), 10);
+    let mut wider = settings();
+    wider.plans[0].burst = 15.0;
+    rig.feed(1001.0, Event::Settings(Box::new(wider)));
+    let more = burst(&mut rig, 1001.0, 50);
+    assert!((1..=6).contains(&more), "{more} more of a burst of 15, of which 10 are used");
+}
+
+#[test]
+fn where_all_servers_are_out_a_request_is_refused_at_once() {
+    let mut rig = Rig::new(settings(), 2);
+    let out = |n| ServerEntry { state: ServerState::Draining, ..server(n) };
+    rig.feed(900.0, Event::Servers { update: ListUpdate::Delta, entries: vec![out(1), out(2)] });
+    let (_, actions) = rig.ask(1000.0);
+    let wait = actions.iter().find_map(|a| match a {
+        Action::Refuse { retry_after, .. } => Some(*retry_after),
+        _ => None,
+    });
+    assert!(wait.is_some(), "{actions:?}");
+}
+
+#[test]
+fn a_body_that_is_coming_keeps_no_place_and_its_time_counts_from_its_last_byte() {
+    let mut rig = Rig::new(settings(), 1);
+    let upload = |n| Request {
+        id: RequestId(n),
+        units: 0.1,
+        time_left: 1500.0,
+        spread: 3.0,
+        uploading: true,
+        ..Request::default()
+    };
+    // Far more than may be out at one server.
+    let ids: Vec<u32> = (1000..1040).collect();
+    for id in &ids {
+        let actions = rig.feed(1000.0, Event::Request(upload(*id)));
+        let sends = |a: &Action| matches!(a, Action::Send { timeout, .. } if *timeout == 0.0);
+        assert!(actions.iter().any(sends), "{actions:?}");
+    }
+    let uploaded = rig.feed(9000.0, Event::Uploaded { id: RequestId(1000), attempt: 0 });
+    let waits = |a: &Action| matches!(a, Action::Await { timeout, .. } if (*timeout - 500.0).abs() < 1.0);
+    assert!(uploaded.iter().any(waits), "the aim counts from now: {uploaded:?}");
+    // It breaks before its last byte: not run, and not to be had again once it is spent.
+    rig.feed(9001.0, Event::Spent(RequestId(1001)));
+    let ended = rig.end(9002.0, RequestId(1001), ServerId(1), Outcome::ConnectFailed);
+    assert!(sent(&ended).is_none() && refused(&ended), "{ended:?}");
+}
+
+#[test]
+fn two_processes_grow_one_part_of_a_ceiling() {
+    let plan = Plan {
+        ceiling_rate: 10.0,
+        ceiling_burst: 30.0,
+        burst: 100.0,
+        rate: 50.0,
+        ..settings().plans[0].clone()
+    };
+    let set = Settings { plans: vec![plan], counter: false, gateways: 1.0, ..settings() };
+    let let_in = |parts: &[f64]| -> usize {
+        let one = |part: &f64| {
+            let mut rig = Rig::new(set.clone(), 4);
+            rig.feed(900.0, Event::Part(*part));
+            burst(&mut rig, 1000.0, 1);
+            burst(&mut rig, 3000.0, 60)
+        };
+        parts.iter().map(one).sum()
+    };
+    let (whole, halves) = (let_in(&[1.0]), let_in(&[0.5, 0.5]));
+    assert!(whole > 0 && halves <= whole, "{halves} of two processes, {whole} of one");
+}
