--- a/crates/topazwind/src/logic.rs
+++ b/crates/topazwind/src/logic.rs
@@ -873,7 +873,8 @@
             let zone = if s.entry.zone == self.set.zone { 1.0 } else { CROSS_ZONE };
             let turn = TURN * (-(now - s.sent_at).max(0.0) / round).exp() + CHANCE * able.roll;
             // An attempt that is out for longer says so before it ends; warmth the draw has weighed. A cold
-            // one that may be sent something and has had nothing for long has its turn: its tokens are its guard.
+            // one that may be sent something and has had nothing for long has its turn: its tokens are its
+            // guard.
             let (mean, warmth) = match subset {
                 true => (mean.max(self.longest_out(now, able.id)), 1.0),
                 false if now - s.sent_at > OVERDUE => (mean, 1.0),
