--- a/crates/daemon/src/front/receive.rs
+++ b/crates/daemon/src/front/receive.rs
@@ -1,11 +1,11 @@
 //! Bodies of clients' requests: read whole while they are small, else passed on as they come. Progress is judged, and
 //! not the time in all: a client may be slow, but must get on.
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
 use hyper::StatusCode;
-use oatbank_engine::body::{self, Broken, Feed, Upload, HELD, LONGEST};
+use oatbank_engine::body::{self, Broken, Feed, Start, Upload, LONGEST};
 use oatbank_engine::classify::Rejection;
 use std::time::Duration;
 use tokio::time::{timeout, Instant};
@@ -82,29 +82,20 @@
         return Err(TOO_LONG);
     }
     let mut pace = Pace::new();
-    let (mut first, mut all) = (Bytes::new(), BytesMut::new());
-    while pace.bytes <= HELD as u64 {
+    let mut start = Start::default();
+    while !start.is_long() {
         let Some(piece) = pace.next(&mut body).await.map_err(rejection)? else {
             whole();
-            return Ok(Upload::Whole(if all.is_empty() { first } else { all.freeze() }));
+            return Ok(Upload::Whole(start.finish()));
         };
-        // What came in one piece, as most does, is not copied.
-        if first.is_empty() && all.is_empty() {
-            first = piece;
-        } else {
-            if all.is_empty() {
-                all.extend_from_slice(&std::mem::take(&mut first));
-            }
-            all.extend_from_slice(&piece);
-        }
+        start.push(piece);
     }
-    let held = if all.is_empty() { first } else { all.freeze() };
     let (feed, rest) = body::pieces();
     tokio::task::spawn_local(async move {
         pass_on(body, pace, feed).await;
         whole();
     });
-    Ok(Upload::stream(held, length, rest))
+    Ok(Upload::stream(start.finish(), length, rest))
 }
 
 /// Passes a body on as it comes, no faster than it is taken.
--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -2,7 +2,7 @@
 
 use crate::control::{self, Control};
 use crate::reload;
-use crate::serve::{on_one_thread, Limits, Plan, Serving, Signals};
+use crate::serve::{on_one_thread, Plan, Serving, Signals};
 use crate::upgrade::{self, Upgrade};
 use oatbank_engine::counters::text::TextCounter;
 use oatbank_engine::engine::{Engine, Names, Setup};
@@ -12,6 +12,7 @@
 use oatbank_engine::respond::ComeBack;
 use oatbank_engine::supervise::keep_running;
 use oatbank_engine::upstreams::http1::Http1;
+use oatbank_operations::budget::Limits;
 use serde::Deserialize;
 use serde_json::Value;
 use std::fmt::Write as _;
--- a/crates/daemon/src/serve.rs
+++ b/crates/daemon/src/serve.rs
@@ -6,8 +6,7 @@
 use oatbank_engine::respond::ComeBack;
 use oatbank_engine::supervise::keep_running;
 use oatbank_engine::upstreams::http1::{Connections, Http1};
-use oatbank_operations::budget::{self, Budget};
-use serde::Deserialize;
+use oatbank_operations::budget::{Budget, Limits};
 use socket2::SockRef;
 use std::future::Future;
 use std::net::SocketAddr;
@@ -29,31 +28,6 @@
 const LOOK: Duration = Duration::from_millis(10);
 const LAST_BYTES: Duration = Duration::from_millis(60);
 
-/// What the process may take.
-#[derive(Clone, Copy, Debug, Deserialize)]
-pub struct Limits {
-    /// File descriptors, sockets of all kinds among them.
-    #[serde(default = "usual_sockets")]
-    pub sockets: usize,
-    /// Memory, MB.
-    #[serde(default = "usual_memory")]
-    pub memory_mb: f64,
-}
-
-fn usual_memory() -> f64 {
-    192.0
-}
-
-fn usual_sockets() -> usize {
-    1024
-}
-
-impl Default for Limits {
-    fn default() -> Self {
-        Limits { sockets: usual_sockets(), memory_mb: usual_memory() }
-    }
-}
-
 /// What a serving process is started with, wherever that came from.
 pub struct Plan {
     /// The limiter's name, for the log.
@@ -79,8 +53,7 @@
 impl Plan {
     /// What this process may take, by purpose, while it is this part of the limiter.
     pub fn budget(&self, part: f64) -> Budget {
-        let limits = budget::Limits { sockets: self.limits.sockets, memory_mb: self.limits.memory_mb };
-        Budget::divide(limits, self.others, part)
+        Budget::divide(self.limits, self.others, part)
     }
 }
 
--- a/crates/daemon/src/standalone.rs
+++ b/crates/daemon/src/standalone.rs
@@ -1,7 +1,7 @@
 //! Serving without a platform: servers, counter and all else from a file of oatbank's own.
 
 use crate::feed::Feed;
-use crate::serve::{on_one_thread, Limits, Plan, Serving, Signals};
+use crate::serve::{on_one_thread, Plan, Serving, Signals};
 use crate::{logging, members};
 use oatbank_engine::config::{Config, ZooKeeper};
 use oatbank_engine::counters::{self, local::Numbers};
@@ -12,6 +12,7 @@
 use oatbank_engine::supervise::keep_running;
 use oatbank_engine::upstreams::http1::Http1;
 use oatbank_membership::register::{Life, Place};
+use oatbank_operations::budget::Limits;
 use oatbank_zookeeper::register::Registrar;
 use std::hash::{BuildHasher, Hasher, RandomState};
 use std::net::SocketAddr;
--- a/crates/daemon/tests/operations.rs
+++ b/crates/daemon/tests/operations.rs
@@ -15,15 +15,6 @@
     (setup, limiter, discovery, counter)
 }
 
-fn all_ready(revision: u64, servers: &[&Server]) -> String {
-    let members = servers.iter().enumerate().map(|(i, s)| member(&id(i), s.address, "Ready"));
-    list(revision, true, &members.collect::<Vec<_>>())
-}
-
-fn id(i: usize) -> String {
-    format!("s-{}", i + 1)
-}
-
 fn ok(body: &[u8]) -> Vec<u8> {
     answer("200 OK", "", body)
 }
--- a/crates/daemon/tests/upgrade.rs
+++ b/crates/daemon/tests/upgrade.rs
@@ -19,9 +19,7 @@
 
 impl Place {
     fn new(name: &str, servers: &[&Server]) -> Place {
-        let members =
-            servers.iter().enumerate().map(|(i, s)| member(&format!("s-{}", i + 1), s.address, "Ready"));
-        let known = list(1, true, &members.collect::<Vec<_>>());
+        let known = all_ready(1, servers);
         let (discovery, counter) = (Discovery::start(known.clone()), Counter::ok());
         // A long name: no socket's could be so long.
         let folder =
--- a/crates/engine/src/body.rs
+++ b/crates/engine/src/body.rs
@@ -94,6 +94,41 @@
 
 impl std::error::Error for Broken {}
 
+/// The start of a body, put together from its pieces. One that came in one piece, as most do, is not copied.
+#[derive(Debug, Default)]
+pub struct Start {
+    first: Bytes,
+    all: BytesMut,
+}
+
+impl Start {
+    /// The next piece.
+    pub fn push(&mut self, piece: Bytes) {
+        if self.first.is_empty() {
+            self.first = piece;
+            return;
+        }
+        if self.all.is_empty() {
+            self.all.extend_from_slice(&self.first);
+        }
+        self.all.extend_from_slice(&piece);
+    }
+
+    /// It is longer than what is held of a body.
+    pub fn is_long(&self) -> bool {
+        self.first.len().max(self.all.len()) > HELD
+    }
+
+    /// All that was pushed.
+    pub fn finish(self) -> Bytes {
+        if self.all.is_empty() {
+            self.first
+        } else {
+            self.all.freeze()
+        }
+    }
+}
+
 /// The pieces of a stream.
 pub type Pieces = mpsc::Receiver<Result<Bytes, Broken>>;
 
--- a/crates/engine/src/engine/core.rs
+++ b/crates/engine/src/engine/core.rs
@@ -234,8 +234,7 @@
         let attempt = entry.begin(server, now);
         let Ok(number) = u8::try_from(attempt) else { return };
         let most = entry.most as usize;
-        let left = entry.ends - WAY_BACK - now;
-        let span = if timeout > 0.0 { timeout.min(left) } else { left };
+        let span = span(entry.ends, now, timeout);
         if entry.over() || span <= 0.0 || most > 0 && attempt >= most {
             return self.end(now, id, number, Outcome::Moot, Vec::new());
         }
@@ -267,8 +266,7 @@
     /// Waits so long for an attempt whose body has gone out.
     fn wait_for(&mut self, now: Millis, id: RequestId, attempt: u8, timeout: Millis) {
         if let Some(entry) = self.book.get_mut(id) {
-            let left = entry.ends - WAY_BACK - now;
-            let span = if timeout > 0.0 { timeout.min(left) } else { left };
+            let span = span(entry.ends, now, timeout);
             self.timers.arm(now + span, Due::Attempt(id, attempt));
         }
     }
@@ -402,6 +400,16 @@
     }
 }
 
+/// How long an attempt is waited for of which the module says `timeout` (0: until the client gives up, at `ends`).
+fn span(ends: Millis, now: Millis, timeout: Millis) -> Millis {
+    let left = ends - WAY_BACK - now;
+    if timeout > 0.0 {
+        timeout.min(left)
+    } else {
+        left
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/engine/src/engine/mod.rs
+++ b/crates/engine/src/engine/mod.rs
@@ -160,9 +160,7 @@
     /// # Errors
     /// When the server was never listed.
     pub fn operate(self: &Rc<Self>, id: &str, out: bool) -> Result<(), NeverListed> {
-        self.change(|core, now| core.operate(now, id, out))?;
-        self.upstream.keep_only(&|id| self.core.borrow().fleet().is_ready(id));
-        Ok(())
+        self.change_servers(|core, now| core.operate(now, id, out))
     }
 
     /// What operators have said of servers.
@@ -172,8 +170,7 @@
 
     /// Takes in what another process was told of servers.
     pub fn merge(self: &Rc<Self>, marks: &Marks) {
-        self.change(|core, now| core.merge(now, marks));
-        self.upstream.keep_only(&|id| self.core.borrow().fleet().is_ready(id));
+        self.change_servers(|core, now| core.merge(now, marks));
     }
 
     /// The limiter can serve.
@@ -286,14 +283,21 @@
     }
 
     fn members(self: &Rc<Self>, news: &News) {
-        let now = self.now();
-        let ready = self.core.borrow_mut().members(now, news);
+        if self.change_servers(|core, now| core.members(now, news)) {
+            self.set_ready();
+        }
+    }
+
+    /// Changes which servers may be sent something.
+    fn change_servers<T>(
+        self: &Rc<Self>,
+        how: impl FnOnce(&mut Core<U::Request, U::Answer>, Millis) -> T,
+    ) -> T {
+        let done = how(&mut self.core.borrow_mut(), self.now());
         // Before anything new goes out: idle connections to what has left are not to be taken.
         self.upstream.keep_only(&|id| self.core.borrow().fleet().is_ready(id));
         self.change(|_, _| ());
-        if ready {
-            self.set_ready();
-        }
+        done
     }
 
     async fn run_timers(self: Rc<Self>) {
--- a/crates/engine/src/upstreams/http1.rs
+++ b/crates/engine/src/upstreams/http1.rs
@@ -3,11 +3,11 @@
 //! Connections are kept here and not in a pooling client: such a client sends again by itself, and does not
 //! tell whether a request went out.
 
-use crate::body::{self, Body, Broken, Feed, Gone, Room, Rooms, Sending, Upload, HELD, LONGEST};
+use crate::body::{self, Body, Broken, Feed, Gone, Room, Rooms, Sending, Start, Upload, HELD, LONGEST};
 use crate::ports::clock::Clock;
 use crate::ports::upstream::{End, Job, Upstream};
 use crate::ports::Local;
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
@@ -478,23 +478,15 @@
     if body.size_hint().lower() > HELD as u64 {
         return Ok(Held::Start(Bytes::new()));
     }
-    // A body that came in one piece, as most do, is not copied.
-    let (mut first, mut all) = (Bytes::new(), BytesMut::new());
+    let mut start = Start::default();
     while let Some(frame) = body.frame().await {
         let Ok(piece) = frame?.into_data() else { continue };
-        if first.is_empty() {
-            first = piece;
-            continue;
-        }
-        if all.is_empty() {
-            all.extend_from_slice(&first);
-        }
-        all.extend_from_slice(&piece);
-        if all.len() > HELD {
-            return Ok(Held::Start(all.freeze()));
+        start.push(piece);
+        if start.is_long() {
+            return Ok(Held::Start(start.finish()));
         }
     }
-    Ok(Held::Whole(if all.is_empty() { first } else { all.freeze() }))
+    Ok(Held::Whole(start.finish()))
 }
 
 /// Where a connection goes when its answer is whole: to the idle ones of this server, if that is still in use.
--- a/crates/operations/src/budget.rs
+++ b/crates/operations/src/budget.rs
@@ -6,6 +6,8 @@
 //! take the other's place. What gives way: at the limit of connections the client that has been silent for the longest;
 //! at the limit of bodies the next body waits, and its sender with it.
 
+use serde::Deserialize;
+
 /// Descriptors kept for all that is neither a client's nor a server's connection: the counter's (twice while it
 /// moves), discovery's, the listener and the runtime's own.
 const SPARE: usize = 24;
@@ -29,14 +31,30 @@
 pub const STREAM_KIB: usize = 128;
 
 /// What a process may take.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
 pub struct Limits {
     /// File descriptors, sockets of all kinds among them.
+    #[serde(default = "usual_sockets")]
     pub sockets: usize,
     /// Memory, MB.
+    #[serde(default = "usual_memory")]
     pub memory_mb: f64,
 }
 
+fn usual_memory() -> f64 {
+    192.0
+}
+
+fn usual_sockets() -> usize {
+    1024
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits { sockets: usual_sockets(), memory_mb: usual_memory() }
+    }
+}
+
 /// The parts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Budget {
--- a/crates/testkit/src/discovery.rs
+++ b/crates/testkit/src/discovery.rs
@@ -1,6 +1,7 @@
 //! A stand-in for the platform's discovery agent.
 
 use crate::message::{answer, read_message};
+use crate::server::Server;
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -74,3 +75,10 @@
 pub fn list(revision: u64, complete: bool, members: &[String]) -> String {
     format!(r#"{{"revision":{revision},"complete":{complete},"members":[{}]}}"#, members.join(","))
 }
+
+/// The whole list of these servers, all of them ready, as s-1, s-2 and so on.
+pub fn all_ready(revision: u64, servers: &[&Server]) -> String {
+    let members = servers.iter().enumerate();
+    let members = members.map(|(i, s)| member(&format!("s-{}", i + 1), s.address, "Ready"));
+    list(revision, true, &members.collect::<Vec<_>>())
+}
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -15,7 +15,7 @@
 
 pub use client::Client;
 pub use counter::Counter;
-pub use discovery::{list, member, Discovery};
+pub use discovery::{all_ready, list, member, Discovery};
 pub use fleet::{Fleet, Met};
 pub use limiter::{Limiter, Setup, WIDE};
 pub use message::{answer, read_message, Message};
--- a/crates/topazwind/src/interface.rs
+++ b/crates/topazwind/src/interface.rs
@@ -71,7 +71,7 @@
 }
 
 /// A plan: quotas that hold for each customer over all gateways together.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default)]
 pub struct Plan {
     /// Units a second; 0: no such quota.
     pub rate: f64,
--- a/crates/topazwind/src/logic.rs
+++ b/crates/topazwind/src/logic.rs
@@ -299,6 +299,14 @@
     }
 }
 
+impl Open {
+    /// How long an attempt is waited for from now: as long as its answer may earn something.
+    fn time_out(&self, now: Millis) -> Millis {
+        let until = if self.class.late_worth > 0.0 { self.ends_at } else { self.aim_at };
+        (until - now).max(1.0)
+    }
+}
+
 impl Flow {
     /// How old what was read of a customer may be, ms, for the others' use not to be presumed.
     fn trusted(&self) -> Millis {
@@ -978,14 +986,13 @@
         // While a body is coming its server does nothing yet: it counts as out, also among its customer's,
         // and its time runs, once it is whole.
         let whole = !open.request.uploading;
-        let counts = if whole { 1.0 } else { 0.0 };
+        let counts = f64::from(u8::from(whole));
         if let Some(s) = self.servers.get_mut(&server) {
             s.out += counts;
             s.tokens -= 1.0;
             s.sent_at = now;
         }
-        let until = if open.class.late_worth > 0.0 { open.ends_at } else { open.aim_at };
-        let timeout = if open.request.uploading { 0.0 } else { (until - now).max(1.0) };
+        let timeout = if whole { open.time_out(now) } else { 0.0 };
         self.acts.push(Action::Send { id, server, timeout });
         let (first, trusted) = (open.attempts.is_empty(), self.flow.trusted());
         open.attempts.push(Attempt { server, sent: now, live: true, may_have_run: true, whole });
@@ -1048,17 +1055,23 @@
             return;
         };
         (a.whole, a.sent) = (true, now);
-        if let Some(c) = self.customers.get_mut(&open.request.customer) {
+        let server = a.server;
+        let left = open.request.time_left;
+        (open.aim_at, open.ends_at) = (now + open.class.aim.min(left), now + left);
+        let (timeout, customer) = (open.time_out(now), open.request.customer);
+        self.acts.push(Action::Await { id, attempt, timeout });
+        self.count_out(customer, server);
+    }
+
+    /// One more attempt is out: its customer's, its server's and this gateway's.
+    fn count_out(&mut self, customer: CustomerId, server: ServerId) {
+        if let Some(c) = self.customers.get_mut(&customer) {
             c.open += 1.0;
         }
-        if let Some(s) = self.servers.get_mut(&a.server) {
+        if let Some(s) = self.servers.get_mut(&server) {
             s.out += 1.0;
         }
         self.flow.out += 1.0;
-        let left = open.request.time_left;
-        (open.aim_at, open.ends_at) = (now + open.class.aim.min(left), now + left);
-        let until = if open.class.late_worth > 0.0 { open.ends_at } else { open.aim_at };
-        self.acts.push(Action::Await { id, attempt, timeout: (until - now).max(1.0) });
     }
 
     /// An attempt that ends before its body was whole never counted as out, has not run whatever brought it
@@ -1068,13 +1081,8 @@
         if open.attempts.get(usize::from(attempt)).is_none_or(|a| a.whole || !a.live) {
             return outcome;
         }
-        if let Some(c) = self.customers.get_mut(&open.request.customer) {
-            c.open += 1.0;
-        }
-        if let Some(s) = self.servers.get_mut(&server) {
-            s.out += 1.0;
-        }
-        self.flow.out += 1.0;
+        // What follows takes it off again, as it does with any other.
+        self.count_out(open.request.customer, server);
         match outcome {
             Outcome::Cancelled | Outcome::TimedOut => Outcome::Moot,
             outcome => outcome,
--- a/crates/topazwind/src/wire/host.rs
+++ b/crates/topazwind/src/wire/host.rs
@@ -79,9 +79,8 @@
             let who = event.u32(2).map_err(at)?;
             self.actions.clear();
             self.event(now, who, event, tail).map_err(at)?;
-            // On the wire every body is there with its request, so that none is waited for.
-            for action in self.actions.iter().filter(|a| !matches!(a, Action::Await { .. })) {
-                reply.extend_from_slice(encode(who, action).bytes());
+            for record in self.actions.iter().filter_map(|action| encode(who, action)) {
+                reply.extend_from_slice(record.bytes());
                 written += 1;
             }
         }
@@ -205,14 +204,14 @@
     (0..n).map(|i| r.f32(at + 1 + 4 * i)).collect()
 }
 
-fn encode(who: u32, action: &Action) -> Record {
-    match *action {
+/// The record of an action, if the wire has one.
+fn encode(who: u32, action: &Action) -> Option<Record> {
+    Some(match *action {
         Action::Send { id, server, timeout } => {
             Record::new(1000, who).u32(6, id.0).u32(10, number(server)).f64(14, timeout)
         }
-        Action::Await { id, attempt, timeout } => {
-            Record::new(1000, who).u32(6, id.0).put(10, &[attempt]).f64(14, timeout)
-        }
+        // Here every body is there with its request, so that none is waited for.
+        Action::Await { .. } => return None,
         Action::Refuse { id, retry_after } => Record::new(1010, who).u32(6, id.0).f64(10, retry_after),
         Action::Fail(id) => Record::new(1020, who).u32(6, id.0),
         Action::Cancel { id, attempt } => Record::new(1030, who).u32(6, id.0).put(10, &[attempt]),
@@ -223,7 +222,7 @@
             .f64(18, ttl),
         Action::Timer { after, name } => Record::new(1040, who).f64(6, after).put(14, &name.to_le_bytes()),
         Action::Watch => Record::new(1100, who).put(6, &[1]),
-    }
+    })
 }
 
 /// A server's number as the wire has it; all of them came from there.
