--- /dev/null
+++ b/crates/fleet/src/member.rs
@@ -0,0 +1,257 @@
+//! One limiter's side: the lease on its rules, what it holds and stages, and when it switches.
+
+use crate::document::{Head, Id, Revision};
+use crate::fetch::{Fetch, Step};
+use crate::message::{cut, Message, Ping, Pong, Verdict, MOST_REASON};
+use crate::node::Output;
+use crate::terms::{OnLapse, Terms};
+use crate::{Millis, Peer};
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+/// Questions whose answers are still taken: those of a lease, which is three heartbeats at least.
+const OPEN_QUESTIONS: usize = 64;
+
+/// By which rules a limiter may act at a moment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Acting {
+    /// By this revision, which is current as far as a lease can tell.
+    By(Id),
+    /// Its lease is over: by the stricter of these two, where it has confirmed another.
+    Strict(Id, Option<Id>),
+    /// By none: what comes is refused at once.
+    Refuse,
+}
+
+/// A revision that was shown and is not in force here.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Staged {
+    revision: Arc<Revision>,
+    verdict: Option<Verdict>,
+}
+
+/// A limiter as one of a fleet.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Member {
+    terms: Terms,
+    decider: Peer,
+    held: Option<Arc<Revision>>,
+    staged: Option<Staged>,
+    /// The staged revision is decided, and takes effect then.
+    due: Option<(Id, Millis)>,
+    lease_until: Millis,
+    /// Questions without an answer, and when each was asked.
+    asked: VecDeque<(u64, Millis)>,
+    seq: u64,
+    token: u64,
+    next_ping: Millis,
+    fetch: Option<Fetch>,
+}
+
+impl Member {
+    /// A limiter that has just started and holds nothing.
+    pub fn new(terms: Terms, decider: Peer, now: Millis) -> Member {
+        let (held, staged, due, fetch) = Default::default();
+        let asked = VecDeque::new();
+        Member {
+            terms,
+            decider,
+            held,
+            staged,
+            due,
+            lease_until: 0,
+            asked,
+            seq: 0,
+            token: 0,
+            next_ping: now,
+            fetch,
+        }
+    }
+
+    /// By which rules it may act now. Asked right before each first byte: a process that stood still finds its lease
+    /// over before it does anything.
+    pub fn acting(&self, now: Millis) -> Acting {
+        let Some(held) = &self.held else { return Acting::Refuse };
+        if now < self.lease_until {
+            return Acting::By(held.id());
+        }
+        match self.terms.on_lapse {
+            OnLapse::Strict(span) if now < self.lease_until.saturating_add(span) => {
+                Acting::Strict(held.id(), self.confirmed().map(|r| r.id()))
+            }
+            _ => Acting::Refuse,
+        }
+    }
+
+    /// What it holds.
+    pub fn held(&self) -> Option<&Arc<Revision>> {
+        self.held.as_ref()
+    }
+
+    /// What it has confirmed beside that.
+    pub fn confirmed(&self) -> Option<&Arc<Revision>> {
+        self.staged.as_ref().filter(|s| s.verdict == Some(Verdict::Confirmed)).map(|s| &s.revision)
+    }
+
+    /// What it was shown, and the reason why it cannot take it, if so.
+    pub fn veto(&self) -> Option<(Id, &str)> {
+        self.staged.as_ref().and_then(|s| match &s.verdict {
+            Some(Verdict::Vetoed(reason)) => Some((s.revision.id(), reason.as_str())),
+            _ => None,
+        })
+    }
+
+    /// How long its rules are still known to be current.
+    pub fn lease_left(&self, now: Millis) -> Millis {
+        self.lease_until.saturating_sub(now)
+    }
+
+    /// When [`Member::tick`] is to be called at the latest.
+    pub fn next_due(&self, now: Millis) -> Millis {
+        let lapse = Some(self.lease_until).filter(|at| *at > now);
+        let due = self.due.map(|(_, at)| at);
+        lapse.into_iter().chain(due).fold(self.next_ping, Millis::min)
+    }
+
+    /// Time has passed.
+    pub fn tick(&mut self, now: Millis, out: &mut VecDeque<Output>) {
+        if self.due.is_some_and(|(_, at)| now >= at) {
+            self.switch(out);
+        }
+        if now >= self.next_ping {
+            self.ping(now, out);
+        }
+    }
+
+    fn ping(&mut self, now: Millis, out: &mut VecDeque<Output>) {
+        self.next_ping = now + self.terms.heartbeat;
+        self.seq += 1;
+        self.asked.push_back((self.seq, now));
+        if self.asked.len() > OPEN_QUESTIONS {
+            self.asked.pop_front();
+        }
+        let staged = self.staged.as_ref();
+        let staged = staged.and_then(|s| s.verdict.clone().map(|verdict| (s.revision.id(), verdict)));
+        let ping = Ping { seq: self.seq, token: self.token, holds: self.id(), staged };
+        out.push_back(Output::Send(self.decider, Message::Ping(ping)));
+        if self.fetch.as_ref().is_some_and(|f| f.overdue(now, self.terms.heartbeat)) {
+            self.want(now, out);
+        }
+    }
+
+    fn id(&self) -> Id {
+        self.held.as_ref().map_or(Id::NONE, |r| r.id())
+    }
+
+    /// Takes in the decider's answer. Those to older questions than the last one answered, and those to questions never
+    /// asked, tell nothing.
+    pub fn pong(&mut self, now: Millis, pong: Pong, out: &mut VecDeque<Output>) {
+        let Some(place) = self.asked.iter().position(|(seq, _)| *seq == pong.seq) else { return };
+        let (_, asked_at) = self.asked[place];
+        self.asked.drain(..=place);
+        let greeted = std::mem::replace(&mut self.token, pong.token) == pong.token;
+        if !greeted {
+            // The decider knows this limiter only once it has heard its token back.
+            self.next_ping = now;
+        }
+        if let Some(current) = &pong.current {
+            if self.id() != current.id {
+                self.follow(now, current, out);
+            }
+            if self.id() != current.id {
+                // First the text of what is current.
+                return;
+            }
+            // From when the question went out: the decider counts from when it answered, and so for longer.
+            self.lease_until = self.lease_until.max(asked_at + self.terms.lease);
+        }
+        match pong.proposal {
+            Some(head) => self.proposed(now, &head, pong.effective_in, out),
+            None if pong.current.is_some() => (self.staged, self.due) = (None, None),
+            None => {}
+        }
+    }
+
+    /// A revision is to follow, or is decided already and takes effect in `left`.
+    fn proposed(&mut self, now: Millis, head: &Head, left: Option<Millis>, out: &mut VecDeque<Output>) {
+        if self.id() == head.id {
+            return;
+        }
+        self.stage(now, head, out);
+        if let (Some(left), true) = (left, self.confirmed().is_some_and(|r| r.id() == head.id)) {
+            let at = self.due.map_or(now + left, |(_, at)| at.min(now + left));
+            self.due = Some((head.id, at));
+        }
+    }
+
+    /// What it holds is not what is current: it must not go on by it, and switches as soon as it has the text.
+    fn follow(&mut self, now: Millis, current: &Head, out: &mut VecDeque<Output>) {
+        if self.confirmed().is_some_and(|r| r.head == *current) {
+            return self.switch(out);
+        }
+        if self.held.take().is_some() {
+            self.lease_until = 0;
+            out.push_back(Output::Stopped);
+        }
+        self.stage(now, current, out);
+    }
+
+    /// Sees to it that this revision's text comes and is checked.
+    fn stage(&mut self, now: Millis, head: &Head, out: &mut VecDeque<Output>) {
+        let staged = self.staged.as_ref().is_some_and(|s| s.revision.head == *head);
+        let coming = self.fetch.as_ref().is_some_and(|f| f.head == *head);
+        if staged || coming {
+            return;
+        }
+        (self.staged, self.due) = (None, None);
+        self.fetch = Fetch::new(head.clone(), now);
+        self.want(now, out);
+    }
+
+    fn want(&mut self, now: Millis, out: &mut VecDeque<Output>) {
+        if let Some(fetch) = &mut self.fetch {
+            out.push_back(Output::Send(self.decider, fetch.want(now)));
+        }
+    }
+
+    /// Takes in a part of a text.
+    pub fn piece(&mut self, now: Millis, message: &Message, out: &mut VecDeque<Output>) {
+        let Some(fetch) = &mut self.fetch else { return };
+        match fetch.take(message) {
+            Step::More => self.want(now, out),
+            Step::Wait => {}
+            // Asked for anew with the next answer that names it.
+            Step::Wrong => self.fetch = None,
+            Step::Whole(revision) => {
+                self.fetch = None;
+                self.staged = Some(Staged { revision: revision.clone(), verdict: None });
+                out.push_back(Output::Check(revision));
+            }
+        }
+    }
+
+    /// What it can show of: what it holds, and what it has confirmed.
+    pub fn shows(&self, which: impl Fn(&Revision) -> bool) -> Option<&Arc<Revision>> {
+        self.held.iter().chain(self.confirmed()).find(|r| which(r))
+    }
+
+    /// What was found of a revision that was to be checked.
+    pub fn checked(&mut self, now: Millis, id: Id, verdict: Verdict) {
+        if let Some(staged) = self.staged.as_mut().filter(|s| s.revision.id() == id) {
+            staged.verdict = Some(match verdict {
+                Verdict::Vetoed(reason) => Verdict::Vetoed(cut(&reason, MOST_REASON).to_owned()),
+                confirmed => confirmed,
+            });
+            // Said at once: everybody waits for it.
+            self.next_ping = now;
+        }
+    }
+
+    fn switch(&mut self, out: &mut VecDeque<Output>) {
+        self.due = None;
+        let Some(revision) = self.confirmed().cloned() else { return };
+        (self.staged, self.fetch) = (None, None);
+        self.held = Some(revision.clone());
+        out.push_back(Output::Act(revision));
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/message.rs
@@ -0,0 +1,218 @@
+//! What limiters say to each other, one datagram each, and the frames that carry it.
+//!
+//! A frame is a version, a fleet's key's mark, the sender and a message. Whoever does not have the fleet's key can neither
+//! make nor change one. A frame that comes twice or late is no danger: questions are numbered and each is answered
+//! once to its asker, and what a limiter says of itself counts with the token it was last given only.
+
+use crate::document::{Digest, Head, Id};
+use crate::{Millis, Peer};
+use serde::{Deserialize, Serialize};
+
+/// Version of the frames. Another one is dropped, and counted.
+pub const VERSION: u8 = 1;
+/// Most bytes of a text in one message: a datagram stays whole on usual networks.
+pub const PIECE: usize = 1024;
+/// The longest frame, bytes: a veto's reason is cut to fit.
+pub const MOST_FRAME: usize = 1400;
+/// The longest reason of a veto, bytes.
+pub const MOST_REASON: usize = 300;
+/// The longest name of an author, bytes.
+pub const MOST_AUTHOR: usize = 64;
+const MAC: usize = 16;
+
+/// What a limiter has found of a revision that it was shown.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Verdict {
+    /// It holds the text and can act by it.
+    Confirmed,
+    /// It cannot, for this reason, which names the key.
+    Vetoed(String),
+}
+
+/// A question of a limiter to the decider, and what it says of itself.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Ping {
+    /// Counts the limiter's questions.
+    pub seq: u64,
+    /// The token that the decider last gave it; 0: none yet.
+    pub token: u64,
+    /// What it acts by or would.
+    pub holds: Id,
+    /// What it was shown beside that, and what it found.
+    pub staged: Option<(Id, Verdict)>,
+}
+
+/// The decider's answer.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Pong {
+    /// The question's number.
+    pub seq: u64,
+    /// What is to stand in the next question.
+    pub token: u64,
+    /// The rules that are current. Without it the answer keeps nothing current.
+    pub current: Option<Head>,
+    /// What is proposed to follow them.
+    pub proposal: Option<Head>,
+    /// That is decided, and takes effect after this, ms.
+    pub effective_in: Option<Millis>,
+}
+
+/// A message.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Message {
+    #[allow(missing_docs)]
+    Ping(Ping),
+    #[allow(missing_docs)]
+    Pong(Pong),
+    /// The text of this hash is wanted, from this byte on.
+    Want {
+        /// The text.
+        digest: Digest,
+        /// The first byte.
+        from: u32,
+    },
+    /// The head of this revision is wanted.
+    Show(Id),
+    /// That head.
+    Shown(Head),
+    /// A part of a text.
+    Piece {
+        /// The text.
+        digest: Digest,
+        /// Where the part begins.
+        from: u32,
+        /// The part.
+        bytes: Vec<u8>,
+    },
+}
+
+/// Why a frame was dropped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Dropped {
+    /// Of another version of frames.
+    Version,
+    /// Not made with this fleet's key, or changed.
+    Key,
+    /// It cannot be read, or is too long.
+    Form,
+}
+
+/// What a fleet's frames are made and read with.
+#[derive(Clone)]
+pub struct Seal {
+    key: [u8; 32],
+}
+
+impl Seal {
+    /// From a secret that all limiters of the fleet share.
+    pub fn new(secret: &str) -> Seal {
+        Seal { key: blake3::derive_key("oatbank fleet frames 1", secret.as_bytes()) }
+    }
+
+    /// A frame with this message, from this limiter to that one.
+    pub fn frame(&self, from: Peer, to: Peer, message: &Message) -> Vec<u8> {
+        let mut frame = vec![VERSION];
+        frame.extend_from_slice(&[0; MAC]);
+        let body = postcard::to_extend(&(from, to, message), frame);
+        // Plain data without maps or floats has no way to fail.
+        let mut frame = body.unwrap_or_default();
+        if frame.len() > MAC {
+            let mark = self.mark(&frame[1 + MAC..]);
+            frame[1..=MAC].copy_from_slice(&mark);
+        }
+        frame
+    }
+
+    /// Reads a frame that came to this limiter.
+    ///
+    /// # Errors
+    /// Why it is to be dropped.
+    pub fn read(&self, to: Peer, frame: &[u8]) -> Result<(Peer, Message), Dropped> {
+        let (version, rest) = frame.split_first().ok_or(Dropped::Form)?;
+        if *version != VERSION {
+            return Err(Dropped::Version);
+        }
+        if frame.len() > MOST_FRAME || rest.len() <= MAC {
+            return Err(Dropped::Form);
+        }
+        let (mark, body) = rest.split_at(MAC);
+        // In constant time: blake3's hashes compare so.
+        if blake3::Hash::from_bytes(widen(mark)) != blake3::Hash::from_bytes(widen(&self.mark(body))) {
+            return Err(Dropped::Key);
+        }
+        let (from, meant, message) =
+            postcard::from_bytes::<(Peer, Peer, Message)>(body).map_err(|_| Dropped::Form)?;
+        if meant != to {
+            return Err(Dropped::Form);
+        }
+        Ok((from, message))
+    }
+
+    fn mark(&self, body: &[u8]) -> [u8; MAC] {
+        let mut mark = [0; MAC];
+        mark.copy_from_slice(&blake3::keyed_hash(&self.key, body).as_bytes()[..MAC]);
+        mark
+    }
+}
+
+fn widen(mark: &[u8]) -> [u8; 32] {
+    let mut wide = [0; 32];
+    wide[..mark.len()].copy_from_slice(mark);
+    wide
+}
+
+/// At most so many bytes of a text, cut between two characters.
+pub fn cut(text: &str, most: usize) -> &str {
+    let mut end = text.len().min(most);
+    while !text.is_char_boundary(end) {
+        end -= 1;
+    }
+    &text[..end]
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn pong() -> Message {
+        let head = Head { author: "a".repeat(MOST_AUTHOR), ..Head::default() };
+        Message::Pong(Pong {
+            seq: u64::MAX,
+            token: u64::MAX,
+            current: Some(head.clone()),
+            proposal: Some(head),
+            effective_in: Some(u64::MAX),
+        })
+    }
+
+    #[test]
+    fn the_longest_messages_fit_and_come_whole() {
+        let seal = Seal::new("secret");
+        let reason = Verdict::Vetoed("r".repeat(MOST_REASON));
+        let most = Id { epoch: u64::MAX, number: u64::MAX };
+        let ping = Ping { seq: u64::MAX, token: u64::MAX, holds: most, staged: Some((most, reason)) };
+        let digest = Digest([255; 32]);
+        let piece = Message::Piece { digest, from: u32::MAX, bytes: vec![255; PIECE] };
+        for message in [pong(), Message::Ping(ping), piece, Message::Want { digest, from: 0 }] {
+            let frame = seal.frame(Peer(u16::MAX), Peer(2), &message);
+            assert!(frame.len() <= MOST_FRAME, "{} bytes: {message:?}", frame.len());
+            assert_eq!(seal.read(Peer(2), &frame), Ok((Peer(u16::MAX), message)));
+        }
+    }
+
+    #[test]
+    fn strangers_and_changed_frames_are_dropped() {
+        let (seal, other) = (Seal::new("secret"), Seal::new("another"));
+        let frame = seal.frame(Peer(1), Peer(2), &pong());
+        assert_eq!(other.read(Peer(2), &frame), Err(Dropped::Key));
+        assert_eq!(seal.read(Peer(3), &frame), Err(Dropped::Form), "meant for another limiter");
+        for i in 0..frame.len() {
+            let mut changed = frame.clone();
+            changed[i] ^= 1;
+            assert!(seal.read(Peer(2), &changed).is_err(), "byte {i}");
+        }
+        for len in 0..frame.len() {
+            assert!(seal.read(Peer(2), &frame[..len]).is_err(), "{len} bytes");
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/strict.rs
@@ -0,0 +1,165 @@
+//! What contradicts, in one place, and the rules that contradict neither of two sets.
+
+use topazwind::interface::{Class, Plan, Repeat};
+
+/// Rules as limiters act by them, by name.
+#[derive(Clone, Debug, Default)]
+pub struct Rules {
+    /// Classes of requests.
+    pub classes: Vec<(String, Class)>,
+    /// Plans of accounts.
+    pub plans: Vec<(String, Plan)>,
+    /// Servers that requests may be sent to.
+    pub servers: Vec<String>,
+    /// Attempts of one request; 0: no limit.
+    pub max_attempts: u32,
+}
+
+/// Where two sets of rules contradict each other: two figures for one class or plan, two numbers of attempts, or a
+/// server that is used by one and not by the other. An account or a class that only one of them knows is none: the
+/// other refuses it. Requests that are open keep the rules they came with, and are none either.
+pub fn contradictions(a: &Rules, b: &Rules) -> Vec<String> {
+    let mut found = Vec::new();
+    for (name, one) in &a.classes {
+        let other = b.classes.iter().find(|(n, _)| n == name);
+        if other.is_some_and(|(_, other)| figures(one) != figures(other)) {
+            found.push(format!("classes.{name}"));
+        }
+    }
+    for (name, one) in &a.plans {
+        let other = b.plans.iter().find(|(n, _)| n == name);
+        if other.is_some_and(|(_, other)| plan_figures(one) != plan_figures(other)) {
+            found.push(format!("plans.{name}"));
+        }
+    }
+    let only = |x: &Rules, y: &Rules| {
+        x.servers.iter().filter(|s| !y.servers.contains(s)).cloned().collect::<Vec<_>>()
+    };
+    found.extend(only(a, b).into_iter().chain(only(b, a)).map(|server| format!("servers.{server}")));
+    if a.max_attempts != b.max_attempts {
+        found.push("attempts.most".into());
+    }
+    found
+}
+
+/// The stricter of two sets of rules: of each limit the lower, and only what both know.
+pub fn stricter(a: &Rules, b: &Rules) -> Rules {
+    let classes = a.classes.iter().filter_map(|(name, one)| {
+        let (_, other) = b.classes.iter().find(|(n, _)| n == name)?;
+        Some((name.clone(), stricter_class(one, other)))
+    });
+    let plans = a.plans.iter().filter_map(|(name, one)| {
+        let (_, other) = b.plans.iter().find(|(n, _)| n == name)?;
+        Some((name.clone(), stricter_plan(one, other)))
+    });
+    Rules {
+        classes: classes.collect(),
+        plans: plans.collect(),
+        servers: a.servers.iter().filter(|s| b.servers.contains(s)).cloned().collect(),
+        max_attempts: least(f64::from(a.max_attempts), f64::from(b.max_attempts)) as u32,
+    }
+}
+
+fn stricter_class(a: &Class, b: &Class) -> Class {
+    Class {
+        aim: a.aim.min(b.aim),
+        deadline: a.deadline.min(b.deadline),
+        late_worth: a.late_worth.min(b.late_worth),
+        worth: a.worth.min(b.worth),
+        repeat: stricter_repeat(a.repeat, b.repeat),
+    }
+}
+
+/// What both allow: where one says "never again", nothing runs twice.
+fn stricter_repeat(a: Repeat, b: Repeat) -> Repeat {
+    match (a, b) {
+        (Repeat::Safe, other) | (other, Repeat::Safe) => other,
+        (Repeat::Keyed { group: one, window: w }, Repeat::Keyed { group: other, window: v })
+            if one == other =>
+        {
+            Repeat::Keyed { group: one, window: w.min(v) }
+        }
+        // Two groups have no server in common for sure.
+        _ => Repeat::Unsafe,
+    }
+}
+
+fn stricter_plan(a: &Plan, b: &Plan) -> Plan {
+    // A quota of one alone is the stricter; the burst goes with it.
+    let of = |rate: fn(&Plan) -> f64, burst: fn(&Plan) -> f64| {
+        let bursts = [a, b].into_iter().filter(|p| rate(p) > 0.0).map(burst);
+        (least(rate(a), rate(b)), bursts.fold(f64::INFINITY, f64::min))
+    };
+    let (rate, burst) = of(|p| p.rate, |p| p.burst);
+    let (ceiling_rate, ceiling_burst) = of(|p| p.ceiling_rate, |p| p.ceiling_burst);
+    let finite = |n: f64| if n.is_finite() { n } else { 0.0 };
+    Plan {
+        rate,
+        burst: finite(burst),
+        max_open: least(a.max_open, b.max_open),
+        ceiling_rate,
+        ceiling_burst: finite(ceiling_burst),
+        ceiling_slack: a.ceiling_slack.min(b.ceiling_slack),
+        price: a.price.min(b.price),
+        over_worth: a.over_worth.min(b.over_worth),
+        over_cost: a.over_cost.max(b.over_cost),
+    }
+}
+
+/// The lower of two limits, of which 0 is none.
+fn least(a: f64, b: f64) -> f64 {
+    match (a > 0.0, b > 0.0) {
+        (true, true) => a.min(b),
+        _ => a.max(b),
+    }
+}
+
+fn figures(class: &Class) -> ([f64; 4], Repeat) {
+    ([class.aim, class.deadline, class.late_worth, class.worth], class.repeat)
+}
+
+fn plan_figures(plan: &Plan) -> [f64; 6] {
+    [plan.rate, plan.burst, plan.max_open, plan.ceiling_rate, plan.ceiling_burst, plan.price]
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use topazwind::interface::Group;
+
+    fn rules(rate: f64, repeat: Repeat, servers: &[&str]) -> Rules {
+        let plan = Plan { rate, burst: 2.0 * rate, price: 1.0, ..Plan::default() };
+        let class = Class { aim: 100.0, deadline: 1000.0, repeat, ..Class::default() };
+        Rules {
+            classes: vec![("quote".into(), class)],
+            plans: vec![("team".into(), plan)],
+            servers: servers.iter().map(|s| s.to_string()).collect(),
+            max_attempts: 3,
+        }
+    }
+
+    #[test]
+    fn what_contradicts_is_named_and_the_stricter_allows_no_more_than_either() {
+        let keyed = Repeat::Keyed { group: Group::All, window: 5000.0 };
+        let (a, b) = (rules(50.0, Repeat::Safe, &["s1", "s2"]), rules(20.0, keyed, &["s2", "s3"]));
+        let found = contradictions(&a, &b);
+        assert_eq!(found, ["classes.quote", "plans.team", "servers.s1", "servers.s3"]);
+        assert!(contradictions(&a, &a).is_empty());
+        for strict in [stricter(&a, &b), stricter(&b, &a)] {
+            assert_eq!((strict.plans[0].1.rate, strict.plans[0].1.burst), (20.0, 40.0));
+            assert_eq!(strict.classes[0].1.repeat, keyed);
+            assert_eq!(strict.servers, ["s2"]);
+        }
+    }
+
+    #[test]
+    fn no_limit_is_the_weaker_one_and_two_groups_of_keys_have_no_server_in_common() {
+        let (none, some) = (rules(0.0, Repeat::Unsafe, &[]), rules(7.0, Repeat::Safe, &[]));
+        let strict = stricter(&none, &some);
+        assert_eq!((strict.plans[0].1.rate, strict.plans[0].1.burst), (7.0, 14.0));
+        assert_eq!(strict.classes[0].1.repeat, Repeat::Unsafe);
+        let zone = Repeat::Keyed { group: Group::Zone, window: 1.0 };
+        let cell = Repeat::Keyed { group: Group::Cell, window: 1.0 };
+        assert_eq!(stricter_repeat(zone, cell), Repeat::Unsafe);
+    }
+}
--- /dev/null
+++ b/crates/fleet/tests/agreement.rs
@@ -0,0 +1,494 @@
+//! Fleets in virtual time, from printed seeds: links that lose, delay, repeat and are cut one way, clocks that drift,
+//! limiters that stand still, die and start anew, and changes meanwhile. A checker of its own notes by which rules each
+//! limiter acts, and gives the longest time for which any two contradicted each other.
+
+use oatbank_fleet::decider::{Answer, Proposal};
+use oatbank_fleet::document::{Id, Revision};
+use oatbank_fleet::member::Acting;
+use oatbank_fleet::message::{Message, Verdict};
+use oatbank_fleet::node::{Event, Node, Output, Setup};
+use oatbank_fleet::terms::{OnLapse, Terms};
+use oatbank_fleet::{Millis, Peer};
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+/// How often each limiter decides something, ms.
+const STEP: Millis = 10;
+/// The changes and faults of a schedule, and the calm after it, ms.
+const TROUBLE: Millis = 20_000;
+
+struct Dice(Pcg64Mcg);
+
+impl Dice {
+    fn below(&mut self, n: u64) -> u64 {
+        self.0.next_u64() % n.max(1)
+    }
+
+    fn chance(&mut self, share: f64) -> bool {
+        (self.0.next_u64() >> 11) as f64 / ((1u64 << 53) as f64) < share
+    }
+}
+
+/// A process: its clock, and whether it runs.
+struct Process {
+    node: Option<Node>,
+    offset: u64,
+    /// Parts in a million by which its clock is fast.
+    drift: i64,
+    frozen_until: Millis,
+    starts_at: Millis,
+    /// Messages that wait while it stands still.
+    waiting: Vec<(Peer, Message)>,
+}
+
+impl Process {
+    fn clock(&self, now: Millis) -> Millis {
+        let gone = now as i64 * self.drift / 1_000_000;
+        self.offset + (now as i64 + gone) as u64
+    }
+}
+
+/// Who acted by what.
+#[derive(Default)]
+struct Checker {
+    /// Since when and until when each revision was acted by without a break.
+    lives: BTreeMap<Id, (Millis, Millis)>,
+    /// When someone first acted by the first of two while the second lived.
+    since: BTreeMap<(Id, Id), Millis>,
+    longest: Millis,
+    worst: String,
+}
+
+/// A revision that nobody has acted by for this long is not acted by any more, ms.
+const BREAK: Millis = 200;
+
+impl Checker {
+    /// A limiter acts now by the stricter of these; by one, where it is one. It contradicts whoever acts by one that is
+    /// none of them, and that from the first time on while both are acted by, however rarely it comes to it.
+    fn acts(&mut self, now: Millis, who: usize, by: &[Id]) {
+        let Some(id) = by.first() else { return };
+        if by.len() == 1 {
+            let life = self.lives.entry(*id).or_insert((now, now));
+            *life = (if now - life.1 > BREAK { now } else { life.0 }, now);
+        }
+        for (other, (from, last)) in &self.lives {
+            if by.contains(other) || now - last > BREAK {
+                continue;
+            }
+            let since = self.since.entry((*id, *other)).or_insert(now);
+            *since = if *since < *from { now } else { *since };
+            if now - *since > self.longest {
+                self.longest = now - *since;
+                self.worst =
+                    format!("limiter {who} acts by {by:?} at {now}, and others by {other} since {since}");
+            }
+        }
+    }
+}
+
+/// What is played.
+#[derive(Clone)]
+struct Plan {
+    peers: u16,
+    terms: Terms,
+    /// The decider goes by these: the same, but where a fence is to be taken out.
+    decider_terms: Terms,
+    /// A limiter's lease counts; without, it goes on by what it holds.
+    leases: bool,
+    seed: u64,
+    faults: bool,
+}
+
+#[derive(Default)]
+struct Played {
+    longest: Millis,
+    worst: String,
+    decided: usize,
+    vetoed: usize,
+    messages: usize,
+    /// From a decision's proposal to its first act and to the last limiter's, ms.
+    effect: Vec<(Millis, Millis)>,
+    /// How long after the faults all acted by one revision, ms.
+    agreed_after: Option<Millis>,
+}
+
+struct Fleet {
+    plan: Plan,
+    dice: Dice,
+    processes: Vec<Process>,
+    now: Millis,
+    /// Messages on their way, by when they come.
+    ways: BTreeMap<(Millis, u64), (Peer, Peer, Message)>,
+    serial: u64,
+    cut: BTreeSet<(u16, u16)>,
+    loss: f64,
+    delay: Millis,
+    starts: u64,
+    played: Played,
+    asked: BTreeMap<u64, Millis>,
+    effects: BTreeMap<Id, (Millis, Millis, Millis)>,
+    done: BTreeSet<Id>,
+}
+
+impl Fleet {
+    fn new(plan: Plan) -> Fleet {
+        let mut dice = Dice(Pcg64Mcg::seed_from_u64(plan.seed));
+        let process = |dice: &mut Dice| Process {
+            node: None,
+            offset: dice.below(1_000_000),
+            drift: if plan.faults { dice.below(20_001) as i64 - 10_000 } else { 0 },
+            frozen_until: 0,
+            starts_at: 1 + dice.below(300),
+            waiting: Vec::new(),
+        };
+        let processes = (0..plan.peers).map(|_| process(&mut dice)).collect();
+        Fleet {
+            plan,
+            dice,
+            processes,
+            now: 0,
+            ways: BTreeMap::new(),
+            serial: 0,
+            cut: BTreeSet::new(),
+            loss: 0.0,
+            delay: 5,
+            starts: 0,
+            played: Played::default(),
+            asked: BTreeMap::new(),
+            effects: BTreeMap::new(),
+            done: BTreeSet::new(),
+        }
+    }
+
+    fn start(&mut self, who: usize) {
+        self.starts += 1;
+        let me = Peer(who as u16);
+        let terms = if who == 0 { self.plan.decider_terms } else { self.plan.terms };
+        let setup = Setup {
+            terms,
+            me,
+            peers: self.plan.peers,
+            decider: Peer(0),
+            incarnation: self.starts,
+            seed: self.dice.0.next_u64(),
+            first: "rules 0".into(),
+        };
+        let process = &mut self.processes[who];
+        process.node = Some(Node::new(&setup, process.clock(self.now)));
+        process.waiting.clear();
+        self.feed(who, Event::Tick);
+    }
+
+    fn feed(&mut self, who: usize, event: Event) {
+        let (now, process) = (self.now, &mut self.processes[who]);
+        let clock = process.clock(now);
+        let Some(node) = &mut process.node else { return };
+        node.handle(clock, event);
+        let mut outputs = Vec::new();
+        while let Some(output) = node.output() {
+            outputs.push(output);
+        }
+        for output in outputs {
+            match output {
+                Output::Send(to, message) => self.send(who, to, message),
+                Output::Check(revision) => {
+                    let verdict = check(who, &revision);
+                    self.feed(who, Event::Checked(revision.id(), verdict));
+                }
+                Output::Answer(ticket, Answer::Decided(id, _)) => {
+                    self.played.decided += 1;
+                    if let Some(asked) = self.asked.remove(&ticket) {
+                        self.effects.insert(id, (asked, 0, 0));
+                    }
+                }
+                Output::Answer(_, Answer::Vetoed(..)) => self.played.vetoed += 1,
+                Output::Answer(..) | Output::Act(_) | Output::Stopped => {}
+            }
+        }
+    }
+
+    fn send(&mut self, from: usize, to: Peer, message: Message) {
+        self.played.messages += 1;
+        let from = Peer(from as u16);
+        if self.cut.contains(&(from.0, to.0)) {
+            return;
+        }
+        let copies = if self.plan.faults && self.dice.chance(0.05) { 2 } else { 1 };
+        for _ in 0..copies {
+            if self.dice.chance(self.loss) {
+                continue;
+            }
+            let late = 1 + self.dice.below(self.delay);
+            self.serial += 1;
+            self.ways.insert((self.now + late, self.serial), (from, to, message.clone()));
+        }
+    }
+
+    /// Changes the links and the processes by chance.
+    fn trouble(&mut self) {
+        let peers = u64::from(self.plan.peers);
+        let one = self.dice.below(peers) as u16;
+        match self.dice.below(10) {
+            0 => _ = self.cut.insert((one, self.dice.below(peers) as u16)),
+            1 => {
+                // Cut off in one direction, or in both.
+                let both = self.dice.chance(0.5);
+                for other in 0..self.plan.peers {
+                    self.cut.insert((one, other));
+                    if both {
+                        self.cut.insert((other, one));
+                    }
+                }
+            }
+            2 => {
+                let half = self.dice.below(peers) as u16;
+                for a in 0..self.plan.peers {
+                    let there = (0..self.plan.peers).filter(|b| (a < half) != (*b < half));
+                    self.cut.extend(there.map(|b| (a, b)));
+                }
+            }
+            3 | 4 => self.cut.clear(),
+            5 => (self.loss, self.delay) = (self.dice.below(30) as f64 / 100.0, 1 + self.dice.below(400)),
+            6 => (self.loss, self.delay) = (0.0, 5),
+            7 => {
+                let span = [1000, 5000, 300, 2500][self.dice.below(4) as usize];
+                self.processes[usize::from(one)].frozen_until = self.now + span;
+            }
+            8 => {
+                let process = &mut self.processes[usize::from(one)];
+                process.node = None;
+                process.starts_at = self.now + 1 + self.dice.below(3000);
+            }
+            _ => {}
+        }
+    }
+
+    fn propose(&mut self, number: u64) {
+        let text = match self.dice.below(8) {
+            0 if self.plan.faults => format!("bad for {}", self.dice.below(u64::from(self.plan.peers))),
+            // Over many parts.
+            1 => format!("rules {number} {}", "x".repeat(30_000)),
+            _ => format!("rules {number}"),
+        };
+        self.asked.insert(number, self.now);
+        let ask = Proposal {
+            ticket: number,
+            expect: None,
+            author: "operator".into(),
+            text: text.into(),
+            without: BTreeSet::new(),
+            dry_run: false,
+            patience: 4000,
+        };
+        self.feed(0, Event::Propose(ask));
+    }
+
+    fn step(&mut self, checker: &mut Checker) {
+        while let Some(entry) = self.ways.first_entry().filter(|e| e.key().0 <= self.now) {
+            let (from, to, message) = entry.remove();
+            let process = &mut self.processes[usize::from(to.0)];
+            if self.now < process.frozen_until {
+                process.waiting.push((from, message));
+            } else {
+                self.feed(usize::from(to.0), Event::Message(from, message));
+            }
+        }
+        for who in 0..self.processes.len() {
+            let process = &mut self.processes[who];
+            if process.node.is_none() && self.now >= process.starts_at {
+                self.start(who);
+            }
+            let process = &mut self.processes[who];
+            if self.now < process.frozen_until {
+                continue;
+            }
+            let clock = process.clock(self.now);
+            // What a process that wakes up does first is not for its timers to say.
+            if self.now % STEP == 0 {
+                self.act(who, clock, checker);
+            }
+            for (from, message) in std::mem::take(&mut self.processes[who].waiting) {
+                self.feed(who, Event::Message(from, message));
+            }
+            let due = self.processes[who].node.as_ref().is_some_and(|n| n.next_due(clock) <= clock);
+            if due {
+                self.feed(who, Event::Tick);
+            }
+        }
+    }
+
+    fn act(&mut self, who: usize, clock: Millis, checker: &mut Checker) {
+        let Some(node) = &self.processes[who].node else { return };
+        let acting = match node.held() {
+            Some(held) if !self.plan.leases => Acting::By(held.id()),
+            _ => node.acting(clock),
+        };
+        match acting {
+            Acting::By(id) => {
+                checker.acts(self.now, who, &[id]);
+                if self.done.contains(&id) {
+                    return;
+                }
+                let now = self.now;
+                if let Some((_, first, last)) = self.effects.get_mut(&id) {
+                    (*first, *last) = (if *first == 0 { now } else { *first }, now);
+                }
+            }
+            Acting::Strict(held, Some(other)) => checker.acts(self.now, who, &[held, other]),
+            // Not a life of its own: that nobody else acts by it any more is what is to be found.
+            Acting::Strict(held, None) => checker.acts(self.now, who, &[held, held]),
+            Acting::Refuse => {}
+        }
+    }
+
+    /// All act by what the decider has; one that was away while it was decided and cannot take it says so and refuses.
+    fn agreed(&self) -> Option<Id> {
+        let by = |p: &Process| p.node.as_ref().map(|n| n.acting(p.clock(self.now)));
+        let Acting::By(id) = by(&self.processes[0])? else { return None };
+        let cannot = |p: &Process| p.node.as_ref().is_some_and(|n| n.veto().is_some_and(|(of, _)| of == id));
+        let agrees = |p: &Process| match by(p) {
+            Some(Acting::Refuse) => cannot(p),
+            acting => acting == Some(Acting::By(id)),
+        };
+        self.processes.iter().all(agrees).then_some(id)
+    }
+
+    fn play(mut self) -> Played {
+        let mut checker = Checker::default();
+        let (mut next_trouble, mut next_change, mut number) = (1500, 2000, 1);
+        while self.now < TROUBLE + 3 * self.plan.terms.within {
+            self.now += 1;
+            if self.now < TROUBLE {
+                if self.now >= next_trouble && self.plan.faults {
+                    self.trouble();
+                    next_trouble = self.now + 50 + self.dice.below(1200);
+                }
+                if self.now >= next_change {
+                    self.propose(number);
+                    number += 1;
+                    next_change = self.now + 300 + self.dice.below(2500);
+                }
+            } else if self.now == TROUBLE {
+                self.cut.clear();
+                (self.loss, self.delay) = (0.0, 5);
+                let now = self.now;
+                for process in &mut self.processes {
+                    process.frozen_until = process.frozen_until.min(now);
+                    process.starts_at = process.starts_at.min(now);
+                }
+            }
+            self.step(&mut checker);
+            if let Some(id) = self.agreed() {
+                self.done.insert(id);
+                if self.now >= TROUBLE && self.played.agreed_after.is_none() {
+                    self.played.agreed_after = Some(self.now - TROUBLE);
+                }
+            }
+        }
+        let spans = self.effects.values().filter(|e| e.1 > 0);
+        self.played.effect = spans.map(|(asked, first, last)| (first - asked, last - asked)).collect();
+        (self.played.longest, self.played.worst) = (checker.longest, checker.worst);
+        self.played
+    }
+}
+
+fn check(who: usize, revision: &Arc<Revision>) -> Verdict {
+    match *revision.text == format!("bad for {who}") {
+        true => Verdict::Vetoed("plans.team.rate: not allowed".into()),
+        false => Verdict::Confirmed,
+    }
+}
+
+fn plan(peers: u16, seed: u64, on_lapse: OnLapse) -> Plan {
+    let terms = Terms { on_lapse, ..Terms::default() };
+    Plan { peers, terms, decider_terms: terms, leases: true, seed, faults: true }
+}
+
+const LAPSES: [OnLapse; 3] = [OnLapse::Refuse, OnLapse::Strict(3000), OnLapse::Strict(Millis::MAX)];
+
+/// Plays schedules, and gives the longest contradiction with its seed, the longest time to agree, and how many changes
+/// were decided.
+fn schedules(seeds: std::ops::Range<u64>, change: impl Fn(&mut Plan)) -> (Millis, String, Millis, usize) {
+    let mut out = (0, String::new(), 0, 0);
+    for seed in seeds {
+        let peers = [3, 5, 4, 7, 2, 10, 3, 5][seed as usize % 8];
+        let mut plan = plan(peers, seed, LAPSES[seed as usize % 3]);
+        change(&mut plan);
+        let within = plan.terms.within;
+        let played = Fleet::new(plan).play();
+        if played.longest > out.0 {
+            (out.0, out.1) = (played.longest, format!("seed {seed}, {peers} limiters: {}", played.worst));
+        }
+        let agreed = played.agreed_after.unwrap_or(3 * within);
+        if agreed > 2 * within {
+            println!("seed {seed}, {peers} limiters: agreed after {agreed} ms");
+        }
+        out.2 = out.2.max(agreed);
+        out.3 += played.decided;
+    }
+    out
+}
+
+/// Schedules in the tests; more with `SCHEDULES`.
+fn how_many() -> u64 {
+    std::env::var("SCHEDULES").ok().and_then(|n| n.parse().ok()).unwrap_or(2000)
+}
+
+#[test]
+fn no_two_contradict_for_longer_than_stated_and_all_agree_once_the_faults_are_over() {
+    let (longest, worst, agreed, decided) = schedules(1..how_many() + 1, |_| ());
+    let terms = Terms::default();
+    println!("longest contradiction {longest} ms ({worst}); agreed after {agreed} ms at the latest; {decided} decided");
+    assert!(longest <= terms.bound() + STEP, "{longest} ms: {worst}");
+    assert!(agreed <= 2 * terms.within, "agreed after {agreed} ms");
+    assert!(decided as u64 >= how_many(), "only {decided} changes were decided");
+}
+
+#[test]
+fn without_the_lease_the_checker_finds_more() {
+    let (longest, worst, ..) = schedules(1..40, |plan| plan.leases = false);
+    assert!(longest > Terms::default().within, "{longest} ms: {worst}");
+}
+
+#[test]
+fn without_the_decider_s_wait_the_checker_finds_more() {
+    let (longest, worst, ..) = schedules(1..40, |plan| {
+        plan.decider_terms.lease = 1;
+        plan.decider_terms.on_lapse = OnLapse::Refuse;
+    });
+    assert!(longest > Terms::default().within, "{longest} ms: {worst}");
+}
+
+#[test]
+fn a_hundred_limiters_agree() {
+    for seed in 1..4 {
+        let played = Fleet::new(plan(100, seed, LAPSES[seed as usize % 3])).play();
+        assert!(played.longest <= Terms::default().bound() + STEP, "seed {seed}: {}", played.worst);
+        assert!(played.agreed_after.is_some_and(|at| at <= 2 * Terms::default().within), "seed {seed}");
+    }
+}
+
+#[test]
+#[ignore = "a measurement: cargo test --profile tested -p oatbank-fleet --test agreement -- --ignored --nocapture"]
+fn table() {
+    for peers in [3, 10, 30, 100, 300] {
+        let mut plan = plan(peers, 1, OnLapse::Refuse);
+        plan.faults = false;
+        let played = Fleet::new(plan).play();
+        let mean = |f: fn(&(Millis, Millis)) -> Millis| {
+            played.effect.iter().map(f).sum::<Millis>() as f64 / played.effect.len().max(1) as f64
+        };
+        let seconds = (TROUBLE + 3 * Terms::default().within) as f64 / 1000.0;
+        println!(
+            "{peers:>3} limiters: first acts {:.0} ms and last {:.0} ms after it was asked for, over {} changes; longest \
+             contradiction {} ms; {:.1} messages a second and limiter",
+            mean(|e| e.0),
+            mean(|e| e.1),
+            played.effect.len(),
+            played.longest,
+            played.messages as f64 / seconds / f64::from(peers)
+        );
+    }
+}
