Quotas: at a crowded counter all stays as it was, and lost connections are no failures of answers

Where half of the counter's calls get no answer, presumption stands for seconds until a read takes it back. Change: the share of the last read, and presumption past the burst, hold where a read is near or the counter is silent; where it is crowded all is as before. Resets and broken connections count towards ejection only.

--- a/crates/topazwind/src/logic.rs
+++ b/crates/topazwind/src/logic.rs
@@ -22,6 +22,8 @@
 const RESERVE: f64 = 0.15;
 /// The most of that share that is kept for what all others may send on the same refill.
 const AHEAD: f64 = 0.4;
+/// Most bursts that the store may lack by what is presumed of others: what a near read takes back was booked.
+const DEBT: f64 = 1.5;
 /// How long a suppression factor is used before it is computed anew, ms.
 const FACTOR_CACHE: Millis = 100.0;
 /// Span of the fast rate that the perceived rate also looks at, ms.
@@ -206,10 +208,12 @@
         self.counts.since(from, BUCKET)
     }
 
-    /// This gateway's share of the customer when others' use was last read, smoothed towards 1 / spread
-    /// where little was seen. What is presumed of others tells nothing of it and would draw it there too.
-    fn share(&self) -> f64 {
-        self.share.unwrap_or(1.0 / self.spread)
+    /// This gateway's share of the customer, smoothed towards 1 / spread where little was seen. Where a read
+    /// is near or there is none it is that of the last: what is presumed since would draw it there too.
+    fn share(&self, trusted: Millis) -> f64 {
+        let seen = (self.counts.mine() + 1.0) / (self.accepted() + self.spread);
+        let last = self.share.filter(|_| trusted != STALE);
+        last.unwrap_or(seen.clamp(1.0 / (4.0 * self.spread), 1.0))
     }
 
     /// The pace of this customer's calls: one far from its quota gives way to those near it, of which an
@@ -252,15 +256,15 @@
         if self.thin {
             return;
         }
-        let blind = now - self.tallies[ACCEPTED].read_at >= trusted;
+        let blind = now < self.blind_until || now - self.tallies[ACCEPTED].read_at >= trusted;
         let contested = kind == ACCEPTED && self.share.is_some() && self.pressed(now);
         self.blind_until = if trusted == 0.0 { now + SETTLE } else { self.blind_until };
-        let others =
-            if now < self.blind_until || blind || contested { units / self.share() - units } else { 0.0 };
+        let others = if blind || contested { units / self.share(trusted) - units } else { 0.0 };
         self.book(kind, now, units, if kind == ACCEPTED { units } else { 0.0 });
         self.counts.presume(now, BUCKET, kind, others);
         if kind == ACCEPTED {
-            self.used += others;
+            let most = if trusted == STALE { 1.0 } else { DEBT };
+            self.used = (self.used + others).min(most * self.plan.burst);
         }
         self.tallies[kind].pending += units;
     }
@@ -292,8 +296,7 @@
         let since = std::mem::replace(&mut tally.read_at, now);
         self.spread_out(now, kind, rise - arrived, since);
         if kind == ACCEPTED {
-            let seen = (self.counts.mine() + 1.0) / (self.accepted() + self.spread);
-            self.share = Some(seen.clamp(1.0 / (4.0 * self.spread), 1.0));
+            self.share = Some(self.share(STALE));
         }
     }
 
@@ -539,7 +542,7 @@
     fn admit(&mut self, now: Millis, id: RequestId) -> Verdict {
         let roll = self.chance();
         let calm = self.flow.out < 0.7 * self.flow.limit && self.held.is_empty();
-        let (counter, rare) = (self.set.counter, self.flow.trusted().is_finite());
+        let (counter, trusted) = (self.set.counter, self.flow.trusted());
         let part = self.flow.part;
         let Some(open) = self.open.get_mut(&id) else { return Verdict::Refuse };
         let (units, waited) = (open.request.units, now - open.arrived);
@@ -579,24 +582,23 @@
         // A customer that asks more than its quota gets all of it either way, so a reserve costs it nothing
         // lasting and takes up what the others sent unseen.
         // Where reads are rare all others may meet the same refill unseen, so more of it is kept.
-        let kept = if rare { (units / c.share() - units).min(AHEAD * plan.burst) } else { 0.0 };
+        let kept = if trusted.is_finite() {
+            (units / c.share(trusted) - units).min(AHEAD * plan.burst)
+        } else {
+            0.0
+        };
         let reserve = if c.pressed(now) { kept.max(RESERVE * plan.burst) } else { 0.0 };
         let units = units + reserve;
-        if plan.rate <= 0.0 || c.accepted() + units <= plan.burst {
-            return Verdict::Within;
-        }
         // Refill: the window forgets that the store refills meanwhile, so after a burst it refuses what
         // the quota still holds. What the same counts leave in the store passes too.
-        if c.used + units <= plan.burst {
+        if plan.rate <= 0.0 || c.accepted().min(c.used) + units <= plan.burst {
             return Verdict::Within;
         }
         if plan.over_worth > plan.over_cost && plan.ceiling_rate <= 0.0 && calm {
             return Verdict::Beyond;
         }
-        if c.observed_since(now - c.window()) >= plan.burst * HARD_FACTOR {
-            return Verdict::Refuse;
-        }
-        if roll < c.suppression(now) {
+        let past = c.observed_since(now - c.window()) >= plan.burst * HARD_FACTOR;
+        if past || roll < c.suppression(now) {
             return Verdict::Refuse;
         }
         Verdict::Within
@@ -695,7 +697,7 @@
         }
         // All customers' names end together, so while the counter is crowded only those that may be near
         // their quota are read once more.
-        let matters = pace <= CROWDED;
+
         for kind in [ACCEPTED, DECLINED] {
             let t = &mut c.tallies[kind];
             if t.in_flight.is_some() || kind == DECLINED && (t.pending <= 0.0 || t.pending < least || !due) {
@@ -703,7 +705,7 @@
             }
             if t.epoch != epoch {
                 let old = Self::name(customer, kind, t.epoch);
-                if !first && t.closing.is_none() && matters {
+                if !first && t.closing.is_none() && pace <= CROWDED {
                     t.closing = Some((old, t.total));
                     self.calls.insert(old, (customer, kind));
                     self.acts.push(Action::Count { name: old, add: 0.0, ttl: NAME_TTL });
@@ -773,11 +775,8 @@
             let t = &mut c.tallies[kind];
             let sent = t.in_flight.take().unwrap_or(0.0);
             (t.pending, t.doubt) = (t.pending.min(kept), t.doubt.min(kept));
-            *if matches!(outcome, Outcome::TimedOut | Outcome::Reset) {
-                &mut t.doubt
-            } else {
-                &mut t.pending
-            } += sent;
+            let unsure = matches!(outcome, Outcome::TimedOut | Outcome::Reset);
+            *if unsure { &mut t.doubt } else { &mut t.pending } += sent;
         }
     }
 
@@ -962,7 +961,7 @@
         let took = took * self.servers.get(&server).map_or(1.0, |s| Self::warmth(&self.set, now, s));
         let Some(s) = self.servers.get_mut(&server) else { return };
         s.out = (s.out - 1.0).max(0.0);
-        if matches!(outcome, Outcome::Ok | Outcome::Error | Outcome::Reset) {
+        if matches!(outcome, Outcome::Ok | Outcome::Error) {
             let (answers, failures) = s.tried(now);
             s.tried = (answers + 1.0, failures + f64::from(u8::from(outcome != Outcome::Ok)));
             s.tried_at = now;
