--- a/benches/src/bin/admission.rs
+++ b/benches/src/bin/admission.rs
@@ -1,27 +1,23 @@
-//! What one admission costs: through the layer, through a keyed `governor`, through `tower_governor`,
-//! and through the daemon on loopback, all in one run.
+//! What one admission costs: through the layer, through its handler alone, through plain buckets by account under one
+//! lock (the least that a limiter can do), and through the daemon on loopback, all in one run.
 //!
 //! `cargo build --release && cargo run --release -p oatbank-benches --bin admission [SECONDS]`
 
 use axum::body::Body;
-use governor::{Quota, RateLimiter};
 use hdrhistogram::Histogram;
 use http::{Request, Response};
 use oatbank_benches::cpu;
 use oatbank_testkit::{answer, Act, Client, Server};
 use oatbank_tower::{Builder, Config, LimitLayer, PlatformHeaders};
+use std::collections::HashMap;
 use std::convert::Infallible;
 use std::future::Future;
 use std::hint::black_box;
 use std::io::{BufRead, BufReader};
-use std::num::NonZeroU32;
 use std::process::{Child, Command, Stdio};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use tower::{service_fn, Layer, ServiceExt};
-use tower_governor::governor::GovernorConfigBuilder;
-use tower_governor::key_extractor::KeyExtractor;
-use tower_governor::{GovernorError, GovernorLayer};
 
 const CONFIG: &str = r#"
     [[classes]]
@@ -112,15 +108,22 @@
     Row { what, rate, median: us(0.5), p99: us(0.99), cpu: used.as_secs_f64() * 1e6 / made }
 }
 
-#[derive(Clone, Copy)]
-struct ByAccount;
+/// A bucket for each account: what is in it, and when that was.
+#[derive(Default)]
+struct Plain(Mutex<HashMap<u64, (f64, f64)>>);
 
-impl KeyExtractor for ByAccount {
-    type Key = u64;
+impl Plain {
+    const RATE: f64 = 1e9;
 
-    fn extract<T>(&self, request: &Request<T>) -> Result<u64, GovernorError> {
-        let query = request.uri().query().and_then(|q| q.strip_prefix("customer="));
-        query.and_then(|q| u64::from_str_radix(q, 16).ok()).ok_or(GovernorError::UnableToExtractKey)
+    /// Takes one unit, if it is there.
+    fn check(&self, account: u64, now: f64) -> bool {
+        let mut buckets = self.0.lock().expect("a lock");
+        let (left, at) = buckets.entry(account).or_insert((Self::RATE, now));
+        *left = (*left + (now - *at) * Self::RATE).min(Self::RATE);
+        *at = now;
+        let there = *left >= 1.0;
+        *left -= f64::from(u8::from(there));
+        there
     }
 }
 
@@ -180,12 +183,7 @@
     let limit =
         LimitLayer::build(Builder::new(Config::parse(CONFIG).expect("a configuration")), PlatformHeaders);
     let service = limit.expect("a layer").layer(handler());
-    let many = NonZeroU32::new(1_000_000_000).expect("a number");
-    let governor = Arc::new(RateLimiter::keyed(Quota::per_second(many)));
-    let mut builder = GovernorConfigBuilder::default();
-    builder.per_nanosecond(1).burst_size(1_000_000_000);
-    let config = Arc::new(builder.key_extractor(ByAccount).finish().expect("a configuration"));
-    let governed = GovernorLayer::new(config).layer(handler());
+    let (plain, begun) = (Arc::new(Plain::default()), Instant::now());
     let engine = Server::start(|_| Act::Write(answer("200 OK", "", b"")));
     let (mut child, address) = daemon(&engine);
     let mut ratios = Vec::new();
@@ -195,24 +193,23 @@
             let service = handled.clone();
             async move { drop(black_box(service.oneshot(request(n)).await)) }
         });
-        let checked = governor.clone();
-        let keyed = measure(format!("governor, keyed check, {tasks} tasks"), tasks, span, "self", move |n| {
-            let governor = checked.clone();
-            async move { drop(black_box(governor.check_key(&(n % ACCOUNTS)))) }
-        });
-        let governed = governed.clone();
-        let tower = measure(format!("tower_governor, {tasks} tasks"), tasks, span, "self", move |n| {
-            let service = governed.clone();
-            async move { drop(black_box(service.oneshot(request(n)).await)) }
+        let checked = plain.clone();
+        let keyed = measure(format!("plain buckets, {tasks} tasks"), tasks, span, "self", move |n| {
+            let plain = checked.clone();
+            async move { _ = black_box(plain.check(n % ACCOUNTS, begun.elapsed().as_secs_f64())) }
         });
+        let alone =
+            measure(format!("handler alone, {tasks} tasks"), tasks, span, "self", move |n| async move {
+                drop(black_box(handler().oneshot(request(n)).await))
+            });
         let daemon = through_daemon(tasks, span, &child, address);
-        [&ours, &keyed, &tower, &daemon].into_iter().for_each(Row::print);
+        [&ours, &keyed, &alone, &daemon].into_iter().for_each(Row::print);
         ratios.push(format!(
-            "{tasks} tasks: daemon / layer: CPU {:.1}, median {:.1}; layer / tower_governor: CPU {:.1}, median {:.1}",
+            "{tasks} tasks: daemon / layer: CPU {:.1}, median {:.1}; layer / handler alone: CPU {:.1}, median {:.1}",
             daemon.cpu / ours.cpu,
             daemon.median / ours.median,
-            ours.cpu / tower.cpu,
-            ours.median / tower.median
+            ours.cpu / alone.cpu,
+            ours.median / alone.median
         ));
     }
     ratios.iter().for_each(|r| println!("{r}"));
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -6,6 +6,7 @@
 //! | `POST /v1/servers/ID/suspend` | 200 once nothing new goes to that server; 404 for one that was never listed |
 //! | `POST /v1/servers/ID/resume` | 200 once that server is used again; 404 likewise |
 
+use crate::fleet::Fleet;
 use crate::upgrade::Upgrade;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -34,6 +35,8 @@
 pub const MOST_CALLERS: usize = 32;
 /// A caller that has not made its call by then is let go.
 const PATIENCE: Duration = Duration::from_secs(5);
+/// And one whose call concerns the fleet, after this.
+const LONGEST_CALL: Duration = Duration::from_secs(65);
 /// Buffer of a caller's connection.
 const BUFFER: usize = 8 * 1024;
 /// Pause after a failed accept.
@@ -50,6 +53,7 @@
 pub struct Control {
     engine: Rc<Engine<Http1>>,
     upgrade: OnceCell<Rc<Upgrade>>,
+    fleet: OnceCell<Rc<Fleet>>,
     callers: RefCell<VecDeque<Rc<Caller>>>,
 }
 
@@ -62,7 +66,12 @@
         let named = |e: std::io::Error| std::io::Error::new(e.kind(), format!("control {address}: {e}"));
         let listener = Rc::new(crate::serve::bind(address).map_err(named)?);
         tracing::info!("operators call at {}", listener.local_addr()?);
-        let control = Rc::new(Control { engine, upgrade: OnceCell::new(), callers: RefCell::default() });
+        let control = Rc::new(Control {
+            engine,
+            upgrade: OnceCell::new(),
+            fleet: OnceCell::new(),
+            callers: RefCell::default(),
+        });
         let accepting = control.clone();
         keep_running("control", move || accepting.clone().accept(listener.clone()));
         Ok(control)
@@ -73,6 +82,11 @@
         let _ = self.upgrade.set(upgrade);
     }
 
+    /// From now on calls about the fleet are answered.
+    pub fn answer_for(&self, fleet: Rc<Fleet>) {
+        let _ = self.fleet.set(fleet);
+    }
+
     async fn accept(self: Rc<Self>, listener: Rc<TcpListener>) {
         loop {
             match listener.accept().await {
@@ -107,7 +121,7 @@
         let service = service_fn(|request| {
             caller.heard.set(true);
             let control = self.clone();
-            async move { Ok::<_, Infallible>(control.answer(&request).await) }
+            async move { Ok::<_, Infallible>(control.answer(request).await) }
         });
         let mut builder = http1::Builder::new();
         builder.keep_alive(false).max_buf_size(BUFFER);
@@ -116,14 +130,20 @@
             tokio::select! {
                 _ = connection => {}
                 () = caller.leave.notified() => {}
-                () = tokio::time::sleep(PATIENCE) => {}
+                () = self.patience(&caller) => {}
             }
         }
         self.callers.borrow_mut().retain(|c| !Rc::ptr_eq(c, &caller));
     }
 
-    async fn answer(&self, request: &Request<Incoming>) -> Response<Full<Bytes>> {
-        let parts: Vec<&str> = request.uri().path().split('/').skip(1).collect();
+    async fn answer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        let path = request.uri().path().to_owned();
+        let parts: Vec<&str> = path.split('/').skip(1).collect();
+        if let (["v1", "fleet", call @ ..], Some(fleet)) = (parts.as_slice(), self.fleet.get()) {
+            let answer = fleet.answer(request, call).await;
+            let (status, text) = answer.unwrap_or((StatusCode::NOT_FOUND, "no such call\n".into()));
+            return told(status, text);
+        }
         match parts.as_slice() {
             ["v1", "readyz"] => match *request.method() {
                 Method::GET | Method::HEAD => self.ready(),
@@ -137,6 +157,15 @@
         }
     }
 
+    /// How long a caller is waited for. One whose call is heard, where calls may take their time, is not let go: each of
+    /// these ends by itself.
+    async fn patience(&self, caller: &Caller) {
+        tokio::time::sleep(PATIENCE).await;
+        if self.fleet.get().is_some() && caller.heard.get() {
+            tokio::time::sleep(LONGEST_CALL).await;
+        }
+    }
+
     fn ready(&self) -> Response<Full<Bytes>> {
         if self.engine.is_ready() {
             told(StatusCode::OK, "ready\n".into())
--- a/crates/daemon/src/demo.rs
+++ b/crates/daemon/src/demo.rs
@@ -7,7 +7,7 @@
 use crate::serve::on_one_thread;
 use crate::standalone::Running;
 use engines::SmallEngine;
-use oatbank_engine::config::Config;
+use oatbank_engine::config::{Base, Config};
 use oatbank_engine::ports::membership::{Member, News};
 use std::time::Duration;
 use topazwind::interface::ServerState;
@@ -53,7 +53,7 @@
     }
     let mut config = Config::parse(CONFIG).map_err(|e| e.to_string())?;
     config.members = engines.iter().map(|e| Member::ready(e.name.clone(), e.address)).collect();
-    let running = Running::start(&config)?;
+    let running = Running::start(&config, Base::default())?;
     let address = running.address();
     println!("A limiter on {} in front of three engines, for four seconds of requests.", address);
     let team = Customer::start("team, 60 a second, within its quota", address, "team", 1, 60);
--- /dev/null
+++ b/crates/daemon/src/fleet/apply.rs
@@ -0,0 +1,106 @@
+//! The rules of a revision, laid over this limiter's own file and given to the engine.
+
+use oatbank_engine::config::{Base, Config};
+use oatbank_engine::engine::Engine;
+use oatbank_engine::ports::membership::{News, Told};
+use oatbank_engine::upstreams::http1::Http1;
+use oatbank_fleet::document::{Id, Revision};
+use oatbank_fleet::member::Acting;
+use oatbank_fleet::strict::{stricter, Rules};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use topazwind::interface::ServerState;
+
+/// Checked revisions that are kept: what is held, what is staged, and some that may come back.
+const MOST_CHECKED: usize = 8;
+
+/// What the engine acts by.
+pub(super) struct Applied {
+    base: Base,
+    engine: Rc<Engine<Http1>>,
+    servers: Told,
+    acting: Acting,
+    /// Revisions that this limiter can act by.
+    checked: BTreeMap<Id, Config>,
+}
+
+impl Applied {
+    pub(super) fn new(base: Base, engine: Rc<Engine<Http1>>, servers: Told) -> Self {
+        Applied { base, engine, servers, acting: Acting::Refuse, checked: BTreeMap::new() }
+    }
+
+    /// The engine acts by this already.
+    pub(super) fn is(&self, acting: Acting) -> bool {
+        self.acting == acting
+    }
+
+    /// It acts by rules that were known to be current.
+    pub(super) fn is_current(&self) -> bool {
+        matches!(self.acting, Acting::By(_))
+    }
+
+    /// Whether this limiter could act by a revision, whole.
+    pub(super) fn check(&mut self, revision: &Revision) -> Result<(), String> {
+        let config = self.base.with(&revision.text).map_err(|e| e.lines("revision").join("; "))?;
+        self.checked.insert(revision.id(), config);
+        while self.checked.len() > MOST_CHECKED {
+            self.checked.pop_first();
+        }
+        Ok(())
+    }
+
+    /// Gives the engine what it is to act by from now on.
+    pub(super) fn act(&mut self, acting: Acting, held: Option<&Revision>, other: Option<&Revision>) {
+        self.acting = acting;
+        let Some(held) = held else { return };
+        let Some(config) = self.config(held) else { return };
+        match acting {
+            Acting::By(_) | Acting::Strict(_, None) => self.give(config),
+            Acting::Strict(_, Some(_)) => {
+                if let Some(other) = other.and_then(|r| self.config(r)) {
+                    self.give(strict(config, &other));
+                }
+            }
+            Acting::Refuse => {}
+        }
+    }
+
+    fn config(&mut self, revision: &Revision) -> Option<Config> {
+        if !self.checked.contains_key(&revision.id()) {
+            // The decider's first revision is its own file's, which was checked when it was read.
+            if let Err(e) = self.check(revision) {
+                tracing::error!("fleet: {}: {e}", revision.id());
+            }
+        }
+        self.checked.get(&revision.id()).cloned()
+    }
+
+    fn give(&self, config: Config) {
+        self.engine.revise(&config.setup.names, &config.setup.settings);
+        if config.zookeeper.is_none() {
+            (self.servers)(News::Complete(config.members));
+        }
+    }
+}
+
+/// What contradicts neither of two.
+fn strict(mut config: Config, other: &Config) -> Config {
+    let both = stricter(&rules(&config), &rules(other));
+    let setup = &mut config.setup;
+    (setup.names.classes, setup.settings.classes) = both.classes.into_iter().unzip();
+    (setup.names.plans, setup.settings.plans) = both.plans.into_iter().unzip();
+    setup.settings.max_attempts = both.max_attempts;
+    config.members.retain(|m| both.servers.contains(&m.id));
+    config
+}
+
+fn rules(config: &Config) -> Rules {
+    let (names, settings) = (&config.setup.names, &config.setup.settings);
+    let ready = config.members.iter().filter(|m| m.state == ServerState::Ready);
+    Rules {
+        classes: names.classes.iter().cloned().zip(settings.classes.iter().cloned()).collect(),
+        plans: names.plans.iter().cloned().zip(settings.plans.iter().cloned()).collect(),
+        servers: ready.map(|m| m.id.clone()).collect(),
+        max_attempts: settings.max_attempts,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/fleet/told.rs
@@ -0,0 +1,216 @@
+//! What operators are told of the fleet, and what they may ask for, over HTTP.
+
+use super::{Fleet, PATIENCE};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::{Method, Request, StatusCode};
+use oatbank_fleet::decider::{Answer, Proposal};
+use oatbank_fleet::document::{Revision, MOST_BYTES};
+use oatbank_fleet::member::Acting;
+use oatbank_fleet::message::Verdict;
+use oatbank_fleet::{Millis, Peer};
+use percent_encoding::percent_decode_str;
+use serde_json::{json, Value};
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+/// An answer: its status and text, JSON but for a revision's text.
+pub(crate) type Told = (StatusCode, String);
+
+impl Fleet {
+    /// Answers a call below `/v1/fleet/`; nothing where there is none of this name.
+    pub(crate) async fn answer(&self, request: Request<Incoming>, call: &[&str]) -> Option<Told> {
+        let get = request.method() == Method::GET;
+        Some(match call {
+            ["status"] if get => (StatusCode::OK, format!("{:#}\n", self.status())),
+            ["history"] if get => match self.history() {
+                Some(history) => (StatusCode::OK, format!("{history:#}\n")),
+                None => self.elsewhere(),
+            },
+            ["revisions", number] if get => self.text(number),
+            ["propose"] if request.method() == Method::POST => self.asked(request).await,
+            ["propose"] | ["status"] | ["history"] => (
+                StatusCode::METHOD_NOT_ALLOWED,
+                "GET status, GET history and POST propose are allowed\n".into(),
+            ),
+            _ => return None,
+        })
+    }
+
+    fn elsewhere(&self) -> Told {
+        let answer = Answer::NotDecider(self.settings.decider);
+        self.worded(&answer)
+    }
+
+    async fn asked(&self, request: Request<Incoming>) -> Told {
+        let query = request.uri().query().unwrap_or_default().to_owned();
+        let ask = match self.parameters(&query) {
+            Ok(ask) => ask,
+            Err(why) => return (StatusCode::BAD_REQUEST, json!({"error": why}).to_string() + "\n"),
+        };
+        let body = Limited::new(request.into_body(), MOST_BYTES).collect().await;
+        let text = body.ok().map(|b| b.to_bytes()).and_then(|b: Bytes| String::from_utf8(b.to_vec()).ok());
+        let Some(text) = text else {
+            let why = format!("the body is no text of up to {MOST_BYTES} bytes");
+            return (StatusCode::BAD_REQUEST, json!({"error": why}).to_string() + "\n");
+        };
+        let answer = self.propose(Proposal { text: text.into(), ..ask }).await;
+        self.worded(&answer)
+    }
+
+    /// `expect=N&author=NAME&without=A,B&dry_run=1&patience_ms=4000`.
+    fn parameters(&self, query: &str) -> Result<Proposal, String> {
+        let mut ask = Proposal { author: "operator".into(), patience: PATIENCE, ..Proposal::default() };
+        for pair in query.split('&').filter(|p| !p.is_empty()) {
+            let (key, value) = pair.split_once('=').unwrap_or((pair, ""));
+            let value = percent_decode_str(value).decode_utf8_lossy().into_owned();
+            let number =
+                || value.parse::<u64>().map_err(|_| format!("{key}: {value:?}; a whole number is wanted"));
+            match key {
+                "expect" => ask.expect = Some(number()?),
+                "patience_ms" => ask.patience = number()?.min(60_000),
+                "author" => ask.author = value,
+                "dry_run" => ask.dry_run = value != "0",
+                "without" => ask.without = self.named(&value)?,
+                _ => {
+                    return Err(format!(
+                        "{key}: no such parameter; expect, author, without, dry_run, patience_ms are"
+                    ))
+                }
+            }
+        }
+        Ok(ask)
+    }
+
+    fn named(&self, names: &str) -> Result<BTreeSet<Peer>, String> {
+        let place = |name: &str| {
+            let place = self.settings.peers.iter().position(|p| p.name == name);
+            place.map(|n| Peer(n as u16)).ok_or_else(|| format!("without: {name:?} is not among fleet.peers"))
+        };
+        names.split(',').filter(|n| !n.is_empty()).map(place).collect()
+    }
+
+    /// What became of a proposal, with the status that stands for it.
+    pub(crate) fn worded(&self, answer: &Answer) -> Told {
+        let names = |peers: &[Peer]| peers.iter().map(|p| self.name(*p)).collect::<Vec<_>>().join(", ");
+        let (status, result, say) = match answer {
+            Answer::Decided(id, left) => {
+                (StatusCode::OK, "decided", format!("{id} is decided and takes effect in {left} ms"))
+            }
+            Answer::WouldDo => (StatusCode::OK, "would do", "all could take it; nothing has changed".into()),
+            Answer::Vetoed(by, why) => {
+                (StatusCode::UNPROCESSABLE_ENTITY, "vetoed", format!("{} cannot take it: {why}", self.name(*by)))
+            }
+            Answer::Conflict(id) => (StatusCode::CONFLICT, "conflict", format!("{id} is current; look at it first")),
+            Answer::Busy(id) => (StatusCode::CONFLICT, "busy", format!("{id} is being decided")),
+            Answer::TimedOut(missing) => (
+                StatusCode::GATEWAY_TIMEOUT,
+                "timed out",
+                format!(
+                    "nothing has changed: {} have neither confirmed nor surely stopped; if they are gone for good: \
+                     --without",
+                    names(missing)
+                ),
+            ),
+            Answer::Recovering(missing) => (
+                StatusCode::SERVICE_UNAVAILABLE,
+                "recovering",
+                format!("has just started and waits for {}; if they are gone for good: --without", names(missing)),
+            ),
+            Answer::TooLong(len) => (
+                StatusCode::PAYLOAD_TOO_LARGE,
+                "too long",
+                format!("{len} bytes; up to {MOST_BYTES} are allowed"),
+            ),
+            Answer::NotDecider(decider) => {
+                let name = self.name(*decider);
+                (StatusCode::MISDIRECTED_REQUEST, "not decider", format!("{name} decides; ask at its fleet.control"))
+            }
+        };
+        (status, json!({"result": result, "say": say}).to_string() + "\n")
+    }
+
+    fn text(&self, number: &str) -> Told {
+        let node = self.node.borrow();
+        let decider = node.as_decider();
+        let history = decider.into_iter().flat_map(|d| d.history()).chain(node.held());
+        let found = history.filter(|r| r.id().number.to_string() == number).last();
+        match found {
+            Some(revision) => (StatusCode::OK, revision.text.to_string()),
+            None => (StatusCode::NOT_FOUND, format!("{number}: no such revision is kept here\n")),
+        }
+    }
+
+    fn history(&self) -> Option<Value> {
+        let node = self.node.borrow();
+        Some(node.as_decider()?.history().map(row).collect())
+    }
+
+    /// What this limiter acts by and knows of the others.
+    pub(crate) fn status(&self) -> Value {
+        let (now, node) = (self.now(), self.node.borrow());
+        let acting = match node.acting(now) {
+            Acting::By(_) => "current",
+            Acting::Strict(..) => "strict",
+            Acting::Refuse => "refuses",
+        };
+        let lease = Some(node.lease_left(now)).filter(|left| *left != Millis::MAX);
+        let drops = self.drops.borrow();
+        let drops: Value =
+            drops.iter().map(|(why, n)| (format!("{why:?}").to_lowercase(), json!(n))).collect();
+        let mut status = json!({
+            "limiter": self.name(self.settings.me),
+            "decider": self.name(self.settings.decider),
+            "acting": acting,
+            "holds": node.held().map(row),
+            "staged": node.confirmed().map(row),
+            "lease_left_ms": lease,
+            "veto": node.veto().map(|(id, why)| json!({"revision": id.to_string(), "why": why})),
+            "lapses": self.lapses.get(),
+            "within_ms": self.settings.terms.within,
+            "bound_ms": self.settings.terms.bound(),
+            "traffic": self.traffic.get(),
+            "drops": drops,
+        });
+        if let Some(decider) = node.as_decider() {
+            status["recovering"] = decider.recovering().into();
+            status["deciding"] = decider.running().map(|(r, _)| row(r)).into();
+            status["limiters"] = self.limiters(now).into();
+        }
+        status
+    }
+
+    fn limiters(&self, now: Millis) -> Vec<Value> {
+        let node = self.node.borrow();
+        let Some(known) = node.known() else { return Vec::new() };
+        let current = node.held().map(|r| r.id());
+        let line = |(peer, known): (&Peer, &oatbank_fleet::decider::Known)| {
+            let veto = match &known.staged {
+                Some((id, Verdict::Vetoed(why))) => Some(format!("{id}: {why}")),
+                _ => None,
+            };
+            json!({
+                "limiter": self.name(*peer),
+                "holds": known.holds.to_string(),
+                "current": Some(known.holds) == current,
+                "heard_ms_ago": known.heard.map(|at| now.saturating_sub(at)),
+                "leased_ms": known.leased_until.saturating_sub(now),
+                "veto": veto,
+            })
+        };
+        known.iter().map(line).collect()
+    }
+}
+
+fn row(revision: &Arc<Revision>) -> Value {
+    let head = &revision.head;
+    json!({
+        "revision": head.id.to_string(),
+        "number": head.id.number,
+        "hash": head.digest.to_string(),
+        "author": head.author,
+        "parent": head.parent.to_string(),
+        "bytes": head.len,
+    })
+}
--- a/crates/daemon/src/front/mod.rs
+++ b/crates/daemon/src/front/mod.rs
@@ -478,6 +478,9 @@
                 plain(StatusCode::SERVICE_UNAVAILABLE, "starting\n")
             });
         }
+        if let Some(wait) = self.engine.closed() {
+            return Ok(respond::answered(Answer::Refused(wait), self.come_back, Response::new));
+        }
         let revision = self.engine.revision();
         let mut request = classify::by_path(&head, revision.names(), revision.settings())?;
         // Its body may take seconds, and the settings may change meanwhile.
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -3,6 +3,7 @@
 mod control;
 mod demo;
 mod feed;
+mod fleet;
 mod front;
 mod logging;
 mod members;
@@ -62,6 +63,9 @@
         #[arg(long)]
         follow: bool,
     },
+    /// The rules that all limiters of a fleet act by: look at them and change them.
+    #[command(subcommand)]
+    Fleet(fleet::command::FleetCommand),
     /// Start engines and a limiter on loopback, let some fail, and print what happens.
     #[command(after_help = "Example:\n  oatbank demo")]
     Demo,
@@ -103,6 +107,10 @@
             Ok(())
         }
         Some(Command::Members { config, follow }) => members::run(&config, follow),
+        Some(Command::Fleet(command)) => match fleet::command::run(command) {
+            Ok(code) => return code,
+            Err(e) => Err(e),
+        },
         Some(Command::Demo) => demo::run(),
         Some(Command::Completions { shell }) => {
             clap_complete::generate(shell, &mut Arguments::command(), "oatbank", &mut std::io::stdout());
--- a/crates/daemon/src/standalone.rs
+++ b/crates/daemon/src/standalone.rs
@@ -1,9 +1,11 @@
 //! Serving without a platform: servers, counter and all else from a file of oatbank's own.
 
+use crate::control::Control;
 use crate::feed::Feed;
+use crate::fleet::Fleet;
 use crate::serve::{on_one_thread, Plan, Serving, Signals};
 use crate::{logging, members};
-use oatbank_engine::config::{Config, ZooKeeper};
+use oatbank_engine::config::{self, Base, Config, ZooKeeper};
 use oatbank_engine::counters::{self, local::Numbers};
 use oatbank_engine::engine::Engine;
 use oatbank_engine::ports::clock::{Clock, SystemClock};
@@ -25,6 +27,7 @@
     serving: Serving,
     /// Where the servers of the file are told.
     from_file: Told,
+    fleet: Option<Rc<Fleet>>,
     registrar: Option<Rc<Registrar>>,
 }
 
@@ -34,12 +37,13 @@
 /// # Errors
 /// Why it cannot start.
 pub fn run(path: String) -> Result<(), String> {
-    let config = Config::load(&path, std::env::vars()).map_err(|e| e.lines(&path).join("\n"))?;
+    let loaded = Config::load_with_base(&path, std::env::vars());
+    let (config, base) = loaded.map_err(|e| e.lines(&path).join("\n"))?;
     on_one_thread(async move {
         let mut signals = Signals::new().map_err(|e| e.to_string())?;
         keep_running("log", logging::tell_what_was_left_out);
-        let running = Running::start(&config)?;
-        signals.until_stop(|| reload(&path, &running.from_file)).await;
+        let running = Running::start(&config, base)?;
+        signals.until_stop(|| reload(&path, &running)).await;
         running.stop().await;
         Ok(())
     })
@@ -50,7 +54,7 @@
     ///
     /// # Errors
     /// When its address cannot be had.
-    pub fn start(config: &Config) -> Result<Self, String> {
+    pub fn start(config: &Config, base: Base) -> Result<Self, String> {
         let clock: Rc<dyn Clock> = Rc::new(SystemClock::new());
         let plan = plan(config);
         let engine = Serving::engine(&plan, clock.clone());
@@ -61,9 +65,14 @@
         if let Some(folder) = &config.zookeeper {
             follow(folder, clock.clone(), feed.source(members::TREE));
         }
+        // Before the first client: one of a fleet serves by the fleet's rules only.
+        let fleet = match &config.fleet {
+            Some(fleet) => Some(join(fleet, base, engine.clone(), from_file.clone(), clock.clone())?),
+            None => None,
+        };
         let serving = Serving::start(&plan, engine.clone()).map_err(|e| format!("{}: {e}", config.listen))?;
         let registrar = config.zookeeper.as_ref().and_then(|folder| register(&config.name, folder, clock));
-        Ok(Running { engine, serving, from_file, registrar })
+        Ok(Running { engine, serving, from_file, fleet, registrar })
     }
 
     /// Where clients connect.
@@ -106,6 +115,20 @@
     Some(registrar)
 }
 
+/// Becomes one of a fleet: from now on the rules are the fleet's.
+fn join(
+    settings: &config::Fleet,
+    base: Base,
+    engine: Rc<Engine<Http1>>,
+    servers: Told,
+    clock: Rc<dyn Clock>,
+) -> Result<Rc<Fleet>, String> {
+    let fleet = Fleet::join(settings, base, engine.clone(), servers, clock)?;
+    let control = Control::start(settings.control, engine).map_err(|e| format!("fleet.{e}"))?;
+    control.answer_for(fleet.clone());
+    Ok(fleet)
+}
+
 fn plan(config: &Config) -> Plan {
     let (sockets, memory_mb) = config.limits;
     Plan {
@@ -121,12 +144,13 @@
     }
 }
 
-fn reload(path: &str, from_file: &Told) {
-    match Config::load(path, std::env::vars()) {
-        Ok(config) => {
+fn reload(path: &str, running: &Running) {
+    match (Config::load_with_base(path, std::env::vars()), &running.fleet) {
+        (Ok((_, base)), Some(fleet)) => fleet.reloaded(base.rules()),
+        (Ok((config, _)), None) => {
             tracing::info!("configuration: {} servers", config.members.len());
-            from_file(members::of_file(&config));
+            (running.from_file)(members::of_file(&config));
         }
-        Err(e) => tracing::error!("the configuration is kept as it was: {path}: {e}"),
+        (Err(e), _) => tracing::error!("the configuration is kept as it was: {path}: {e}"),
     }
 }
--- /dev/null
+++ b/crates/daemon/tests/fleet.rs
@@ -0,0 +1,297 @@
+//! Several real processes of one fleet, with faults between them: by which rules each acts is told by the engines that it
+//! sends to, as each revision of the rules has an engine of its own.
+
+use oatbank_testkit::rig::{Fault, Plan, Rig};
+use oatbank_testkit::{eventually, Fleet};
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+const OATBANK: &str = env!("CARGO_BIN_EXE_oatbank");
+/// The stated time of the usual terms.
+const WITHIN: Duration = Duration::from_millis(2000);
+const CUT: Fault = Fault { cut: true, delay: Duration::ZERO, loss: 0.0, repeat: 0.0 };
+
+/// Rules whose only server is this one.
+fn rules(engine: SocketAddr, rate: u32) -> String {
+    format!(
+        "[[servers]]\nid = \"engine-{}\"\naddress = \"{engine}\"\n[[classes]]\nname = \"quote\"\naim_ms = 500\n\
+         deadline_ms = 1000\nrepeat = \"safe\"\n[[plans]]\nname = \"team\"\nrate = {rate}\nburst = {rate}\n",
+        engine.port()
+    )
+}
+
+fn rig(limiters: usize, engines: &Fleet, terms: &str, seed: u64) -> Rig {
+    let (program, rules) = (OATBANK.to_owned(), rules(engines.addresses[0], 1_000_000));
+    Rig::start(Plan { program, limiters, terms: terms.to_owned(), rules, seed })
+}
+
+fn number(status: &str, key: &str) -> Option<u64> {
+    let (_, rest) = status.split_once(&format!("\"{key}\": "))?;
+    rest.split(|c: char| !c.is_ascii_digit()).next()?.parse().ok()
+}
+
+fn status(rig: &Rig, n: usize) -> String {
+    rig.call(n, "GET", "status", "").1
+}
+
+/// The number of the revision that a limiter acts by, known to be current.
+fn acts_by(rig: &Rig, n: usize) -> Option<u64> {
+    let status = status(rig, n);
+    status.contains("\"acting\": \"current\"").then(|| number(&status, "number")).flatten()
+}
+
+fn all_act_by(rig: &Rig, number: u64, limiters: usize) -> bool {
+    (0..limiters).all(|n| acts_by(rig, n) == Some(number))
+}
+
+/// Proposes the rules of an engine; status and text of the answer.
+fn propose(rig: &Rig, engine: SocketAddr, more: &str) -> (u16, String) {
+    rig.call(0, "POST", &format!("propose?author=test{more}"), &rules(engine, 1_000_000))
+}
+
+/// An engine that nobody has sent anything for this long is not acted by any more.
+const BREAK: Duration = Duration::from_millis(200);
+
+/// The longest time for which two engines contradicted each other: how long one had been in use without a break when
+/// something still came to the other, which was in use before. A single late request counts from the beginning.
+fn longest_contradiction(engines: &Fleet) -> Duration {
+    let met = engines.met();
+    let mut all: Vec<(Instant, usize)> = Vec::new();
+    met.iter().enumerate().for_each(|(n, m)| all.extend(m.times.iter().map(|at| (*at, n))));
+    all.sort();
+    contradiction(&all)
+}
+
+fn contradiction(all: &[(Instant, usize)]) -> Duration {
+    let mut longest = Duration::ZERO;
+    let mut first: BTreeMap<usize, Instant> = BTreeMap::new();
+    let mut lives: BTreeMap<usize, (Instant, Instant)> = BTreeMap::new();
+    for (at, engine) in all {
+        let begun = *first.entry(*engine).or_insert(*at);
+        let life = lives.entry(*engine).or_insert((*at, *at));
+        *life = (if *at - life.1 > BREAK { *at } else { life.0 }, *at);
+        for (_, (from, last)) in lives.iter().filter(|(n, _)| *n != engine) {
+            if *at - *last <= BREAK {
+                longest = longest.max(last.saturating_duration_since(begun.max(*from)));
+            }
+        }
+    }
+    longest
+}
+
+#[test]
+fn the_checker_finds_what_contradicts_and_nothing_else() {
+    let begun = Instant::now();
+    let at = |ms: u64| begun + Duration::from_millis(ms);
+    let row = |engine: usize, from: u64, to: u64| (from..to).step_by(10).map(move |ms| (at(ms), engine));
+    let sorted = |rows: Vec<(Instant, usize)>| {
+        let mut rows = rows;
+        rows.sort();
+        contradiction(&rows)
+    };
+    assert_eq!(sorted(row(0, 0, 1000).chain(row(1, 1000, 2000)).collect()), Duration::ZERO);
+    let both = sorted(row(0, 0, 1500).chain(row(1, 1000, 4000)).collect());
+    assert!((480..=520).contains(&both.as_millis()), "{both:?}");
+    // One late request by the old rules, long after all others.
+    let late = sorted(row(0, 0, 1010).chain(row(1, 1000, 4000)).chain([(at(3500), 0)]).collect());
+    assert!((2480..=2520).contains(&late.as_millis()), "{late:?}");
+    // Back to the old after the new had ended.
+    assert_eq!(
+        sorted(row(0, 0, 1000).chain(row(1, 1000, 2000)).chain(row(0, 2500, 3000)).collect()),
+        Duration::ZERO
+    );
+}
+
+#[test]
+fn a_change_takes_effect_at_all_within_the_stated_time() {
+    let engines = Fleet::start_and_keep(4);
+    let rig = rig(5, &engines, "", 1);
+    eventually("all act by the first", || all_act_by(&rig, 1, 5));
+    rig.ask_all("quote", Duration::from_millis(5));
+    eventually("traffic", || engines.met()[0].requests > 100);
+    let (status, answer) = propose(&rig, engines.addresses[1], "&expect=1");
+    assert_eq!(status, 200, "{answer}");
+    eventually("all act by the second", || all_act_by(&rig, 2, 5));
+    // The same once more, as if its answer had been lost, is no second change.
+    let (status, again) = propose(&rig, engines.addresses[1], "&expect=1");
+    assert!(status == 200 && again.contains("is decided"), "{again}");
+    let (status, answer) = propose(&rig, engines.addresses[2], "&expect=1");
+    assert!(status == 409 && answer.contains("is current"), "{answer}");
+    let (status, answer) = propose(&rig, engines.addresses[2], "&dry_run=1");
+    assert!(status == 200 && answer.contains("nothing has changed"), "{answer}");
+    assert_eq!(acts_by(&rig, 3), Some(2));
+    eventually("traffic by the second", || engines.met()[1].requests > 100);
+    let longest = longest_contradiction(&engines);
+    println!("contradicted for {longest:?}");
+    assert!(longest <= WITHIN, "{longest:?}");
+}
+
+#[test]
+fn what_one_cannot_take_is_vetoed_by_key_and_changes_nothing() {
+    let engines = Fleet::start_and_keep(1);
+    let rig = rig(3, &engines, "", 2);
+    eventually("all act by the first", || all_act_by(&rig, 1, 3));
+    let bad = rules(engines.addresses[0], 5).replace("rate = 5", "rate = -5");
+    let (status, answer) = rig.call(0, "POST", "propose", &bad);
+    assert!(status == 422 && answer.contains("plans[0].rate: -5 is not allowed"), "{status} {answer}");
+    let newer = rules(engines.addresses[0], 5) + "colour = \"red\"\n";
+    let (status, answer) = rig.call(0, "POST", "propose", &newer);
+    assert!(status == 422 && answer.contains("plans[0].colour: no such key"), "{status} {answer}");
+    assert!(all_act_by(&rig, 1, 3));
+    let (status, answer) = rig.call(1, "POST", "propose", &rules(engines.addresses[0], 5));
+    assert!(status == 421 && answer.contains("n0 decides"), "{status} {answer}");
+}
+
+#[test]
+fn one_that_is_cut_off_refuses_and_the_others_change_without_it() {
+    let engines = Fleet::start_and_keep(3);
+    let rig = rig(3, &engines, "on_lapse = \"refuse\"", 3);
+    eventually("all act by the first", || all_act_by(&rig, 1, 3));
+    rig.ask_all("quote", Duration::from_millis(5));
+    eventually("traffic", || engines.met()[0].requests > 100);
+    // What it says is heard, and it hears nothing.
+    rig.fault(0, 2, CUT);
+    let (status, answer) = propose(&rig, engines.addresses[1], "");
+    assert_eq!(status, 504, "it is heard, so it is waited for: {answer}");
+    rig.fault(2, 0, CUT);
+    eventually("it refuses", || status_of(&rig, 2, "refuses"));
+    let (status, answer) = propose(&rig, engines.addresses[1], "");
+    assert_eq!(status, 200, "{answer}");
+    eventually("the others act by the new", || engines.met()[1].requests > 100);
+    assert!(longest_contradiction(&engines) <= WITHIN, "{:?}", longest_contradiction(&engines));
+    assert!(rig.answers.lock().expect("a lock").get(&429).is_some_and(|n| *n > 0), "refused at once");
+    rig.faults(Fault::default(), |_, _| true);
+    eventually("it is back", || acts_by(&rig, 2) == acts_by(&rig, 0));
+}
+
+fn status_of(rig: &Rig, n: usize, acting: &str) -> bool {
+    status(rig, n).contains(&format!("\"acting\": \"{acting}\""))
+}
+
+#[test]
+fn a_lost_decider_stops_changes_and_no_requests_and_its_successor_knows_the_rules() {
+    let engines = Fleet::start_and_keep(3);
+    let mut rig = rig(3, &engines, "", 4);
+    eventually("all act by the first", || all_act_by(&rig, 1, 3));
+    assert_eq!(propose(&rig, engines.addresses[1], "").0, 200);
+    eventually("all act by the second", || all_act_by(&rig, 2, 3));
+    rig.kill(0);
+    eventually("they are cut off", || status_of(&rig, 1, "strict") && status_of(&rig, 2, "strict"));
+    rig.ask_all("quote", Duration::from_millis(5));
+    let before = engines.met()[1].requests;
+    eventually("they serve on", || engines.met()[1].requests > before + 100);
+    assert_eq!(engines.met()[0].requests, 0);
+    // Its file still has the first rules.
+    rig.begin(0);
+    eventually("all act by the second again", || (0..3).all(|n| acts_by(&rig, n) == Some(2)));
+    assert_eq!(propose(&rig, engines.addresses[2], "&expect=2").0, 200);
+    eventually("and by a third", || engines.met()[2].requests > 100);
+    assert_eq!(engines.met()[0].requests, 0, "nobody acted by the old file");
+    assert!(longest_contradiction(&engines) <= WITHIN, "{:?}", longest_contradiction(&engines));
+}
+
+#[test]
+fn one_that_stands_still_wakes_with_its_lease_over_and_sends_nothing_by_the_old() {
+    let engines = Fleet::start_and_keep(2);
+    let mut rig = rig(3, &engines, "on_lapse = \"refuse\"", 5);
+    eventually("all act by the first", || all_act_by(&rig, 1, 3));
+    rig.ask_all("quote", Duration::from_millis(5));
+    eventually("traffic", || engines.met()[0].requests > 100);
+    rig.stop(2);
+    let (status, answer) = propose(&rig, engines.addresses[1], "");
+    assert_eq!(status, 200, "{answer}");
+    eventually("the others act by the new", || engines.met()[1].requests > 100);
+    let woken = Instant::now();
+    rig.go_on(2);
+    eventually("it acts by the new", || acts_by(&rig, 2) == acts_by(&rig, 0));
+    assert!(engines.last_after(0, woken).is_none_or(|after| after.is_zero()), "it sent by the old rules");
+    assert!(longest_contradiction(&engines) <= WITHIN, "{:?}", longest_contradiction(&engines));
+}
+
+/// One schedule: changes and faults by chance, then calm. The longest contradiction, and how many changes were decided.
+fn schedule(seed: u64) -> (Duration, usize) {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    let mut below = move |n: u64| rng.next_u64() % n;
+    let limiters = 3 + below(3) as usize;
+    let engines = Fleet::start_and_keep(24);
+    let terms = ["on_lapse = \"refuse\"", "", "strict_for_ms = 1500"][(seed % 3) as usize];
+    let mut rig = rig(limiters, &engines, terms, seed);
+    eventually("all act by the first", || all_act_by(&rig, 1, limiters));
+    rig.ask_all("quote", Duration::from_millis(5));
+    let (begun, mut decided, mut engine) = (Instant::now(), 0, 1);
+    let mut wakes: Vec<(Instant, usize)> = Vec::new();
+    while begun.elapsed() < Duration::from_millis(5000) {
+        let one = below(limiters as u64) as usize;
+        match below(9) {
+            0 => rig.fault(0, one, CUT),
+            1 => rig.fault(one, 0, CUT),
+            2 => rig.faults(CUT, |a, b| a == one || b == one),
+            3 => {
+                let (delay, loss) = (Duration::from_millis(below(150)), below(30) as f64 / 100.0);
+                rig.faults(Fault { cut: false, delay, loss, repeat: 0.1 }, |_, _| true);
+            }
+            4 if rig.runs(one) => {
+                rig.stop(one);
+                wakes.push((Instant::now() + Duration::from_millis([400, 1500][below(2) as usize]), one));
+            }
+            5 if rig.runs(one) => {
+                wakes.retain(|(_, n)| *n != one);
+                rig.kill(one);
+            }
+            6 => {
+                if let Some(gone) = (0..limiters).find(|n| !rig.runs(*n)) {
+                    rig.begin(gone);
+                }
+            }
+            _ => rig.faults(Fault::default(), |_, _| true),
+        }
+        let decider_hears = rig.runs(0) && wakes.iter().all(|(_, n)| *n != 0);
+        if engine < engines.addresses.len() && decider_hears && below(2) == 0 {
+            // Each text once only, so that an engine tells its revision; one that fails may yet be decided.
+            let (status, _) = propose(&rig, engines.addresses[engine], "&patience_ms=600");
+            engine += 1;
+            decided += usize::from(status == 200);
+        }
+        std::thread::sleep(Duration::from_millis(50 + below(250)));
+        let now = Instant::now();
+        wakes.iter().filter(|(at, _)| *at <= now).for_each(|(_, n)| rig.go_on(*n));
+        wakes.retain(|(at, _)| *at > now);
+    }
+    rig.faults(Fault::default(), |_, _| true);
+    wakes.iter().for_each(|(_, n)| rig.go_on(*n));
+    (0..limiters).for_each(|n| {
+        if !rig.runs(n) {
+            rig.begin(n)
+        }
+    });
+    eventually("all act by one revision", || {
+        let first = acts_by(&rig, 0);
+        first.is_some() && (1..limiters).all(|n| acts_by(&rig, n) == first)
+    });
+    (longest_contradiction(&engines), decided)
+}
+
+#[test]
+fn no_two_processes_contradict_for_longer_than_stated_under_faults_by_chance() {
+    // Four at a time: each is mostly waiting.
+    let seeds: Vec<u64> = (1..=20).collect();
+    let (mut longest, mut decided) = (Duration::ZERO, 0);
+    for row in seeds.chunks(4) {
+        let play = |seed: &u64| {
+            let seed = *seed;
+            std::thread::spawn(move || (seed, schedule(seed)))
+        };
+        let threads: Vec<_> = row.iter().map(play).collect();
+        for thread in threads {
+            let (seed, (time, changes)) = thread.join().expect("a schedule that ends well");
+            println!("seed {seed}: contradicted for {time:?}, {changes} changes decided");
+            assert!(time <= WITHIN, "seed {seed}: {time:?}");
+            (longest, decided) = (longest.max(time), decided + changes);
+        }
+    }
+    println!("longest {longest:?} over {} schedules, {decided} changes", seeds.len());
+    assert!(decided >= seeds.len(), "only {decided} changes were decided");
+}
--- a/crates/engine/src/config/file.rs
+++ b/crates/engine/src/config/file.rs
@@ -1,6 +1,7 @@
 //! The form of the file, and what it means to the engine. Its JSON Schema is made from these types, and bounds
 //! stand here only.
 
+use super::fleet::FleetTable;
 use super::mistake::{below, Mistake};
 use super::{Config, CounterKind};
 use crate::engine::{Names, Setup};
@@ -13,7 +14,7 @@
 use topazwind::interface::{Class, Group, Plan, Repeat, ServerState, Settings};
 
 /// Names of servers, classes, plans and zones.
-const NAME: &str = "^[A-Za-z0-9_.-]{1,64}$";
+pub(super) const NAME: &str = "^[A-Za-z0-9_.-]{1,64}$";
 
 /// The schema of [`File`], without references: the way to a keyword in it is the way to a key.
 pub(super) fn schema() -> Value {
@@ -127,6 +128,10 @@
     /// What the process may take.
     #[serde(default)]
     limits: Limits,
+    /// The fleet that this limiter is one of: limiters that act by one set of rules.
+    #[serde(default)]
+    #[schemars(with = "FleetTable")]
+    fleet: Option<FleetTable>,
 }
 
 #[derive(Deserialize, JsonSchema)]
@@ -347,6 +352,7 @@
             zones: self.zones,
             report: Vec::new(),
         };
+        let fleet = self.fleet.as_ref().and_then(|table| table.fleet(&self.name));
         // Limiters must not roll alike, and one that starts anew may.
         let seed = xxhash_rust::xxh3::xxh3_64(self.name.as_bytes());
         Ok(Config {
@@ -355,6 +361,7 @@
             name: self.name,
             members: self.servers.into_iter().map(ServerLine::member).collect(),
             zookeeper: self.members,
+            fleet,
             counter,
             limits: (self.limits.sockets, self.limits.memory_mb),
             keep_idle: self.attempts.keep_idle_ms,
--- a/crates/engine/src/config/mod.rs
+++ b/crates/engine/src/config/mod.rs
@@ -26,19 +26,23 @@
 //! | --- | --- |
 //! | `text` | the text as a value, with the place of each key; environment variables laid over it |
 //! | `file` | the file's form, from which its JSON Schema is made; what it means to the engine |
+//! | `fleet` | the fleet's table, and configurations whose rules come from the fleet |
 //! | `rules` | what one key allows only together with another |
 //! | `mistake` | what is wrong, where, and what is allowed |
 
 mod file;
+mod fleet;
 mod mistake;
 mod rules;
 mod text;
 
 pub use file::{FileServers, ZooKeeper};
+pub use fleet::{Base, Fleet, FleetPeer, RULES};
 pub use mistake::{Mistake, Place};
 
 use crate::engine::Setup;
 use crate::ports::membership::Member;
+use serde_json::Value;
 use std::net::SocketAddr;
 use topazwind::interface::Millis;
 
@@ -115,6 +119,8 @@
     pub members: Vec<Member>,
     /// Where the list of servers comes from, if not from here.
     pub zookeeper: Option<ZooKeeper>,
+    /// The fleet that this limiter is one of.
+    pub fleet: Option<Fleet>,
     /// The counter.
     pub counter: CounterKind,
     /// Descriptors and memory in MB that the process may take.
@@ -149,17 +155,21 @@
 
     fn read(text: &str, variables: impl Iterator<Item = (String, String)>) -> Result<Config, ConfigError> {
         let read = text::Read::new(text, variables).map_err(|e| ConfigError::Malformed(Box::new(e)))?;
-        let mut mistakes = read.mistakes;
-        mistakes.extend(mistake::against(&file::schema(), &read.value));
-        rules::check(&read.value, &mut mistakes);
+        Config::made(read.value.clone(), read.mistakes, &read.places)
+    }
+
+    /// The configuration that this value is.
+    fn made(value: Value, mut mistakes: Vec<Mistake>, places: &text::Places) -> Result<Config, ConfigError> {
+        mistakes.extend(mistake::against(&file::schema(), &value));
+        rules::check(&value, &mut mistakes);
         if mistakes.is_empty() {
-            match serde_json::from_value::<file::File>(read.value).map_err(|e| e.to_string()) {
+            match serde_json::from_value::<file::File>(value).map_err(|e| e.to_string()) {
                 Ok(file) => return file.config().map_err(|m| ConfigError::Invalid(vec![m])),
                 Err(why) => mistakes.push(Mistake::at(Vec::new(), why)),
             }
         }
         for mistake in &mut mistakes {
-            mistake.place = read.places.of(&mistake.path);
+            mistake.place = places.of(&mistake.path);
         }
         mistakes.sort_by(|a, b| a.place.cmp(&b.place));
         Err(ConfigError::Invalid(mistakes))
--- a/crates/engine/src/config/rules.rs
+++ b/crates/engine/src/config/rules.rs
@@ -20,6 +20,7 @@
         address(file, &[], "listen"),
         counter(file),
         register(file),
+        super::fleet::check(file),
     ];
     mistakes.extend(all.into_iter().flatten());
 }
--- a/crates/engine/src/engine/mod.rs
+++ b/crates/engine/src/engine/mod.rs
@@ -44,6 +44,10 @@
     pub report: Vec<String>,
 }
 
+/// Asked before a request is read and right before an attempt's first byte: it brings the rules up to date, and where
+/// this limiter may act by none, says how long (ms) to stay away.
+pub type Guard = Rc<dyn Fn() -> Option<Millis>>;
+
 /// What an engine is started with.
 #[derive(Clone, Debug, Default)]
 pub struct Setup {
@@ -82,6 +86,7 @@
     asleep_until: Cell<Millis>,
     ready: Cell<bool>,
     held: Cell<bool>,
+    guard: RefCell<Option<Guard>>,
     upstream: U,
     counter: RefCell<Option<Rc<dyn Counter>>>,
 }
@@ -98,6 +103,7 @@
             asleep_until: Cell::new(f64::INFINITY),
             ready: Cell::new(false),
             held: Cell::new(false),
+            guard: RefCell::default(),
             upstream,
             counter: RefCell::default(),
         })
@@ -194,6 +200,19 @@
         self.upstream.use_no_more_than(budget.servers, budget.answers_kib);
     }
 
+    /// From now on nothing is read or sent without asking this.
+    pub fn guard_by(&self, guard: Guard) {
+        *self.guard.borrow_mut() = Some(guard);
+    }
+
+    /// Whether this limiter may act by no rules now, and how long (ms) to stay away then. After it, the rules are those
+    /// of the moment.
+    pub fn closed(&self) -> Option<Millis> {
+        // Not held while it is asked: it changes the rules of this engine.
+        let guard = self.guard.borrow().clone();
+        guard.and_then(|guard| guard())
+    }
+
     /// From now on the limiter says that it can serve.
     pub fn set_ready(&self) {
         self.ready.set(true);
@@ -249,7 +268,8 @@
         match output {
             Output::Attempt { id, number, server, address, request, span } => {
                 let asked = self.clone();
-                let may_send = Rc::new(move || asked.core.borrow().fleet().is_ready(server));
+                let may_send =
+                    Rc::new(move || asked.closed().is_none() && asked.core.borrow().fleet().is_ready(server));
                 let told = self.clone();
                 let progress = Rc::new(move |progress| {
                     told.change(|core, now| core.progress(now, id, number, progress));
--- a/crates/fleet/src/decider.rs
+++ b/crates/fleet/src/decider.rs
@@ -200,7 +200,9 @@
         if running.effective_at.is_some_and(|at| now >= at) {
             self.take_effect(out);
         } else if running.effective_at.is_none() && now >= running.until {
-            let missing = self.missing(now, running);
+            let id = running.revision.id();
+            let missing = self.known.iter().filter(|(p, k)| !self.gone.contains(p) && !confirms(k, id));
+            let missing = missing.map(|(peer, _)| *peer).collect();
             self.settle(Answer::TimedOut(missing), out);
         }
     }
@@ -289,7 +291,11 @@
 
     /// Ends the recovery once every limiter was heard, or has surely stopped, or is gone by the operator's word.
     fn recover(&mut self, now: Millis, out: &mut VecDeque<Output>) {
-        if self.known.iter().any(|(peer, k)| self.waits_for(peer, k) && now < k.bound_until) {
+        let waits = |bound: bool| {
+            self.known.iter().any(|(peer, k)| self.waits_for(peer, k) && (now < k.bound_until || !bound))
+        };
+        let remember = self.known.values().filter(|k| k.heard.is_some() && k.holds != Id::NONE).count();
+        if waits(true) || waits(false) && remember < self.others() + 1 - self.witnesses() {
             return;
         }
         let Some((id, who)) = self.highest() else {
@@ -308,6 +314,17 @@
         }
     }
 
+    /// The other limiters, without those that are gone by the operator's word.
+    fn others(&self) -> usize {
+        self.known.keys().filter(|peer| !self.gone.contains(peer)).count()
+    }
+
+    /// How many of them must have confirmed what is decided, beside all that may still act: so that it is known again
+    /// after this process has died, from any others that remember enough to be more than the rest.
+    fn witnesses(&self) -> usize {
+        self.others().div_ceil(2)
+    }
+
     /// A limiter shows the head of what it holds.
     pub fn shown(&mut self, now: Millis, from: Peer, head: Head, out: &mut VecDeque<Output>) {
         let wanted = self.recovering && self.highest().is_some_and(|(id, _)| id == head.id);
@@ -445,7 +462,10 @@
 
     fn decide(&mut self, now: Millis, out: &mut VecDeque<Output>) {
         let Some(running) = self.running.as_ref().filter(|r| r.effective_at.is_none()) else { return };
-        if running.own != Some(Verdict::Confirmed) || !self.missing(now, running).is_empty() {
+        let id = running.revision.id();
+        let witnesses = self.known.iter().filter(|(p, k)| !self.gone.contains(p) && confirms(k, id)).count();
+        let enough = witnesses >= self.witnesses() && self.missing(now, running).is_empty();
+        if running.own != Some(Verdict::Confirmed) || !enough {
             return;
         }
         if running.ask.dry_run {
--- a/crates/fleet/tests/agreement.rs
+++ b/crates/fleet/tests/agreement.rs
@@ -53,10 +53,10 @@
 /// Who acted by what.
 #[derive(Default)]
 struct Checker {
-    /// Since when and until when each revision was acted by without a break.
+    /// When each revision was first acted by.
+    first: BTreeMap<Id, Millis>,
+    /// Since when and until when it was acted by without a break.
     lives: BTreeMap<Id, (Millis, Millis)>,
-    /// When someone first acted by the first of two while the second lived.
-    since: BTreeMap<(Id, Id), Millis>,
     longest: Millis,
     worst: String,
 }
@@ -66,23 +66,25 @@
 
 impl Checker {
     /// A limiter acts now by the stricter of these; by one, where it is one. It contradicts whoever acts by one that is
-    /// none of them, and that from the first time on while both are acted by, however rarely it comes to it.
+    /// none of them, and has done so for as long as that has been acted by beside these: a limiter that did nothing
+    /// meanwhile and then something by the old counts from the beginning.
     fn acts(&mut self, now: Millis, who: usize, by: &[Id]) {
         let Some(id) = by.first() else { return };
         if by.len() == 1 {
             let life = self.lives.entry(*id).or_insert((now, now));
             *life = (if now - life.1 > BREAK { now } else { life.0 }, now);
+            self.first.entry(*id).or_insert(now);
         }
+        let begun = by.iter().filter_map(|id| self.first.get(id)).max().copied().unwrap_or(now);
         for (other, (from, last)) in &self.lives {
             if by.contains(other) || now - last > BREAK {
                 continue;
             }
-            let since = self.since.entry((*id, *other)).or_insert(now);
-            *since = if *since < *from { now } else { *since };
-            if now - *since > self.longest {
-                self.longest = now - *since;
+            let time = last.saturating_sub(begun.max(*from));
+            if time > self.longest {
+                self.longest = time;
                 self.worst =
-                    format!("limiter {who} acts by {by:?} at {now}, and others by {other} since {since}");
+                    format!("limiter {who} acts by {by:?} at {now}, and others by {other} since {from}");
             }
         }
     }
--- a/crates/testkit/src/client.rs
+++ b/crates/testkit/src/client.rs
@@ -18,6 +18,11 @@
     pub fn connect(address: SocketAddr) -> Client {
         let stream = TcpStream::connect(address).expect("a connection");
         stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+        Client::over(stream)
+    }
+
+    /// A client of a connection that is up.
+    pub fn over(stream: TcpStream) -> Client {
         let reader = BufReader::new(stream.try_clone().expect("a clone"));
         Client { stream, reader }
     }
--- a/crates/testkit/src/fleet.rs
+++ b/crates/testkit/src/fleet.rs
@@ -7,10 +7,13 @@
 use tokio::net::{TcpListener, TcpStream};
 
 /// What one engine has seen.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Met {
     pub requests: usize,
+    pub first: Option<Instant>,
     pub last: Option<Instant>,
+    /// When each request came, if that is kept.
+    pub times: Vec<Instant>,
 }
 
 /// The engines. They end with the process.
@@ -22,6 +25,15 @@
 impl Fleet {
     /// So many engines, on loopback.
     pub fn start(engines: usize) -> Fleet {
+        Fleet::start_with(engines, false)
+    }
+
+    /// The same, and they keep when each request came.
+    pub fn start_and_keep(engines: usize) -> Fleet {
+        Fleet::start_with(engines, true)
+    }
+
+    fn start_with(engines: usize, keep: bool) -> Fleet {
         let met = Arc::new(Mutex::new(vec![Met::default(); engines]));
         let (tell, told) = std::sync::mpsc::channel();
         let there = met.clone();
@@ -36,7 +48,7 @@
                 let addresses = listeners.iter().map(|l| l.local_addr().expect("an address")).collect();
                 tell.send(addresses).expect("who asked");
                 for (which, listener) in listeners.into_iter().enumerate() {
-                    tokio::spawn(accept(listener, which, there.clone()));
+                    tokio::spawn(accept(listener, which, there.clone(), keep));
                 }
                 std::future::pending::<()>().await;
             });
@@ -55,14 +67,14 @@
     }
 }
 
-async fn accept(listener: TcpListener, which: usize, met: Arc<Mutex<Vec<Met>>>) {
+async fn accept(listener: TcpListener, which: usize, met: Arc<Mutex<Vec<Met>>>, keep: bool) {
     while let Ok((stream, _)) = listener.accept().await {
-        tokio::spawn(serve(stream, which, met.clone()));
+        tokio::spawn(serve(stream, which, met.clone(), keep));
     }
 }
 
 /// Answers requests without a body.
-async fn serve(mut stream: TcpStream, which: usize, met: Arc<Mutex<Vec<Met>>>) {
+async fn serve(mut stream: TcpStream, which: usize, met: Arc<Mutex<Vec<Met>>>, keep: bool) {
     let (mut head, mut buffer) = (Vec::new(), [0; 2048]);
     while let Ok(n @ 1..) = stream.read(&mut buffer).await {
         head.extend_from_slice(&buffer[..n]);
@@ -73,7 +85,12 @@
         {
             let mut met = met.lock().expect("a lock");
             met[which].requests += 1;
-            met[which].last = Some(Instant::now());
+            let now = Instant::now();
+            met[which].first.get_or_insert(now);
+            met[which].last = Some(now);
+            if keep {
+                met[which].times.push(now);
+            }
         }
         if stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nmade").await.is_err() {
             return;
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod fleet;
 pub mod limiter;
 pub mod message;
+pub mod rig;
 pub mod server;
 pub mod standalone;
 pub mod wait;
