--- a/crates/daemon/src/fleet/mod.rs
+++ b/crates/daemon/src/fleet/mod.rs
@@ -159,6 +159,10 @@
     /// attempt goes on without it, so that a process that stood still acts by nothing that is over.
     fn up_to_date(&self) -> Option<f64> {
         let now = self.now();
+        if self.node.borrow().next_due(now) <= now {
+            // This process stood still, or was busy: what is due comes before what it acts by.
+            self.turn(Event::Tick);
+        }
         let acting = self.node.borrow().acting(now);
         if !self.applied.borrow().is(acting) {
             self.act(acting);
@@ -187,6 +191,12 @@
     }
 
     fn feed(&self, event: Event) {
+        self.turn(event);
+        self.up_to_date();
+        self.sooner.notify_one();
+    }
+
+    fn turn(&self, event: Event) {
         let mut events = VecDeque::from([event]);
         while let Some(event) = events.pop_front() {
             let now = self.now();
@@ -196,8 +206,6 @@
                 self.carry_out(output, &mut events);
             }
         }
-        self.up_to_date();
-        self.sooner.notify_one();
     }
 
     fn carry_out(&self, output: Output, events: &mut VecDeque<Event>) {
--- a/crates/fleet/src/decider.rs
+++ b/crates/fleet/src/decider.rs
@@ -3,6 +3,7 @@
 
 use crate::document::{Digest, Head, Id, Revision, MOST_BYTES};
 use crate::fetch::{Fetch, Step};
+use crate::member::Acting;
 use crate::message::{cut, Message, Ping, Pong, Verdict, MOST_AUTHOR};
 use crate::node::Output;
 use crate::terms::Terms;
@@ -13,13 +14,19 @@
 /// Revisions whose texts are kept, to show and to go back to.
 const MOST_HISTORY: usize = 64;
 
+/// Processes of a limiter, before the one that is known, that are told apart from it.
+const MOST_GONE: usize = 64;
+
 /// What the decider knows of a limiter.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Known {
+    /// Of the process that is known; 0: of none yet.
     token: u64,
-    /// A token that was given and not heard back yet.
-    offered: u64,
+    /// Of processes before it, the latest: what still comes of them is no news.
+    gone: VecDeque<u64>,
     last_seq: u64,
+    /// The last question whose answer kept something current.
+    last_kept: u64,
     /// When it last said something of itself.
     pub heard: Option<Millis>,
     /// Until then it may act by the rules of the last answer, its clock as slow as may be.
@@ -126,8 +133,9 @@
         let known = |n| {
             let known = Known {
                 token: 0,
-                offered: 0,
+                gone: VecDeque::new(),
                 last_seq: 0,
+                last_kept: 0,
                 heard: None,
                 leased_until,
                 bound_until,
@@ -159,6 +167,16 @@
         self.current.as_ref()
     }
 
+    /// What it may act by now: nobody else changes it. One that stood still while a revision took effect elsewhere acts by
+    /// none until it has noticed.
+    pub fn acting(&self, now: Millis) -> Acting {
+        let overdue = self.running.as_ref().and_then(|r| r.effective_at).is_some_and(|at| now >= at);
+        match &self.current {
+            Some(current) if !overdue => Acting::By(current.id()),
+            _ => Acting::Refuse,
+        }
+    }
+
     /// The other limiters.
     pub fn known(&self) -> &BTreeMap<Peer, Known> {
         &self.known
@@ -212,32 +230,33 @@
     /// Takes in a limiter's question and answers it.
     pub fn ping(&mut self, now: Millis, from: Peer, ping: Ping, out: &mut VecDeque<Output>) {
         let Some(known) = self.known.get_mut(&from) else { return };
-        let greets = known.offered != 0 && ping.token == known.offered && known.token != known.offered;
-        if greets {
-            (known.token, known.last_seq) = (known.offered, 0);
-            if ping.holds == Id::NONE && ping.staged.is_none() {
-                // A process that has just started: the one before is gone, and with it what that was bound by.
-                (known.leased_until, known.bound_until) = (now, now);
-            }
+        // One for each process, whatever comes twice or late: only that process is told it.
+        let token = mix(self.seed ^ u64::from(from.0) ^ mix(ping.life));
+        if known.gone.contains(&token) {
+            return;
         }
-        if known.token == 0 || ping.token != known.token {
-            known.offered = mix(self.seed ^ u64::from(from.0) << 48 ^ known.offered);
-            let pong = Pong {
-                seq: ping.seq,
-                token: known.offered,
-                current: None,
-                proposal: None,
-                effective_in: None,
-            };
+        if ping.token != token {
+            let pong = Pong { seq: ping.seq, token, current: None, proposal: None, effective_in: None };
             out.push_back(Output::Send(from, Message::Pong(pong)));
             return;
         }
+        if known.token != token {
+            known.gone.push_back(std::mem::replace(&mut known.token, token));
+            if known.gone.len() > MOST_GONE {
+                known.gone.pop_front();
+            }
+            (known.last_seq, known.last_kept) = (0, 0);
+        }
         if ping.seq <= known.last_seq {
             return;
         }
         known.last_seq = ping.seq;
         let holds = ping.holds;
         (known.heard, known.holds, known.staged) = (Some(now), holds, ping.staged);
+        if holds == Id::NONE && ping.answered >= known.last_kept {
+            // It acts by nothing, and no answer that is still on its way lets it.
+            (known.leased_until, known.bound_until) = (now, now);
+        }
         self.gone.remove(&from);
         self.overtaken(holds);
         self.tick(now, out);
@@ -250,13 +269,16 @@
         let running = self.running.as_ref().filter(|r| !r.ask.dry_run || r.effective_at.is_none());
         let confirmed = running.is_some_and(|r| confirms(known, r.revision.id()));
         let effective_in = running.and_then(|r| r.effective_at).map(|at| at.saturating_sub(now));
-        // Once it is decided, the old rules are kept current for nobody to whom the new ones are news.
-        let keeps = effective_in.is_none() || confirmed;
+        // Once it is decided, the old rules are kept current for nobody to whom the new ones are news, and who holds
+        // none waits for the new.
+        let keeps = effective_in.is_none() || confirmed && known.holds != Id::NONE;
         let current = self.current.as_ref().filter(|_| keeps).map(|r| r.head.clone());
         let proposal = running.map(|r| r.revision.head.clone());
         let token = known.token;
-        if current.is_some() {
+        // Either lets it act by something, now or when that takes effect.
+        if current.is_some() || effective_in.is_some() {
             if let Some(known) = self.known.get_mut(&to) {
+                known.last_kept = seq;
                 known.leased_until = known.leased_until.max(now.saturating_add(self.terms.lease_over()));
                 known.bound_until = known.bound_until.max(now.saturating_add(self.terms.surely_over()));
             }
@@ -338,7 +360,7 @@
 
     /// A part of the text that is wanted while recovering.
     pub fn piece(&mut self, now: Millis, from: Peer, message: &Message, out: &mut VecDeque<Output>) {
-        let Some(fetch) = &mut self.fetch else { return };
+        let Some(fetch) = self.fetch.as_mut().filter(|_| self.recovering) else { return };
         match fetch.take(message) {
             Step::More => out.push_back(Output::Send(from, fetch.want(now))),
             Step::Wait => {}
@@ -490,7 +512,7 @@
         if self.history.len() > MOST_HISTORY {
             self.history.pop_front();
         }
-        (self.current, self.recovering) = (Some(revision.clone()), false);
+        (self.current, self.recovering, self.fetch) = (Some(revision.clone()), false, None);
         out.push_back(Output::Act(revision));
     }
 
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -35,6 +35,7 @@
 pub struct Member {
     terms: Terms,
     decider: Peer,
+    life: u64,
     held: Option<Arc<Revision>>,
     staged: Option<Staged>,
     /// The staged revision is decided, and takes effect then.
@@ -43,6 +44,7 @@
     /// Questions without an answer, and when each was asked.
     asked: VecDeque<(u64, Millis)>,
     seq: u64,
+    answered: u64,
     token: u64,
     next_ping: Millis,
     fetch: Option<Fetch>,
@@ -50,18 +52,20 @@
 
 impl Member {
     /// A limiter that has just started and holds nothing.
-    pub fn new(terms: Terms, decider: Peer, now: Millis) -> Member {
+    pub fn new(terms: Terms, decider: Peer, life: u64, now: Millis) -> Member {
         let (held, staged, due, fetch) = Default::default();
         let asked = VecDeque::new();
         Member {
             terms,
             decider,
+            life,
             held,
             staged,
             due,
             lease_until: 0,
             asked,
             seq: 0,
+            answered: 0,
             token: 0,
             next_ping: now,
             fetch,
@@ -71,7 +75,8 @@
     /// By which rules it may act now. Asked right before each first byte: a process that stood still finds its lease
     /// over before it does anything.
     pub fn acting(&self, now: Millis) -> Acting {
-        let Some(held) = &self.held else { return Acting::Refuse };
+        let overdue = self.due.is_some_and(|(_, at)| now >= at);
+        let Some(held) = self.held.as_ref().filter(|_| !overdue) else { return Acting::Refuse };
         if now < self.lease_until {
             return Acting::By(held.id());
         }
@@ -132,7 +137,14 @@
         }
         let staged = self.staged.as_ref();
         let staged = staged.and_then(|s| s.verdict.clone().map(|verdict| (s.revision.id(), verdict)));
-        let ping = Ping { seq: self.seq, token: self.token, holds: self.id(), staged };
+        let ping = Ping {
+            life: self.life,
+            seq: self.seq,
+            token: self.token,
+            answered: self.answered,
+            holds: self.id(),
+            staged,
+        };
         out.push_back(Output::Send(self.decider, Message::Ping(ping)));
         if self.fetch.as_ref().is_some_and(|f| f.overdue(now, self.terms.heartbeat)) {
             self.want(now, out);
@@ -149,11 +161,20 @@
         let Some(place) = self.asked.iter().position(|(seq, _)| *seq == pong.seq) else { return };
         let (_, asked_at) = self.asked[place];
         self.asked.drain(..=place);
+        self.answered = pong.seq;
         let greeted = std::mem::replace(&mut self.token, pong.token) == pong.token;
         if !greeted {
             // The decider knows this limiter only once it has heard its token back.
             self.next_ping = now;
         }
+        if asked_at.saturating_add(self.terms.lease) <= now {
+            // It keeps nothing current any more, and others may have gone on since.
+            return;
+        }
+        if self.held.is_some() && pong.proposal.as_ref().is_some_and(|head| head.id == self.id()) {
+            // From before the effect of what this limiter acts by already.
+            return;
+        }
         if let Some(current) = &pong.current {
             if self.id() != current.id {
                 self.follow(now, current, out);
@@ -165,6 +186,9 @@
             // From when the question went out: the decider counts from when it answered, and so for longer.
             self.lease_until = self.lease_until.max(asked_at + self.terms.lease);
         }
+        if pong.current.is_none() {
+            self.doubt(pong.proposal.as_ref(), out);
+        }
         match pong.proposal {
             Some(head) => self.proposed(now, &head, pong.effective_in, out),
             None if pong.current.is_some() => (self.staged, self.due) = (None, None),
@@ -172,6 +196,16 @@
         }
     }
 
+    /// A decider that does not say what is current shows another revision than the one that was confirmed here. That one
+    /// may be in force elsewhere, so nothing can be done by what is held, strictly or not.
+    fn doubt(&mut self, proposal: Option<&Head>, out: &mut VecDeque<Output>) {
+        let other = |head: &Head| self.confirmed().is_some_and(|r| r.head != *head);
+        if proposal.is_some_and(other) && self.held.take().is_some() {
+            self.lease_until = 0;
+            out.push_back(Output::Stopped);
+        }
+    }
+
     /// A revision is to follow, or is decided already and takes effect in `left`.
     fn proposed(&mut self, now: Millis, head: &Head, left: Option<Millis>, out: &mut VecDeque<Output>) {
         if self.id() == head.id {
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -32,10 +32,14 @@
 /// A question of a limiter to the decider, and what it says of itself.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Ping {
+    /// Tells a limiter's process from those before it: a number by chance.
+    pub life: u64,
     /// Counts the limiter's questions.
     pub seq: u64,
     /// The token that the decider last gave it; 0: none yet.
     pub token: u64,
+    /// The last question to which it has taken an answer: older answers tell it nothing any more.
+    pub answered: u64,
     /// What it acts by or would.
     pub holds: Id,
     /// What it was shown beside that, and what it found.
@@ -190,7 +194,14 @@
         let seal = Seal::new("secret");
         let reason = Verdict::Vetoed("r".repeat(MOST_REASON));
         let most = Id { epoch: u64::MAX, number: u64::MAX };
-        let ping = Ping { seq: u64::MAX, token: u64::MAX, holds: most, staged: Some((most, reason)) };
+        let ping = Ping {
+            life: u64::MAX,
+            seq: u64::MAX,
+            answered: u64::MAX,
+            token: u64::MAX,
+            holds: most,
+            staged: Some((most, reason)),
+        };
         let digest = Digest([255; 32]);
         let piece = Message::Piece { digest, from: u32::MAX, bytes: vec![255; PIECE] };
         for message in [pong(), Message::Ping(ping), piece, Message::Want { digest, from: 0 }] {
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -79,7 +79,7 @@
             let decider = Decider::new(terms, me, peers, incarnation, seed, first.clone(), now);
             Role::Decider(Box::new(decider))
         } else {
-            Role::Member(Box::new(Member::new(terms, decider, now)))
+            Role::Member(Box::new(Member::new(terms, decider, seed, now)))
         };
         Node { decider, role, outputs: VecDeque::new() }
     }
@@ -151,8 +151,7 @@
     pub fn acting(&self, now: Millis) -> Acting {
         match &self.role {
             Role::Member(member) => member.acting(now),
-            // Nobody else decides, so what it knows is current.
-            Role::Decider(decider) => decider.current().map_or(Acting::Refuse, |r| Acting::By(r.id())),
+            Role::Decider(decider) => decider.acting(now),
         }
     }
 
--- /dev/null
+++ b/crates/fleet/tests/model.rs
@@ -0,0 +1,349 @@
+//! The agreement as a model: each message between three limiters may be lost or late, each limiter may crash at any moment,
+//! start anew or stand still, and the rules may be changed at any moment. The limiters are the crate's own [`Node`]s.
+//!
+//! From a fleet that has agreed on its first rules. Time is a count of ticks; what is bounded (ticks, faults, a message's
+//! longest way) is in [`Bounds`], and printed with how many states there were.
+
+use oatbank_fleet::decider::Proposal;
+use oatbank_fleet::document::Id;
+use oatbank_fleet::member::Acting;
+use oatbank_fleet::message::{Message, Verdict};
+use oatbank_fleet::node::{Event, Node, Output, Setup};
+use oatbank_fleet::terms::{OnLapse, Terms};
+use oatbank_fleet::{Millis, Peer};
+use stateright::{Checker, Model, Property};
+use std::collections::BTreeMap;
+
+const LIMITERS: usize = 3;
+
+/// What the exploration is bounded by.
+#[derive(Clone, Copy, Debug)]
+struct Bounds {
+    /// Ticks after the first agreement.
+    ticks: Millis,
+    /// Messages that may be lost, and that may come so many ticks late, behind later ones.
+    losses: u8,
+    delays: u8,
+    delay: Millis,
+    /// Limiters that may crash, and start anew with the next tick.
+    crashes: u8,
+    /// Limiters that may stand still, and for how many ticks.
+    stops: u8,
+    stop: Millis,
+}
+
+#[derive(Clone)]
+struct Fleet {
+    terms: Terms,
+    /// The decider goes by these: the same, but where a fence is to be taken out.
+    decider_terms: Terms,
+    bounds: Bounds,
+    start: State,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct State {
+    nodes: Vec<Option<Node>>,
+    /// A limiter that stands still goes on at this tick.
+    still_until: Vec<Millis>,
+    now: Millis,
+    end: Millis,
+    /// Messages on their way, each with when it comes.
+    ways: Vec<(Millis, Peer, Peer, Message)>,
+    /// When each revision was first acted by.
+    first: BTreeMap<Id, Millis>,
+    /// The longest time for which two contradicted.
+    longest: Millis,
+    changes: u8,
+    losses: u8,
+    delays: u8,
+    crashes: u8,
+    stops: u8,
+    starts: u64,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+enum Step {
+    Tick,
+    Deliver(usize),
+    Lose(usize),
+    Delay(usize),
+    Crash(usize),
+    Stop(usize),
+    Change,
+}
+
+fn node(terms: Terms, who: usize, incarnation: u64, now: Millis) -> Node {
+    let setup = Setup {
+        terms,
+        me: Peer(who as u16),
+        peers: LIMITERS as u16,
+        decider: Peer(0),
+        incarnation,
+        seed: incarnation,
+        first: "one".into(),
+    };
+    Node::new(&setup, now)
+}
+
+impl State {
+    fn feed(&mut self, who: usize, event: Event) {
+        let now = self.now;
+        let Some(node) = &mut self.nodes[who] else { return };
+        let mut events = vec![event];
+        while let Some(event) = events.pop() {
+            node.handle(now, event);
+            while let Some(output) = node.output() {
+                match output {
+                    Output::Send(to, message) => self.ways.push((now, Peer(who as u16), to, message)),
+                    Output::Check(revision) => events.push(Event::Checked(revision.id(), Verdict::Confirmed)),
+                    Output::Act(_) | Output::Stopped | Output::Answer(..) => {}
+                }
+            }
+        }
+    }
+
+    fn runs(&self, who: usize) -> bool {
+        self.nodes[who].is_some() && self.now >= self.still_until[who]
+    }
+
+    /// Notes by what each acts. That one contradicts another counts from when the later was first acted by.
+    fn look(&mut self) {
+        let acting = |s: &State, who: usize| match s.nodes[who].as_ref().map(|n| n.acting(s.now)) {
+            Some(Acting::By(id)) if s.runs(who) => vec![id],
+            Some(Acting::Strict(id, other)) if s.runs(who) => {
+                [Some(id), other].into_iter().flatten().collect()
+            }
+            _ => Vec::new(),
+        };
+        let all: Vec<Vec<Id>> = (0..LIMITERS).map(|who| acting(self, who)).collect();
+        for by in all.iter().filter(|by| by.len() == 1) {
+            self.first.entry(by[0]).or_insert(self.now);
+        }
+        for (one, other) in (0..LIMITERS).flat_map(|a| (0..LIMITERS).map(move |b| (a, b))) {
+            let apart = !all[one].is_empty()
+                && !all[other].is_empty()
+                && all[one].iter().all(|id| !all[other].contains(id));
+            let since = all[one].iter().chain(&all[other]).filter_map(|id| self.first.get(id)).max();
+            if let (true, Some(since)) = (apart, since) {
+                self.longest = self.longest.max(self.now - since);
+            }
+        }
+    }
+
+    /// The next message that comes to a limiter that runs.
+    fn next(&self) -> Option<usize> {
+        self.ways.iter().position(|(at, _, to, _)| *at <= self.now && self.runs(usize::from(to.0)))
+    }
+
+    fn looked(mut self) -> Self {
+        self.look();
+        self
+    }
+}
+
+impl Fleet {
+    /// A fleet that has agreed on its first rules.
+    fn new(on_lapse: OnLapse, bounds: Bounds) -> Fleet {
+        let terms =
+            Terms { lease: 4, heartbeat: 2, message: 0, effect: 1, drift_ppm: 0, within: 100, on_lapse };
+        let nodes = (0..LIMITERS).map(|who| Some(node(terms, who, 1, 0))).collect();
+        let mut start = State {
+            nodes,
+            still_until: vec![0; LIMITERS],
+            now: 0,
+            end: 0,
+            ways: Vec::new(),
+            first: BTreeMap::new(),
+            longest: 0,
+            changes: 1,
+            losses: bounds.losses,
+            delays: bounds.delays,
+            crashes: bounds.crashes,
+            stops: bounds.stops,
+            starts: 1,
+        };
+        let agreed = |s: &State| s.nodes.iter().flatten().all(|n| matches!(n.acting(s.now), Acting::By(_)));
+        while !agreed(&start) {
+            assert!(start.now < 100, "no agreement without faults");
+            (0..LIMITERS).for_each(|who| start.feed(who, Event::Tick));
+            while let Some((_, from, to, message)) = start.ways.pop() {
+                start.feed(usize::from(to.0), Event::Message(from, message));
+            }
+            start.now += 1;
+        }
+        start.end = start.now + bounds.ticks;
+        Fleet { terms, decider_terms: terms, bounds, start: start.looked() }
+    }
+
+    fn terms_of(&self, who: usize) -> Terms {
+        if who == 0 {
+            self.decider_terms
+        } else {
+            self.terms
+        }
+    }
+}
+
+impl Model for Fleet {
+    type State = State;
+    type Action = Step;
+
+    fn init_states(&self) -> Vec<State> {
+        vec![self.start.clone()]
+    }
+
+    fn actions(&self, state: &State, actions: &mut Vec<Step>) {
+        match state.next() {
+            Some(i) => {
+                actions.push(Step::Deliver(i));
+                actions.extend((state.losses > 0).then_some(Step::Lose(i)));
+                actions.extend((state.delays > 0).then_some(Step::Delay(i)));
+            }
+            None if state.now < state.end => actions.push(Step::Tick),
+            None => {}
+        }
+        for who in 0..LIMITERS {
+            if state.crashes > 0 && state.nodes[who].is_some() {
+                actions.push(Step::Crash(who));
+            }
+            if state.stops > 0 && state.runs(who) {
+                actions.push(Step::Stop(who));
+            }
+        }
+        if state.changes > 0 && state.runs(0) {
+            actions.push(Step::Change);
+        }
+    }
+
+    fn next_state(&self, state: &State, step: Step) -> Option<State> {
+        let mut next = state.clone();
+        match step {
+            Step::Tick => {
+                next.now += 1;
+                let now = next.now;
+                // Acting before anything else is done: a lease that has run out is found so.
+                next.look();
+                for who in 0..LIMITERS {
+                    if next.nodes[who].is_none() {
+                        next.starts += 1;
+                        next.nodes[who] = Some(node(self.terms_of(who), who, next.starts, now));
+                    }
+                    if next.runs(who) {
+                        next.feed(who, Event::Tick);
+                    }
+                }
+            }
+            Step::Deliver(i) => {
+                let (_, from, to, message) = next.ways.remove(i);
+                next.feed(usize::from(to.0), Event::Message(from, message));
+            }
+            Step::Lose(i) => {
+                next.ways.remove(i);
+                next.losses -= 1;
+            }
+            Step::Delay(i) => {
+                next.ways[i].0 = next.now + self.bounds.delay;
+                next.delays -= 1;
+            }
+            Step::Crash(who) => {
+                next.nodes[who] = None;
+                next.crashes -= 1;
+            }
+            Step::Stop(who) => {
+                next.still_until[who] = next.now + self.bounds.stop;
+                next.stops -= 1;
+            }
+            Step::Change => {
+                next.changes -= 1;
+                let text = "two".into();
+                let patience = 100;
+                next.feed(0, Event::Propose(Proposal { text, patience, ..Proposal::default() }));
+            }
+        }
+        Some(next.looked())
+    }
+
+    fn properties(&self) -> Vec<Property<Self>> {
+        vec![
+            Property::always("no two contradict for longer than stated", |model: &Fleet, state: &State| {
+                state.longest <= model.terms.bound()
+            }),
+            Property::sometimes("a change comes into force at all", |_, state: &State| {
+                let by = |n: &Option<Node>| n.as_ref().and_then(|n| n.held().map(|r| r.text.to_string()));
+                state.nodes.iter().all(|n| by(n).as_deref() == Some("two"))
+            }),
+        ]
+    }
+}
+
+fn explore(fleet: Fleet) -> impl Checker<Fleet> {
+    let (bounds, on_lapse) = (fleet.bounds, fleet.terms.on_lapse);
+    let begun = std::time::Instant::now();
+    let checker = fleet.checker().threads(2).spawn_bfs().join();
+    println!("{on_lapse:?}, {bounds:?}: {} states, {:.1?}", checker.unique_state_count(), begun.elapsed());
+    checker
+}
+
+const NONE: Bounds = Bounds { ticks: 14, losses: 0, delays: 0, delay: 0, crashes: 0, stops: 0, stop: 0 };
+
+#[test]
+fn messages_lost_and_late() {
+    let bounds = Bounds { losses: 2, delays: 1, delay: 3, ..NONE };
+    explore(Fleet::new(OnLapse::Refuse, bounds)).assert_properties();
+}
+
+#[test]
+fn a_limiter_that_stands_still() {
+    for on_lapse in [OnLapse::Refuse, OnLapse::Strict(Millis::MAX)] {
+        let bounds = Bounds { losses: 1, stops: 1, stop: 6, ..NONE };
+        explore(Fleet::new(on_lapse, bounds)).assert_properties();
+    }
+}
+
+#[test]
+fn a_crash_of_any_one_at_any_time() {
+    for on_lapse in [OnLapse::Refuse, OnLapse::Strict(Millis::MAX)] {
+        let bounds = Bounds { ticks: 12, losses: 1, crashes: 1, ..NONE };
+        explore(Fleet::new(on_lapse, bounds)).assert_properties();
+    }
+}
+
+#[test]
+fn without_the_decider_s_wait_the_model_finds_a_contradiction() {
+    let bounds = Bounds { losses: 3, ..NONE };
+    let mut fleet = Fleet::new(OnLapse::Strict(Millis::MAX), bounds);
+    // A decider that takes all others for free at once.
+    let terms = Terms { lease: 0, on_lapse: OnLapse::Refuse, ..fleet.terms };
+    fleet.decider_terms = terms;
+    fleet.start.nodes[0] = Some(node(terms, 0, 1, 0));
+    let bounds = fleet.bounds;
+    let rebuilt = rebuilt(fleet, bounds);
+    let checker = explore(rebuilt);
+    assert!(
+        checker.discovery("no two contradict for longer than stated").is_some(),
+        "the fence is not needed?"
+    );
+}
+
+/// The same fleet from its start, with the decider's own terms from the beginning.
+fn rebuilt(mut fleet: Fleet, bounds: Bounds) -> Fleet {
+    let mut start = fleet.start.clone();
+    start.now = 0;
+    start.ways.clear();
+    start.first.clear();
+    start.longest = 0;
+    for who in 0..LIMITERS {
+        start.nodes[who] = Some(node(fleet.terms_of(who), who, 1, 0));
+    }
+    for _ in 0..12 {
+        (0..LIMITERS).for_each(|who| start.feed(who, Event::Tick));
+        while let Some((_, from, to, message)) = start.ways.pop() {
+            start.feed(usize::from(to.0), Event::Message(from, message));
+        }
+        start.now += 1;
+    }
+    start.end = start.now + bounds.ticks;
+    fleet.start = start.looked();
+    fleet
+}
