--- a/crates/daemon/tests/fleet.rs
+++ b/crates/daemon/tests/fleet.rs
@@ -25,7 +25,7 @@
 
 fn rig(limiters: usize, engines: &Fleet, terms: &str, seed: u64) -> Rig {
     let (program, rules) = (OATBANK.to_owned(), rules(engines.addresses[0], 1_000_000));
-    Rig::start(Plan { program, limiters, terms: terms.to_owned(), rules, seed })
+    Rig::start(Plan { program, limiters, terms: Some(terms.to_owned()), rules, seed })
 }
 
 fn number(status: &str, key: &str) -> Option<u64> {
@@ -211,6 +211,88 @@
     assert!(longest_contradiction(&engines) <= WITHIN, "{:?}", longest_contradiction(&engines));
 }
 
+#[test]
+fn of_two_proposals_at_once_one_is_decided() {
+    let engines = Fleet::start_and_keep(3);
+    let rig = rig(3, &engines, "", 6);
+    eventually("all act by the first", || all_act_by(&rig, 1, 3));
+    let answers: Vec<(u16, String)> = std::thread::scope(|scope| {
+        let ask = |n: usize| propose(&rig, engines.addresses[n], "&expect=1");
+        let both: Vec<_> = [1, 2].map(|n| scope.spawn(move || ask(n))).into_iter().collect();
+        both.into_iter().map(|t| t.join().expect("an answer")).collect()
+    });
+    let mut statuses: Vec<u16> = answers.iter().map(|a| a.0).collect();
+    statuses.sort_unstable();
+    assert_eq!(statuses, [200, 409], "{answers:?}");
+    eventually("all act by it", || all_act_by(&rig, 2, 3));
+}
+
+#[test]
+fn changes_faster_than_they_can_be_decided_end_with_the_last_that_was() {
+    let engines = Fleet::start_and_keep(24);
+    let rig = rig(3, &engines, "effect_ms = 50", 7);
+    eventually("all act by the first", || all_act_by(&rig, 1, 3));
+    rig.ask_all("quote", Duration::from_millis(5));
+    let (mut last, mut decided) = (0, 0);
+    for n in 1..24 {
+        let begun = Instant::now();
+        let (status, answer) = propose(&rig, engines.addresses[n], "");
+        assert!(status == 200 || status == 409, "{status} {answer}");
+        if status == 200 {
+            (last, decided) = (n, decided + 1);
+        }
+        std::thread::sleep(Duration::from_millis(50).saturating_sub(begun.elapsed()));
+    }
+    assert!(decided >= 3, "only {decided} were decided");
+    eventually("all act by the last", || {
+        let now = Instant::now();
+        eventually("a request by it", || engines.last_after(last, now).is_some());
+        (0..last).all(|n| engines.last_after(n, now).is_none())
+    });
+    let longest = longest_contradiction(&engines);
+    println!("{decided} changes, contradicted for {longest:?}");
+    assert!(longest <= WITHIN, "{longest:?}");
+}
+
+#[test]
+fn three_against_two_change_with_the_decider_and_not_without_witnesses() {
+    let engines = Fleet::start_and_keep(3);
+    let rig = rig(5, &engines, "on_lapse = \"refuse\"", 8);
+    eventually("all act by the first", || all_act_by(&rig, 1, 5));
+    rig.ask_all("quote", Duration::from_millis(5));
+    let apart = |first: usize| rig.faults(CUT, |a, b| (a < first) != (b < first));
+    apart(3);
+    eventually("the two refuse", || [3, 4].iter().all(|n| status_of(&rig, *n, "refuses")));
+    assert_eq!(propose(&rig, engines.addresses[1], "").0, 200);
+    eventually("the three act by the new", || engines.met()[1].requests > 100);
+    rig.faults(Fault::default(), |_, _| true);
+    eventually("all act by it", || (1..5).all(|n| acts_by(&rig, n) == acts_by(&rig, 0)));
+    // The decider with one other: of four others one is too few to be known again, should the decider die.
+    apart(2);
+    eventually("the three refuse", || [2, 3, 4].iter().all(|n| status_of(&rig, *n, "refuses")));
+    let (status, answer) = propose(&rig, engines.addresses[2], "&patience_ms=1500");
+    assert_eq!(status, 504, "{answer}");
+    rig.faults(Fault::default(), |_, _| true);
+    eventually("it can be changed again", || propose(&rig, engines.addresses[2], "").0 == 200);
+    eventually("all act by it", || (1..5).all(|n| acts_by(&rig, n) == acts_by(&rig, 0)));
+    assert!(longest_contradiction(&engines) <= WITHIN, "{:?}", longest_contradiction(&engines));
+}
+
+#[test]
+fn one_that_is_killed_between_its_word_and_the_effect_comes_back_with_the_new() {
+    let engines = Fleet::start_and_keep(2);
+    let mut rig = rig(3, &engines, "effect_ms = 700\nwithin_ms = 3000", 9);
+    eventually("all act by the first", || all_act_by(&rig, 1, 3));
+    assert_eq!(propose(&rig, engines.addresses[1], "").0, 200);
+    rig.kill(2);
+    rig.ask_all("quote", Duration::from_millis(5));
+    // Its file still has the first rules.
+    rig.begin(2);
+    eventually("all act by the second", || all_act_by(&rig, 2, 3));
+    eventually("traffic", || engines.met()[1].requests > 100);
+    assert!(longest_contradiction(&engines) <= WITHIN, "{:?}", longest_contradiction(&engines));
+}
+
 /// One schedule: changes and faults by chance, then calm. The longest contradiction, and how many changes were decided.
 fn schedule(seed: u64) -> (Duration, usize) {
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
--- a/crates/testkit/src/rig/mod.rs
+++ b/crates/testkit/src/rig/mod.rs
@@ -20,8 +20,8 @@
     /// The program.
     pub program: String,
     pub limiters: usize,
-    /// Keys of their `[fleet]`, as `on_lapse = "refuse"`.
-    pub terms: String,
+    /// Keys of their `[fleet]`, as `on_lapse = "refuse"`; without, they are no fleet.
+    pub terms: Option<String>,
     /// The rules in each one's file.
     pub rules: String,
     pub seed: u64,
@@ -98,10 +98,11 @@
             let all = lines.map_while(Result::ok);
             all.for_each(|line| log.lock().expect("a lock").push((Instant::now(), n, line)));
         });
-        let listen = listen.expect("where it listens for the others");
-        self.links.iter().filter(|((_, to), _)| *to == n).for_each(|(_, link)| link.lead_to(listen));
-        self.processes[n] =
-            Process { child: Some(child), address, control: control.expect("control"), stopped: false };
+        if let Some(listen) = listen {
+            self.links.iter().filter(|((_, to), _)| *to == n).for_each(|(_, link)| link.lead_to(listen));
+        }
+        let control = control.unwrap_or(address);
+        self.processes[n] = Process { child: Some(child), address, control, stopped: false };
         *self.clients[n].lock().expect("a lock") = Some(address);
     }
 
@@ -259,6 +260,8 @@
 }
 
 fn file(plan: &Plan, n: usize, links: &BTreeMap<(usize, usize), Link>) -> String {
+    let own = format!("name = \"n{n}\"\nlisten = \"127.0.0.1:0\"\ncounter = \"none\"\n{}\n", plan.rules);
+    let Some(terms) = &plan.terms else { return own };
     let nowhere = SocketAddr::from(([127, 0, 0, 1], 9));
     let line = |to: usize| {
         let address = links.get(&(n, to)).map_or(nowhere, |l| l.address);
@@ -266,8 +269,7 @@
     };
     let peers: String = (0..plan.limiters).map(line).collect();
     format!(
-        "name = \"n{n}\"\nlisten = \"127.0.0.1:0\"\ncounter = \"none\"\n{}\n[fleet]\nlisten = \"127.0.0.1:0\"\n\
-         control = \"127.0.0.1:0\"\nkey = \"a secret of this rig's\"\ndecider = \"n0\"\n{}\n{peers}",
-        plan.rules, plan.terms
+        "{own}[fleet]\nlisten = \"127.0.0.1:0\"\ncontrol = \"127.0.0.1:0\"\nkey = \"a secret of this rig's\"\n\
+         decider = \"n0\"\n{terms}\n{peers}"
     )
 }
