Module: failing servers cost at most half as much again, cold ones' failures are none, a quota half unused is no contest

To blame: (1) what servers turn away presses a customer too, and others were presumed to want a quota of which half was unused; (2) a server that failed while the fleet was short cost up to 21 times as much for 20 s, so the rest had to bear its part. Change: presumption at a well counter from half of the quota on; after a silence it stays for as long as the silence was over a second, 2.3 s at most; the cost of failing adds half at most, enough where others stand idle; answers of cold servers do not count.

--- a/crates/topazwind/src/logic.rs
+++ b/crates/topazwind/src/logic.rs
@@ -22,6 +22,8 @@
 const RESERVE: f64 = 0.15;
 /// The most of that share that is kept for what all others may send on the same refill.
 const AHEAD: f64 = 0.4;
+/// Share of the quota sent on from which on others are presumed to want the rest too.
+const CONTENDED: f64 = 0.5;
 /// Most bursts that the store may lack by what is presumed of others: what a near read takes back was booked.
 const DEBT: f64 = 1.5;
 /// How long a suppression factor is used before it is computed anew, ms.
@@ -106,6 +108,8 @@
 /// Standard errors within which failures may be an accident, and what each share beyond costs.
 const FAIL_SURE: f64 = 1.64;
 const FAIL_COST: f64 = 40.0;
+/// And the most that they add: one that others cannot stand in for is used all the same.
+const FAIL_MOST: f64 = 0.5;
 /// First ejection, ms; doubles up to eight times this.
 const EJECT_FOR: Millis = 1000.0;
 /// A server that turned a request away as full is passed over for this long, ms.
@@ -256,9 +260,10 @@
         if self.thin {
             return;
         }
-        let blind = now < self.blind_until || now - self.tallies[ACCEPTED].read_at >= trusted;
-        let contested = kind == ACCEPTED && self.share.is_some() && self.pressed(now);
-        self.blind_until = if trusted == 0.0 { now + SETTLE } else { self.blind_until };
+        let blind = now - self.tallies[ACCEPTED].read_at >= trusted;
+        let full = trusted == STALE || self.accepted() >= CONTENDED * self.plan.burst;
+        let contested = kind == ACCEPTED && full && self.share.is_some() && self.pressed(now);
+
         let others = if blind || contested { units / self.share(trusted) - units } else { 0.0 };
         self.book(kind, now, units, if kind == ACCEPTED { units } else { 0.0 });
         self.counts.presume(now, BUCKET, kind, others);
@@ -282,7 +287,7 @@
     }
 
     /// Takes in a total read under `kind`: what rose beyond this gateway's own adds is the others' use.
-    fn read(&mut self, now: Millis, kind: usize, total: f64) {
+    fn read(&mut self, now: Millis, kind: usize, total: f64, settled: bool) {
         let tally = &mut self.tallies[kind];
         let sent = tally.in_flight.take().unwrap_or(0.0);
         // A total below the last one plus this add: the counter came back empty and counts anew.
@@ -294,15 +299,15 @@
         tally.doubt = 0.0;
         tally.total = total;
         let since = std::mem::replace(&mut tally.read_at, now);
-        self.spread_out(now, kind, rise - arrived, since);
+        self.spread_out(now, kind, rise - arrived, since, settled);
         if kind == ACCEPTED {
             self.share = Some(self.share(STALE));
         }
     }
 
     /// Books others' units evenly over the time since the last read, in place of what was presumed of them.
-    fn spread_out(&mut self, now: Millis, kind: usize, mut units: f64, since: Millis) {
-        let presumed = if now < self.blind_until { 0.0 } else { self.counts.take_back(kind) };
+    fn spread_out(&mut self, now: Millis, kind: usize, mut units: f64, since: Millis, settled: bool) {
+        let presumed = if settled { self.counts.take_back(kind) } else { 0.0 };
         if kind == ACCEPTED {
             self.used = (self.used - presumed).max(0.0);
         }
@@ -347,8 +352,8 @@
 
 impl Flow {
     /// How old what was read of a customer may be, ms, for the others' use not to be presumed.
-    fn trusted(&self) -> Millis {
-        match self.silent {
+    fn trusted(&self, now: Millis) -> Millis {
+        match self.silent || now < self.settles_at {
             true => 0.0,
             false if self.pace > CROWDED => STALE,
             false => f64::INFINITY,
@@ -542,7 +547,7 @@
     fn admit(&mut self, now: Millis, id: RequestId) -> Verdict {
         let roll = self.chance();
         let calm = self.flow.out < 0.7 * self.flow.limit && self.held.is_empty();
-        let (counter, trusted) = (self.set.counter, self.flow.trusted());
+        let (counter, trusted) = (self.set.counter, self.flow.trusted(now));
         let part = self.flow.part;
         let Some(open) = self.open.get_mut(&id) else { return Verdict::Refuse };
         let (units, waited) = (open.request.units, now - open.arrived);
@@ -608,7 +613,7 @@
     fn close(&mut self, id: RequestId, now: Millis) -> bool {
         let Some(open) = self.open.get_mut(&id) else { return false };
         if open.attempts.is_empty() {
-            let (customer, trusted) = (open.request.customer, self.flow.trusted());
+            let (customer, trusted) = (open.request.customer, self.flow.trusted(now));
             if let Some(c) = self.customers.get_mut(&customer).filter(|c| c.plan.rate > 0.0) {
                 self.untold.insert(customer);
                 c.age(now, self.flow.part);
@@ -726,6 +731,9 @@
         let slow = took > SLOW_CALL * self.set.counter_timeout;
         let flow = &mut self.flow;
         if ok {
+            if flow.silent && flow.count_ok_at > 0.0 {
+                flow.settles_at = now + (now - flow.count_ok_at - SILENT_AFTER).min(SETTLE);
+            }
             (flow.count_pause, flow.count_after, flow.count_ok_at, flow.silent) = (0.0, 0.0, now, false);
             flow.pace *= if slow { 1.0 } else { PACE_DOWN };
         } else if outcome != Outcome::Reset && now - flow.paced_at >= PACE_STEP {
@@ -740,6 +748,7 @@
                 flow.count_after = now + flow.count_pause;
             }
         }
+        let settled = now >= flow.settles_at;
         let Some((customer, kind)) = self.calls.remove(&name) else { return };
         let Some(c) = self.customers.get_mut(&customer) else { return };
         if c.thin {
@@ -756,22 +765,15 @@
             let Some((_, last)) = c.tallies[kind].closing.take() else { return };
             if ok {
                 let since = c.tallies[kind].read_at;
-                c.spread_out(now, kind, (total - last).max(0.0), since);
+                c.spread_out(now, kind, (total - last).max(0.0), since, settled);
             }
         } else if ok {
-            c.read(now, kind, total);
+            c.read(now, kind, total, settled);
         } else {
             // Through a silence, what has left the window is nobody's concern any more: told at its end, all
             // that each gateway kept would stand for use of the moment.
-            let kept = if self.flow.silent {
-                if kind == ACCEPTED {
-                    c.counts.mine()
-                } else {
-                    c.counts.of(kind)
-                }
-            } else {
-                f64::INFINITY
-            };
+            let mine = if kind == ACCEPTED { c.counts.mine() } else { c.counts.of(kind) };
+            let kept = if self.flow.silent { mine } else { f64::INFINITY };
             let t = &mut c.tallies[kind];
             let sent = t.in_flight.take().unwrap_or(0.0);
             (t.pending, t.doubt) = (t.pending.min(kept), t.doubt.min(kept));
@@ -916,7 +918,7 @@
                 false if now - s.sent_at > OVERDUE => (mean, 1.0),
                 false => (mean, able.warmth),
             };
-            let failing = 1.0 + FAIL_COST * s.failing(now);
+            let failing = 1.0 + (FAIL_COST * s.failing(now)).min(FAIL_MOST);
             (mean * (1.0 + s.out + crowd) * zone * (1.0 + turn) * failing / warmth, able.id)
         };
         able.into_iter().map(cost).min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, id)| id)
@@ -958,10 +960,11 @@
     fn learn(&mut self, now: Millis, server: ServerId, outcome: Outcome, took: Millis, load: &[f64]) {
         self.note_load(now, server, load);
         let rare = self.flow.subset;
-        let took = took * self.servers.get(&server).map_or(1.0, |s| Self::warmth(&self.set, now, s));
+        let warmth = self.servers.get(&server).map_or(1.0, |s| Self::warmth(&self.set, now, s));
+        let took = took * warmth;
         let Some(s) = self.servers.get_mut(&server) else { return };
         s.out = (s.out - 1.0).max(0.0);
-        if matches!(outcome, Outcome::Ok | Outcome::Error) {
+        if matches!(outcome, Outcome::Ok | Outcome::Error) && warmth >= 1.0 {
             let (answers, failures) = s.tried(now);
             s.tried = (answers + 1.0, failures + f64::from(u8::from(outcome != Outcome::Ok)));
             s.tried_at = now;
@@ -1028,7 +1031,7 @@
         }
         let timeout = if whole { open.time_out(now) } else { 0.0 };
         self.acts.push(Action::Send { id, server, timeout });
-        let (first, trusted) = (open.attempts.is_empty(), self.flow.trusted());
+        let (first, trusted) = (open.attempts.is_empty(), self.flow.trusted(now));
         open.attempts.push(Attempt { server, sent: now, live: true, may_have_run: true, whole });
         if !whole {
             (open.aim_at, open.ends_at) = (f64::INFINITY, f64::INFINITY);
--- a/crates/topazwind/src/state.rs
+++ b/crates/topazwind/src/state.rs
@@ -32,8 +32,7 @@
     pub(crate) factor: Option<(Millis, f64)>,
     /// This gateway's part of it, as of the last read.
     pub(crate) share: Option<f64>,
-    /// What others told may not all be there to be read.
-    pub(crate) blind_until: Millis,
+
     /// Units missing from the store, as of `drained_at`.
     pub(crate) used: f64,
     pub(crate) drained_at: Millis,
@@ -135,6 +134,8 @@
     /// When a call was last answered; the counter has been silent since.
     pub(crate) count_ok_at: Millis,
     pub(crate) silent: bool,
+    /// After a silence others have not all told yet; they have by then.
+    pub(crate) settles_at: Millis,
     /// How many times rarer than usual calls are made, and when that last rose.
     pub(crate) pace: f64,
     pub(crate) paced_at: Millis,
