--- a/crates/daemon/src/fleet/mod.rs
+++ b/crates/daemon/src/fleet/mod.rs
@@ -251,8 +251,8 @@
         let mut buffer = [0; MOST_FRAME + 1];
         loop {
             let Ok((len, _)) = self.socket.recv_from(&mut buffer).await else {
-                // A link that refused what was sent to it before says so here.
-                tokio::task::yield_now().await;
+                // A link that refused what was sent to it before says so here. An error that stays is not to spin.
+                self.clock.until(self.clock.now() + 1.0).await;
                 continue;
             };
             let traffic = self.traffic.get();
