Fleet: a condition that always held is gone from the decider's answers

A dry run never gets an effect, so there was nothing to leave out. Found when the change was read again; behaviour is as before. Tests of the package: all green.

--- a/crates/fleet/src/decider.rs
+++ b/crates/fleet/src/decider.rs
@@ -266,7 +266,7 @@
 
     fn answer(&mut self, now: Millis, to: Peer, seq: u64, out: &mut VecDeque<Output>) {
         let Some(known) = self.known.get(&to) else { return };
-        let running = self.running.as_ref().filter(|r| !r.ask.dry_run || r.effective_at.is_none());
+        let running = self.running.as_ref();
         let confirmed = running.is_some_and(|r| confirms(known, r.revision.id()));
         let effective_in = running.and_then(|r| r.effective_at).map(|at| at.saturating_sub(now));
         // Once it is decided, the old rules are kept current for nobody to whom the new ones are news, and who holds
