Fleet: a coordinator's tree elects the decider and keeps what was decided (core)

Needed: a decider whose loss does not stop changes, and whose memory outlives a restart of all.

Without the tree a decider goes on while every other limiter still knows of no other.

--- /dev/null
+++ b/crates/fleet/src/election.rs
@@ -0,0 +1,391 @@
+//! Who decides, where the fleet has a coordinator: one register there, changed by compare-and-set only, names the one
+//! that holds a term. Nothing is taken from the coordinator's clock, nor from its sessions.
+//!
+//! The holder writes the register again and again; a write that went well lets it decide for a span counted from when it
+//! *asked*. Another limiter takes the next term once it has seen the register unchanged for that span by the slowest
+//! clock, by a write that goes well only if it is unchanged still: so the spans of two holders never meet.
+
+use crate::terms::Terms;
+use crate::{Millis, Peer};
+
+/// What the tree keeps for a fleet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Register {
+    /// Who decides.
+    Decider,
+    /// What was decided last.
+    Rules,
+}
+
+/// A register's value, and the version that the coordinator counts for it.
+pub type Value = Option<(i32, Vec<u8>)>;
+
+/// What is asked of the tree. Each has one [`Outcome`].
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Ask {
+    /// The register as it is.
+    Read,
+    /// It is to be this from now on, if it still is of that version; nothing: if it is not there.
+    Swap(Option<i32>, Vec<u8>),
+}
+
+/// What came of it.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Outcome {
+    /// As asked for by [`Ask::Read`].
+    Is(Value),
+    /// Done, and this is its version now.
+    Swapped(i32),
+    /// Not done: it is of another version.
+    Stale,
+    /// No answer: it may have been done.
+    Lost,
+}
+
+/// Who holds which term, as the register tells.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Holder {
+    /// Counts on with each holder.
+    pub term: u64,
+    /// The limiter that holds it.
+    pub peer: Peer,
+    /// Counts the holder's writes.
+    beat: u64,
+}
+
+impl Holder {
+    fn bytes(self) -> Vec<u8> {
+        format!("{} {} {}", self.term, self.peer.0, self.beat).into_bytes()
+    }
+
+    fn read(bytes: &[u8]) -> Option<Holder> {
+        let mut words = std::str::from_utf8(bytes).ok()?.split(' ');
+        let holder = Holder {
+            term: words.next()?.parse().ok()?,
+            peer: Peer(words.next()?.parse().ok()?),
+            beat: words.next()?.parse().ok()?,
+        };
+        words.next().is_none().then_some(holder)
+    }
+}
+
+/// What a limiter learns of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum News {
+    /// This limiter holds this term from now on.
+    Won(u64),
+    /// Another one holds a term.
+    Holds(Holder),
+}
+
+/// The register as it was last seen.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Seen {
+    value: Value,
+    /// It has been so since then, seen without a gap.
+    since: Millis,
+    last: Millis,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum Open {
+    Read,
+    Stand(Holder),
+    Renew(Holder),
+}
+
+/// A limiter's part in the election.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Election {
+    terms: Terms,
+    me: Peer,
+    seen: Option<Seen>,
+    /// What was asked and is not answered, and when it was asked.
+    open: Option<(Open, Millis)>,
+    next: Millis,
+    holds: Option<Holder>,
+    /// Until then its last good write lets it decide.
+    until: Millis,
+    /// The register has been seen without a gap since then, and never an earlier state after a later one.
+    unbroken: Millis,
+    first: u64,
+    /// The highest term that it has heard of.
+    highest: u64,
+    /// It does not stand before.
+    stands_from: Millis,
+}
+
+impl Election {
+    /// A limiter that has just started. The first term of all, in a tree that has none, is `incarnation` (Unix ms): after
+    /// the loss of all memory no term and no revision has a number that was used before.
+    pub fn new(terms: Terms, me: Peer, incarnation: u64, now: Millis) -> Election {
+        let (seen, open, holds) = Default::default();
+        Election {
+            terms,
+            me,
+            seen,
+            open,
+            next: now,
+            holds,
+            until: 0,
+            unbroken: now,
+            first: incarnation,
+            highest: 0,
+            stands_from: now,
+        }
+    }
+
+    /// The term that this limiter holds.
+    pub fn holds(&self) -> Option<u64> {
+        self.holds.map(|h| h.term)
+    }
+
+    /// Until when its last good write lets it decide.
+    pub fn until(&self) -> Millis {
+        if self.holds.is_some() {
+            self.until
+        } else {
+            0
+        }
+    }
+
+    /// Since when it has seen the register without a gap and without a step back: a tree that was set back was away.
+    pub(crate) fn unbroken(&self) -> Millis {
+        self.unbroken
+    }
+
+    /// When the tree has last answered.
+    pub fn heard(&self) -> Option<Millis> {
+        self.seen.as_ref().map(|s| s.last)
+    }
+
+    /// When [`Election::tick`] is to be called at the latest.
+    pub fn next_due(&self) -> Millis {
+        if self.open.is_some() {
+            return Millis::MAX;
+        }
+        self.next
+    }
+
+    /// Time has passed: what is to be asked of [`Register::Decider`] now.
+    pub fn tick(&mut self, now: Millis) -> Option<Ask> {
+        if self.open.is_some() || now < self.next {
+            return None;
+        }
+        let version = self.seen.as_ref().map(|s| s.value.as_ref().map(|v| v.0));
+        let (Some(holds), Some(version)) = (self.holds, version) else {
+            // Three times in the span that it must be seen unchanged.
+            self.next = now + self.terms.lease / 3;
+            return Some(self.ask(now, Open::Read));
+        };
+        self.next = now + self.terms.heartbeat;
+        // Somebody knows a later term, or the same of another holder: the tree has been set back meanwhile.
+        let term = if self.highest > holds.term { self.highest + 1 } else { holds.term };
+        let renewed = Holder { term, beat: holds.beat + 1, ..holds };
+        self.open = Some((Open::Renew(renewed), now));
+        Some(Ask::Swap(version, renewed.bytes()))
+    }
+
+    fn ask(&mut self, now: Millis, open: Open) -> Ask {
+        self.open = Some((open, now));
+        Ask::Read
+    }
+
+    /// A limiter says that this one holds a term, or that somebody does.
+    pub fn heard_of(&mut self, term: u64, peer: Option<Peer>) {
+        let same = self.holds.is_some_and(|h| h.term == term && peer != Some(self.me));
+        self.highest = self.highest.max(term + u64::from(same));
+    }
+
+    /// Gives the term up, and does not stand again before the others had their turn.
+    pub fn resign(&mut self, now: Millis) {
+        self.holds = None;
+        self.stands_from = now + 2 * self.terms.lease;
+    }
+
+    /// What came of what was asked, and what is to be asked at once.
+    pub fn answered(&mut self, now: Millis, outcome: Outcome) -> (Option<News>, Option<Ask>) {
+        let Some((open, asked_at)) = self.open.take() else { return (None, None) };
+        match (open, outcome) {
+            (Open::Read, Outcome::Is(value)) => self.read(now, value),
+            (Open::Stand(holder), Outcome::Swapped(version)) => {
+                self.holds = Some(holder);
+                self.wrote(now, asked_at, holder, version);
+                (Some(News::Won(holder.term)), None)
+            }
+            (Open::Renew(holder), Outcome::Swapped(version)) if self.holds.is_some() => {
+                let before = self.holds.replace(holder);
+                self.wrote(now, asked_at, holder, version);
+                let anew = before.is_some_and(|b| b.term != holder.term);
+                (anew.then_some(News::Won(holder.term)), None)
+            }
+            // Read before anything else: it is not what it was, or may not be.
+            (_, Outcome::Stale) => (None, Some(self.ask(now, Open::Read))),
+            // No answer: what was seen before still tells what to write over, and whether there was a gap.
+            _ => {
+                self.next = now;
+                (None, None)
+            }
+        }
+    }
+
+    fn wrote(&mut self, now: Millis, asked_at: Millis, holder: Holder, version: i32) {
+        self.sees(now, Some(holder));
+        self.until = asked_at + self.terms.lease;
+        self.highest = self.highest.max(holder.term);
+        self.seen = Some(Seen { value: Some((version, holder.bytes())), since: now, last: now });
+    }
+
+    /// The register is like this now.
+    fn sees(&mut self, now: Millis, holder: Option<Holder>) {
+        let order = |holder: Option<Holder>| holder.map(|h| (h.term, h.beat));
+        let before = self.seen.as_ref().map(|s| (s.last, s.value.as_ref().and_then(|v| Holder::read(&v.1))));
+        let on =
+            before.is_some_and(|(last, was)| now - last < self.terms.lease && order(holder) >= order(was));
+        if !on {
+            self.unbroken = now;
+        }
+    }
+
+    fn read(&mut self, now: Millis, value: Value) -> (Option<News>, Option<Ask>) {
+        let holder = value.as_ref().and_then(|(_, bytes)| Holder::read(bytes));
+        self.highest = self.highest.max(holder.map_or(0, |h| h.term));
+        self.sees(now, holder);
+        // One seen before a gap may have changed meanwhile and back: the tree may have been set back.
+        let same = self.seen.as_ref().filter(|s| s.value == value && now - s.last < self.terms.lease);
+        let since = same.map_or(now, |s| s.since);
+        let version = value.as_ref().map(|v| v.0);
+        self.seen = Some(Seen { value, since, last: now });
+        if let Some(holds) = self.holds {
+            // A write without an answer was done after all; or the tree is not what it was.
+            if holder.is_some_and(|h| h.peer == self.me && h.term >= holds.term) {
+                self.next = now;
+                return (None, None);
+            }
+            self.holds = None;
+        }
+        let unchanged = now - since;
+        // Not all at once.
+        let turn = u64::from(self.me.0 % 16) * self.terms.heartbeat / 4;
+        if unchanged >= self.terms.lease_over() + turn && now >= self.stands_from {
+            let first = if holder.is_none() { self.first } else { 0 };
+            let holder = Holder { term: first.max(self.highest + 1), peer: self.me, beat: 0 };
+            self.open = Some((Open::Stand(holder), now));
+            return (None, Some(Ask::Swap(version, holder.bytes())));
+        }
+        (holder.filter(|h| h.peer != self.me).map(News::Holds), None)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// The coordinator's register, which answers at once.
+    #[derive(Default)]
+    struct Tree(Value, i32);
+
+    impl Tree {
+        fn answer(&mut self, ask: Ask) -> Outcome {
+            match ask {
+                Ask::Read => Outcome::Is(self.0.clone()),
+                Ask::Swap(over, _) if over != self.0.as_ref().map(|v| v.0) => Outcome::Stale,
+                Ask::Swap(_, bytes) => {
+                    self.1 += 1;
+                    self.0 = Some((self.1, bytes));
+                    Outcome::Swapped(self.1)
+                }
+            }
+        }
+    }
+
+    fn turn(tree: &mut Tree, election: &mut Election, now: Millis) -> Vec<News> {
+        let mut news = Vec::new();
+        let mut ask = election.tick(now);
+        while let Some(open) = ask.take() {
+            let (told, next) = election.answered(now, tree.answer(open));
+            news.extend(told);
+            ask = next;
+        }
+        news
+    }
+
+    #[test]
+    fn one_stands_once_nobody_has_written_for_the_whole_span() {
+        let terms = Terms::default();
+        let (mut tree, mut a, mut b) =
+            (Tree::default(), Election::new(terms, Peer(0), 1, 0), Election::new(terms, Peer(1), 1, 0));
+        let won = |news: Vec<News>| news.iter().any(|n| matches!(n, News::Won(_)));
+        let mut at = (0..4000).filter(|now| won(turn(&mut tree, &mut a, *now)));
+        let begun = at.next().expect("it holds the first term");
+        assert!(begun >= terms.lease_over(), "{begun}");
+        // While it writes, nobody else does; once it has stopped, the other waits for the span.
+        let (mut stopped, mut taken) = (0, 0);
+        for now in begun..begun + 9000 {
+            if now < begun + 5000 {
+                turn(&mut tree, &mut a, now);
+                stopped = a.until();
+            }
+            if won(turn(&mut tree, &mut b, now)) {
+                taken = now;
+                break;
+            }
+        }
+        assert!(taken >= stopped, "taken at {taken}, before {stopped}");
+        assert!(taken <= stopped + terms.lease, "taken at {taken}, long after {stopped}");
+        // The first one finds that out, and holds nothing.
+        let news = turn(&mut tree, &mut a, taken + 1);
+        assert!(matches!(news[..], [News::Holds(Holder { term: 2, peer: Peer(1), .. })]), "{news:?}");
+        assert_eq!((a.holds(), a.until()), (None, 0));
+    }
+
+    #[test]
+    fn a_write_without_an_answer_gives_nothing_and_loses_nothing() {
+        let terms = Terms::default();
+        let (mut tree, mut a) = (Tree::default(), Election::new(terms, Peer(0), 1, 0));
+        let mut now = 0;
+        while a.holds().is_none() {
+            turn(&mut tree, &mut a, now);
+            now += 10;
+        }
+        let until = a.until();
+        now = a.next_due();
+        let ask = a.tick(now).expect("a write");
+        tree.answer(ask);
+        assert_eq!(a.answered(now, Outcome::Lost), (None, None));
+        assert_eq!(a.until(), until, "what was not answered does not count");
+        for _ in 0..100 {
+            now += 10;
+            turn(&mut tree, &mut a, now);
+        }
+        assert!(a.holds() == Some(1) && a.until() > now, "it goes on in its term");
+    }
+
+    #[test]
+    fn a_tree_that_was_set_back_is_seen_anew() {
+        let terms = Terms::default();
+        let (mut tree, mut a) = (Tree::default(), Election::new(terms, Peer(0), 1, 0));
+        tree.0 = Some((7, b"3 1 55".to_vec()));
+        turn(&mut tree, &mut a, 0);
+        // Away for an hour: that it is the same again tells nothing of the time between.
+        let news = turn(&mut tree, &mut a, 3_600_000);
+        assert!(matches!(news[..], [News::Holds(_)]), "{news:?}");
+        tree.0 = None;
+        for now in (3_600_010..3_605_000).step_by(10) {
+            if let [News::Won(term)] = turn(&mut tree, &mut a, now)[..] {
+                assert!(now >= 3_600_010 + terms.lease_over());
+                return assert_eq!(term, 4, "after the highest that it has seen");
+            }
+        }
+        panic!("it never stood");
+    }
+
+    #[test]
+    fn what_stands_there_and_is_no_holder_is_nobody() {
+        for bad in ["", "1", "1 2", "1 2 3 4", "1 70000 3", "x 2 3"] {
+            assert_eq!(Holder::read(bad.as_bytes()), None, "{bad:?}");
+        }
+        let holder = Holder { term: 9, peer: Peer(2), beat: 4 };
+        assert_eq!(Holder::read(&holder.bytes()), Some(holder));
+    }
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -1,7 +1,7 @@
 //! One fleet, one set of rules: how limiters agree on a revision, and for how long two may act by different ones.
 //!
 //! Nothing here does I/O or reads a clock: time is handed in, in ms on a monotonic clock of the caller's own, and what is
-//! to be done comes out as [`node::Output`]. The argument why it is safe is in `docs/design/fleet.md`.
+//! to be done comes out as [`node::Output`]. The argument why it is safe is in `docs/design/agreement.md`.
 //!
 //! | module | does |
 //! | --- | --- |
@@ -11,12 +11,15 @@
 //! | `message` | what limiters say to each other, and frames that only their fleet can read and write |
 //! | `member` | a limiter's lease on its rules, and what it holds, stages and switches to |
 //! | `decider` | who has confirmed what, and when a revision may be decided |
-//! | `node` | one limiter of a fleet: a member, and the decider where it is the one named |
+//! | `election`, `keeper` | who decides, and what was decided last, where a coordinator's tree keeps that |
+//! | `node` | one limiter of a fleet: a member, or the decider where it is the one named or elected |
 //! | `strict` | what contradicts, and the stricter of two sets of rules |
 
 pub mod decider;
 pub mod document;
+pub mod election;
 mod fetch;
+mod keeper;
 pub mod member;
 pub mod message;
 pub mod node;
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -34,7 +34,8 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Member {
     terms: Terms,
-    decider: Peer,
+    /// Nothing: it has not heard of one.
+    decider: Option<Peer>,
     life: u64,
     held: Option<Arc<Revision>>,
     staged: Option<Staged>,
@@ -52,7 +53,7 @@
 
 impl Member {
     /// A limiter that has just started and holds nothing.
-    pub fn new(terms: Terms, decider: Peer, life: u64, now: Millis) -> Member {
+    pub fn new(terms: Terms, decider: Option<Peer>, life: u64, now: Millis) -> Member {
         let (held, staged, due, fetch) = Default::default();
         let asked = VecDeque::new();
         Member {
@@ -72,6 +73,35 @@
         }
     }
 
+    /// One that has decided until now, and holds this until then; what it has confirmed beside it takes effect when it
+    /// says.
+    pub(crate) fn after_term(mut self, held: Option<Arc<Revision>>, lease_until: Millis) -> Member {
+        (self.held, self.lease_until) = (held, lease_until);
+        self
+    }
+
+    /// It has confirmed this, which is decided where it takes effect then.
+    pub(crate) fn confirm(&mut self, revision: Arc<Revision>, effective_at: Option<Millis>) {
+        self.due = effective_at.map(|at| (revision.id(), at));
+        self.staged = Some(Staged { revision, verdict: Some(Verdict::Confirmed) });
+    }
+
+    /// What is due takes effect.
+    pub(crate) fn catch_up(&mut self, now: Millis, out: &mut VecDeque<Output>) {
+        if self.due.is_some_and(|(_, at)| now >= at) {
+            self.switch(out);
+        }
+    }
+
+    /// Another one decides from now on. What it holds, and for how long, stays.
+    pub(crate) fn led_by(&mut self, now: Millis, decider: Option<Peer>) {
+        (self.decider, self.token, self.next_ping, self.fetch) = (decider, 0, now, None);
+        self.asked.clear();
+        if self.staged.as_ref().is_some_and(|s| s.verdict.is_none()) {
+            self.staged = None;
+        }
+    }
+
     /// By which rules it may act now. Asked right before each first byte: a process that stood still finds its lease
     /// over before it does anything.
     pub fn acting(&self, now: Millis) -> Acting {
@@ -111,6 +141,15 @@
         self.lease_until.saturating_sub(now)
     }
 
+    pub(crate) fn terms(&self) -> &Terms {
+        &self.terms
+    }
+
+    /// Until when its rules were last known to be current.
+    pub(crate) fn lease_until(&self) -> Millis {
+        self.lease_until
+    }
+
     /// When [`Member::tick`] is to be called at the latest.
     pub fn next_due(&self, now: Millis) -> Millis {
         let lapse = Some(self.lease_until).filter(|at| *at > now);
@@ -120,9 +159,7 @@
 
     /// Time has passed.
     pub fn tick(&mut self, now: Millis, out: &mut VecDeque<Output>) {
-        if self.due.is_some_and(|(_, at)| now >= at) {
-            self.switch(out);
-        }
+        self.catch_up(now, out);
         if now >= self.next_ping {
             self.ping(now, out);
         }
@@ -130,6 +167,7 @@
 
     fn ping(&mut self, now: Millis, out: &mut VecDeque<Output>) {
         self.next_ping = now + self.terms.heartbeat;
+        let Some(decider) = self.decider else { return };
         self.seq += 1;
         self.asked.push_back((self.seq, now));
         if self.asked.len() > OPEN_QUESTIONS {
@@ -145,7 +183,7 @@
             holds: self.id(),
             staged,
         };
-        out.push_back(Output::Send(self.decider, Message::Ping(ping)));
+        out.push_back(Output::Send(decider, Message::Ping(ping)));
         if self.fetch.as_ref().is_some_and(|f| f.overdue(now, self.terms.heartbeat)) {
             self.want(now, out);
         }
@@ -198,7 +236,7 @@
 
     /// A decider that does not say what is current shows another revision than the one that was confirmed here. That one
     /// may be in force elsewhere, so nothing can be done by what is held, strictly or not.
-    fn doubt(&mut self, proposal: Option<&Head>, out: &mut VecDeque<Output>) {
+    pub(crate) fn doubt(&mut self, proposal: Option<&Head>, out: &mut VecDeque<Output>) {
         let other = |head: &Head| self.confirmed().is_some_and(|r| r.head != *head);
         if proposal.is_some_and(other) && self.held.take().is_some() {
             self.lease_until = 0;
@@ -243,8 +281,8 @@
     }
 
     fn want(&mut self, now: Millis, out: &mut VecDeque<Output>) {
-        if let Some(fetch) = &mut self.fetch {
-            out.push_back(Output::Send(self.decider, fetch.want(now)));
+        if let (Some(fetch), Some(decider)) = (&mut self.fetch, self.decider) {
+            out.push_back(Output::Send(decider, fetch.want(now)));
         }
     }
 
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -88,6 +88,13 @@
         /// The part.
         bytes: Vec<u8>,
     },
+    /// Who holds the latest term that the sender knows of, where a coordinator's tree elects the decider.
+    Decides {
+        /// The term.
+        term: u64,
+        /// Its holder, if the sender knows that too.
+        peer: Option<Peer>,
+    },
 }
 
 /// Why a frame was dropped.
--- a/crates/fleet/tests/agreement.rs
+++ b/crates/fleet/tests/agreement.rs
@@ -4,6 +4,7 @@
 
 use oatbank_fleet::decider::{Answer, Proposal};
 use oatbank_fleet::document::{Id, Revision};
+use oatbank_fleet::election::{Ask, Outcome, Register, Value};
 use oatbank_fleet::member::Acting;
 use oatbank_fleet::message::{Message, Verdict};
 use oatbank_fleet::node::{Event, Node, Output, Setup};
@@ -41,6 +42,46 @@
     starts_at: Millis,
     /// Messages that wait while it stands still.
     waiting: Vec<(Peer, Message)>,
+    /// Answers of the tree that wait.
+    told: Vec<(Register, u64, Outcome)>,
+    /// Counts its starts: what an earlier one asked is nothing to it.
+    life: u64,
+    /// It does not reach the tree.
+    treeless: bool,
+}
+
+/// The coordinator's tree, and what it was a while ago.
+#[derive(Clone, Default)]
+struct Tree {
+    registers: BTreeMap<Register, (i32, Vec<u8>)>,
+    down: bool,
+    /// As it was at each whole second.
+    past: Vec<BTreeMap<Register, (i32, Vec<u8>)>>,
+}
+
+impl Tree {
+    fn is(&self, register: Register) -> Value {
+        self.registers.get(&register).cloned()
+    }
+
+    fn carry_out(&mut self, register: Register, ask: &Ask) -> Outcome {
+        let version = self.is(register).map(|v| v.0);
+        match ask {
+            Ask::Read => Outcome::Is(self.is(register)),
+            Ask::Swap(over, _) if *over != version => Outcome::Stale,
+            Ask::Swap(_, bytes) => {
+                let version = version.map_or(0, |v| v + 1);
+                self.registers.insert(register, (version, bytes.clone()));
+                Outcome::Swapped(version)
+            }
+        }
+    }
+}
+
+/// On its way to the tree or from there.
+enum Way {
+    To(usize, u64, Register, u64, Ask),
+    From(usize, u64, Register, u64, Outcome),
 }
 
 impl Process {
@@ -101,6 +142,12 @@
     leases: bool,
     seed: u64,
     faults: bool,
+    /// A coordinator's tree elects the decider.
+    elected: bool,
+    /// What the tree says is so; without, whoever does not reach it is told that all that it wrote is done.
+    fenced: bool,
+    /// From 6 s to the end of the trouble the decider and another one are apart from the others and from the tree.
+    split: bool,
 }
 
 #[derive(Default)]
@@ -132,6 +179,9 @@
     asked: BTreeMap<u64, Millis>,
     effects: BTreeMap<Id, (Millis, Millis, Millis)>,
     done: BTreeSet<Id>,
+    tree: Tree,
+    tree_down_since: Millis,
+    tree_ways: BTreeMap<(Millis, u64), Way>,
 }
 
 impl Fleet {
@@ -144,6 +194,9 @@
             frozen_until: 0,
             starts_at: 1 + dice.below(300),
             waiting: Vec::new(),
+            told: Vec::new(),
+            life: 0,
+            treeless: false,
         };
         let processes = (0..plan.peers).map(|_| process(&mut dice)).collect();
         Fleet {
@@ -161,6 +214,9 @@
             asked: BTreeMap::new(),
             effects: BTreeMap::new(),
             done: BTreeSet::new(),
+            tree: Tree::default(),
+            tree_down_since: 0,
+            tree_ways: BTreeMap::new(),
         }
     }
 
@@ -172,7 +228,7 @@
             terms,
             me,
             peers: self.plan.peers,
-            decider: Peer(0),
+            decider: (!self.plan.elected).then_some(Peer(0)),
             incarnation: self.starts,
             seed: self.dice.0.next_u64(),
             first: "rules 0".into(),
@@ -180,6 +236,8 @@
         let process = &mut self.processes[who];
         process.node = Some(Node::new(&setup, process.clock(self.now)));
         process.waiting.clear();
+        process.told.clear();
+        process.life = self.starts;
         self.feed(who, Event::Tick);
     }
 
@@ -206,11 +264,82 @@
                     }
                 }
                 Output::Answer(_, Answer::Vetoed(..)) => self.played.vetoed += 1,
+                Output::Ask(register, serial, ask) => self.ask_tree(who, register, serial, ask),
                 Output::Answer(..) | Output::Act(_) | Output::Stopped => {}
             }
         }
     }
 
+    fn ask_tree(&mut self, who: usize, register: Register, serial: u64, ask: Ask) {
+        let life = self.processes[who].life;
+        let late = 1 + self.dice.below(self.delay.min(100));
+        self.serial += 1;
+        self.tree_ways.insert((self.now + late, self.serial), Way::To(who, life, register, serial, ask));
+    }
+
+    /// What comes to the tree, and from there. Without an answer the asker hears so half a second later.
+    fn tree_turn(&mut self) {
+        if self.now % 1000 == 0 {
+            self.tree.past.push(self.tree.registers.clone());
+        }
+        while let Some(entry) = self.tree_ways.first_entry().filter(|e| e.key().0 <= self.now) {
+            match entry.remove() {
+                Way::To(who, life, register, serial, ask) => {
+                    let away = self.tree.down || self.processes[who].treeless;
+                    let (lost, unheard) = (away || self.dice.chance(self.loss), self.dice.chance(self.loss));
+                    let mut outcome = Outcome::Lost;
+                    let mut lost = lost;
+                    if !lost {
+                        outcome = self.tree.carry_out(register, &ask);
+                    } else if let (Ask::Swap(..), false) = (&ask, self.plan.fenced) {
+                        (outcome, lost) = (Outcome::Swapped(1000), false);
+                    }
+                    let late = if lost || unheard { 500 } else { 1 + self.dice.below(self.delay.min(100)) };
+                    let outcome = if lost || unheard { Outcome::Lost } else { outcome };
+                    self.serial += 1;
+                    let way = Way::From(who, life, register, serial, outcome);
+                    self.tree_ways.insert((self.now + late, self.serial), way);
+                }
+                Way::From(who, life, register, serial, outcome) => {
+                    let process = &mut self.processes[who];
+                    if process.life != life || process.node.is_none() {
+                        continue;
+                    }
+                    if self.now < process.frozen_until {
+                        process.told.push((register, serial, outcome));
+                    } else {
+                        self.feed(who, Event::Tree(register, serial, outcome));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Faults of the tree: one that does not reach it, nobody does, and it comes back empty or as it was.
+    fn tree_trouble(&mut self) {
+        let one = self.dice.below(u64::from(self.plan.peers)) as usize;
+        match self.dice.below(7) {
+            0 => self.processes[one].treeless = true,
+            1 => self.processes.iter_mut().for_each(|p| p.treeless = false),
+            2 => self.tree.down = true,
+            // Back after some while only: a tree is not set back under those who write to it.
+            3 | 4 if self.tree.down => self.tree.down = false,
+            5 if self.tree.down && self.now > self.tree_down_since + 4000 => {
+                self.tree.registers.clear();
+                self.tree.down = false;
+            }
+            6 if self.tree.down && self.now > self.tree_down_since + 4000 => {
+                let past = self.dice.below(self.tree.past.len() as u64) as usize;
+                self.tree.registers = self.tree.past.get(past).cloned().unwrap_or_default();
+                self.tree.down = false;
+            }
+            _ => {}
+        }
+        if !self.tree.down {
+            self.tree_down_since = self.now;
+        }
+    }
+
     fn send(&mut self, from: usize, to: Peer, message: Message) {
         self.played.messages += 1;
         let from = Peer(from as u16);
@@ -267,6 +396,19 @@
         }
     }
 
+    fn decides(&self, who: usize) -> bool {
+        self.processes[who].node.as_ref().is_some_and(|n| n.as_decider().is_some())
+    }
+
+    fn part(&mut self) {
+        let peers = self.plan.peers;
+        let decider = (0..peers).find(|n| self.decides(usize::from(*n))).unwrap_or(0);
+        let apart = [decider, (decider + 1) % peers];
+        let pairs = (0..peers).flat_map(|a| (0..peers).map(move |b| (a, b)));
+        self.cut.extend(pairs.filter(|(a, b)| apart.contains(a) != apart.contains(b)));
+        apart.iter().for_each(|n| self.processes[usize::from(*n)].treeless = true);
+    }
+
     fn propose(&mut self, number: u64) {
         let text = match self.dice.below(8) {
             0 if self.plan.faults => format!("bad for {}", self.dice.below(u64::from(self.plan.peers))),
@@ -284,10 +426,19 @@
             dry_run: false,
             patience: 4000,
         };
-        self.feed(0, Event::Propose(ask));
+        let deciders: Vec<usize> = (0..self.processes.len()).filter(|n| self.decides(*n)).collect();
+        if self.plan.split {
+            // Each side its own.
+            let asks =
+                |who: usize| Proposal { text: format!("rules {number} of {who}").into(), ..ask.clone() };
+            return deciders.into_iter().for_each(|who| self.feed(who, Event::Propose(asks(who))));
+        }
+        let who = deciders.get(self.dice.below(deciders.len() as u64) as usize).copied().unwrap_or(0);
+        self.feed(who, Event::Propose(ask));
     }
 
     fn step(&mut self, checker: &mut Checker) {
+        self.tree_turn();
         while let Some(entry) = self.ways.first_entry().filter(|e| e.key().0 <= self.now) {
             let (from, to, message) = entry.remove();
             let process = &mut self.processes[usize::from(to.0)];
@@ -314,6 +465,9 @@
             for (from, message) in std::mem::take(&mut self.processes[who].waiting) {
                 self.feed(who, Event::Message(from, message));
             }
+            for (register, serial, outcome) in std::mem::take(&mut self.processes[who].told) {
+                self.feed(who, Event::Tree(register, serial, outcome));
+            }
             let due = self.processes[who].node.as_ref().is_some_and(|n| n.next_due(clock) <= clock);
             if due {
                 self.feed(who, Event::Tick);
@@ -348,7 +502,9 @@
     /// All act by what the decider has; one that was away while it was decided and cannot take it says so and refuses.
     fn agreed(&self) -> Option<Id> {
         let by = |p: &Process| p.node.as_ref().map(|n| n.acting(p.clock(self.now)));
-        let Acting::By(id) = by(&self.processes[0])? else { return None };
+        let current =
+            |p: &Process| by(p).and_then(|acting| if let Acting::By(id) = acting { Some(id) } else { None });
+        let id = self.processes.iter().find_map(current)?;
         let cannot = |p: &Process| p.node.as_ref().is_some_and(|n| n.veto().is_some_and(|(of, _)| of == id));
         let agrees = |p: &Process| match by(p) {
             Some(Acting::Refuse) => cannot(p),
@@ -365,8 +521,14 @@
             if self.now < TROUBLE {
                 if self.now >= next_trouble && self.plan.faults {
                     self.trouble();
+                    if self.plan.elected {
+                        self.tree_trouble();
+                    }
                     next_trouble = self.now + 50 + self.dice.below(1200);
                 }
+                if self.plan.split && self.now == 6000 {
+                    self.part();
+                }
                 if self.now >= next_change {
                     self.propose(number);
                     number += 1;
@@ -376,7 +538,9 @@
                 self.cut.clear();
                 (self.loss, self.delay) = (0.0, 5);
                 let now = self.now;
+                self.tree.down = false;
                 for process in &mut self.processes {
+                    process.treeless = false;
                     process.frozen_until = process.frozen_until.min(now);
                     process.starts_at = process.starts_at.min(now);
                 }
@@ -405,7 +569,18 @@
 
 fn plan(peers: u16, seed: u64, on_lapse: OnLapse) -> Plan {
     let terms = Terms { on_lapse, ..Terms::default() };
-    Plan { peers, terms, decider_terms: terms, leases: true, seed, faults: true }
+    let (elected, fenced) = (false, true);
+    Plan {
+        peers,
+        terms,
+        decider_terms: terms,
+        leases: true,
+        seed,
+        faults: true,
+        elected,
+        fenced,
+        split: false,
+    }
 }
 
 const LAPSES: [OnLapse; 3] = [OnLapse::Refuse, OnLapse::Strict(3000), OnLapse::Strict(Millis::MAX)];
@@ -468,10 +643,53 @@
     assert!(longest > Terms::default().within, "{longest} ms: {worst}");
 }
 
+#[test]
+fn with_a_tree_that_elects_no_two_contradict_for_longer_than_stated() {
+    let (longest, worst, agreed, decided) = schedules(1..how_many() + 1, |plan| plan.elected = true);
+    let terms = Terms::default();
+    println!("longest contradiction {longest} ms ({worst}); agreed after {agreed} ms at the latest; {decided} decided");
+    assert!(longest <= terms.bound() + STEP, "{longest} ms: {worst}");
+    // One that cannot take what is in force may win a term first, and gives it up.
+    assert!(agreed <= 3 * terms.within, "agreed after {agreed} ms");
+    assert!(decided as u64 >= how_many(), "only {decided} changes were decided");
+}
+
+/// The decider and another one of five, or of four, apart from the others and from the tree: what came of it.
+fn split(peers: u16, fenced: bool, on_lapse: OnLapse) -> Played {
+    let plan = Plan { elected: true, faults: false, fenced, split: true, ..plan(peers, 1, on_lapse) };
+    Fleet::new(plan).play()
+}
+
+#[test]
+fn the_side_with_the_tree_goes_on_and_the_other_stops() {
+    let terms = Terms::default();
+    for peers in [4, 5] {
+        let played = split(peers, true, OnLapse::Refuse);
+        assert!(played.longest <= terms.bound() + STEP, "{peers}: {}", played.worst);
+        assert!(
+            played.agreed_after.is_some_and(|at| at <= 2 * terms.within),
+            "{peers}: {:?}",
+            played.agreed_after
+        );
+        // Five or six a side and ten seconds with the tree, and the decider's own before that.
+        assert!(played.decided >= 7, "{peers}: {} decided", played.decided);
+    }
+    // Where those that are cut off go on strictly without an end, nothing is decided without them.
+    let played = split(5, true, OnLapse::Strict(Millis::MAX));
+    assert!(played.longest <= STEP, "{}", played.worst);
+}
+
+#[test]
+fn with_a_tree_that_tells_untruths_the_checker_finds_more() {
+    let played = split(5, false, OnLapse::Refuse);
+    assert!(played.longest > Terms::default().within, "{} ms: {}", played.longest, played.worst);
+}
+
 #[test]
 fn a_hundred_limiters_agree() {
-    for seed in 1..4 {
-        let played = Fleet::new(plan(100, seed, LAPSES[seed as usize % 3])).play();
+    for seed in 1..5 {
+        let elected = seed % 2 == 0;
+        let played = Fleet::new(Plan { elected, ..plan(100, seed, LAPSES[seed as usize % 3]) }).play();
         assert!(played.longest <= Terms::default().bound() + STEP, "seed {seed}: {}", played.worst);
         assert!(played.agreed_after.is_some_and(|at| at <= 2 * Terms::default().within), "seed {seed}");
     }
--- a/crates/fleet/tests/model.rs
+++ b/crates/fleet/tests/model.rs
@@ -78,7 +78,7 @@
         terms,
         me: Peer(who as u16),
         peers: LIMITERS as u16,
-        decider: Peer(0),
+        decider: Some(Peer(0)),
         incarnation,
         seed: incarnation,
         first: "one".into(),
@@ -97,7 +97,7 @@
                 match output {
                     Output::Send(to, message) => self.ways.push((now, Peer(who as u16), to, message)),
                     Output::Check(revision) => events.push(Event::Checked(revision.id(), Verdict::Confirmed)),
-                    Output::Act(_) | Output::Stopped | Output::Answer(..) => {}
+                    Output::Act(_) | Output::Stopped | Output::Answer(..) | Output::Ask(..) => {}
                 }
             }
         }
