Fleet: limiters ask a coordinator's tree who decides; processes with cut links to it

[fleet] takes coordinator and path instead of decider; crates/zookeeper/registers.rs carries out compare-and-set and decides nothing; oatbank fleet takes several addresses and finds the decider; the rig gives each limiter its own address of the stand-in, so that its way there can be cut alone.

--- a/benches/src/bin/fleet.rs
+++ b/benches/src/bin/fleet.rs
@@ -26,7 +26,7 @@
 fn rig(limiters: usize, engines: &Fleet, fleet: bool) -> Rig {
     let (program, rules) = ("target/release/oatbank".to_owned(), rules(engines.addresses[0]));
     let terms = fleet.then(String::new);
-    let rig = Rig::start(Plan { program, limiters, terms, rules, seed: 1 });
+    let rig = Rig::start(Plan { program, limiters, terms, rules, seed: 1, elected: false });
     if fleet {
         let current = |n| rig.call(n, "GET", "status", "").1.contains("\"acting\": \"current\"");
         eventually("all act by the first", || (0..limiters).all(current));
--- a/crates/daemon/src/fleet/command.rs
+++ b/crates/daemon/src/fleet/command.rs
@@ -32,9 +32,10 @@
 /// Which limiter is asked.
 #[derive(Args)]
 pub struct At {
-    /// The limiter's fleet.control; changes and the history are the decider's.
-    #[arg(long, value_name = "ADDRESS")]
-    at: SocketAddr,
+    /// The limiter's fleet.control; changes and the history are the decider's. Of several, behind commas, the decider's is
+    /// taken.
+    #[arg(long, value_name = "ADDRESS", value_delimiter = ',', required = true)]
+    at: Vec<SocketAddr>,
     /// Print what was answered, JSON.
     #[arg(long)]
     json: bool,
@@ -161,7 +162,7 @@
     path.extend(dry_run.then_some("&dry_run=1".to_owned()));
     path.extend(without.map(|names| format!("&without={}", encoded(&names))));
     let digest = Digest::of(&text);
-    let (status, body) = match call(at.at, Method::POST, &path, text).await {
+    let (status, body) = match call(asked(at).await?, Method::POST, &path, text).await {
         Ok(answer) => answer,
         Err(Lost::Before(why)) => return Err(End(NO_DECIDER, why)),
         Err(Lost::After(why)) => return Err(look(at, digest, dry_run, why).await),
@@ -175,7 +176,8 @@
     let code = match answer["result"].as_str() {
         Some("vetoed") => VETOED,
         Some("conflict" | "busy") => OTHER_CURRENT,
-        Some("recovering" | "not decider") => NO_DECIDER,
+        Some("recovering" | "not decider" | "no decider" | "no coordinator") => NO_DECIDER,
+        Some("unsure") => return Err(look(at, digest, dry_run, say).await),
         Some("timed out") => TIMED_OUT,
         _ => 1,
     };
@@ -200,9 +202,31 @@
     )
 }
 
+/// The one to be asked: of several the decider, or the first that answers.
+async fn asked(at: &At) -> Result<SocketAddr, End> {
+    let [first, more @ ..] = &at.at[..] else { return Err(End(NO_DECIDER, "--at names nobody".into())) };
+    if more.is_empty() {
+        return Ok(*first);
+    }
+    let (mut answers, mut last) = (None, String::new());
+    for address in &at.at {
+        match call(*address, Method::GET, "status", String::new()).await {
+            Ok((_, body)) => {
+                let status: Value = serde_json::from_str(&body).unwrap_or(Value::Null);
+                if status["limiter"].is_string() && status["limiter"] == status["decider"] {
+                    return Ok(*address);
+                }
+                answers = answers.or(Some(*address));
+            }
+            Err(Lost::Before(why) | Lost::After(why)) => last = why,
+        }
+    }
+    answers.ok_or(End(NO_DECIDER, last))
+}
+
 async fn get(at: &At, path: &str) -> Result<Value, End> {
     let body = fetch(at, path).await?;
-    serde_json::from_str(&body).map_err(|e| End(1, format!("{}: {e}", at.at)))
+    serde_json::from_str(&body).map_err(|e| End(1, format!("{path}: {e}")))
 }
 
 async fn text(at: &At, number: u64) -> Result<String, End> {
@@ -217,7 +241,7 @@
 }
 
 async fn fetch(at: &At, path: &str) -> Result<String, End> {
-    match call(at.at, Method::GET, path, String::new()).await {
+    match call(asked(at).await?, Method::GET, path, String::new()).await {
         Ok((200, body)) => Ok(body),
         Ok((421, body)) => Err(End(NO_DECIDER, body)),
         Ok((_, body)) => Err(End(1, body)),
@@ -286,6 +310,10 @@
             word(&status["lapses"])
         ),
     ];
+    if let Some(term) = status["term"].as_u64() {
+        let heard = word(&status["coordinator_heard_ms_ago"]);
+        lines.push(format!("term {term}; the coordinator was heard {heard} ms ago"));
+    }
     if let Some(veto) = status["veto"].as_object() {
         lines.push(format!("cannot take {}: {}", word(&veto["revision"]), word(&veto["why"])));
     }
--- a/crates/daemon/src/fleet/mod.rs
+++ b/crates/daemon/src/fleet/mod.rs
@@ -5,7 +5,7 @@
 mod told;
 
 use apply::Applied;
-use oatbank_engine::config::{Base, Fleet as Settings, FleetPeer};
+use oatbank_engine::config::{Base, Fleet as Settings, FleetPeer, FleetTree};
 use oatbank_engine::engine::Engine;
 use oatbank_engine::ports::clock::Clock;
 use oatbank_engine::ports::membership::Told;
@@ -13,15 +13,18 @@
 use oatbank_engine::upstreams::http1::Http1;
 use oatbank_fleet::decider::{Answer, Proposal};
 use oatbank_fleet::document::Revision;
+use oatbank_fleet::election::Outcome;
 use oatbank_fleet::member::Acting;
 use oatbank_fleet::message::{Dropped, Message, Seal, Verdict, MOST_FRAME};
 use oatbank_fleet::node::{Event, Node, Output, Setup};
 use oatbank_fleet::{Millis, Peer};
+use oatbank_zookeeper::registers::Registers;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::hash::{BuildHasher, Hasher, RandomState};
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::net::UdpSocket;
 use tokio::sync::{oneshot, Notify};
 
@@ -45,6 +48,8 @@
     settings: Settings,
     seal: Seal,
     socket: UdpSocket,
+    /// Where the decider is elected.
+    tree: Option<Rc<Registers>>,
     clock: Rc<dyn Clock>,
     engine: Rc<Engine<Http1>>,
     applied: RefCell<Applied>,
@@ -92,6 +97,7 @@
             settings: settings.clone(),
             seal: Seal::new(&settings.key),
             socket,
+            tree: settings.tree.as_ref().map(|tree| registers(tree, settings.terms.lease)),
             clock,
             engine: engine.clone(),
             applied: RefCell::new(Applied::new(base, engine.clone(), servers)),
@@ -109,7 +115,11 @@
         keep_running("fleet", move || hearing.clone().hear());
         let ticking = fleet.clone();
         keep_running("fleet's timers", move || ticking.clone().tick());
-        let (me, decider) = (fleet.name(settings.me), fleet.name(settings.decider));
+        if let Some(tree) = fleet.tree.clone() {
+            keep_running("fleet's registers", move || tree.clone().run());
+        }
+        let decider = settings.decider.map_or("whom the coordinator elects", |peer| fleet.name(peer));
+        let me = fleet.name(settings.me);
         let listen = fleet.socket.local_addr().unwrap_or(settings.listen);
         tracing::info!("fleet: {me} of {} limiters at {listen}, {decider} decides", settings.peers.len());
         Ok(fleet)
@@ -120,6 +130,12 @@
         self.peer(peer).map_or("?", |p| p.name.as_str())
     }
 
+    /// The name of the one that decides, as far as is known.
+    fn decider(&self) -> &str {
+        let (decider, _) = self.node.borrow().decider();
+        decider.map_or("nobody that is known of", |peer| self.name(peer))
+    }
+
     fn peer(&self, peer: Peer) -> Option<&FleetPeer> {
         self.settings.peers.get(usize::from(peer.0))
     }
@@ -129,7 +145,7 @@
     }
 
     /// Asks for a change, and waits for what becomes of it.
-    pub async fn propose(&self, ask: Proposal) -> Answer {
+    pub async fn propose(self: &Rc<Self>, ask: Proposal) -> Answer {
         let ticket = self.next_ticket.replace(self.next_ticket.get() + 1);
         let (tell, told) = oneshot::channel();
         self.waiting.borrow_mut().insert(ticket, tell);
@@ -141,8 +157,8 @@
     /// The file's own rules have changed: where this limiter decides they are proposed, elsewhere they are a hint for
     /// the next start.
     pub fn reloaded(self: &Rc<Self>, rules: String) {
-        if self.settings.me != self.settings.decider {
-            let decider = self.name(self.settings.decider);
+        if self.node.borrow().as_decider().is_none() {
+            let decider = self.decider();
             tracing::warn!("fleet: the file's rules are not taken here; {decider} decides on changes");
             return;
         }
@@ -157,7 +173,7 @@
 
     /// Brings the rules up to those of the moment; where there are none, how long (ms) to stay away. No request and no
     /// attempt goes on without it, so that a process that stood still acts by nothing that is over.
-    fn up_to_date(&self) -> Option<f64> {
+    fn up_to_date(self: &Rc<Self>) -> Option<f64> {
         let now = self.now();
         if self.node.borrow().next_due(now) <= now {
             // This process stood still, or was busy: what is due comes before what it acts by.
@@ -190,13 +206,13 @@
         self.applied.borrow_mut().act(acting, held.as_deref(), other.as_deref());
     }
 
-    fn feed(&self, event: Event) {
+    fn feed(self: &Rc<Self>, event: Event) {
         self.turn(event);
         self.up_to_date();
         self.sooner.notify_one();
     }
 
-    fn turn(&self, event: Event) {
+    fn turn(self: &Rc<Self>, event: Event) {
         let mut events = VecDeque::from([event]);
         while let Some(event) = events.pop_front() {
             let now = self.now();
@@ -208,13 +224,23 @@
         }
     }
 
-    fn carry_out(&self, output: Output, events: &mut VecDeque<Event>) {
+    fn carry_out(self: &Rc<Self>, output: Output, events: &mut VecDeque<Event>) {
         match output {
             Output::Send(to, message) => self.send(to, &message),
             Output::Check(revision) => {
                 let verdict = self.check(&revision);
                 events.push_back(Event::Checked(revision.id(), verdict));
             }
+            Output::Ask(register, serial, ask) => {
+                let (fleet, tree) = (self.clone(), self.tree.clone());
+                tokio::task::spawn_local(async move {
+                    let outcome = match &tree {
+                        Some(tree) => tree.carry_out(register, ask).await,
+                        None => Outcome::Lost,
+                    };
+                    fleet.feed(Event::Tree(register, serial, outcome));
+                });
+            }
             // What it may act by is looked at after every event.
             Output::Act(_) | Output::Stopped => {}
             Output::Answer(ticket, answer) => {
@@ -295,3 +321,15 @@
         }
     }
 }
+
+/// An ask without an answer in half a lease is lost: there is time for another then.
+fn registers(tree: &FleetTree, lease: Millis) -> Rc<Registers> {
+    let auth = tree.auth.as_ref().and_then(|a| a.split_once(':'));
+    let config = oatbank_zookeeper::Config {
+        cluster: tree.cluster.clone(),
+        path: tree.path.clone(),
+        session_timeout: Duration::from_millis(4000),
+        auth: auth.map(|(scheme, credentials)| (scheme.to_owned(), credentials.as_bytes().to_vec())),
+    };
+    Registers::new(config, Duration::from_millis(lease / 2))
+}
--- a/crates/daemon/src/fleet/told.rs
+++ b/crates/daemon/src/fleet/told.rs
@@ -13,6 +13,7 @@
 use percent_encoding::percent_decode_str;
 use serde_json::{json, Value};
 use std::collections::BTreeSet;
+use std::rc::Rc;
 use std::sync::Arc;
 
 /// An answer: its status and text, JSON but for a revision's text.
@@ -20,7 +21,7 @@
 
 impl Fleet {
     /// Answers a call below `/v1/fleet/`; nothing where there is none of this name.
-    pub(crate) async fn answer(&self, request: Request<Incoming>, call: &[&str]) -> Option<Told> {
+    pub(crate) async fn answer(self: &Rc<Self>, request: Request<Incoming>, call: &[&str]) -> Option<Told> {
         let get = request.method() == Method::GET;
         Some(match call {
             ["status"] if get => (StatusCode::OK, format!("{:#}\n", self.status())),
@@ -39,11 +40,11 @@
     }
 
     fn elsewhere(&self) -> Told {
-        let answer = Answer::NotDecider(self.settings.decider);
-        self.worded(&answer)
+        let (decider, _) = self.node.borrow().decider();
+        self.worded(&Answer::NotDecider(decider))
     }
 
-    async fn asked(&self, request: Request<Incoming>) -> Told {
+    async fn asked(self: &Rc<Self>, request: Request<Incoming>) -> Told {
         let query = request.uri().query().unwrap_or_default().to_owned();
         let ask = match self.parameters(&query) {
             Ok(ask) => ask,
@@ -123,10 +124,23 @@
                 "too long",
                 format!("{len} bytes; up to {MOST_BYTES} are allowed"),
             ),
-            Answer::NotDecider(decider) => {
+            Answer::NotDecider(Some(decider)) => {
                 let name = self.name(*decider);
                 (StatusCode::MISDIRECTED_REQUEST, "not decider", format!("{name} decides; ask at its fleet.control"))
             }
+            Answer::NotDecider(None) => {
+                (StatusCode::SERVICE_UNAVAILABLE, "no decider", "nobody is known to decide at present".into())
+            }
+            Answer::NoCoordinator => (
+                StatusCode::SERVICE_UNAVAILABLE,
+                "no coordinator",
+                "the coordinator does not answer, and nothing is decided without it; the rules stay".into(),
+            ),
+            Answer::Unsure(id) => (
+                StatusCode::BAD_GATEWAY,
+                "unsure",
+                format!("whether {id} is decided is not known here: look at the status of the others"),
+            ),
         };
         (status, json!({"result": result, "say": say}).to_string() + "\n")
     }
@@ -161,7 +175,7 @@
             drops.iter().map(|(why, n)| (format!("{why:?}").to_lowercase(), json!(n))).collect();
         let mut status = json!({
             "limiter": self.name(self.settings.me),
-            "decider": self.name(self.settings.decider),
+            "decider": node.decider().0.map(|peer| self.name(peer)),
             "acting": acting,
             "holds": node.held().map(row),
             "staged": node.confirmed().map(row),
@@ -173,6 +187,10 @@
             "traffic": self.traffic.get(),
             "drops": drops,
         });
+        if let Some(heard) = node.tree_heard() {
+            status["term"] = node.decider().1.into();
+            status["coordinator_heard_ms_ago"] = heard.map(|at| now.saturating_sub(at)).into();
+        }
         if let Some(decider) = node.as_decider() {
             status["recovering"] = decider.recovering().into();
             status["deciding"] = decider.running().map(|(r, _)| row(r)).into();
--- a/crates/daemon/tests/fleet.rs
+++ b/crates/daemon/tests/fleet.rs
@@ -1,50 +1,23 @@
 //! Several real processes of one fleet, with faults between them: by which rules each acts is told by the engines that it
 //! sends to, as each revision of the rules has an engine of its own.
 
-use oatbank_testkit::rig::{Fault, Plan, Rig};
+use oatbank_testkit::rig::seen::{
+    acts_by, all_act_by, contradiction, longest_contradiction, rules, status_of,
+};
+use oatbank_testkit::rig::{Fault, Plan, Rig, CUT};
 use oatbank_testkit::{eventually, Fleet};
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 const OATBANK: &str = env!("CARGO_BIN_EXE_oatbank");
 /// The stated time of the usual terms.
 const WITHIN: Duration = Duration::from_millis(2000);
-const CUT: Fault = Fault { cut: true, delay: Duration::ZERO, loss: 0.0, repeat: 0.0 };
-
-/// Rules whose only server is this one.
-fn rules(engine: SocketAddr, rate: u32) -> String {
-    format!(
-        "[[servers]]\nid = \"engine-{}\"\naddress = \"{engine}\"\n[[classes]]\nname = \"quote\"\naim_ms = 500\n\
-         deadline_ms = 1000\nrepeat = \"safe\"\n[[plans]]\nname = \"team\"\nrate = {rate}\nburst = {rate}\n",
-        engine.port()
-    )
-}
 
 fn rig(limiters: usize, engines: &Fleet, terms: &str, seed: u64) -> Rig {
     let (program, rules) = (OATBANK.to_owned(), rules(engines.addresses[0], 1_000_000));
-    Rig::start(Plan { program, limiters, terms: Some(terms.to_owned()), rules, seed })
-}
-
-fn number(status: &str, key: &str) -> Option<u64> {
-    let (_, rest) = status.split_once(&format!("\"{key}\": "))?;
-    rest.split(|c: char| !c.is_ascii_digit()).next()?.parse().ok()
-}
-
-fn status(rig: &Rig, n: usize) -> String {
-    rig.call(n, "GET", "status", "").1
-}
-
-/// The number of the revision that a limiter acts by, known to be current.
-fn acts_by(rig: &Rig, n: usize) -> Option<u64> {
-    let status = status(rig, n);
-    status.contains("\"acting\": \"current\"").then(|| number(&status, "number")).flatten()
-}
-
-fn all_act_by(rig: &Rig, number: u64, limiters: usize) -> bool {
-    (0..limiters).all(|n| acts_by(rig, n) == Some(number))
+    Rig::start(Plan { program, limiters, terms: Some(terms.to_owned()), rules, seed, elected: false })
 }
 
 /// Proposes the rules of an engine; status and text of the answer.
@@ -52,36 +25,6 @@
     rig.call(0, "POST", &format!("propose?author=test{more}"), &rules(engine, 1_000_000))
 }
 
-/// An engine that nobody has sent anything for this long is not acted by any more.
-const BREAK: Duration = Duration::from_millis(200);
-
-/// The longest time for which two engines contradicted each other: how long one had been in use without a break when
-/// something still came to the other, which was in use before. A single late request counts from the beginning.
-fn longest_contradiction(engines: &Fleet) -> Duration {
-    let met = engines.met();
-    let mut all: Vec<(Instant, usize)> = Vec::new();
-    met.iter().enumerate().for_each(|(n, m)| all.extend(m.times.iter().map(|at| (*at, n))));
-    all.sort();
-    contradiction(&all)
-}
-
-fn contradiction(all: &[(Instant, usize)]) -> Duration {
-    let mut longest = Duration::ZERO;
-    let mut first: BTreeMap<usize, Instant> = BTreeMap::new();
-    let mut lives: BTreeMap<usize, (Instant, Instant)> = BTreeMap::new();
-    for (at, engine) in all {
-        let begun = *first.entry(*engine).or_insert(*at);
-        let life = lives.entry(*engine).or_insert((*at, *at));
-        *life = (if *at - life.1 > BREAK { *at } else { life.0 }, *at);
-        for (_, (from, last)) in lives.iter().filter(|(n, _)| *n != engine) {
-            if *at - *last <= BREAK {
-                longest = longest.max(last.saturating_duration_since(begun.max(*from)));
-            }
-        }
-    }
-    longest
-}
-
 #[test]
 fn the_checker_finds_what_contradicts_and_nothing_else() {
     let begun = Instant::now();
@@ -167,10 +110,6 @@
     eventually("it is back", || acts_by(&rig, 2) == acts_by(&rig, 0));
 }
 
-fn status_of(rig: &Rig, n: usize, acting: &str) -> bool {
-    status(rig, n).contains(&format!("\"acting\": \"{acting}\""))
-}
-
 #[test]
 fn a_lost_decider_stops_changes_and_no_requests_and_its_successor_knows_the_rules() {
     let engines = Fleet::start_and_keep(3);
--- a/crates/engine/src/config/fleet.rs
+++ b/crates/engine/src/config/fleet.rs
@@ -48,8 +48,22 @@
     /// A secret that all limiters of the fleet share, 16 characters at least.
     #[schemars(length(min = LEAST_KEY))]
     key: String,
-    /// The name of the limiter that decides on changes.
-    decider: String,
+    /// The name of the limiter that decides on changes; or "coordinator".
+    #[serde(default)]
+    #[schemars(with = "String")]
+    decider: Option<String>,
+    /// The addresses of a ZooKeeper-style coordinator that elects it, "HOST:PORT", and more behind commas.
+    #[serde(default)]
+    #[schemars(with = "String", regex(pattern = "^[^,:]+:[0-9]+(,[^,:]+:[0-9]+)*$"))]
+    coordinator: Option<String>,
+    /// The folder there that is this fleet's, a path as "/limiters/fleet".
+    #[serde(default)]
+    #[schemars(with = "String", regex(pattern = "^(/[^/]+)+$"))]
+    path: Option<String>,
+    /// "SCHEME:CREDENTIALS", if the folder's permissions want any.
+    #[serde(default)]
+    #[schemars(with = "String", regex(pattern = "^[^:]+:.*$"))]
+    auth: Option<String>,
     /// All limiters of the fleet, this one among them, in one order everywhere.
     #[schemars(length(min = 1, max = 1000))]
     peers: Vec<FleetPeer>,
@@ -105,6 +119,17 @@
     Terms::default().within
 }
 
+/// A coordinator's folder that is a fleet's.
+#[derive(Clone, Debug)]
+pub struct FleetTree {
+    /// The coordinator's addresses, behind commas.
+    pub cluster: String,
+    /// The folder.
+    pub path: String,
+    /// "SCHEME:CREDENTIALS".
+    pub auth: Option<String>,
+}
+
 /// What a file says of its fleet, checked.
 #[derive(Clone, Debug)]
 pub struct Fleet {
@@ -116,8 +141,10 @@
     pub key: String,
     /// This limiter.
     pub me: Peer,
-    /// The limiter that decides.
-    pub decider: Peer,
+    /// The limiter that decides, where it is named.
+    pub decider: Option<Peer>,
+    /// What elects it, where it is not.
+    pub tree: Option<FleetTree>,
     /// All limiters.
     pub peers: Vec<FleetPeer>,
     /// The fleet's times.
@@ -141,6 +168,11 @@
         }
     }
 
+    fn tree(&self) -> Option<FleetTree> {
+        let (cluster, path) = (self.coordinator.clone()?, self.path.clone()?);
+        Some(FleetTree { cluster, path, auth: self.auth.clone() })
+    }
+
     /// Nothing where a name is not on the list, which the check has told.
     pub(super) fn fleet(&self, name: &str) -> Option<Fleet> {
         let place = |name: &str| self.peers.iter().position(|p| p.name == name).map(|n| Peer(n as u16));
@@ -149,7 +181,11 @@
             control: self.control,
             key: self.key.clone(),
             me: place(name)?,
-            decider: place(&self.decider)?,
+            decider: match &self.decider {
+                Some(name) => Some(place(name)?),
+                None => None,
+            },
+            tree: self.tree(),
             peers: self.peers.clone(),
             terms: self.terms(),
         })
@@ -167,9 +203,29 @@
     if let Some(twice) = names.iter().enumerate().find(|(i, n)| names[..*i].contains(*n)) {
         mistakes.push(at("peers", format!("{:?} stands twice; each name may stand once", twice.1)));
     }
-    if !known(&table.decider) {
-        let why = format!("{:?} is not among fleet.peers; one of {names:?} is allowed", table.decider);
-        mistakes.push(at("decider", why));
+    match (&table.decider, &table.coordinator) {
+        (Some(decider), None) if !known(decider) => {
+            let why = format!("{decider:?} is not among fleet.peers; one of {names:?} is allowed");
+            mistakes.push(at("decider", why));
+        }
+        (Some(_), Some(_)) => {
+            let why = "not allowed beside fleet.decider: it elects the one that decides; one of the two is";
+            mistakes.push(at("coordinator", why.into()));
+        }
+        (None, None) => {
+            let why = "missing, and so is fleet.coordinator; one of the two must say who decides";
+            mistakes.push(at("decider", why.into()));
+        }
+        (None, Some(_)) if table.path.is_none() => {
+            let why = "missing beside fleet.coordinator; a folder as \"/limiters/fleet\" is wanted";
+            mistakes.push(at("path", why.into()));
+        }
+        (None, Some(_)) | (Some(_), None) => {}
+    }
+    for (key, given) in [("path", &table.path), ("auth", &table.auth)] {
+        if given.is_some() && table.coordinator.is_none() {
+            mistakes.push(at(key, "allowed beside fleet.coordinator only".into()));
+        }
     }
     let me = file["name"].as_str().unwrap_or("oatbank");
     if !known(me) {
--- a/crates/fleet/src/election.rs
+++ b/crates/fleet/src/election.rs
@@ -222,10 +222,7 @@
             // Read before anything else: it is not what it was, or may not be.
             (_, Outcome::Stale) => (None, Some(self.ask(now, Open::Read))),
             // No answer: what was seen before still tells what to write over, and whether there was a gap.
-            _ => {
-                self.next = now;
-                (None, None)
-            }
+            _ => (None, None),
         }
     }
 
--- a/crates/testkit/src/rig/link.rs
+++ b/crates/testkit/src/rig/link.rs
@@ -21,6 +21,9 @@
     pub repeat: f64,
 }
 
+/// Nothing comes through.
+pub const CUT: Fault = Fault { cut: true, delay: Duration::ZERO, loss: 0.0, repeat: 0.0 };
+
 /// One direction between two processes: what comes to `address` goes on to its target.
 pub struct Link {
     pub address: SocketAddr,
--- a/crates/testkit/src/rig/mod.rs
+++ b/crates/testkit/src/rig/mod.rs
@@ -2,10 +2,12 @@
 //! clients that ask all of them all the time.
 
 mod link;
+pub mod seen;
 
-pub use link::{Fault, Link};
+pub use link::{Fault, Link, CUT};
 
 use crate::message::read_message;
+use crate::zookeeper::Coordinator;
 use crate::{Client, Scratch};
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Write};
@@ -25,6 +27,8 @@
     /// The rules in each one's file.
     pub rules: String,
     pub seed: u64,
+    /// A coordinator elects the decider; without, the first one decides.
+    pub elected: bool,
 }
 
 struct Process {
@@ -34,9 +38,11 @@
     stopped: bool,
 }
 
-/// A fleet of processes. The first one decides.
+/// A fleet of processes.
 pub struct Rig {
     plan: Plan,
+    /// Each limiter has an address of its own there, by its number, so that its way can be cut alone.
+    pub coordinator: Option<Coordinator>,
     /// By from and to.
     links: BTreeMap<(usize, usize), Link>,
     files: Vec<Scratch>,
@@ -60,12 +66,15 @@
         let seeds = (0..pairs.len() as u64).map(|n| plan.seed << 16 | n).collect();
         let links: BTreeMap<_, _> = pairs.into_iter().zip(link::start(seeds)).collect();
         let nowhere = SocketAddr::from(([127, 0, 0, 1], 9));
-        let files = (0..plan.limiters).map(|n| Scratch::new(&file(&plan, n, &links))).collect();
+        let coordinator = plan.elected.then(|| Coordinator::start(plan.limiters));
+        let decides: Vec<String> = (0..plan.limiters).map(|n| decides(coordinator.as_ref(), n)).collect();
+        let files = (0..plan.limiters).map(|n| Scratch::new(&file(&plan, n, &links, &decides[n]))).collect();
         let process = |_| Process { child: None, address: nowhere, control: nowhere, stopped: false };
         let mut rig = Rig {
             processes: (0..plan.limiters).map(process).collect(),
             clients: (0..plan.limiters).map(|_| Arc::default()).collect(),
             plan,
+            coordinator,
             links,
             files,
             log: Arc::default(),
@@ -115,6 +124,11 @@
         }
     }
 
+    /// How many there are.
+    pub fn limiters(&self) -> usize {
+        self.plan.limiters
+    }
+
     pub fn runs(&self, n: usize) -> bool {
         self.processes[n].child.is_some()
     }
@@ -143,7 +157,8 @@
     /// Replaces the rules in a limiter's file, and tells it.
     pub fn reload(&mut self, n: usize, rules: &str) {
         self.plan.rules = rules.to_owned();
-        self.files[n].write(&file(&self.plan, n, &self.links));
+        let decides = decides(self.coordinator.as_ref(), n);
+        self.files[n].write(&file(&self.plan, n, &self.links, &decides));
         self.signal(n, "-HUP");
     }
 
@@ -259,7 +274,18 @@
     text.split(|c: char| !(c.is_ascii_digit() || ".:".contains(c))).next()?.trim_end_matches(':').parse().ok()
 }
 
-fn file(plan: &Plan, n: usize, links: &BTreeMap<(usize, usize), Link>) -> String {
+/// The keys that say who decides.
+fn decides(coordinator: Option<&Coordinator>, n: usize) -> String {
+    match coordinator {
+        Some(coordinator) => {
+            let address = coordinator.endpoints[n].address;
+            format!("coordinator = \"{address}\"\npath = \"/limiters/fleet\"\n")
+        }
+        None => "decider = \"n0\"\n".to_owned(),
+    }
+}
+
+fn file(plan: &Plan, n: usize, links: &BTreeMap<(usize, usize), Link>, decides: &str) -> String {
     let own = format!("name = \"n{n}\"\nlisten = \"127.0.0.1:0\"\ncounter = \"none\"\n{}\n", plan.rules);
     let Some(terms) = &plan.terms else { return own };
     let nowhere = SocketAddr::from(([127, 0, 0, 1], 9));
@@ -270,6 +296,6 @@
     let peers: String = (0..plan.limiters).map(line).collect();
     format!(
         "{own}[fleet]\nlisten = \"127.0.0.1:0\"\ncontrol = \"127.0.0.1:0\"\nkey = \"a secret of this rig's\"\n\
-         decider = \"n0\"\n{terms}\n{peers}"
+         {decides}{terms}\n{peers}"
     )
 }
--- a/crates/zookeeper/src/lib.rs
+++ b/crates/zookeeper/src/lib.rs
@@ -2,6 +2,7 @@
 //! [`oatbank_membership::reconcile`] asks for, and hands its news on. It decides nothing of the list.
 
 pub mod register;
+pub mod registers;
 
 use oatbank_engine::ports::clock::Clock;
 use oatbank_engine::ports::membership::Told;
