--- a/crates/fleet/tests/model.rs
+++ b/crates/fleet/tests/model.rs
@@ -6,6 +6,7 @@
 
 use oatbank_fleet::decider::Proposal;
 use oatbank_fleet::document::Id;
+use oatbank_fleet::election::{Ask, Outcome, Register};
 use oatbank_fleet::member::Acting;
 use oatbank_fleet::message::{Message, Verdict};
 use oatbank_fleet::node::{Event, Node, Output, Setup};
@@ -30,6 +31,8 @@
     /// Limiters that may stand still, and for how many ticks.
     stops: u8,
     stop: Millis,
+    /// Asks of the tree that may be lost, before they are carried out or after.
+    deaf: u8,
 }
 
 #[derive(Clone)]
@@ -37,6 +40,7 @@
     terms: Terms,
     /// The decider goes by these: the same, but where a fence is to be taken out.
     decider_terms: Terms,
+    elected: bool,
     bounds: Bounds,
     start: State,
 }
@@ -50,6 +54,11 @@
     end: Millis,
     /// Messages on their way, each with when it comes.
     ways: Vec<(Millis, Peer, Peer, Message)>,
+    /// What the tree is asked, and by which start of whom.
+    asks: Vec<(usize, u64, Register, u64, Ask)>,
+    tree: BTreeMap<Register, (i32, Vec<u8>)>,
+    lives: Vec<u64>,
+    elected: bool,
     /// When each revision was first acted by.
     first: BTreeMap<Id, Millis>,
     /// The longest time for which two contradicted.
@@ -59,6 +68,7 @@
     delays: u8,
     crashes: u8,
     stops: u8,
+    deaf: u8,
     starts: u64,
 }
 
@@ -70,15 +80,21 @@
     Delay(usize),
     Crash(usize),
     Stop(usize),
+    /// The tree answers the first that it is asked.
+    Answer,
+    /// It is not asked after all.
+    Deaf,
+    /// It does what it is asked, and the answer is lost.
+    Mute,
     Change,
 }
 
-fn node(terms: Terms, who: usize, incarnation: u64, now: Millis) -> Node {
+fn node(terms: Terms, who: usize, elected: bool, incarnation: u64, now: Millis) -> Node {
     let setup = Setup {
         terms,
         me: Peer(who as u16),
         peers: LIMITERS as u16,
-        decider: Some(Peer(0)),
+        decider: (!elected).then_some(Peer(0)),
         incarnation,
         seed: incarnation,
         first: "one".into(),
@@ -97,7 +113,10 @@
                 match output {
                     Output::Send(to, message) => self.ways.push((now, Peer(who as u16), to, message)),
                     Output::Check(revision) => events.push(Event::Checked(revision.id(), Verdict::Confirmed)),
-                    Output::Act(_) | Output::Stopped | Output::Answer(..) | Output::Ask(..) => {}
+                    Output::Ask(register, serial, ask) => {
+                        self.asks.push((who, self.lives[who], register, serial, ask));
+                    }
+                    Output::Act(_) | Output::Stopped | Output::Answer(..) => {}
                 }
             }
         }
@@ -131,11 +150,50 @@
         }
     }
 
+    /// The tree does the first thing that it is asked.
+    fn carry_out(&mut self, done: bool, told: bool) {
+        let (who, life, register, serial, ask) = self.asks.remove(0);
+        let version = self.tree.get(&register).map(|v| v.0);
+        let outcome = match ask {
+            _ if !done => Outcome::Lost,
+            Ask::Read => Outcome::Is(self.tree.get(&register).cloned()),
+            Ask::Swap(over, _) if over != version => Outcome::Stale,
+            Ask::Swap(_, bytes) => {
+                let version = version.map_or(0, |v| v + 1);
+                self.tree.insert(register, (version, bytes));
+                Outcome::Swapped(version)
+            }
+        };
+        if self.lives[who] == life {
+            self.feed(who, Event::Tree(register, serial, if told { outcome } else { Outcome::Lost }));
+        }
+    }
+
+    fn decider(&self) -> Option<usize> {
+        let decides = |who: &usize| self.nodes[*who].as_ref().is_some_and(|n| n.as_decider().is_some());
+        (0..LIMITERS).filter(|who| self.runs(*who)).find(decides)
+    }
+
     /// The next message that comes to a limiter that runs.
     fn next(&self) -> Option<usize> {
         self.ways.iter().position(|(at, _, to, _)| *at <= self.now && self.runs(usize::from(to.0)))
     }
 
+    /// A tick in which nothing is lost.
+    fn calm(&mut self) {
+        (0..LIMITERS).for_each(|who| self.feed(who, Event::Tick));
+        loop {
+            if let Some((_, from, to, message)) = self.ways.pop() {
+                self.feed(usize::from(to.0), Event::Message(from, message));
+            } else if !self.asks.is_empty() {
+                self.carry_out(true, true);
+            } else {
+                break;
+            }
+        }
+        self.now += 1;
+    }
+
     fn looked(mut self) -> Self {
         self.look();
         self
@@ -144,16 +202,20 @@
 
 impl Fleet {
     /// A fleet that has agreed on its first rules.
-    fn new(on_lapse: OnLapse, bounds: Bounds) -> Fleet {
+    fn new(on_lapse: OnLapse, elected: bool, bounds: Bounds) -> Fleet {
         let terms =
             Terms { lease: 4, heartbeat: 2, message: 0, effect: 1, drift_ppm: 0, within: 100, on_lapse };
-        let nodes = (0..LIMITERS).map(|who| Some(node(terms, who, 1, 0))).collect();
+        let nodes = (0..LIMITERS).map(|who| Some(node(terms, who, elected, 1, 0))).collect();
         let mut start = State {
             nodes,
             still_until: vec![0; LIMITERS],
             now: 0,
             end: 0,
             ways: Vec::new(),
+            asks: Vec::new(),
+            tree: BTreeMap::new(),
+            lives: vec![1; LIMITERS],
+            elected,
             first: BTreeMap::new(),
             longest: 0,
             changes: 1,
@@ -161,19 +223,16 @@
             delays: bounds.delays,
             crashes: bounds.crashes,
             stops: bounds.stops,
+            deaf: bounds.deaf,
             starts: 1,
         };
         let agreed = |s: &State| s.nodes.iter().flatten().all(|n| matches!(n.acting(s.now), Acting::By(_)));
         while !agreed(&start) {
             assert!(start.now < 100, "no agreement without faults");
-            (0..LIMITERS).for_each(|who| start.feed(who, Event::Tick));
-            while let Some((_, from, to, message)) = start.ways.pop() {
-                start.feed(usize::from(to.0), Event::Message(from, message));
-            }
-            start.now += 1;
+            start.calm();
         }
         start.end = start.now + bounds.ticks;
-        Fleet { terms, decider_terms: terms, bounds, start: start.looked() }
+        Fleet { terms, decider_terms: terms, elected, bounds, start: start.looked() }
     }
 
     fn terms_of(&self, who: usize) -> Terms {
@@ -200,6 +259,12 @@
                 actions.extend((state.losses > 0).then_some(Step::Lose(i)));
                 actions.extend((state.delays > 0).then_some(Step::Delay(i)));
             }
+            None if !state.asks.is_empty() => {
+                actions.push(Step::Answer);
+                if state.deaf > 0 {
+                    actions.extend([Step::Deaf, Step::Mute]);
+                }
+            }
             None if state.now < state.end => actions.push(Step::Tick),
             None => {}
         }
@@ -211,7 +276,7 @@
                 actions.push(Step::Stop(who));
             }
         }
-        if state.changes > 0 && state.runs(0) {
+        if state.changes > 0 && state.decider().is_some() {
             actions.push(Step::Change);
         }
     }
@@ -227,7 +292,8 @@
                 for who in 0..LIMITERS {
                     if next.nodes[who].is_none() {
                         next.starts += 1;
-                        next.nodes[who] = Some(node(self.terms_of(who), who, next.starts, now));
+                        next.lives[who] = next.starts;
+                        next.nodes[who] = Some(node(self.terms_of(who), who, self.elected, next.starts, now));
                     }
                     if next.runs(who) {
                         next.feed(who, Event::Tick);
@@ -254,11 +320,22 @@
                 next.still_until[who] = next.now + self.bounds.stop;
                 next.stops -= 1;
             }
+            Step::Answer => next.carry_out(true, true),
+            Step::Deaf => {
+                next.carry_out(false, true);
+                next.deaf -= 1;
+            }
+            Step::Mute => {
+                next.carry_out(true, false);
+                next.deaf -= 1;
+            }
             Step::Change => {
                 next.changes -= 1;
                 let text = "two".into();
                 let patience = 100;
-                next.feed(0, Event::Propose(Proposal { text, patience, ..Proposal::default() }));
+                if let Some(decider) = next.decider() {
+                    next.feed(decider, Event::Propose(Proposal { text, patience, ..Proposal::default() }));
+                }
             }
         }
         Some(next.looked())
@@ -269,6 +346,13 @@
             Property::always("no two contradict for longer than stated", |model: &Fleet, state: &State| {
                 state.longest <= model.terms.bound()
             }),
+            Property::sometimes("a lost decider is succeeded", |model: &Fleet, state: &State| {
+                let lost = model.bounds.crashes + model.bounds.stops > 0;
+                let first = model.start.nodes.iter().flatten().map(|n| n.decider().1).max();
+                let succeeds =
+                    |n: &Node| n.as_decider().is_some_and(|d| !d.recovering()) && Some(n.decider().1) > first;
+                !model.elected || !lost || state.nodes.iter().flatten().any(succeeds)
+            }),
             Property::sometimes("a change comes into force at all", |_, state: &State| {
                 let by = |n: &Option<Node>| n.as_ref().and_then(|n| n.held().map(|r| r.text.to_string()));
                 state.nodes.iter().all(|n| by(n).as_deref() == Some("two"))
@@ -278,26 +362,32 @@
 }
 
 fn explore(fleet: Fleet) -> impl Checker<Fleet> {
-    let (bounds, on_lapse) = (fleet.bounds, fleet.terms.on_lapse);
+    let (bounds, on_lapse, elected) = (fleet.bounds, fleet.terms.on_lapse, fleet.elected);
     let begun = std::time::Instant::now();
     let checker = fleet.checker().threads(2).spawn_bfs().join();
-    println!("{on_lapse:?}, {bounds:?}: {} states, {:.1?}", checker.unique_state_count(), begun.elapsed());
+    let how = if elected { "elected" } else { "named" };
+    println!(
+        "{how}, {on_lapse:?}, {bounds:?}: {} states, {:.1?}",
+        checker.unique_state_count(),
+        begun.elapsed()
+    );
     checker
 }
 
-const NONE: Bounds = Bounds { ticks: 14, losses: 0, delays: 0, delay: 0, crashes: 0, stops: 0, stop: 0 };
+const NONE: Bounds =
+    Bounds { ticks: 14, losses: 0, delays: 0, delay: 0, crashes: 0, stops: 0, stop: 0, deaf: 0 };
 
 #[test]
 fn messages_lost_and_late() {
     let bounds = Bounds { losses: 2, delays: 1, delay: 3, ..NONE };
-    explore(Fleet::new(OnLapse::Refuse, bounds)).assert_properties();
+    explore(Fleet::new(OnLapse::Refuse, false, bounds)).assert_properties();
 }
 
 #[test]
 fn a_limiter_that_stands_still() {
     for on_lapse in [OnLapse::Refuse, OnLapse::Strict(Millis::MAX)] {
         let bounds = Bounds { losses: 1, stops: 1, stop: 6, ..NONE };
-        explore(Fleet::new(on_lapse, bounds)).assert_properties();
+        explore(Fleet::new(on_lapse, false, bounds)).assert_properties();
     }
 }
 
@@ -305,18 +395,43 @@
 fn a_crash_of_any_one_at_any_time() {
     for on_lapse in [OnLapse::Refuse, OnLapse::Strict(Millis::MAX)] {
         let bounds = Bounds { ticks: 12, losses: 1, crashes: 1, ..NONE };
-        explore(Fleet::new(on_lapse, bounds)).assert_properties();
+        explore(Fleet::new(on_lapse, false, bounds)).assert_properties();
+    }
+}
+
+#[test]
+fn an_elected_decider_that_crashes_or_stands_still() {
+    for on_lapse in [OnLapse::Refuse, OnLapse::Strict(Millis::MAX)] {
+        let crash = Bounds { ticks: 14, crashes: 1, ..NONE };
+        let stop = Bounds { ticks: 14, stops: 1, stop: 7, ..NONE };
+        let deaf = Bounds { ticks: 9, deaf: 1, losses: 1, ..NONE };
+        for bounds in [crash, stop, deaf] {
+            explore(Fleet::new(on_lapse, true, bounds)).assert_properties();
+        }
+    }
+}
+
+#[test]
+#[ignore = "a minute: cargo test --profile tested -p oatbank-fleet --test model -- --ignored --nocapture"]
+fn an_elected_decider_with_more_faults() {
+    for on_lapse in [OnLapse::Refuse, OnLapse::Strict(Millis::MAX)] {
+        let crash = Bounds { ticks: 16, crashes: 1, deaf: 1, ..NONE };
+        let stop = Bounds { ticks: 16, stops: 1, stop: 7, losses: 1, ..NONE };
+        let deaf = Bounds { ticks: 12, deaf: 2, losses: 1, ..NONE };
+        for bounds in [crash, stop, deaf] {
+            explore(Fleet::new(on_lapse, true, bounds)).assert_properties();
+        }
     }
 }
 
 #[test]
 fn without_the_decider_s_wait_the_model_finds_a_contradiction() {
     let bounds = Bounds { losses: 3, ..NONE };
-    let mut fleet = Fleet::new(OnLapse::Strict(Millis::MAX), bounds);
+    let mut fleet = Fleet::new(OnLapse::Strict(Millis::MAX), false, bounds);
     // A decider that takes all others for free at once.
     let terms = Terms { lease: 0, on_lapse: OnLapse::Refuse, ..fleet.terms };
     fleet.decider_terms = terms;
-    fleet.start.nodes[0] = Some(node(terms, 0, 1, 0));
+    fleet.start.nodes[0] = Some(node(terms, 0, false, 1, 0));
     let bounds = fleet.bounds;
     let rebuilt = rebuilt(fleet, bounds);
     let checker = explore(rebuilt);
@@ -334,14 +449,10 @@
     start.first.clear();
     start.longest = 0;
     for who in 0..LIMITERS {
-        start.nodes[who] = Some(node(fleet.terms_of(who), who, 1, 0));
+        start.nodes[who] = Some(node(fleet.terms_of(who), who, fleet.elected, 1, 0));
     }
     for _ in 0..12 {
-        (0..LIMITERS).for_each(|who| start.feed(who, Event::Tick));
-        while let Some((_, from, to, message)) = start.ways.pop() {
-            start.feed(usize::from(to.0), Event::Message(from, message));
-        }
-        start.now += 1;
+        start.calm();
     }
     start.end = start.now + bounds.ticks;
     fleet.start = start.looked();
