Fleet: servers suspended and resumed at all limiters by one command

A rule 'suspended' bars servers whatever discovery says, listed or not; oatbank fleet suspend and resume change that one line and try again where another change came first; what either of two revisions bans gets nothing while a limiter acts strictly. By three processes: nothing comes to the server once all act by the change.

--- a/crates/daemon/src/fleet/apply.rs
+++ b/crates/daemon/src/fleet/apply.rs
@@ -76,6 +76,7 @@
     }
 
     fn give(&self, config: Config) {
+        self.engine.bar(&config.suspended);
         self.engine.revise(&config.setup.names, &config.setup.settings);
         if config.zookeeper.is_none() {
             (self.servers)(News::Complete(config.members));
@@ -91,6 +92,7 @@
     (setup.names.plans, setup.settings.plans) = both.plans.into_iter().unzip();
     setup.settings.max_attempts = both.max_attempts;
     config.members.retain(|m| both.servers.contains(&m.id));
+    config.suspended = both.suspended;
     config
 }
 
@@ -101,6 +103,7 @@
         classes: names.classes.iter().cloned().zip(settings.classes.iter().cloned()).collect(),
         plans: names.plans.iter().cloned().zip(settings.plans.iter().cloned()).collect(),
         servers: ready.map(|m| m.id.clone()).collect(),
+        suspended: config.suspended.clone(),
         max_attempts: settings.max_attempts,
     }
 }
--- a/crates/daemon/src/fleet/command.rs
+++ b/crates/daemon/src/fleet/command.rs
@@ -22,6 +22,9 @@
 const LOOKS: u32 = 20;
 const LOOK: Duration = Duration::from_millis(250);
 
+/// How often a change of one key is made again on what is current meanwhile.
+const TRIES: u32 = 20;
+
 /// Exit codes beside 0 and 1, in the order of the help.
 const VETOED: u8 = 2;
 const OTHER_CURRENT: u8 = 3;
@@ -57,7 +60,7 @@
         Example:\n  oatbank fleet apply rules.toml --at 127.0.0.1:7100 --expect 4"
     )]
     Apply {
-        /// The file (TOML): attempts, classes, cold, max_units, plans, servers, zones.
+        /// The file (TOML): attempts, classes, cold, max_units, plans, servers, suspended, zones.
         file: String,
         /// The number of the revision that it is to follow.
         #[arg(long)]
@@ -71,6 +74,24 @@
         #[command(flatten)]
         at: At,
     },
+    /// Take servers out of use at all limiters: a change of the rules' `suspended`.
+    #[command(after_help = "Example:\n  oatbank fleet suspend engine-3 engine-4 --at 127.0.0.1:7100")]
+    Suspend {
+        /// Their ids, listed or not.
+        #[arg(required = true)]
+        servers: Vec<String>,
+        #[command(flatten)]
+        at: At,
+    },
+    /// Put servers in again that `suspend` has taken out.
+    #[command(after_help = "Example:\n  oatbank fleet resume engine-3 --at 127.0.0.1:7100")]
+    Resume {
+        /// Their ids.
+        #[arg(required = true)]
+        servers: Vec<String>,
+        #[command(flatten)]
+        at: At,
+    },
     /// The revisions that were in force, the current one last.
     #[command(after_help = "Example:\n  oatbank fleet history --at 127.0.0.1:7100")]
     History {
@@ -140,6 +161,8 @@
             let expect = Some(current(&at).await?);
             apply(&at, text, expect, false, None).await?;
         }
+        FleetCommand::Suspend { servers, at } => suspend(&at, &servers, true).await?,
+        FleetCommand::Resume { servers, at } => suspend(&at, &servers, false).await?,
         FleetCommand::Apply { file, expect, dry_run, without, at } => {
             let text = std::fs::read_to_string(&file).map_err(|e| End(1, format!("{file}: {e}")))?;
             apply(&at, text, expect, dry_run, without).await?;
@@ -148,6 +171,21 @@
     Ok(())
 }
 
+/// Another change meanwhile is no harm to this one: it is made again on what is current then.
+async fn suspend(at: &At, servers: &[String], out: bool) -> Result<(), End> {
+    let mut tries = 0;
+    loop {
+        let number = current(at).await?;
+        let changed = super::edit::suspend(&text(at, number).await?, servers, out);
+        let changed = changed.map_err(|why| End(1, why))?;
+        match apply(at, changed, Some(number), false, None).await {
+            Err(End(OTHER_CURRENT, _)) if tries < TRIES => tries += 1,
+            done => return done,
+        }
+        tokio::time::sleep(LOOK).await;
+    }
+}
+
 async fn apply(
     at: &At,
     text: String,
--- a/crates/daemon/src/fleet/mod.rs
+++ b/crates/daemon/src/fleet/mod.rs
@@ -2,6 +2,7 @@
 
 mod apply;
 pub mod command;
+mod edit;
 mod told;
 
 use apply::Applied;
--- a/crates/daemon/tests/fleet.rs
+++ b/crates/daemon/tests/fleet.rs
@@ -9,9 +9,12 @@
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::net::SocketAddr;
+use std::process::Command;
 use std::time::{Duration, Instant};
 
 const OATBANK: &str = env!("CARGO_BIN_EXE_oatbank");
+/// What was let go is with its engine by then.
+const MESSAGE: Duration = Duration::from_millis(200);
 /// The stated time of the usual terms.
 const WITHIN: Duration = Duration::from_millis(2000);
 
@@ -150,6 +153,38 @@
     assert!(longest_contradiction(&engines) <= WITHIN, "{:?}", longest_contradiction(&engines));
 }
 
+#[test]
+fn a_suspended_server_gets_nothing_from_any_limiter_until_it_is_resumed() {
+    let engines = Fleet::start_and_keep(2);
+    let rig = rig(3, &engines, "", 10);
+    eventually("all act by the first", || all_act_by(&rig, 1, 3));
+    let second = format!("[[servers]]\nid = \"b\"\naddress = \"{}\"\n", engines.addresses[1]);
+    let both = rules(engines.addresses[0], 1_000_000) + &second;
+    assert_eq!(rig.call(0, "POST", "propose", &both).0, 200);
+    rig.ask_all("quote", Duration::from_millis(5));
+    eventually("traffic at both", || engines.met().iter().all(|m| m.requests > 50));
+    let all: Vec<String> = (0..3).map(|n| rig.control(n).to_string()).collect();
+    let run = |what: &[&str]| {
+        let command = Command::new(OATBANK).arg("fleet").args(what).args(["--at", &all.join(",")]).output();
+        let done = command.expect("oatbank");
+        assert!(done.status.success(), "{what:?}: {}", String::from_utf8_lossy(&done.stderr));
+    };
+    // One that nobody has listed yet may be named too.
+    run(&["suspend", "b", "engine-to-come"]);
+    eventually("all act by it", || all_act_by(&rig, 3, 3));
+    let out = Instant::now();
+    eventually("traffic at the other", || {
+        let before = engines.met()[0].requests;
+        std::thread::sleep(Duration::from_millis(100));
+        out.elapsed() > Duration::from_secs(1) && engines.met()[0].requests > before
+    });
+    let late = engines.last_after(1, out + MESSAGE);
+    assert!(late.is_none_or(|after| after.is_zero()), "{late:?}");
+    run(&["resume", "b"]);
+    let before = engines.met()[1].requests;
+    eventually("traffic at both again", || engines.met()[1].requests > before + 50);
+}
+
 #[test]
 fn of_two_proposals_at_once_one_is_decided() {
     let engines = Fleet::start_and_keep(3);
--- a/crates/engine/src/config/file.rs
+++ b/crates/engine/src/config/file.rs
@@ -109,6 +109,10 @@
     /// The servers; with [members], those that count until its first list is read.
     #[serde(default)]
     servers: Vec<ServerLine>,
+    /// Ids of servers that get nothing new, wherever the list comes from.
+    #[serde(default)]
+    #[schemars(inner(length(min = 1, max = 256)))]
+    suspended: Vec<String>,
     /// Where the list of servers comes from, if not from here.
     #[serde(default)]
     #[schemars(with = "ZooKeeper")]
@@ -360,6 +364,7 @@
             setup: Setup { settings, names, seed },
             name: self.name,
             members: self.servers.into_iter().map(ServerLine::member).collect(),
+            suspended: self.suspended.into_iter().collect(),
             zookeeper: self.members,
             fleet,
             counter,
--- a/crates/engine/src/config/fleet.rs
+++ b/crates/engine/src/config/fleet.rs
@@ -11,7 +11,8 @@
 use std::net::SocketAddr;
 
 /// Keys of a configuration that are rules: with a fleet they come from its revision, and stand in the file as a hint.
-pub const RULES: [&str; 7] = ["attempts", "classes", "cold", "max_units", "plans", "servers", "zones"];
+pub const RULES: [&str; 8] =
+    ["attempts", "classes", "cold", "max_units", "plans", "servers", "suspended", "zones"];
 /// The shortest secret.
 const LEAST_KEY: usize = 16;
 
--- a/crates/engine/src/config/mod.rs
+++ b/crates/engine/src/config/mod.rs
@@ -43,6 +43,7 @@
 use crate::engine::Setup;
 use crate::ports::membership::Member;
 use serde_json::Value;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use topazwind::interface::Millis;
 
@@ -117,6 +118,8 @@
     pub setup: Setup,
     /// The servers; with [`Config::zookeeper`], those that count until it has told its first list.
     pub members: Vec<Member>,
+    /// Servers that get nothing new, wherever the list comes from.
+    pub suspended: BTreeSet<String>,
     /// Where the list of servers comes from, if not from here.
     pub zookeeper: Option<ZooKeeper>,
     /// The fleet that this limiter is one of.
--- a/crates/engine/src/engine/core.rs
+++ b/crates/engine/src/engine/core.rs
@@ -13,7 +13,7 @@
 use crate::ports::membership::News;
 use crate::ports::upstream::End;
 use oatbank_operations::suspension::{Marks, NeverListed};
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::sync::Arc;
@@ -354,6 +354,12 @@
         Ok(())
     }
 
+    /// The rules take these servers out, and none else.
+    pub(crate) fn bar(&mut self, now: Millis, ids: &BTreeSet<String>) {
+        let entries = self.fleet.bar(ids);
+        self.relist(now, entries);
+    }
+
     /// Takes in what another process was told of servers.
     pub(crate) fn merge(&mut self, now: Millis, marks: &Marks) {
         let entries = self.fleet.merge(marks);
--- a/crates/engine/src/engine/fleet.rs
+++ b/crates/engine/src/engine/fleet.rs
@@ -2,7 +2,7 @@
 
 use crate::ports::membership::{Member, News};
 use oatbank_operations::suspension::{Marks, NeverListed, Suspensions};
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::net::SocketAddr;
 use topazwind::interface::{ListUpdate, Millis, ServerEntry, ServerId, ServerState};
 
@@ -20,6 +20,8 @@
     numbers: HashMap<String, ServerId>,
     /// What operators have taken out: lies over what the list says, and is there before and after it.
     suspensions: Suspensions,
+    /// What the rules take out: lies over that, and an operator's word here does not put it in again.
+    barred: BTreeSet<String>,
     /// The n-th number that an id may have.
     hash: fn(&str, u64) -> u64,
 }
@@ -28,7 +30,7 @@
     fn default() -> Self {
         let hash = |id: &str, nth| xxhash_rust::xxh3::xxh3_64_with_seed(id.as_bytes(), nth);
         let suspensions = Suspensions::default();
-        Fleet { known: HashMap::new(), numbers: HashMap::new(), suspensions, hash }
+        Fleet { known: HashMap::new(), numbers: HashMap::new(), suspensions, barred: BTreeSet::new(), hash }
     }
 }
 
@@ -43,7 +45,17 @@
 
     pub(super) fn is_ready(&self, server: ServerId) -> bool {
         let listed = self.known.get(&server).filter(|s| s.entry.state == ServerState::Ready);
-        listed.is_some_and(|s| !self.suspensions.is_out(&s.id))
+        listed.is_some_and(|s| !self.is_out(&s.id))
+    }
+
+    fn is_out(&self, id: &str) -> bool {
+        self.suspensions.is_out(id) || self.barred.contains(id)
+    }
+
+    /// The rules take these out, and none else; what the module is to be told. They need not be listed.
+    pub(super) fn bar(&mut self, ids: &BTreeSet<String>) -> Vec<ServerEntry> {
+        let before = std::mem::replace(&mut self.barred, ids.clone());
+        before.symmetric_difference(ids).filter_map(|id| self.entry_of(id)).collect()
     }
 
     /// Takes a server out; what the module is to be told.
@@ -76,7 +88,7 @@
 
     /// What operators say lies over what the list says. One that is out is, to the module, one that drains.
     fn overlaid(&self, id: &str, mut entry: ServerEntry) -> ServerEntry {
-        if entry.state == ServerState::Ready && self.suspensions.is_out(id) {
+        if entry.state == ServerState::Ready && self.is_out(id) {
             entry.state = ServerState::Draining;
         }
         entry.started = self.suspensions.started(id, entry.started);
--- a/crates/engine/src/engine/mod.rs
+++ b/crates/engine/src/engine/mod.rs
@@ -21,7 +21,7 @@
 use oatbank_operations::budget::Budget;
 use oatbank_operations::suspension::{Marks, NeverListed};
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Notify;
@@ -169,6 +169,11 @@
         self.change_servers(|core, now| core.operate(now, id, out))
     }
 
+    /// The rules take these servers out, and none else: as [`Engine::operate`], beside what that says.
+    pub fn bar(self: &Rc<Self>, ids: &BTreeSet<String>) {
+        self.change_servers(|core, now| core.bar(now, ids));
+    }
+
     /// What operators have said of servers.
     pub fn marks(&self) -> Marks {
         self.core.borrow().fleet().marks()
--- a/crates/fleet/src/strict.rs
+++ b/crates/fleet/src/strict.rs
@@ -1,5 +1,6 @@
 //! What contradicts, in one place, and the rules that contradict neither of two sets.
 
+use std::collections::BTreeSet;
 use topazwind::interface::{Class, Plan, Repeat};
 
 /// Rules as limiters act by them, by name.
@@ -11,6 +12,8 @@
     pub plans: Vec<(String, Plan)>,
     /// Servers that requests may be sent to.
     pub servers: Vec<String>,
+    /// Servers that get nothing, wherever the list of servers comes from.
+    pub suspended: BTreeSet<String>,
     /// Attempts of one request; 0: no limit.
     pub max_attempts: u32,
 }
@@ -36,6 +39,8 @@
         x.servers.iter().filter(|s| !y.servers.contains(s)).cloned().collect::<Vec<_>>()
     };
     found.extend(only(a, b).into_iter().chain(only(b, a)).map(|server| format!("servers.{server}")));
+    let differ = a.suspended.symmetric_difference(&b.suspended);
+    found.extend(differ.map(|server| format!("suspended.{server}")));
     if a.max_attempts != b.max_attempts {
         found.push("attempts.most".into());
     }
@@ -56,6 +61,7 @@
         classes: classes.collect(),
         plans: plans.collect(),
         servers: a.servers.iter().filter(|s| b.servers.contains(s)).cloned().collect(),
+        suspended: a.suspended.union(&b.suspended).cloned().collect(),
         max_attempts: least(f64::from(a.max_attempts), f64::from(b.max_attempts)) as u32,
     }
 }
@@ -134,6 +140,7 @@
             classes: vec![("quote".into(), class)],
             plans: vec![("team".into(), plan)],
             servers: servers.iter().map(|s| s.to_string()).collect(),
+            suspended: BTreeSet::new(),
             max_attempts: 3,
         }
     }
@@ -145,6 +152,10 @@
         let found = contradictions(&a, &b);
         assert_eq!(found, ["classes.quote", "plans.team", "servers.s1", "servers.s3"]);
         assert!(contradictions(&a, &a).is_empty());
+        let banned = |id: &str| Rules { suspended: [id.to_owned()].into(), ..a.clone() };
+        assert_eq!(contradictions(&banned("s1"), &banned("s2")), ["suspended.s1", "suspended.s2"]);
+        let both: Vec<String> = stricter(&banned("s1"), &banned("s2")).suspended.into_iter().collect();
+        assert_eq!(both, ["s1", "s2"], "what either bans gets nothing");
         for strict in [stricter(&a, &b), stricter(&b, &a)] {
             assert_eq!((strict.plans[0].1.rate, strict.plans[0].1.burst), (20.0, 40.0));
             assert_eq!(strict.classes[0].1.repeat, keyed);
