Zones: evidence, verdict, what the others bear, the way out and back (pure)

A CUSUM over all limiters' attempts says that a zone fails, who sees it says what; it is left by what the others bear, held out for growing spans, and comes back in steps that a bad one takes back.

--- /dev/null
+++ b/crates/zones/src/course.rs
@@ -0,0 +1,337 @@
+//! One zone's way out and back.
+
+use crate::{By, Millis};
+
+/// Between two steps out, ms: a decision, and what comes of it seen.
+pub const STEP_OUT: Millis = 1500;
+/// Between two steps back, ms.
+pub const STEP_BACK: Millis = 2000;
+/// A zone that was left is not tried for this long, ms; twice as long after each return that failed, up to the other.
+pub const HOLD: Millis = 5000;
+/// See [`HOLD`].
+pub const MOST_HOLD: Millis = 300_000;
+/// A zone that has been whole for this long, ms, has its failed returns forgotten.
+const FORGIVEN: Millis = 60_000;
+/// Each step back uses so much more.
+const GROW: f64 = 2.0;
+/// A step is judged by so many attempts at least.
+const ENOUGH: f64 = 10.0;
+/// Without them it goes on after so many steps' time: whoever sends nothing risks nothing.
+const PATIENCE: Millis = 5;
+
+/// What staff want.
+#[derive(Clone, Copy, Debug, PartialEq, serde::Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Order {
+    /// To leave it, evenly over this, ms.
+    Leave(Millis),
+    /// To use it wholly again, step by step, whatever is seen.
+    Return,
+    /// To use as much as now.
+    Hold,
+}
+
+/// Where a zone stands.
+#[derive(Clone, Copy, Debug, PartialEq, serde::Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Phase {
+    /// Wholly used.
+    Used,
+    /// Less and less is used.
+    Leaving,
+    /// Nothing is used before this.
+    Out(Millis),
+    /// More and more is used.
+    Returning,
+}
+
+/// What is seen of it, and of the others.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Sight {
+    /// It fails.
+    pub fails: bool,
+    /// Attempts since the last step, and the part of them that failed.
+    pub tries: f64,
+    /// See `tries`.
+    pub bad: f64,
+    /// Failures up to this part are no matter.
+    pub sound: f64,
+    /// What the others do not bear, as a part of this zone.
+    pub stays: f64,
+    /// The others serve well.
+    pub others_well: bool,
+}
+
+/// One zone's course. What it wants used is [`Course::share`]; the fleet decides it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Course {
+    phase: Phase,
+    share: f64,
+    order: Option<(Order, Millis, f64)>,
+    stepped: Millis,
+    /// Returns that failed in a row.
+    failed: u32,
+    /// The first step back.
+    first: f64,
+    seed: u64,
+}
+
+impl Course {
+    /// Of a zone that is wholly used, in a fleet of so many limiters: the first step back lets one of them to each server.
+    pub fn new(limiters: usize, seed: u64) -> Course {
+        let first = (1.0 / limiters.max(1) as f64).min(0.25);
+        Course { phase: Phase::Used, share: 1.0, order: None, stepped: 0, failed: 0, first, seed }
+    }
+
+    /// Of one of which the fleet uses less already, as another limiter has led it so far.
+    pub fn taken_over(mut self, now: Millis, share: f64, by: By) -> Course {
+        (self.share, self.stepped) = (share, now);
+        match by {
+            By::Staff => self.order = Some((Order::Hold, now, share)),
+            By::Evidence => {
+                // It may have been left just now.
+                let until = now + self.hold();
+                self.phase = if share <= 0.0 { Phase::Out(until) } else { Phase::Returning };
+            }
+        }
+        self
+    }
+
+    /// Where it stands.
+    pub fn phase(&self) -> Phase {
+        self.phase
+    }
+
+    /// How much of it is to be used.
+    pub fn share(&self) -> f64 {
+        self.share
+    }
+
+    /// What staff want of it.
+    pub fn order(&self) -> Option<Order> {
+        self.order.map(|(order, ..)| order)
+    }
+
+    /// Why less than all of it is used.
+    pub fn by(&self) -> By {
+        match self.order {
+            Some(_) => By::Staff,
+            None => By::Evidence,
+        }
+    }
+
+    /// Staff order something; nothing: their order is over, and what is seen counts again.
+    pub fn ordered(&mut self, now: Millis, order: Option<Order>) {
+        self.order = order.map(|order| (order, now, self.share));
+        self.stepped = now;
+        if order.is_none() && self.share < 1.0 {
+            self.phase = if self.share <= 0.0 { Phase::Out(now) } else { Phase::Returning };
+        }
+    }
+
+    /// How long it is held out: longer after each return that failed, and not the same for all zones.
+    fn hold(&self) -> Millis {
+        let long = HOLD.saturating_mul(1 << self.failed.min(16)).min(MOST_HOLD);
+        let mut x = self.seed ^ u64::from(self.failed).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        x = (x ^ x >> 32).wrapping_mul(0xd6e8_feb8_6659_fd93);
+        long * 4 / 5 + (x >> 33) % (long * 2 / 5).max(1)
+    }
+
+    fn step(&mut self, now: Millis, share: f64) -> bool {
+        let changed = share != self.share;
+        (self.share, self.stepped) = (share, now);
+        changed
+    }
+
+    /// Time has passed, and this is seen; whether another share is wanted.
+    pub fn next(&mut self, now: Millis, sight: &Sight) -> bool {
+        if let Some((order, since, from)) = self.order {
+            return self.obey(now, order, since, from);
+        }
+        match self.phase {
+            Phase::Used if sight.fails => self.leave(now, sight),
+            Phase::Used => {
+                if self.failed > 0 && now.saturating_sub(self.stepped) >= FORGIVEN {
+                    self.failed = 0;
+                }
+                false
+            }
+            Phase::Leaving => self.leaving(now, sight),
+            Phase::Out(until) if now >= until => {
+                self.phase = Phase::Returning;
+                self.step(now, self.first)
+            }
+            Phase::Out(_) => false,
+            Phase::Returning => self.returning(now, sight),
+        }
+    }
+
+    fn leave(&mut self, now: Millis, sight: &Sight) -> bool {
+        self.phase = Phase::Leaving;
+        let share = sight.stays.min(self.share);
+        if share <= 0.0 {
+            self.phase = Phase::Out(now + self.hold());
+        }
+        self.step(now, share)
+    }
+
+    fn leaving(&mut self, now: Millis, sight: &Sight) -> bool {
+        if now.saturating_sub(self.stepped) < STEP_OUT {
+            return false;
+        }
+        if !sight.fails && sight.tries >= ENOUGH && fine(sight) {
+            // It is back in the middle of it.
+            self.phase = Phase::Returning;
+            return false;
+        }
+        // Where the others topple nothing more is moved.
+        sight.fails && sight.others_well && sight.stays < self.share && self.leave(now, sight)
+    }
+
+    fn returning(&mut self, now: Millis, sight: &Sight) -> bool {
+        let tried = sight.tries >= ENOUGH;
+        if sight.fails || tried && !fine(sight) {
+            self.failed += 1;
+            let back = self.share / GROW;
+            if back < self.first {
+                self.phase = Phase::Out(now + self.hold());
+                return self.step(now, 0.0);
+            }
+            // One step, and a longer look.
+            let changed = self.step(now, back);
+            self.stepped = now + self.hold() / 2;
+            return changed;
+        }
+        let past = now.saturating_sub(self.stepped);
+        if past < STEP_BACK || !tried && past < PATIENCE * STEP_BACK {
+            return false;
+        }
+        let share = (self.share * GROW).min(1.0);
+        if share >= 1.0 {
+            self.phase = Phase::Used;
+        }
+        self.step(now, share)
+    }
+
+    fn obey(&mut self, now: Millis, order: Order, since: Millis, from: f64) -> bool {
+        let past = now.saturating_sub(since);
+        match order {
+            Order::Hold => false,
+            Order::Leave(over) => {
+                self.phase = Phase::Leaving;
+                // In quarters: each is a change that all limiters take.
+                let part = if over == 0 { 1.0 } else { (past as f64 / over as f64).min(1.0) };
+                let share = from * (1.0 - (part * 4.0).floor() / 4.0);
+                share < self.share && self.step(now, share)
+            }
+            Order::Return if self.share >= 1.0 => {
+                (self.phase, self.order) = (Phase::Used, None);
+                false
+            }
+            Order::Return => {
+                self.phase = Phase::Returning;
+                let waits = now.saturating_sub(self.stepped) < STEP_BACK && self.share > 0.0;
+                let share = (self.share * GROW).max(self.first).min(1.0);
+                !waits && self.step(now, share)
+            }
+        }
+    }
+}
+
+fn fine(sight: &Sight) -> bool {
+    sight.bad / sight.tries.max(1.0) <= (2.0 * sight.sound).max(0.05)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const GOOD: Sight =
+        Sight { fails: false, tries: 100.0, bad: 0.0, sound: 0.02, stays: 0.0, others_well: true };
+    const BAD: Sight = Sight { fails: true, bad: 30.0, ..GOOD };
+
+    /// The shares that a course goes through, with when each began.
+    fn play(
+        course: &mut Course,
+        from: Millis,
+        to: Millis,
+        sight: impl Fn(Millis, f64) -> Sight,
+    ) -> Vec<(Millis, f64)> {
+        let mut shares = Vec::new();
+        for now in (from..to).step_by(250) {
+            if course.next(now, &sight(now, course.share())) {
+                shares.push((now, course.share()));
+            }
+        }
+        shares
+    }
+
+    #[test]
+    fn it_is_left_at_once_held_out_and_comes_back_in_steps() {
+        let mut course = Course::new(24, 1);
+        let shares = play(&mut course, 0, 60_000, |now, share| match now {
+            0..1000 => GOOD,
+            _ if share == 1.0 && now < 4000 => BAD,
+            _ => GOOD,
+        });
+        assert_eq!(shares[0], (1000, 0.0));
+        let back: Vec<f64> = shares[1..].iter().map(|s| s.1).collect();
+        assert_eq!(back.len(), 6, "{shares:?}");
+        assert!((back[0] - 1.0 / 24.0).abs() < 1e-9 && back[5] == 1.0, "{back:?}");
+        assert!(shares[1].0 >= 1000 + HOLD * 4 / 5, "{shares:?}");
+        assert!(shares[1..].windows(2).all(|w| w[1].0 - w[0].0 >= STEP_BACK), "{shares:?}");
+        assert_eq!(course.phase(), Phase::Used);
+    }
+
+    #[test]
+    fn one_that_stays_bad_is_tried_less_and_less_often() {
+        let mut course = Course::new(6, 2);
+        let shares = play(&mut course, 0, 900_000, |_, share| if share > 0.0 { BAD } else { GOOD });
+        let tried: Vec<Millis> = shares.iter().filter(|s| s.1 > 0.0).map(|s| s.0).collect();
+        let gaps: Vec<Millis> = tried.windows(2).map(|w| w[1] - w[0]).collect();
+        assert!(gaps.windows(2).take(5).all(|w| w[1] > w[0]), "{gaps:?}");
+        assert!(gaps.iter().all(|gap| *gap <= MOST_HOLD * 6 / 5 + 1000), "{gaps:?}");
+    }
+
+    #[test]
+    fn a_step_that_breaks_goes_back_one_and_waits_longer() {
+        let mut course = Course::new(4, 3).taken_over(0, 0.5, By::Evidence);
+        let broken = Sight { fails: false, bad: 30.0, ..GOOD };
+        assert!(course.next(2000, &broken) && course.share() == 0.25);
+        assert!(!course.next(4250, &GOOD), "not as soon as after a good one");
+        assert!(course.next(2000 + HOLD * 6 / 5 + STEP_BACK, &GOOD) && course.share() == 0.5);
+    }
+
+    #[test]
+    fn what_the_others_do_not_bear_stays_and_more_is_moved_only_while_they_serve_well() {
+        let mut course = Course::new(6, 4);
+        let some = Sight { stays: 0.4, ..BAD };
+        assert!(course.next(0, &some) && course.share() == 0.4);
+        assert!(!course.next(2000, &Sight { stays: 0.1, others_well: false, ..BAD }));
+        assert!(course.next(2250, &Sight { stays: 0.1, ..BAD }) && course.share() == 0.1);
+        // Back in the middle of leaving.
+        assert!(!course.next(4000, &GOOD) && course.phase() == Phase::Returning);
+        assert!(course.next(4250, &GOOD) && course.share() == 0.2);
+    }
+
+    #[test]
+    fn what_staff_order_goes_before_what_is_seen_until_they_end_it() {
+        let mut course = Course::new(6, 5);
+        course.ordered(0, Some(Order::Leave(4000)));
+        let shares = play(&mut course, 0, 10_000, |_, _| GOOD);
+        assert_eq!(shares, [(1000, 0.75), (2000, 0.5), (3000, 0.25), (4000, 0.0)]);
+        course.ordered(10_000, Some(Order::Return));
+        // It is bad still, and comes back all the same.
+        let shares = play(&mut course, 10_000, 30_000, |_, _| BAD);
+        let whole = shares.iter().position(|s| s.1 == 1.0).expect("whole");
+        assert!(shares[whole].0 <= 10_000 + 4 * STEP_BACK, "{shares:?}");
+        assert_eq!(
+            shares[whole + 1].1,
+            0.0,
+            "once it is whole the order is carried out, and what is seen counts"
+        );
+        let mut held = Course::new(6, 6);
+        held.ordered(0, Some(Order::Hold));
+        assert!(play(&mut held, 0, 9000, |_, _| BAD).is_empty());
+    }
+}
--- /dev/null
+++ b/crates/zones/src/evidence.rs
@@ -0,0 +1,215 @@
+//! What limiters count by zone, as totals since their start, so that a lost report loses nothing; here they are faded and put
+//! side by side.
+
+use crate::Millis;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// Counts fade by this, ms: what was a few seconds ago still tells, what was half a minute ago does not.
+pub const FADE: f64 = 3000.0;
+/// A limiter that has said nothing for this long, ms, tells nothing any more.
+pub const STALE: Millis = 3000;
+/// Zones of one report: more do not fit into a message, and those with the most failures come first.
+pub const MOST_ROWS: usize = 24;
+
+/// How attempts in a zone ended.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Counts {
+    /// Served.
+    pub ok: u64,
+    /// Answered with an error.
+    pub failed: u64,
+    /// No answer in time.
+    pub silent: u64,
+    /// No connection.
+    pub refused: u64,
+    /// The connection broke.
+    pub broken: u64,
+    /// Turned away unseen: busy, not failing.
+    pub full: u64,
+}
+
+impl Counts {
+    fn bad(&self) -> u64 {
+        self.failed + self.silent + self.refused + self.broken
+    }
+
+    /// What has come since `before`; all of it where the totals fell, as after a restart.
+    fn since(&self, before: &Counts) -> (f64, f64, f64) {
+        let (bad, ok, full) = (self.bad(), self.ok, self.full);
+        if bad < before.bad() || ok < before.ok || full < before.full {
+            return (bad as f64, ok as f64, full as f64);
+        }
+        ((bad - before.bad()) as f64, (ok - before.ok) as f64, (full - before.full) as f64)
+    }
+}
+
+/// A limiter's totals of a zone.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Row {
+    /// The zone.
+    pub zone: String,
+    /// Since the limiter's start.
+    pub counts: Counts,
+    /// Servers that it knows there, and may use.
+    pub servers: u32,
+}
+
+/// What a limiter says of all zones.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Report {
+    /// Tells its process from others of its name.
+    pub life: u64,
+    /// Where it stands itself.
+    pub own: Option<String>,
+    /// The zones.
+    pub rows: Vec<Row>,
+}
+
+/// One limiter's view of one zone, faded.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct View {
+    /// Attempts that failed.
+    pub bad: f64,
+    /// Attempts that were served.
+    pub ok: f64,
+    /// What each is a second, from the same counts.
+    pub rate: f64,
+    /// Servers there.
+    pub servers: u32,
+}
+
+impl View {
+    /// Attempts that tell something.
+    pub fn tries(&self) -> f64 {
+        self.bad + self.ok
+    }
+}
+
+#[derive(Clone, Debug, Default)]
+struct Seen {
+    life: u64,
+    own: Option<String>,
+    at: Millis,
+    totals: BTreeMap<String, Counts>,
+    views: BTreeMap<String, View>,
+}
+
+/// What came to a zone from one limiter since its last report: the increments of a sequential test.
+#[derive(Clone, Debug, PartialEq)]
+pub struct News {
+    /// The zone.
+    pub zone: String,
+    /// Attempts that failed.
+    pub bad: f64,
+    /// Attempts that were served.
+    pub ok: f64,
+}
+
+/// All limiters' reports. Limiters are numbers here, as the caller has them.
+#[derive(Clone, Debug, Default)]
+pub struct Board {
+    limiters: BTreeMap<u16, Seen>,
+}
+
+impl Board {
+    /// Takes in a report; what is new in it. The first of a process is where its counting begins.
+    pub fn report(&mut self, now: Millis, from: u16, report: &Report) -> Vec<News> {
+        let seen = self.limiters.entry(from).or_default();
+        let first = seen.life != report.life;
+        if first {
+            *seen = Seen { life: report.life, at: now, ..Seen::default() };
+        }
+        let past = (now - seen.at) as f64;
+        let keep = (-past / FADE).exp();
+        (seen.at, seen.own) = (now, report.own.clone());
+        let mut news = Vec::new();
+        for row in report.rows.iter().take(MOST_ROWS) {
+            let before = seen.totals.insert(row.zone.clone(), row.counts);
+            let base = before.unwrap_or(if first { row.counts } else { Counts::default() });
+            let (bad, ok, _) = row.counts.since(&base);
+            let view = seen.views.entry(row.zone.clone()).or_default();
+            let rate = (bad + ok) * 1000.0 / past.max(1.0);
+            *view = View {
+                bad: view.bad * keep + bad,
+                ok: view.ok * keep + ok,
+                rate: view.rate * keep + rate * (1.0 - keep),
+                servers: row.servers,
+            };
+            if bad + ok > 0.0 {
+                news.push(News { zone: row.zone.clone(), bad, ok });
+            }
+        }
+        news
+    }
+
+    /// All zones that some limiter tells of.
+    pub fn zones(&self) -> Vec<String> {
+        let mut names: Vec<String> = self.limiters.values().flat_map(|s| s.views.keys().cloned()).collect();
+        names.sort();
+        names.dedup();
+        names
+    }
+
+    /// Each limiter's view of a zone, where it is fresh, with the zone that the limiter stands in.
+    pub fn views(&self, now: Millis, zone: &str) -> Vec<(u16, Option<&str>, View)> {
+        let fresh = self.limiters.iter().filter(|(_, s)| now.saturating_sub(s.at) < STALE);
+        fresh.filter_map(|(n, s)| s.views.get(zone).map(|v| (*n, s.own.as_deref(), *v))).collect()
+    }
+
+    /// All of them together.
+    pub fn sum(&self, now: Millis, zone: &str) -> View {
+        self.views(now, zone).iter().fold(View::default(), |a, (_, _, v)| View {
+            bad: a.bad + v.bad,
+            ok: a.ok + v.ok,
+            rate: a.rate + v.rate,
+            servers: a.servers.max(v.servers),
+        })
+    }
+
+    /// All zones but one together.
+    pub fn elsewhere(&self, now: Millis, zone: &str) -> View {
+        let others = self.zones().into_iter().filter(|z| z != zone);
+        others.map(|z| self.sum(now, &z)).fold(View::default(), |a, v| View {
+            bad: a.bad + v.bad,
+            ok: a.ok + v.ok,
+            rate: a.rate + v.rate,
+            servers: a.servers + v.servers,
+        })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn report(life: u64, ok: u64, failed: u64) -> Report {
+        let counts = Counts { ok, failed, ..Counts::default() };
+        Report { life, own: None, rows: vec![Row { zone: "a".into(), counts, servers: 3 }] }
+    }
+
+    #[test]
+    fn totals_are_told_apart_whatever_is_lost_and_whoever_restarts() {
+        let mut board = Board::default();
+        assert!(board.report(0, 1, &report(7, 1000, 10)).is_empty(), "from before this was looked at");
+        let news = board.report(500, 1, &report(7, 1040, 20));
+        assert_eq!(news, [News { zone: "a".into(), bad: 10.0, ok: 40.0 }]);
+        // Two reports were lost.
+        let news = board.report(2000, 1, &report(7, 1100, 30));
+        assert_eq!((news[0].bad, news[0].ok), (10.0, 60.0));
+        // A new process counts from nothing.
+        assert!(board.report(2500, 1, &report(8, 5, 0)).is_empty());
+        assert_eq!(board.report(3000, 1, &report(8, 9, 1))[0].ok, 4.0);
+    }
+
+    #[test]
+    fn what_is_old_fades_and_who_is_silent_tells_nothing() {
+        let mut board = Board::default();
+        board.report(0, 1, &report(1, 0, 0));
+        board.report(500, 1, &report(1, 100, 0));
+        assert!((board.sum(500, "a").ok - 100.0).abs() < 1e-9);
+        board.report(500 + 3000, 1, &report(1, 100, 0));
+        assert!((board.sum(3500, "a").ok - 100.0 / std::f64::consts::E).abs() < 1e-6);
+        assert_eq!(board.sum(3500 + STALE, "a"), View::default());
+    }
+}
--- /dev/null
+++ b/crates/zones/src/verdict.rs
@@ -0,0 +1,182 @@
+//! Does a zone fail, or one limiter's way to it, or the link between two zones, or everything?
+//!
+//! A sequential test (CUSUM) over all limiters' new attempts says *that* something fails and how soon; who sees it says *what*.
+//! A quorum of limiters alone would be slow where each sees little, and a quorum of evidence alone would let one limiter
+//! that is cut off, and tries a lot, take the zone from all.
+
+use crate::evidence::{Board, News};
+use crate::Millis;
+use std::collections::BTreeMap;
+
+/// The rate of failures that is nobody's fault, at least.
+const SOUND: f64 = 0.02;
+/// The rate that is worth leaving for is so much more than what the other zones have.
+const WORSE: f64 = 0.10;
+/// The evidence at which the test says that it fails: the odds of e^14 against an accident.
+const SURE: f64 = 14.0;
+/// A limiter's report counts for so many attempts at most in one go, so that none outvotes the rest.
+const MOST_AT_ONCE: f64 = 20.0;
+/// The part of the limiters with tries there that must have seen failures of their own.
+const SEEN_BY: f64 = 0.5;
+/// A limiter with fewer tries in its view is not asked.
+const FEW: f64 = 4.0;
+/// Where so much of all attempts outside fail too, there is nowhere to go.
+const EVERYWHERE: f64 = 0.5;
+
+/// What is found of a zone.
+#[derive(Clone, Debug, PartialEq, serde::Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Verdict {
+    /// Nothing that could not be an accident.
+    Sound,
+    /// It fails, for most that try.
+    Fails,
+    /// These limiters alone see it fail: it is their way there.
+    CutOff(Vec<u16>),
+    /// Those that stand in this zone see it fail, and no others: the link between the two.
+    Link(String),
+    /// It fails, and so do the others: nothing is won by leaving.
+    Everything,
+}
+
+/// The test's sums, by zone.
+#[derive(Clone, Debug, Default)]
+pub struct Test {
+    sums: BTreeMap<String, f64>,
+}
+
+impl Test {
+    /// Takes in what is new; `sound` is the rate of failures in the other zones.
+    pub fn take(&mut self, news: &News, sound: f64) {
+        let (p0, p1) = rates(sound);
+        let part = (MOST_AT_ONCE / (news.bad + news.ok)).min(1.0);
+        let step = part * (news.bad * (p1 / p0).ln() + news.ok * ((1.0 - p1) / (1.0 - p0)).ln());
+        let sum = self.sums.entry(news.zone.clone()).or_default();
+        // Bounded above as well: what was sure for long must not take as long to be doubted.
+        *sum = (*sum + step).clamp(0.0, 2.0 * SURE);
+    }
+
+    /// The evidence against a zone, of [`Test::sure`].
+    pub fn sum(&self, zone: &str) -> f64 {
+        self.sums.get(zone).copied().unwrap_or(0.0)
+    }
+
+    /// Where it is sure.
+    pub const fn sure() -> f64 {
+        SURE
+    }
+
+    /// A zone is looked at anew: it was left, or begins to be used again.
+    pub fn forget(&mut self, zone: &str) {
+        self.sums.remove(zone);
+    }
+}
+
+/// The rates between which the test tells.
+fn rates(sound: f64) -> (f64, f64) {
+    let p0 = sound.clamp(SOUND, 0.8);
+    (p0, (p0 + WORSE).max(2.0 * p0).min(0.95))
+}
+
+/// The rate of failures outside a zone, as a limit for what is sound.
+pub fn sound_rate(board: &Board, now: Millis, zone: &str) -> f64 {
+    let others = board.elsewhere(now, zone);
+    if others.tries() < FEW {
+        return SOUND;
+    }
+    others.bad / others.tries()
+}
+
+/// What is found of a zone now.
+pub fn judge(board: &Board, test: &Test, now: Millis, zone: &str) -> Verdict {
+    let views = board.views(now, zone);
+    let asked: Vec<_> = views.iter().filter(|(_, _, v)| v.tries() >= FEW).collect();
+    let sound = sound_rate(board, now, zone);
+    let (_, p1) = rates(sound);
+    // Its own failures are more than an accident, or it has seen one at all and has tried little.
+    let sees = |v: &crate::evidence::View| v.bad >= 1.0 && v.bad / v.tries() > p1 / 2.0;
+    let seeing: Vec<_> = asked.iter().filter(|(_, _, v)| sees(v)).collect();
+    let sure = test.sum(zone) >= SURE;
+    if !sure || asked.is_empty() {
+        return Verdict::Sound;
+    }
+    if sound >= EVERYWHERE {
+        return Verdict::Everything;
+    }
+    let part = seeing.len() as f64 / asked.len() as f64;
+    if part >= SEEN_BY && (asked.len() > 1 || views.len() == 1) {
+        return Verdict::Fails;
+    }
+    let mut homes: Vec<&str> = seeing.iter().filter_map(|(_, own, _)| *own).collect();
+    homes.sort_unstable();
+    homes.dedup();
+    if let ([home], true) = (&homes[..], seeing.len() > 1) {
+        let all = asked.iter().filter(|(_, own, _)| *own == Some(home)).count();
+        if seeing.len() == all && *home != zone {
+            return Verdict::Link((*home).to_owned());
+        }
+    }
+    match seeing.is_empty() {
+        true => Verdict::Sound,
+        false => Verdict::CutOff(seeing.iter().map(|(n, _, _)| *n).collect()),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::evidence::{Counts, Report, Row};
+
+    /// Reports of limiters that see these rates of failures in zones a, b and c, `tries` each a report, until `a` is judged
+    /// other than sound or so many reports are over.
+    fn judged(limiters: &[[f64; 3]], tries: u64, reports: u64) -> (Verdict, u64) {
+        let (mut board, mut test) = (Board::default(), Test::default());
+        for round in 0..=reports {
+            let now = 500 * round;
+            for (n, rates) in limiters.iter().enumerate() {
+                let row = |(zone, rate): (&str, &f64)| {
+                    let failed = (round as f64 * tries as f64 * rate) as u64;
+                    let counts = Counts { ok: round * tries - failed, failed, ..Counts::default() };
+                    Row { zone: zone.into(), counts, servers: 3 }
+                };
+                let rows = ["a", "b", "c"].into_iter().zip(rates).map(row).collect();
+                let own = Some(["a", "b", "c"][n % 3].to_owned());
+                for news in board.report(now, n as u16, &Report { life: 1, own, rows }) {
+                    let sound = sound_rate(&board, now, &news.zone);
+                    test.take(&news, sound);
+                }
+            }
+            let verdict = judge(&board, &test, now, "a");
+            if verdict != Verdict::Sound {
+                return (verdict, now);
+            }
+        }
+        (Verdict::Sound, 500 * reports)
+    }
+
+    #[test]
+    fn a_quarter_that_fails_is_found_within_two_seconds_by_few_and_by_many() {
+        for (limiters, tries) in [(6, 7), (24, 2)] {
+            let (verdict, after) = judged(&vec![[0.25, 0.0, 0.0]; limiters], tries, 60);
+            assert_eq!(verdict, Verdict::Fails, "{limiters} limiters");
+            assert!(after <= 2000, "{limiters} limiters: {after} ms");
+        }
+    }
+
+    #[test]
+    fn accidents_are_none_and_what_fails_everywhere_is_not_left() {
+        assert_eq!(judged(&[[0.02, 0.01, 0.0]; 6], 100, 7200).0, Verdict::Sound);
+        assert_eq!(judged(&[[0.2, 0.2, 0.2]; 6], 20, 200).0, Verdict::Sound, "all alike");
+        assert_eq!(judged(&[[1.0, 0.9, 0.9]; 6], 20, 200).0, Verdict::Everything);
+    }
+
+    #[test]
+    fn one_that_is_cut_off_does_not_take_the_zone_from_the_rest() {
+        let mut all = vec![[0.0, 0.0, 0.0]; 6];
+        all[4] = [1.0, 0.0, 0.0];
+        assert_eq!(judged(&all, 20, 200).0, Verdict::CutOff(vec![4]));
+        // All that stand in one zone.
+        let by_link: Vec<_> = (0..9).map(|n| if n % 3 == 1 { [1.0, 0.0, 0.0] } else { [0.0; 3] }).collect();
+        assert_eq!(judged(&by_link, 20, 200).0, Verdict::Link("b".into()));
+    }
+}
--- /dev/null
+++ b/crates/zones/src/zones.rs
@@ -0,0 +1,195 @@
+//! All zones of a fleet: reports and orders in, what the fleet should decide next out.
+
+use crate::bears::{Bears, Load};
+use crate::course::{Course, Order, Phase, Sight};
+use crate::evidence::{Board, Report, View};
+use crate::verdict::{judge, sound_rate, Test, Verdict};
+use crate::{Left, Millis};
+use std::collections::BTreeMap;
+
+/// An order that cannot be carried out.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum NotPossible {
+    /// No limiter knows of this zone; these are known.
+    NoZone(Vec<String>),
+    /// No other zone is wholly used: to leave this one would leave nothing.
+    LastOne,
+}
+
+/// A zone as operators are shown it.
+#[derive(Clone, Debug, serde::Serialize)]
+pub struct Shown {
+    /// Its name.
+    pub zone: String,
+    /// What is found of it.
+    pub verdict: Verdict,
+    /// The evidence that it fails, and where that is sure.
+    pub evidence: f64,
+    /// See `evidence`.
+    pub sure: f64,
+    /// How much of it is used, and is to be.
+    pub share: f64,
+    /// Where it stands.
+    pub phase: Phase,
+    /// What staff ordered.
+    pub order: Option<Order>,
+    /// Attempts a second, and the part of them that fails.
+    pub rate: f64,
+    /// See `rate`.
+    pub failing: f64,
+    /// What would have to stay in use if it were to be left now.
+    pub stays: f64,
+    /// Each limiter's attempts there of the last seconds, and how many failed.
+    pub limiters: Vec<(u16, f64, f64)>,
+}
+
+/// The zones of a fleet, at the limiter that decides.
+#[derive(Clone, Debug)]
+pub struct Zones {
+    limiters: usize,
+    seed: u64,
+    board: Board,
+    test: Test,
+    bears: Bears,
+    courses: BTreeMap<String, Course>,
+    /// Attempts since each zone's last step: all, and those that failed.
+    since: BTreeMap<String, (f64, f64)>,
+    /// What is decided, once that is known.
+    decided: Option<Vec<Left>>,
+}
+
+impl Zones {
+    /// Of a fleet of so many limiters.
+    pub fn new(limiters: usize, seed: u64) -> Zones {
+        let (board, test, bears) = Default::default();
+        let (courses, since, decided) = Default::default();
+        Zones { limiters, seed, board, test, bears, courses, since, decided }
+    }
+
+    /// Takes in a limiter's report.
+    pub fn report(&mut self, now: Millis, from: u16, report: &Report) {
+        for news in self.board.report(now, from, report) {
+            let sound = sound_rate(&self.board, now, &news.zone);
+            self.test.take(&news, sound);
+            let (tries, bad) = self.since.entry(news.zone).or_default();
+            (*tries, *bad) = (*tries + news.bad + news.ok, *bad + news.bad);
+        }
+    }
+
+    /// What the fleet has decided. Where another limiter has led it so far, that is gone on from.
+    pub fn decided(&mut self, now: Millis, left: &[Left]) {
+        if self.decided.is_none() {
+            for left in left {
+                let course = self.fresh(&left.zone).taken_over(now, left.share, left.by);
+                self.courses.insert(left.zone.clone(), course);
+            }
+        }
+        self.decided = Some(left.to_vec());
+    }
+
+    fn fresh(&self, zone: &str) -> Course {
+        let seed = zone.bytes().fold(self.seed, |x, b| (x ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3));
+        Course::new(self.limiters, seed)
+    }
+
+    /// Staff order something, or end their order.
+    ///
+    /// # Errors
+    /// When there is no such zone, or nothing would be left.
+    pub fn order(&mut self, now: Millis, zone: &str, order: Option<Order>) -> Result<(), NotPossible> {
+        let known = self.known();
+        if !known.iter().any(|z| z == zone) {
+            return Err(NotPossible::NoZone(known));
+        }
+        let whole = |z: &String| z != zone && self.courses.get(z).is_none_or(|c| c.share() >= 1.0);
+        if matches!(order, Some(Order::Leave(_))) && !known.iter().any(whole) {
+            return Err(NotPossible::LastOne);
+        }
+        let fresh = self.fresh(zone);
+        self.courses.entry(zone.to_owned()).or_insert(fresh).ordered(now, order);
+        Ok(())
+    }
+
+    fn known(&self) -> Vec<String> {
+        let mut known = self.board.zones();
+        known.extend(self.courses.keys().cloned());
+        known.sort();
+        known.dedup();
+        known
+    }
+
+    fn loads(&self, now: Millis) -> BTreeMap<String, Load> {
+        let load = |zone: String| {
+            let seen = self.board.sum(now, &zone);
+            let well = self.test.sum(&zone) < Test::sure() / 2.0;
+            let share = self.courses.get(&zone).map_or(1.0, Course::share);
+            (zone, Load { rate: seen.rate, servers: seen.servers, share, well })
+        };
+        self.board.zones().into_iter().map(load).collect()
+    }
+
+    fn sight(&self, now: Millis, zone: &str, loads: &BTreeMap<String, Load>) -> Sight {
+        let (tries, bad) = self.since.get(zone).copied().unwrap_or_default();
+        Sight {
+            fails: judge(&self.board, &self.test, now, zone) == Verdict::Fails,
+            tries,
+            bad,
+            sound: sound_rate(&self.board, now, zone),
+            stays: self.bears.stays(zone, loads),
+            others_well: loads.iter().all(|(z, l)| z == zone || l.share < 1.0 || l.well),
+        }
+    }
+
+    /// Time has passed; what the fleet should decide, where that is not what it has decided.
+    pub fn tick(&mut self, now: Millis) -> Option<Vec<Left>> {
+        self.decided.as_ref()?;
+        let loads = self.loads(now);
+        loads.iter().for_each(|(zone, load)| self.bears.saw(now, zone, *load));
+        for zone in self.known() {
+            let sight = self.sight(now, &zone, &loads);
+            let fresh = self.fresh(&zone);
+            let course = self.courses.entry(zone.clone()).or_insert(fresh);
+            if course.next(now, &sight) {
+                // From now on it is looked at as it is then.
+                self.since.remove(&zone);
+                self.test.forget(&zone);
+            }
+        }
+        let wanted: Vec<Left> =
+            self.courses.iter().filter(|(_, c)| c.share() < 1.0 || c.order().is_some()).map(left).collect();
+        (self.decided.as_ref() != Some(&wanted)).then_some(wanted)
+    }
+
+    /// The zones as they stand.
+    pub fn shown(&self, now: Millis) -> Vec<Shown> {
+        let loads = self.loads(now);
+        let show = |zone: String| {
+            let View { bad, rate, .. } = self.board.sum(now, &zone);
+            let tries = self.board.sum(now, &zone).tries();
+            let course = self.courses.get(&zone);
+            Shown {
+                verdict: judge(&self.board, &self.test, now, &zone),
+                evidence: self.test.sum(&zone),
+                sure: Test::sure(),
+                share: course.map_or(1.0, Course::share),
+                phase: course.map_or(Phase::Used, Course::phase),
+                order: course.and_then(Course::order),
+                rate,
+                failing: if tries > 0.0 { bad / tries } else { 0.0 },
+                stays: self.bears.stays(&zone, &loads),
+                limiters: self
+                    .board
+                    .views(now, &zone)
+                    .iter()
+                    .map(|(n, _, v)| (*n, v.tries(), v.bad))
+                    .collect(),
+                zone,
+            }
+        };
+        self.known().into_iter().map(show).collect()
+    }
+}
+
+fn left((zone, course): (&String, &Course)) -> Left {
+    Left { zone: zone.clone(), share: course.share(), by: course.by() }
+}
