--- a/crates/daemon/src/fleet/apply.rs
+++ b/crates/daemon/src/fleet/apply.rs
@@ -1,12 +1,13 @@
 //! The rules of a revision, laid over this limiter's own file and given to the engine.
 
 use oatbank_engine::config::{Base, Config};
-use oatbank_engine::engine::Engine;
+use oatbank_engine::engine::{Engine, Shares};
 use oatbank_engine::ports::membership::{News, Told};
 use oatbank_engine::upstreams::http1::Http1;
 use oatbank_fleet::document::{Id, Revision};
 use oatbank_fleet::member::Acting;
 use oatbank_fleet::strict::{stricter, Rules};
+use oatbank_zones::{By, Left};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use topazwind::interface::ServerState;
@@ -19,14 +20,26 @@
     base: Base,
     engine: Rc<Engine<Http1>>,
     servers: Told,
+    /// This limiter's place among all, from 0 to below 1.
+    place: f64,
     acting: Acting,
     /// Revisions that this limiter can act by.
     checked: BTreeMap<Id, Config>,
 }
 
 impl Applied {
-    pub(super) fn new(base: Base, engine: Rc<Engine<Http1>>, servers: Told) -> Self {
-        Applied { base, engine, servers, acting: Acting::Refuse, checked: BTreeMap::new() }
+    pub(super) fn new(base: Base, engine: Rc<Engine<Http1>>, servers: Told, place: f64) -> Self {
+        Applied { base, engine, servers, place, acting: Acting::Refuse, checked: BTreeMap::new() }
+    }
+
+    /// The zones of which a revision uses less than all.
+    pub(super) fn left(&mut self, revision: &Revision) -> Vec<Left> {
+        self.config(revision).map(|config| config.left).unwrap_or_default()
+    }
+
+    /// The zone that this limiter stands in.
+    pub(super) fn own_zone(&self) -> Option<String> {
+        self.base.zone()
     }
 
     /// The engine acts by this already.
@@ -77,7 +90,11 @@
 
     fn give(&self, config: Config) {
         self.engine.bar(&config.suspended);
+        // The zones' places among the names, as they are from now on.
         self.engine.revise(&config.setup.names, &config.setup.settings);
+        let place = |zone: &str| config.setup.names.zones.iter().position(|z| z == zone);
+        let parts = config.left.iter().filter_map(|l| Some((place(&l.zone)? as u16, l.share)));
+        self.engine.share(Shares { parts: parts.collect(), place: self.place });
         if config.zookeeper.is_none() {
             (self.servers)(News::Complete(config.members));
         }
@@ -93,6 +110,8 @@
     setup.settings.max_attempts = both.max_attempts;
     config.members.retain(|m| both.servers.contains(&m.id));
     config.suspended = both.suspended;
+    let left = both.left.into_iter();
+    config.left = left.map(|(zone, share)| Left { zone, share, by: By::Evidence }).collect();
     config
 }
 
@@ -104,6 +123,7 @@
         plans: names.plans.iter().cloned().zip(settings.plans.iter().cloned()).collect(),
         servers: ready.map(|m| m.id.clone()).collect(),
         suspended: config.suspended.clone(),
+        left: config.left.iter().map(|l| (l.zone.clone(), l.share)).collect(),
         max_attempts: settings.max_attempts,
     }
 }
--- a/crates/daemon/src/fleet/command.rs
+++ b/crates/daemon/src/fleet/command.rs
@@ -119,7 +119,7 @@
 }
 
 /// Why a command does not end well: its exit code and what to say.
-struct End(u8, String);
+pub(super) struct End(pub(super) u8, pub(super) String);
 
 /// Runs a command.
 ///
@@ -262,7 +262,7 @@
     answers.ok_or(End(NO_DECIDER, last))
 }
 
-async fn get(at: &At, path: &str) -> Result<Value, End> {
+pub(super) async fn get(at: &At, path: &str) -> Result<Value, End> {
     let body = fetch(at, path).await?;
     serde_json::from_str(&body).map_err(|e| End(1, format!("{path}: {e}")))
 }
@@ -287,6 +287,18 @@
     }
 }
 
+/// A call that orders something: its status and text.
+pub(super) async fn call_at(at: &At, method: Method, path: &str) -> Result<(u16, String), End> {
+    match call(asked(at).await?, method, path, String::new()).await {
+        Ok((421 | 503, body)) => Err(End(NO_DECIDER, body)),
+        Ok(answer) => Ok(answer),
+        Err(Lost::Before(why)) => Err(End(NO_DECIDER, why)),
+        Err(Lost::After(why)) => {
+            Err(End(TIMED_OUT, format!("{why}; it may have been taken: look at `oatbank zone status`")))
+        }
+    }
+}
+
 /// No answer came, and the call can or cannot have been made.
 enum Lost {
     Before(String),
@@ -315,7 +327,7 @@
     }
 }
 
-fn print(at: &At, answer: &Value, lines: impl FnOnce() -> Vec<String>) {
+pub(super) fn print(at: &At, answer: &Value, lines: impl FnOnce() -> Vec<String>) {
     if at.json {
         println!("{answer:#}");
     } else {
@@ -323,7 +335,7 @@
     }
 }
 
-fn word(value: &Value) -> String {
+pub(super) fn word(value: &Value) -> String {
     match value {
         Value::Null => "-".into(),
         Value::String(text) => text.clone(),
--- a/crates/daemon/src/fleet/edit.rs
+++ b/crates/daemon/src/fleet/edit.rs
@@ -1,25 +1,43 @@
 //! Changes to a revision's text that touch one key, so that an operator need not send the whole.
 
+use oatbank_zones::Left;
 use toml::{Table, Value};
 
-const KEY: &str = "suspended";
+const SUSPENDED: &str = "suspended";
+const LEFT: &str = "left";
 
 /// The text with these servers taken out, or put in again; nothing else in it changes.
 ///
 /// # Errors
-/// When the key was written by hand in a way that is not one line at the beginning, or the text cannot be read.
+/// As [`with_line`].
 pub(super) fn suspend(text: &str, ids: &[String], out: bool) -> Result<String, String> {
-    let mut wanted = read(text)?;
-    let mut suspended = listed(&wanted);
+    let mut suspended = listed(&read(text)?);
     suspended.retain(|id| !ids.contains(id));
     if out {
         suspended.extend(ids.iter().cloned());
     }
     suspended.sort();
     suspended.dedup();
-    let quoted: Vec<String> = suspended.iter().map(|id| Value::from(id.as_str()).to_string()).collect();
-    let line = format!("{KEY} = [{}]\n", quoted.join(", "));
-    let ours = |row: &&str| row.split('=').next().is_some_and(|key| key.trim() == KEY);
+    with_line(text, SUSPENDED, Value::Array(suspended.into_iter().map(Value::from).collect()))
+}
+
+/// The text with these zones left, and no others; nothing else in it changes.
+///
+/// # Errors
+/// As [`with_line`].
+pub(super) fn left(text: &str, left: &[Left]) -> Result<String, String> {
+    let rows = left.iter().map(Value::try_from).collect::<Result<Vec<_>, _>>();
+    with_line(text, LEFT, Value::Array(rows.map_err(|e| e.to_string())?))
+}
+
+/// The text with this value of a key, on a line of its own at the beginning.
+///
+/// # Errors
+/// When the key was written by hand in a way that is not one line at the beginning, or the text cannot be read.
+fn with_line(text: &str, key: &str, value: Value) -> Result<String, String> {
+    let mut wanted = read(text)?;
+    let line = format!("{key} = {value}\n");
+    let ours = |row: &&str| row.split('=').next().is_some_and(|found| found.trim() == key);
     let mut tables = false;
     let rest = text.split_inclusive('\n').filter(|row| {
         tables |= row.trim_start().starts_with('[');
@@ -27,11 +45,11 @@
     });
     let changed = line + &rest.collect::<String>();
     // The proof: read again, it differs in this key only.
-    wanted.insert(KEY.into(), Value::Array(suspended.into_iter().map(Value::from).collect()));
+    wanted.insert(key.into(), value);
     if read(&changed).as_ref() != Ok(&wanted) {
         return Err(format!(
-            "{KEY} stands in the rules in another form than `{KEY} = [\"…\"]` on one line before the first table; \
-             change the file, and apply it"
+            "{key} stands in the rules in another form than `{key} = […]` on one line before the first table; change \
+             the file, and apply it"
         ));
     }
     Ok(changed)
@@ -42,7 +60,7 @@
 }
 
 fn listed(rules: &Table) -> Vec<String> {
-    let ids = rules.get(KEY).and_then(Value::as_array);
+    let ids = rules.get(SUSPENDED).and_then(Value::as_array);
     ids.into_iter().flatten().filter_map(|id| id.as_str().map(str::to_owned)).collect()
 }
 
@@ -66,6 +84,17 @@
         assert_eq!(less, format!("suspended = [\"b\"]\n{TEXT}"));
     }
 
+    #[test]
+    fn zones_are_left_beside_what_is_suspended() {
+        let out = suspend(TEXT, &ids(&["a"]), true).expect("changed");
+        let a = Left { zone: "a".into(), share: 1.0 / 24.0, by: oatbank_zones::By::Evidence };
+        let both = left(&out, std::slice::from_ref(&a)).expect("changed");
+        let read = read(&both).expect("toml");
+        assert_eq!(read["left"].clone().try_into::<Vec<Left>>().expect("zones"), [a]);
+        assert_eq!(listed(&read), ["a"]);
+        assert_eq!(left(&both, &[]).expect("changed"), format!("left = []\n{out}"));
+    }
+
     #[test]
     fn what_was_written_otherwise_is_left_to_its_writer() {
         let lines = "suspended = [\n  \"a\",\n]\n[[servers]]\nid = \"a\"\n";
--- a/crates/daemon/src/fleet/mod.rs
+++ b/crates/daemon/src/fleet/mod.rs
@@ -4,6 +4,8 @@
 pub mod command;
 mod edit;
 mod told;
+pub mod zone_command;
+mod zones;
 
 use apply::Applied;
 use oatbank_engine::config::{Base, Fleet as Settings, FleetPeer, FleetTree};
@@ -60,6 +62,9 @@
     drops: RefCell<BTreeMap<Dropped, u64>>,
     /// How often a lease has ended without another.
     lapses: Cell<u64>,
+    /// Tells this process from others of its name.
+    life: u64,
+    led: zones::Led,
     /// Told when the node may be due sooner than was known.
     sooner: Notify,
 }
@@ -93,6 +98,7 @@
             seed: RandomState::new().build_hasher().finish(),
             first: base.rules().into(),
         };
+        let place = f64::from(settings.me.0) / settings.peers.len().max(1) as f64;
         let fleet = Rc::new(Fleet {
             node: RefCell::new(Node::new(&setup, now)),
             settings: settings.clone(),
@@ -101,12 +107,14 @@
             tree: settings.tree.as_ref().map(|tree| registers(tree, settings.terms.lease)),
             clock,
             engine: engine.clone(),
-            applied: RefCell::new(Applied::new(base, engine.clone(), servers)),
+            applied: RefCell::new(Applied::new(base, engine.clone(), servers, place)),
             waiting: RefCell::default(),
             next_ticket: Cell::new(1),
             traffic: Cell::default(),
             drops: RefCell::default(),
             lapses: Cell::new(0),
+            life: setup.seed,
+            led: zones::Led::default(),
             sooner: Notify::new(),
         });
         engine.hold(true);
@@ -119,6 +127,11 @@
         if let Some(tree) = fleet.tree.clone() {
             keep_running("fleet's registers", move || tree.clone().run());
         }
+        if settings.zones {
+            engine.count_zones();
+            let leading = fleet.clone();
+            keep_running("fleet's zones", move || leading.clone().lead_zones());
+        }
         let decider = settings.decider.map_or("whom the coordinator elects", |peer| fleet.name(peer));
         let me = fleet.name(settings.me);
         let listen = fleet.socket.local_addr().unwrap_or(settings.listen);
@@ -286,6 +299,7 @@
             let (received, received_bytes) = (traffic.received + 1, traffic.received_bytes + len as u64);
             self.traffic.set(Traffic { received, received_bytes, ..traffic });
             match self.seal.read(self.settings.me, &buffer[..len]) {
+                Ok((from, Message::Beside(bytes))) => self.beside(from, &bytes),
                 Ok((from, message)) if self.peer(from).is_some() => self.feed(Event::Message(from, message)),
                 Ok(_) => self.drop_frame(Dropped::Form),
                 Err(why) => self.drop_frame(why),
--- a/crates/daemon/src/fleet/told.rs
+++ b/crates/daemon/src/fleet/told.rs
@@ -30,6 +30,10 @@
                 None => self.elsewhere(),
             },
             ["revisions", number] if get => self.text(number),
+            ["zones", call @ ..] => {
+                let query = request.uri().query().unwrap_or_default();
+                return self.zone_call(request.method(), query, call);
+            }
             ["propose"] if request.method() == Method::POST => self.asked(request).await,
             ["propose"] | ["status"] | ["history"] => (
                 StatusCode::METHOD_NOT_ALLOWED,
@@ -39,7 +43,7 @@
         })
     }
 
-    fn elsewhere(&self) -> Told {
+    pub(super) fn elsewhere(&self) -> Told {
         let (decider, _) = self.node.borrow().decider();
         self.worded(&Answer::NotDecider(decider))
     }
--- /dev/null
+++ b/crates/daemon/src/fleet/zone_command.rs
@@ -0,0 +1,172 @@
+//! `oatbank zone`: what operators do with a fleet's zones, by calls to the decider's `fleet.control`.
+
+use super::command::{call_at, get, print, word, At, End};
+use crate::serve::on_one_thread;
+use clap::Subcommand;
+use hyper::Method;
+use serde_json::Value;
+use std::process::ExitCode;
+use std::rc::Rc;
+
+/// There is no such zone, or it is the last.
+const NOT_POSSIBLE: u8 = 3;
+
+/// What is asked for.
+#[derive(Subcommand)]
+pub enum ZoneCommand {
+    /// All zones: how much of each is used and why, what is seen of it, by which limiter.
+    #[command(after_help = "Example:\n  oatbank zone status --at 127.0.0.1:7100")]
+    Status {
+        #[command(flatten)]
+        at: At,
+    },
+    /// Whether the others would bear it if this zone were left now; nothing changes.
+    #[command(after_help = "Example:\n  oatbank zone plan a --at 127.0.0.1:7100")]
+    Plan {
+        /// The zone.
+        zone: String,
+        #[command(flatten)]
+        at: At,
+    },
+    /// Leave a zone, whatever is seen, until `return` or `end`.
+    #[command(after_help = "Example:\n  oatbank zone leave a --over 30 --at 127.0.0.1:7100")]
+    Leave {
+        /// The zone.
+        zone: String,
+        /// Evenly over this, seconds; without, at once.
+        #[arg(long, value_name = "SECONDS", default_value_t = 0)]
+        over: u64,
+        #[command(flatten)]
+        at: At,
+    },
+    /// Use a zone again, step by step, whatever is seen; once it is whole, what is seen counts again.
+    #[command(after_help = "Example:\n  oatbank zone return a --at 127.0.0.1:7100")]
+    Return {
+        /// The zone.
+        zone: String,
+        #[command(flatten)]
+        at: At,
+    },
+    /// Use as much of a zone as now, whatever is seen, until `end`.
+    #[command(after_help = "Example:\n  oatbank zone hold a --at 127.0.0.1:7100")]
+    Hold {
+        /// The zone.
+        zone: String,
+        #[command(flatten)]
+        at: At,
+    },
+    /// End what was ordered: what is seen counts again.
+    #[command(after_help = "Example:\n  oatbank zone end a --at 127.0.0.1:7100")]
+    End {
+        /// The zone.
+        zone: String,
+        #[command(flatten)]
+        at: At,
+    },
+}
+
+/// Runs a command.
+///
+/// # Errors
+/// When there is no runtime.
+pub fn run(command: ZoneCommand) -> Result<ExitCode, String> {
+    let ended = Rc::new(std::cell::Cell::new(0));
+    let code = ended.clone();
+    on_one_thread(async move {
+        if let Err(End(n, say)) = carry_out(command).await {
+            eprintln!("oatbank: {}", say.trim_end());
+            code.set(n);
+        }
+        Ok(())
+    })?;
+    Ok(ExitCode::from(ended.get()))
+}
+
+async fn carry_out(command: ZoneCommand) -> Result<(), End> {
+    match command {
+        ZoneCommand::Status { at } => {
+            let zones = get(&at, "zones").await?;
+            print(&at, &zones, || lines(&zones));
+        }
+        ZoneCommand::Plan { zone, at } => {
+            let zones = get(&at, "zones").await?;
+            let found = zones.as_array().into_iter().flatten().find(|z| z["zone"] == zone.as_str());
+            let Some(found) = found else { return Err(End(NOT_POSSIBLE, format!("{zone:?} is not known"))) };
+            print(&at, found, || vec![plan(found)]);
+        }
+        ZoneCommand::Leave { zone, over, at } => {
+            order(&at, &zone, &format!("leave?over_ms={}", over.saturating_mul(1000))).await?;
+        }
+        ZoneCommand::Return { zone, at } => order(&at, &zone, "return").await?,
+        ZoneCommand::Hold { zone, at } => order(&at, &zone, "hold").await?,
+        ZoneCommand::End { zone, at } => order(&at, &zone, "end").await?,
+    }
+    Ok(())
+}
+
+async fn order(at: &At, zone: &str, what: &str) -> Result<(), End> {
+    let (status, body) = call_at(at, Method::POST, &format!("zones/{zone}/{what}")).await?;
+    let answer: Value = serde_json::from_str(&body).unwrap_or(Value::Null);
+    let say = answer["say"].as_str().or(answer["error"].as_str()).unwrap_or(&body).to_owned();
+    match status {
+        200 => {
+            print(at, &answer, || vec![say]);
+            Ok(())
+        }
+        404 | 409 => Err(End(NOT_POSSIBLE, say)),
+        _ => Err(End(1, say)),
+    }
+}
+
+fn percent(value: &Value) -> String {
+    value.as_f64().map_or("-".into(), |part| format!("{:.0}%", 100.0 * part))
+}
+
+fn plan(zone: &Value) -> String {
+    let (name, rate) = (word(&zone["zone"]), zone["rate"].as_f64().unwrap_or(0.0));
+    match zone["stays"].as_f64() {
+        Some(stays) if stays <= 0.0 => {
+            format!("{name}: the others would bear its {rate:.0} attempts a second")
+        }
+        stays => format!(
+            "{name}: of its {rate:.0} attempts a second the others would bear {:.0}% for a start",
+            100.0 * (1.0 - stays.unwrap_or(1.0))
+        ),
+    }
+}
+
+fn lines(zones: &Value) -> Vec<String> {
+    let head = format!(
+        "{:<16} {:>5} {:<10} {:<10} {:>9} {:>8} {:>9}  seen by",
+        "zone", "used", "phase", "verdict", "a second", "failing", "evidence"
+    );
+    let name = |value: &Value| match value {
+        Value::Object(map) => map.keys().next().cloned().unwrap_or_default(),
+        other => word(other),
+    };
+    let row = |zone: &Value| {
+        let seen = zone["limiters"].as_array().into_iter().flatten();
+        let seen = seen.filter(|l| l["failed"].as_f64().is_some_and(|n| n >= 1.0));
+        let seen: Vec<String> = seen.map(|l| word(&l["limiter"])).collect();
+        let order = match &zone["order"] {
+            Value::Null => String::new(),
+            order => format!(" (ordered: {})", name(order)),
+        };
+        format!(
+            "{:<16} {:>5} {:<10} {:<10} {:>9.0} {:>8} {:>9}  {}{order}",
+            word(&zone["zone"]),
+            percent(&zone["share"]),
+            name(&zone["phase"]),
+            name(&zone["verdict"]),
+            zone["rate"].as_f64().unwrap_or(0.0),
+            percent(&zone["failing"]),
+            format!(
+                "{:.0}/{:.0}",
+                zone["evidence"].as_f64().unwrap_or(0.0),
+                zone["sure"].as_f64().unwrap_or(0.0)
+            ),
+            seen.join(", ")
+        )
+    };
+    std::iter::once(head).chain(zones.as_array().into_iter().flatten().map(row)).collect()
+}
--- /dev/null
+++ b/crates/daemon/src/fleet/zones.rs
@@ -0,0 +1,170 @@
+//! Zones of the fleet: this limiter's counts told to the one that decides, and there what `oatbank_zones` wants put before
+//! the fleet as a change of its rules.
+
+use super::told::Told as Answered;
+use super::{edit, Fleet};
+use hyper::{Method, StatusCode};
+use oatbank_fleet::decider::Proposal;
+use oatbank_fleet::document::Id;
+use oatbank_fleet::message::Message;
+use oatbank_fleet::{Millis, Peer};
+use oatbank_zones::course::Order;
+use oatbank_zones::evidence::Report;
+use oatbank_zones::zones::{NotPossible, Zones};
+use oatbank_zones::Left;
+use serde_json::json;
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+/// Between two reports, ms.
+const REPORT: f64 = 250.0;
+/// A change of a zone's share is given up after this, ms: by then more is seen.
+const PATIENCE: Millis = 1500;
+/// Bytes of a report in one message.
+const MOST_REPORT: usize = 1200;
+
+/// What a limiter keeps for its fleet's zones.
+#[derive(Default)]
+pub(super) struct Led {
+    /// Where this limiter decides.
+    zones: RefCell<Option<Zones>>,
+    /// What the revision in force leaves.
+    left: RefCell<(Id, Vec<Left>)>,
+    /// A change is being decided.
+    busy: Cell<bool>,
+}
+
+impl Fleet {
+    /// Reports, and leads where this limiter decides, for the life of the process.
+    pub(super) async fn lead_zones(self: Rc<Self>) {
+        loop {
+            self.clock.until(self.clock.now() + REPORT).await;
+            let report =
+                Report { life: self.life, own: self.applied.borrow().own_zone(), rows: self.engine.zones() };
+            let leads = self.node.borrow().as_decider().is_some_and(|d| !d.recovering());
+            if leads {
+                self.lead(&report);
+                continue;
+            }
+            *self.led.zones.borrow_mut() = None;
+            let (decider, _) = self.node.borrow().decider();
+            if let Some(decider) = decider.filter(|peer| *peer != self.settings.me) {
+                self.send(decider, &Message::Beside(bytes(report)));
+            }
+        }
+    }
+
+    /// What another limiter says beside the agreement.
+    pub(super) fn beside(&self, from: Peer, bytes: &[u8]) {
+        let Ok(report) = postcard::from_bytes::<Report>(bytes) else { return };
+        if let Some(zones) = self.led.zones.borrow_mut().as_mut() {
+            zones.report(self.now(), from.0, &report);
+        }
+    }
+
+    fn lead(self: &Rc<Self>, report: &Report) {
+        let now = self.now();
+        let Some(held) = self.node.borrow().held().cloned() else { return };
+        if self.led.left.borrow().0 != held.id() {
+            let left = self.applied.borrow_mut().left(&held);
+            *self.led.left.borrow_mut() = (held.id(), left);
+        }
+        let wanted = {
+            let mut led = self.led.zones.borrow_mut();
+            let zones = led.get_or_insert_with(|| Zones::new(self.settings.peers.len(), self.life));
+            zones.report(now, self.settings.me.0, report);
+            zones.decided(now, &self.led.left.borrow().1);
+            zones.tick(now)
+        };
+        let Some(wanted) = wanted.filter(|_| !self.led.busy.get()) else { return };
+        let text = match edit::left(&held.text, &wanted) {
+            Ok(text) => text,
+            Err(why) => return tracing::warn!("zones: {why}"),
+        };
+        self.led.busy.set(true);
+        let fleet = self.clone();
+        tokio::task::spawn_local(async move {
+            let expect = Some(held.id().number);
+            let (author, patience) = ("zones".to_owned(), PATIENCE);
+            let ask = Proposal { expect, author, text: text.into(), patience, ..Proposal::default() };
+            let answer = fleet.propose(ask).await;
+            let list: Vec<String> = wanted.iter().map(|l| format!("{} {:.2}", l.zone, l.share)).collect();
+            tracing::info!("zones: uses [{}]: {}", list.join(", "), fleet.worded(&answer).1.trim_end());
+            fleet.led.busy.set(false);
+        });
+    }
+
+    /// Answers a call below `/v1/fleet/zones`.
+    pub(super) fn zone_call(&self, method: &Method, query: &str, call: &[&str]) -> Option<Answered> {
+        if !self.settings.zones {
+            let why = "fleet.zones is off; true in the file turns it on";
+            return Some((StatusCode::NOT_FOUND, json!({"error": why}).to_string() + "\n"));
+        }
+        let now = self.now();
+        let mut led = self.led.zones.borrow_mut();
+        let Some(zones) = led.as_mut() else { return Some(self.elsewhere()) };
+        let post = method == Method::POST;
+        let order = match call {
+            [] | ["status"] if !post => {
+                let names = |n: u16| self.name(Peer(n)).to_owned();
+                let mut shown = json!(zones.shown(now));
+                for zone in shown.as_array_mut().into_iter().flatten() {
+                    let rows = zone["limiters"].as_array().cloned().unwrap_or_default();
+                    let named = rows.iter().map(|row| {
+                        let n = row[0].as_u64().unwrap_or_default() as u16;
+                        json!({"limiter": names(n), "tries": row[1], "failed": row[2]})
+                    });
+                    zone["limiters"] = named.collect();
+                }
+                return Some((StatusCode::OK, format!("{shown:#}\n")));
+            }
+            [_, "leave"] if post => Some(Order::Leave(over(query))),
+            [_, "return"] if post => Some(Order::Return),
+            [_, "hold"] if post => Some(Order::Hold),
+            [_, "end"] if post => None,
+            _ => return None,
+        };
+        let zone = call[0];
+        Some(match zones.order(now, zone, order) {
+            Ok(()) => {
+                let say = match order {
+                    Some(_) => {
+                        format!("{zone}: ordered; the fleet decides each step, see `oatbank zone status`")
+                    }
+                    None => format!("{zone}: the order is over; what is seen counts again"),
+                };
+                (StatusCode::OK, json!({"result": "ordered", "say": say}).to_string() + "\n")
+            }
+            Err(NotPossible::NoZone(known)) => {
+                let say = format!("{zone:?} is not known; {} are", known.join(", "));
+                (StatusCode::NOT_FOUND, json!({"result": "no zone", "say": say}).to_string() + "\n")
+            }
+            Err(NotPossible::LastOne) => {
+                let say = format!("{zone} is the last one that is wholly used; return another one first");
+                (StatusCode::CONFLICT, json!({"result": "last zone", "say": say}).to_string() + "\n")
+            }
+        })
+    }
+}
+
+/// `over_ms=30000`; without, at once.
+fn over(query: &str) -> Millis {
+    let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    pairs.filter(|(key, _)| *key == "over_ms").filter_map(|(_, ms)| ms.parse().ok()).next().unwrap_or(0)
+}
+
+/// A report that fits into one message: those zones first in which most has failed.
+fn bytes(mut report: Report) -> Vec<u8> {
+    let bad = |row: &oatbank_zones::evidence::Row| {
+        let c = row.counts;
+        std::cmp::Reverse(c.failed + c.silent + c.refused + c.broken)
+    };
+    report.rows.sort_by_key(bad);
+    loop {
+        // Plain data without maps or floats has no way to fail.
+        let bytes = postcard::to_stdvec(&report).unwrap_or_default();
+        if bytes.len() <= MOST_REPORT || report.rows.pop().is_none() {
+            return bytes;
+        }
+    }
+}
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -66,6 +66,9 @@
     /// The rules that all limiters of a fleet act by: look at them and change them.
     #[command(subcommand)]
     Fleet(fleet::command::FleetCommand),
+    /// Zones that the fleet leaves and comes back to: look at them, order what is to be.
+    #[command(subcommand)]
+    Zone(fleet::zone_command::ZoneCommand),
     /// Start engines and a limiter on loopback, let some fail, and print what happens.
     #[command(after_help = "Example:\n  oatbank demo")]
     Demo,
@@ -111,6 +114,10 @@
             Ok(code) => return code,
             Err(e) => Err(e),
         },
+        Some(Command::Zone(command)) => match fleet::zone_command::run(command) {
+            Ok(code) => return code,
+            Err(e) => Err(e),
+        },
         Some(Command::Demo) => demo::run(),
         Some(Command::Completions { shell }) => {
             clap_complete::generate(shell, &mut Arguments::command(), "oatbank", &mut std::io::stdout());
--- /dev/null
+++ b/crates/daemon/tests/zones.rs
@@ -0,0 +1,159 @@
+//! Several real processes of one fleet with three zones of engines, of which one fails, falls silent, flaps or is left by
+//! staff: by what comes to the engines, all leave it together and come back in steps.
+
+use oatbank_testkit::rig::zones::{look, rules, share, Came, EACH};
+use oatbank_testkit::rig::{Plan, Rig};
+use oatbank_testkit::{eventually, within, Fleet, Ill};
+use std::process::Command;
+use std::time::{Duration, Instant};
+
+const OATBANK: &str = env!("CARGO_BIN_EXE_oatbank");
+/// The engines of zone a.
+const A: std::ops::Range<usize> = 0..EACH;
+/// A return takes this long at most: the first span held out, and five steps with a decision each.
+const RETURN: Duration = Duration::from_secs(30);
+/// Requests a second over all limiters.
+const RATE: usize = 240;
+const SECOND: Duration = Duration::from_secs(1);
+
+fn rig(limiters: usize, engines: &Fleet, elected: bool, seed: u64) -> Rig {
+    let terms = "zones = true\nstrict_for_ms = 500".to_owned();
+    let plan =
+        Plan { program: OATBANK.into(), limiters, terms: Some(terms), rules: rules(engines), seed, elected };
+    let rig = Rig::start(plan);
+    eventually("one decides", || decider(&rig).is_some());
+    rig.ask_all("order", Duration::from_millis((1000 * limiters / RATE) as u64));
+    eventually("zone a is used", || look(engines, &rig, SECOND / 4).zones[0] > 20);
+    rig
+}
+
+/// The one that leads the zones.
+fn decider(rig: &Rig) -> Option<usize> {
+    (0..rig.limiters()).filter(|n| rig.runs(*n)).find(|n| rig.call(*n, "GET", "zones", "").0 == 200)
+}
+
+fn used(rig: &Rig) -> Option<f64> {
+    share(rig, decider(rig)?, "a")
+}
+
+fn order(rig: &Rig, what: &[&str]) -> bool {
+    let all: Vec<String> = (0..rig.limiters()).map(|n| rig.control(n).to_string()).collect();
+    let command = Command::new(OATBANK).arg("zone").args(what).args(["--at", &all.join(",")]).output();
+    command.expect("oatbank").status.success()
+}
+
+/// The shares that the zone goes through until it is whole again.
+fn until_whole(rig: &Rig) -> Vec<f64> {
+    let mut steps = Vec::new();
+    within(RETURN, "zone a is whole again", || {
+        let now = used(rig).unwrap_or(0.0);
+        if steps.last() != Some(&now) {
+            steps.push(now);
+        }
+        now >= 1.0
+    });
+    steps
+}
+
+#[test]
+fn a_zone_of_which_a_quarter_fails_is_left_by_all_and_used_again_step_by_step() {
+    let engines = Fleet::start(9);
+    let rig = rig(6, &engines, false, 1);
+    // In calm nothing is left.
+    let calm = look(&engines, &rig, 3 * SECOND);
+    assert!(used(&rig) == Some(1.0) && calm.part(0) > 0.3, "{calm:?}");
+    engines.fall(A, Ill::Failing(0.25));
+    let begun = Instant::now();
+    eventually("it is left", || used(&rig) == Some(0.0));
+    println!("left after {:?}", begun.elapsed());
+    std::thread::sleep((3 * SECOND).saturating_sub(begun.elapsed()));
+    let left = look(&engines, &rig, SECOND);
+    println!("from 3 s on: {:.3} to zone a, {:.3} served", left.part(0), left.goodput());
+    assert!(left.part(0) < 0.05 && left.goodput() >= 0.97, "{left:?}");
+    engines.fall(A, Ill::Well);
+    let before = Came::so_far(&engines, &rig);
+    let steps = until_whole(&rig);
+    let back = Came::so_far(&engines, &rig).since(&before);
+    println!("{steps:?}, {:.3} served meanwhile", back.goodput());
+    assert!(steps.len() >= 4 && steps.windows(2).all(|w| w[1] >= w[0]), "{steps:?}");
+    assert!(back.goodput() > 0.99, "{back:?}");
+    eventually("it is used as before", || look(&engines, &rig, SECOND).part(0) > 0.3);
+}
+
+#[test]
+fn where_all_zones_fail_alike_nothing_is_left() {
+    let engines = Fleet::start(9);
+    let rig = rig(4, &engines, false, 2);
+    // Zone a may be left at first: nobody has tried the others.
+    engines.fall(0..9, Ill::Failing(0.6));
+    let whole = || {
+        let decider = decider(&rig);
+        let share = |zone| decider.and_then(|n| share(&rig, n, zone));
+        ["a", "b", "c"].iter().all(|zone| share(zone) == Some(1.0))
+    };
+    let others = |came: Came| came.zones[1] > 0 && came.zones[2] > 0;
+    eventually("the others are tried", || others(look(&engines, &rig, SECOND / 2)));
+    within(RETURN, "all are used", whole);
+    let until = Instant::now() + 3 * SECOND;
+    while Instant::now() < until {
+        assert!(whole(), "one is left");
+        std::thread::sleep(SECOND / 4);
+    }
+}
+
+#[test]
+fn staff_leave_a_sound_zone_and_it_stays_left_until_they_return_it() {
+    let engines = Fleet::start(9);
+    let rig = rig(3, &engines, false, 3);
+    assert!(!order(&rig, &["leave", "nowhere"]));
+    assert!(order(&rig, &["leave", "a"]));
+    eventually("nothing goes there", || look(&engines, &rig, SECOND / 2).zones[0] == 0);
+    // Sound as it is, nobody comes back by himself: longer than a zone is held out at first.
+    let quiet = look(&engines, &rig, 7 * SECOND);
+    assert!(quiet.zones[0] == 0 && quiet.goodput() > 0.99, "{quiet:?}");
+    assert!(!order(&rig, &["leave", "b"]) || used(&rig) == Some(0.0));
+    assert!(order(&rig, &["end", "b"]) && order(&rig, &["return", "a"]));
+    until_whole(&rig);
+    eventually("it is used as before", || look(&engines, &rig, SECOND).part(0) > 0.2);
+}
+
+#[test]
+fn when_the_one_that_leads_the_return_is_killed_another_goes_on_from_there() {
+    let engines = Fleet::start(9);
+    let mut rig = rig(5, &engines, true, 4);
+    engines.fall(A, Ill::Silent);
+    eventually("all of it is left", || used(&rig) == Some(0.0));
+    engines.fall(A, Ill::Well);
+    within(RETURN, "a first step back", || used(&rig).is_some_and(|share| share > 0.0));
+    let first = decider(&rig).expect("one decides");
+    rig.kill(first);
+    eventually("another one leads", || decider(&rig).is_some());
+    let found = used(&rig).expect("a share");
+    assert!(found < 1.0, "it goes on from what is decided: {found}");
+    // A limiter that starts with an empty memory meanwhile uses no more than the others.
+    rig.begin(first);
+    let steps = until_whole(&rig);
+    assert!(steps.windows(2).all(|w| w[1] >= w[0]), "{steps:?}");
+    eventually("it is used as before", || look(&engines, &rig, SECOND).part(0) > 0.2);
+}
+
+#[test]
+fn a_zone_that_flaps_is_held_out_for_longer_each_time() {
+    let engines = Fleet::start(9);
+    let rig = rig(4, &engines, false, 5);
+    engines.fall(A, Ill::Failing(0.8));
+    eventually("it is left", || used(&rig) == Some(0.0));
+    // Bad whenever it is tried: the second return is later after the first than that after the leaving.
+    let mut tries = Vec::new();
+    let mut before = 0.0;
+    let begun = Instant::now();
+    within(4 * RETURN, "a return has failed", || {
+        let now = used(&rig).unwrap_or(0.0);
+        if before == 0.0 && now > 0.0 {
+            tries.push(begun.elapsed());
+        }
+        before = now;
+        tries.len() == 2
+    });
+    assert!(tries[1] - tries[0] > tries[0], "{tries:?}");
+}
--- a/crates/engine/src/config/file.rs
+++ b/crates/engine/src/config/file.rs
@@ -6,6 +6,7 @@
 use super::{Config, CounterKind};
 use crate::engine::{Names, Setup};
 use crate::ports::membership::Member;
+use oatbank_zones::{By, Left};
 use schemars::generate::SchemaSettings;
 use schemars::JsonSchema;
 use serde::Deserialize;
@@ -63,6 +64,38 @@
     Beside,
 }
 
+/// A zone of which less than all is used.
+#[derive(Clone, Debug, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+struct LeftLine {
+    /// Its name, one of zones.
+    #[schemars(regex(pattern = NAME))]
+    zone: String,
+    /// The part of it that each limiter may use.
+    #[schemars(range(min = 0, max = 1))]
+    share: f64,
+    /// Why: "staff", until they end it, or "evidence".
+    #[serde(default)]
+    by: LeftBy,
+}
+
+#[derive(Clone, Copy, Debug, Default, Deserialize, JsonSchema)]
+#[serde(rename_all = "snake_case")]
+enum LeftBy {
+    #[default]
+    Staff,
+    Evidence,
+}
+
+impl From<LeftBy> for By {
+    fn from(by: LeftBy) -> By {
+        match by {
+            LeftBy::Staff => By::Staff,
+            LeftBy::Evidence => By::Evidence,
+        }
+    }
+}
+
 fn yes() -> bool {
     true
 }
@@ -113,6 +146,9 @@
     #[serde(default)]
     #[schemars(inner(length(min = 1, max = 256)))]
     suspended: Vec<String>,
+    /// Zones of which less than all is used.
+    #[serde(default)]
+    left: Vec<LeftLine>,
     /// Where the list of servers comes from, if not from here.
     #[serde(default)]
     #[schemars(with = "ZooKeeper")]
@@ -365,6 +401,11 @@
             name: self.name,
             members: self.servers.into_iter().map(ServerLine::member).collect(),
             suspended: self.suspended.into_iter().collect(),
+            left: self
+                .left
+                .into_iter()
+                .map(|l| Left { zone: l.zone, share: l.share, by: l.by.into() })
+                .collect(),
             zookeeper: self.members,
             fleet,
             counter,
--- a/crates/engine/src/config/fleet.rs
+++ b/crates/engine/src/config/fleet.rs
@@ -11,8 +11,8 @@
 use std::net::SocketAddr;
 
 /// Keys of a configuration that are rules: with a fleet they come from its revision, and stand in the file as a hint.
-pub const RULES: [&str; 8] =
-    ["attempts", "classes", "cold", "max_units", "plans", "servers", "suspended", "zones"];
+pub const RULES: [&str; 9] =
+    ["attempts", "classes", "cold", "left", "max_units", "plans", "servers", "suspended", "zones"];
 /// The shortest secret.
 const LEAST_KEY: usize = 16;
 
@@ -65,6 +65,9 @@
     #[serde(default)]
     #[schemars(with = "String", regex(pattern = "^[^:]+:.*$"))]
     auth: Option<String>,
+    /// Leave zones that fail, and come back, as a fleet.
+    #[serde(default)]
+    zones: bool,
     /// All limiters of the fleet, this one among them, in one order everywhere.
     #[schemars(length(min = 1, max = 1000))]
     peers: Vec<FleetPeer>,
@@ -150,6 +153,8 @@
     pub peers: Vec<FleetPeer>,
     /// The fleet's times.
     pub terms: Terms,
+    /// Zones that fail are left as a fleet.
+    pub zones: bool,
 }
 
 impl FleetTable {
@@ -189,6 +194,7 @@
             tree: self.tree(),
             peers: self.peers.clone(),
             terms: self.terms(),
+            zones: self.zones,
         })
     }
 }
@@ -273,6 +279,11 @@
 }
 
 impl Base {
+    /// The zone that the limiter stands in.
+    pub fn zone(&self) -> Option<String> {
+        self.own.get("zone").and_then(Value::as_str).map(str::to_owned)
+    }
+
     /// The rules of the file itself, as the text of a revision.
     pub fn rules(&self) -> String {
         toml::to_string(&self.rules).unwrap_or_default()
--- a/crates/engine/src/config/mod.rs
+++ b/crates/engine/src/config/mod.rs
@@ -42,6 +42,7 @@
 
 use crate::engine::Setup;
 use crate::ports::membership::Member;
+use oatbank_zones::Left;
 use serde_json::Value;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -120,6 +121,8 @@
     pub members: Vec<Member>,
     /// Servers that get nothing new, wherever the list comes from.
     pub suspended: BTreeSet<String>,
+    /// Zones of which less than all is used.
+    pub left: Vec<Left>,
     /// Where the list of servers comes from, if not from here.
     pub zookeeper: Option<ZooKeeper>,
     /// The fleet that this limiter is one of.
--- a/crates/engine/src/config/rules.rs
+++ b/crates/engine/src/config/rules.rs
@@ -16,6 +16,8 @@
         each(file, "classes", class),
         each(file, "plans", plan),
         each(file, "servers", |path, server| here(path, server, file)),
+        each(file, "left", |path, left| zone(file, path, &left["zone"])),
+        once(file, "left", Some("zone")),
         zone(file, &[], &file["zone"]),
         address(file, &[], "listen"),
         counter(file),
--- a/crates/engine/src/engine/core.rs
+++ b/crates/engine/src/engine/core.rs
@@ -5,7 +5,7 @@
 //! event at once.
 
 use super::book::{Answer, Book, Reply};
-use super::fleet::Fleet;
+use super::fleet::{Fleet, Shares};
 use super::timers::Timers;
 use super::{Names, Setup};
 use crate::body::Progress;
@@ -13,6 +13,7 @@
 use crate::ports::membership::News;
 use crate::ports::upstream::End;
 use oatbank_operations::suspension::{Marks, NeverListed};
+use oatbank_zones::evidence::{Counts, Row};
 use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::panic::{catch_unwind, AssertUnwindSafe};
@@ -72,6 +73,8 @@
     /// Calls whose end the module has not been told.
     calls: HashMap<CallId, (CountName, Millis)>,
     next_call: u64,
+    /// How attempts ended, by zone, where that is counted.
+    tally: Option<HashMap<u16, Counts>>,
 }
 
 impl<Q, A> Core<Q, A> {
@@ -89,6 +92,7 @@
             timers: Timers::new(),
             calls: HashMap::new(),
             next_call: 0,
+            tally: None,
         }
     }
 
@@ -302,6 +306,9 @@
     ) -> bool {
         let Some(ended) = self.book.end(id, attempt, now) else { return false };
         let (server, complete, took, settled) = (ended.server, ended.over, ended.took, 0.0);
+        if let (Some(tally), Some(zone)) = (&mut self.tally, self.fleet.zone(server)) {
+            count(tally.entry(zone).or_default(), outcome);
+        }
         self.events.push_back(Event::Ended { id, attempt, server, outcome, complete, took, settled, load });
         true
     }
@@ -360,6 +367,27 @@
         self.relist(now, entries);
     }
 
+    /// Only these parts of zones are used from now on.
+    pub(crate) fn share(&mut self, now: Millis, shares: Shares) {
+        let entries = self.fleet.share(shares);
+        self.relist(now, entries);
+    }
+
+    /// Counts from now on how attempts end, by zone.
+    pub(crate) fn count_zones(&mut self) {
+        self.tally.get_or_insert_default();
+    }
+
+    /// What was counted so far, by the zone's name; with it how many of its servers may be used.
+    pub(crate) fn zones(&self) -> Vec<Row> {
+        let row = |(place, name): (usize, &String)| {
+            let zone = place as u16;
+            let counts = self.tally.as_ref().and_then(|t| t.get(&zone)).copied().unwrap_or_default();
+            Row { zone: name.clone(), counts, servers: self.fleet.usable(zone) }
+        };
+        self.names.zones.iter().enumerate().map(row).collect()
+    }
+
     /// Takes in what another process was told of servers.
     pub(crate) fn merge(&mut self, now: Millis, marks: &Marks) {
         let entries = self.fleet.merge(marks);
@@ -379,6 +407,10 @@
 
     /// From now on these settings hold for what comes in.
     pub(crate) fn revise(&mut self, now: Millis, names: &Names, settings: &Settings) {
+        if self.names.zones != names.zones {
+            // Counted by place among them.
+            self.tally = self.tally.take().map(|_| HashMap::new());
+        }
         (self.names, self.settings) = (names.clone(), settings.clone());
         self.feed(now, Event::Settings(Box::new(settings.clone())));
     }
@@ -416,6 +448,20 @@
     }
 }
 
+/// Which of a zone's counts an attempt's end belongs to. One that was called off or never sent tells nothing.
+fn count(counts: &mut Counts, outcome: Outcome) {
+    let which = match outcome {
+        Outcome::Ok => &mut counts.ok,
+        Outcome::Error => &mut counts.failed,
+        Outcome::TimedOut => &mut counts.silent,
+        Outcome::ConnectFailed => &mut counts.refused,
+        Outcome::Reset => &mut counts.broken,
+        Outcome::Full => &mut counts.full,
+        Outcome::Cancelled | Outcome::Moot => return,
+    };
+    *which += 1;
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/engine/src/engine/fleet.rs
+++ b/crates/engine/src/engine/fleet.rs
@@ -13,6 +13,23 @@
     id: String,
 }
 
+/// The parts of zones that a limiter may use: of each server's limiters so many, at even distances, so that they add up.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Shares {
+    /// By the zone's place among the names.
+    pub parts: HashMap<u16, f64>,
+    /// This limiter's place among all, from 0 to below 1.
+    pub place: f64,
+}
+
+impl Shares {
+    fn leaves_out(&self, id: &str, zone: u16) -> bool {
+        let Some(part) = self.parts.get(&zone) else { return false };
+        let begins = xxhash_rust::xxh3::xxh3_64(id.as_bytes()) as f64 / 2f64.powi(64);
+        (begins + self.place).fract() >= *part
+    }
+}
+
 /// Servers by number.
 pub(super) struct Fleet {
     known: HashMap<ServerId, Known>,
@@ -22,6 +39,8 @@
     suspensions: Suspensions,
     /// What the rules take out: lies over that, and an operator's word here does not put it in again.
     barred: BTreeSet<String>,
+    /// Zones of which only a part is used.
+    shares: Shares,
     /// The n-th number that an id may have.
     hash: fn(&str, u64) -> u64,
 }
@@ -30,7 +49,14 @@
     fn default() -> Self {
         let hash = |id: &str, nth| xxhash_rust::xxh3::xxh3_64_with_seed(id.as_bytes(), nth);
         let suspensions = Suspensions::default();
-        Fleet { known: HashMap::new(), numbers: HashMap::new(), suspensions, barred: BTreeSet::new(), hash }
+        Fleet {
+            known: HashMap::new(),
+            numbers: HashMap::new(),
+            suspensions,
+            barred: BTreeSet::new(),
+            shares: Shares::default(),
+            hash,
+        }
     }
 }
 
@@ -45,11 +71,11 @@
 
     pub(super) fn is_ready(&self, server: ServerId) -> bool {
         let listed = self.known.get(&server).filter(|s| s.entry.state == ServerState::Ready);
-        listed.is_some_and(|s| !self.is_out(&s.id))
+        listed.is_some_and(|s| !self.is_out(&s.id, &s.entry))
     }
 
-    fn is_out(&self, id: &str) -> bool {
-        self.suspensions.is_out(id) || self.barred.contains(id)
+    fn is_out(&self, id: &str, entry: &ServerEntry) -> bool {
+        self.suspensions.is_out(id) || self.barred.contains(id) || self.shares.leaves_out(id, entry.zone)
     }
 
     /// The rules take these out, and none else; what the module is to be told. They need not be listed.
@@ -58,6 +84,25 @@
         before.symmetric_difference(ids).filter_map(|id| self.entry_of(id)).collect()
     }
 
+    /// Only these parts of zones are used from now on; what the module is to be told.
+    pub(super) fn share(&mut self, shares: Shares) -> Vec<ServerEntry> {
+        let before = std::mem::replace(&mut self.shares, shares);
+        let differs = |s: &&Known| {
+            before.leaves_out(&s.id, s.entry.zone) != self.shares.leaves_out(&s.id, s.entry.zone)
+        };
+        self.known.values().filter(differs).map(|s| self.overlaid(&s.id, s.entry.clone())).collect()
+    }
+
+    /// The zone of a server, by its number, and how many of each may be used.
+    pub(super) fn zone(&self, server: ServerId) -> Option<u16> {
+        self.known.get(&server).map(|s| s.entry.zone)
+    }
+
+    pub(super) fn usable(&self, zone: u16) -> u32 {
+        let there = self.known.iter().filter(|(_, s)| s.entry.zone == zone);
+        there.filter(|(number, _)| self.is_ready(**number)).count() as u32
+    }
+
     /// Takes a server out; what the module is to be told.
     pub(super) fn suspend(&mut self, now: Millis, id: &str) -> Result<Option<ServerEntry>, NeverListed> {
         let changed = self.suspensions.suspend(now, id)?;
@@ -88,7 +133,7 @@
 
     /// What operators say lies over what the list says. One that is out is, to the module, one that drains.
     fn overlaid(&self, id: &str, mut entry: ServerEntry) -> ServerEntry {
-        if entry.state == ServerState::Ready && self.is_out(id) {
+        if entry.state == ServerState::Ready && self.is_out(id, &entry) {
             entry.state = ServerState::Draining;
         }
         entry.started = self.suspensions.started(id, entry.started);
@@ -161,6 +206,18 @@
         Member::ready(id, "127.0.0.1:80".parse().expect("an address"))
     }
 
+    #[test]
+    fn the_parts_of_a_zone_that_limiters_use_add_up_at_each_server() {
+        let shares = |n: u32, part: f64| Shares { parts: [(0, part)].into(), place: f64::from(n) / 24.0 };
+        for part in [0.0, 1.0 / 24.0, 0.25, 0.5, 1.0] {
+            for id in ["engine-1", "engine-2", "engine-3"] {
+                let using = (0..24).filter(|n| !shares(*n, part).leaves_out(id, 0)).count();
+                assert_eq!(using, (24.0 * part) as usize, "{id}, {part}");
+            }
+        }
+        assert!(!shares(3, 0.0).leaves_out("engine-1", 1), "another zone");
+    }
+
     #[test]
     fn a_whole_list_removes_what_it_does_not_name_and_changes_do_not() {
         let mut fleet = Fleet::default();
--- a/crates/engine/src/engine/mod.rs
+++ b/crates/engine/src/engine/mod.rs
@@ -10,6 +10,7 @@
 mod timers;
 
 pub use book::{Answer, Reply};
+pub use fleet::Shares;
 pub use revision::Revision;
 
 use crate::ports::clock::Clock;
@@ -20,6 +21,7 @@
 use core::{Core, Output};
 use oatbank_operations::budget::Budget;
 use oatbank_operations::suspension::{Marks, NeverListed};
+use oatbank_zones::evidence::Row;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
@@ -174,6 +176,21 @@
         self.change_servers(|core, now| core.bar(now, ids));
     }
 
+    /// Only these parts of zones are used from now on, as [`Engine::bar`].
+    pub fn share(self: &Rc<Self>, shares: Shares) {
+        self.change_servers(|core, now| core.share(now, shares));
+    }
+
+    /// Counts from now on how attempts end, by zone.
+    pub fn count_zones(&self) {
+        self.core.borrow_mut().count_zones();
+    }
+
+    /// What was counted so far of each zone.
+    pub fn zones(&self) -> Vec<Row> {
+        self.core.borrow().zones()
+    }
+
     /// What operators have said of servers.
     pub fn marks(&self) -> Marks {
         self.core.borrow().fleet().marks()
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -88,6 +88,8 @@
         /// The part.
         bytes: Vec<u8>,
     },
+    /// What a limiter tells the decider beside the agreement, which passes it on unread.
+    Beside(Vec<u8>),
     /// Who holds the latest term that the sender knows of, where a coordinator's tree elects the decider.
     Decides {
         /// The term.
--- a/crates/fleet/src/strict.rs
+++ b/crates/fleet/src/strict.rs
@@ -1,6 +1,6 @@
 //! What contradicts, in one place, and the rules that contradict neither of two sets.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use topazwind::interface::{Class, Plan, Repeat};
 
 /// Rules as limiters act by them, by name.
@@ -14,6 +14,8 @@
     pub servers: Vec<String>,
     /// Servers that get nothing, wherever the list of servers comes from.
     pub suspended: BTreeSet<String>,
+    /// Zones of which only this part is used.
+    pub left: BTreeMap<String, f64>,
     /// Attempts of one request; 0: no limit.
     pub max_attempts: u32,
 }
@@ -39,6 +41,11 @@
         x.servers.iter().filter(|s| !y.servers.contains(s)).cloned().collect::<Vec<_>>()
     };
     found.extend(only(a, b).into_iter().chain(only(b, a)).map(|server| format!("servers.{server}")));
+    // A part more or less is a step on one way; nothing and something is not.
+    let used = |r: &Rules, zone: &String| r.left.get(zone).is_none_or(|share| *share > 0.0);
+    let zones: BTreeSet<&String> = a.left.keys().chain(b.left.keys()).collect();
+    let apart = zones.into_iter().filter(|zone| used(a, zone) != used(b, zone));
+    found.extend(apart.map(|zone| format!("left.{zone}")));
     let differ = a.suspended.symmetric_difference(&b.suspended);
     found.extend(differ.map(|server| format!("suspended.{server}")));
     if a.max_attempts != b.max_attempts {
@@ -62,10 +69,21 @@
         plans: plans.collect(),
         servers: a.servers.iter().filter(|s| b.servers.contains(s)).cloned().collect(),
         suspended: a.suspended.union(&b.suspended).cloned().collect(),
+        left: less(&a.left, &b.left),
         max_attempts: least(f64::from(a.max_attempts), f64::from(b.max_attempts)) as u32,
     }
 }
 
+/// Of each zone the smaller part.
+fn less(a: &BTreeMap<String, f64>, b: &BTreeMap<String, f64>) -> BTreeMap<String, f64> {
+    let mut both = a.clone();
+    for (zone, share) in b {
+        let least = both.entry(zone.clone()).or_insert(*share);
+        *least = least.min(*share);
+    }
+    both
+}
+
 fn stricter_class(a: &Class, b: &Class) -> Class {
     Class {
         aim: a.aim.min(b.aim),
@@ -141,6 +159,7 @@
             plans: vec![("team".into(), plan)],
             servers: servers.iter().map(|s| s.to_string()).collect(),
             suspended: BTreeSet::new(),
+            left: BTreeMap::new(),
             max_attempts: 3,
         }
     }
@@ -154,6 +173,11 @@
         assert!(contradictions(&a, &a).is_empty());
         let banned = |id: &str| Rules { suspended: [id.to_owned()].into(), ..a.clone() };
         assert_eq!(contradictions(&banned("s1"), &banned("s2")), ["suspended.s1", "suspended.s2"]);
+        let leaves = |share: f64| Rules { left: [("a".to_owned(), share)].into(), ..a.clone() };
+        assert_eq!(contradictions(&leaves(0.0), &a), ["left.a"]);
+        assert!(contradictions(&leaves(0.5), &a).is_empty(), "a step on the same way");
+        assert_eq!(stricter(&leaves(0.5), &leaves(0.2)).left["a"], 0.2);
+        assert_eq!(stricter(&leaves(0.5), &a).left["a"], 0.5);
         let both: Vec<String> = stricter(&banned("s1"), &banned("s2")).suspended.into_iter().collect();
         assert_eq!(both, ["s1", "s2"], "what either bans gets nothing");
         for strict in [stricter(&a, &b), stricter(&b, &a)] {
--- a/crates/testkit/src/fleet.rs
+++ b/crates/testkit/src/fleet.rs
@@ -16,10 +16,25 @@
     pub times: Vec<Instant>,
 }
 
+/// How an engine behaves.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum Ill {
+    /// It answers at once.
+    #[default]
+    Well,
+    /// This share of its answers, spread evenly, is an error.
+    Failing(f64),
+    /// It answers nothing.
+    Silent,
+    /// It answers after this.
+    Slow(Duration),
+}
+
 /// The engines. They end with the process.
 pub struct Fleet {
     pub addresses: Vec<SocketAddr>,
     met: Arc<Mutex<Vec<Met>>>,
+    ill: Arc<Mutex<Vec<Ill>>>,
 }
 
 impl Fleet {
@@ -37,6 +52,8 @@
         let met = Arc::new(Mutex::new(vec![Met::default(); engines]));
         let (tell, told) = std::sync::mpsc::channel();
         let there = met.clone();
+        let ill = Arc::new(Mutex::new(vec![Ill::Well; engines]));
+        let how = ill.clone();
         std::thread::spawn(move || {
             let runtime =
                 tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
@@ -48,12 +65,17 @@
                 let addresses = listeners.iter().map(|l| l.local_addr().expect("an address")).collect();
                 tell.send(addresses).expect("who asked");
                 for (which, listener) in listeners.into_iter().enumerate() {
-                    tokio::spawn(accept(listener, which, there.clone(), keep));
+                    tokio::spawn(accept(listener, which, there.clone(), how.clone(), keep));
                 }
                 std::future::pending::<()>().await;
             });
         });
-        Fleet { addresses: told.recv().expect("addresses"), met }
+        Fleet { addresses: told.recv().expect("addresses"), met, ill }
+    }
+
+    /// These engines behave so from now on.
+    pub fn fall(&self, engines: std::ops::Range<usize>, ill: Ill) {
+        self.ill.lock().expect("a lock")[engines].fill(ill);
     }
 
     /// What each engine has seen so far.
@@ -67,14 +89,26 @@
     }
 }
 
-async fn accept(listener: TcpListener, which: usize, met: Arc<Mutex<Vec<Met>>>, keep: bool) {
+async fn accept(
+    listener: TcpListener,
+    which: usize,
+    met: Arc<Mutex<Vec<Met>>>,
+    ill: Arc<Mutex<Vec<Ill>>>,
+    keep: bool,
+) {
     while let Ok((stream, _)) = listener.accept().await {
-        tokio::spawn(serve(stream, which, met.clone(), keep));
+        tokio::spawn(serve(stream, which, met.clone(), ill.clone(), keep));
     }
 }
 
 /// Answers requests without a body.
-async fn serve(mut stream: TcpStream, which: usize, met: Arc<Mutex<Vec<Met>>>, keep: bool) {
+async fn serve(
+    mut stream: TcpStream,
+    which: usize,
+    met: Arc<Mutex<Vec<Met>>>,
+    ill: Arc<Mutex<Vec<Ill>>>,
+    keep: bool,
+) {
     let (mut head, mut buffer) = (Vec::new(), [0; 2048]);
     while let Ok(n @ 1..) = stream.read(&mut buffer).await {
         head.extend_from_slice(&buffer[..n]);
@@ -82,7 +116,7 @@
             continue;
         }
         head.clear();
-        {
+        let count = {
             let mut met = met.lock().expect("a lock");
             met[which].requests += 1;
             let now = Instant::now();
@@ -91,8 +125,22 @@
             if keep {
                 met[which].times.push(now);
             }
-        }
-        if stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nmade").await.is_err() {
+            met[which].requests
+        };
+        let ill = ill.lock().expect("a lock")[which];
+        let good: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nmade";
+        let bad: &[u8] = b"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 4\r\n\r\nlost";
+        let answer = match ill {
+            // By the golden ratio: evenly spread, and in step with nothing.
+            Ill::Failing(share) if (count as f64 * 0.618_033_988_749_895).fract() < share => bad,
+            Ill::Silent => continue,
+            Ill::Slow(by) => {
+                tokio::time::sleep(by).await;
+                good
+            }
+            _ => good,
+        };
+        if stream.write_all(answer).await.is_err() {
             return;
         }
     }
--- a/crates/testkit/src/rig/mod.rs
+++ b/crates/testkit/src/rig/mod.rs
@@ -3,6 +3,7 @@
 
 mod link;
 pub mod seen;
+pub mod zones;
 
 pub use link::{Fault, Link, CUT};
 
@@ -254,9 +255,11 @@
     let mut reader = BufReader::new(clone);
     while go_on() {
         let id = asked.fetch_add(1, Ordering::SeqCst);
+        // What must not run twice is no GET.
+        let method = if class == "order" { "POST" } else { "GET" };
         let request = format!(
-            "GET /{class}?customer=00000000b4d65521 HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: {id:016x}\r\n\
-             X-Service-Class: {class}\r\nX-Plan: team\r\nX-Quota: units=1,spread=1,first=0\r\nX-Time-Left: 1.0\r\n\r\n"
+            "{method} /{class}?customer=00000000b4d65521 HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: {id:016x}\r\n\
+             X-Service-Class: {class}\r\nX-Plan: team\r\nX-Quota: units=1,spread=1,first=0\r\nX-Time-Left: 1.0\r\nContent-Length: 0\r\n\r\n"
         );
         let written = stream.write_all(request.as_bytes()).is_ok();
         let answer = if written { read_message(&mut reader) } else { None };
--- a/crates/zones/src/course.rs
+++ b/crates/zones/src/course.rs
@@ -16,7 +16,9 @@
 const GROW: f64 = 2.0;
 /// A step is judged by so many attempts at least.
 const ENOUGH: f64 = 10.0;
-/// Without them it goes on after so many steps' time: whoever sends nothing risks nothing.
+/// Standard deviations by which a step must be worse than what is no matter.
+const DOUBT: f64 = 1.96;
+/// Without them, and without a failure, it goes on after so many steps' time: whoever sends nothing risks nothing.
 const PATIENCE: Millis = 5;
 
 /// What staff want.
@@ -157,7 +159,8 @@
                 false
             }
             Phase::Leaving => self.leaving(now, sight),
-            Phase::Out(until) if now >= until => {
+            // Where the others fail too there is nothing to wait for.
+            Phase::Out(until) if now >= until || !sight.others_well => {
                 self.phase = Phase::Returning;
                 self.step(now, self.first)
             }
@@ -189,8 +192,8 @@
     }
 
     fn returning(&mut self, now: Millis, sight: &Sight) -> bool {
-        let tried = sight.tries >= ENOUGH;
-        if sight.fails || tried && !fine(sight) {
+        let tried = sight.tries >= ENOUGH && fine(sight);
+        if sight.fails || broken(sight) {
             self.failed += 1;
             let back = self.share / GROW;
             if back < self.first {
@@ -203,7 +206,7 @@
             return changed;
         }
         let past = now.saturating_sub(self.stepped);
-        if past < STEP_BACK || !tried && past < PATIENCE * STEP_BACK {
+        if past < STEP_BACK || !tried && (sight.bad > 0.0 || past < PATIENCE * STEP_BACK) {
             return false;
         }
         let share = (self.share * GROW).min(1.0);
@@ -238,8 +241,22 @@
     }
 }
 
+fn limit(sight: &Sight) -> f64 {
+    (2.0 * sight.sound).max(0.05)
+}
+
 fn fine(sight: &Sight) -> bool {
-    sight.bad / sight.tries.max(1.0) <= (2.0 * sight.sound).max(0.05)
+    sight.bad / sight.tries.max(1.0) <= limit(sight)
+}
+
+/// More fails than an accident explains: the lower end of Wilson's interval, so that few tries tell little, and many soon.
+/// Limiters send little to servers that failed them, so that many may never come.
+fn broken(sight: &Sight) -> bool {
+    let (n, p) = (sight.tries.max(1.0), sight.bad / sight.tries.max(1.0));
+    let z2 = DOUBT * DOUBT;
+    let middle = p + z2 / (2.0 * n);
+    let wide = DOUBT * (p * (1.0 - p) / n + z2 / (4.0 * n * n)).sqrt();
+    sight.bad >= 2.0 && (middle - wide) / (1.0 + z2 / n) > limit(sight)
 }
 
 #[cfg(test)]
@@ -293,6 +310,13 @@
         assert!(gaps.iter().all(|gap| *gap <= MOST_HOLD * 6 / 5 + 1000), "{gaps:?}");
     }
 
+    #[test]
+    fn two_failures_of_three_tries_break_a_step_and_one_of_many_does_not() {
+        let sight = |tries: f64, bad: f64| Sight { tries, bad, ..GOOD };
+        assert!(broken(&sight(3.0, 2.0)) && broken(&sight(100.0, 15.0)));
+        assert!(!broken(&sight(1.0, 1.0)) && !broken(&sight(100.0, 5.0)));
+    }
+
     #[test]
     fn a_step_that_breaks_goes_back_one_and_waits_longer() {
         let mut course = Course::new(4, 3).taken_over(0, 0.5, By::Evidence);
@@ -314,6 +338,21 @@
         assert!(course.next(4250, &GOOD) && course.share() == 0.2);
     }
 
+    #[test]
+    fn where_the_others_fail_too_it_is_not_held_out() {
+        let mut course = Course::new(6, 7);
+        assert!(course.next(0, &BAD) && course.share() == 0.0);
+        assert!(!course.next(1000, &GOOD));
+        let all = Sight { others_well: false, sound: 0.6, bad: 60.0, ..GOOD };
+        let shares = play(&mut course, 1000, 20_000, |_, _| all);
+        assert_eq!(shares.first().map(|s| s.0), Some(1000));
+        assert_eq!(
+            shares.last().map(|s| s.1),
+            Some(1.0),
+            "no worse than the others, it is wholly used: {shares:?}"
+        );
+    }
+
     #[test]
     fn what_staff_order_goes_before_what_is_seen_until_they_end_it() {
         let mut course = Course::new(6, 5);
--- a/crates/zones/src/evidence.rs
+++ b/crates/zones/src/evidence.rs
@@ -7,6 +7,8 @@
 
 /// Counts fade by this, ms: what was a few seconds ago still tells, what was half a minute ago does not.
 pub const FADE: f64 = 3000.0;
+/// Rates fade by this, ms: they say what zones carry now.
+const RATE_FADE: f64 = 2000.0;
 /// A limiter that has said nothing for this long, ms, tells nothing any more.
 pub const STALE: Millis = 3000;
 /// Zones of one report: more do not fit into a message, and those with the most failures come first.
@@ -121,7 +123,7 @@
             *seen = Seen { life: report.life, at: now, ..Seen::default() };
         }
         let past = (now - seen.at) as f64;
-        let keep = (-past / FADE).exp();
+        let (keep, keep_rate) = ((-past / FADE).exp(), (-past / RATE_FADE).exp());
         (seen.at, seen.own) = (now, report.own.clone());
         let mut news = Vec::new();
         for row in report.rows.iter().take(MOST_ROWS) {
@@ -133,7 +135,7 @@
             *view = View {
                 bad: view.bad * keep + bad,
                 ok: view.ok * keep + ok,
-                rate: view.rate * keep + rate * (1.0 - keep),
+                rate: view.rate * keep_rate + rate * (1.0 - keep_rate),
                 servers: row.servers,
             };
             if bad + ok > 0.0 {
@@ -208,8 +210,9 @@
         board.report(0, 1, &report(1, 0, 0));
         board.report(500, 1, &report(1, 100, 0));
         assert!((board.sum(500, "a").ok - 100.0).abs() < 1e-9);
-        board.report(500 + 3000, 1, &report(1, 100, 0));
-        assert!((board.sum(3500, "a").ok - 100.0 / std::f64::consts::E).abs() < 1e-6);
-        assert_eq!(board.sum(3500 + STALE, "a"), View::default());
+        let later = 500 + FADE as Millis;
+        board.report(later, 1, &report(1, 100, 0));
+        assert!((board.sum(later, "a").ok - 100.0 / std::f64::consts::E).abs() < 1e-6);
+        assert_eq!(board.sum(later + STALE, "a"), View::default());
     }
 }
--- a/crates/zones/src/verdict.rs
+++ b/crates/zones/src/verdict.rs
@@ -12,14 +12,14 @@
 const SOUND: f64 = 0.02;
 /// The rate that is worth leaving for is so much more than what the other zones have.
 const WORSE: f64 = 0.10;
-/// The evidence at which the test says that it fails: the odds of e^14 against an accident.
-const SURE: f64 = 14.0;
+/// The evidence at which the test says that it fails: the odds of e^12 against an accident.
+const SURE: f64 = 12.0;
 /// A limiter's report counts for so many attempts at most in one go, so that none outvotes the rest.
 const MOST_AT_ONCE: f64 = 20.0;
 /// The part of the limiters with tries there that must have seen failures of their own.
 const SEEN_BY: f64 = 0.5;
 /// A limiter with fewer tries in its view is not asked.
-const FEW: f64 = 4.0;
+const FEW: f64 = 2.0;
 /// Where so much of all attempts outside fail too, there is nowhere to go.
 const EVERYWHERE: f64 = 0.5;
 
@@ -42,23 +42,37 @@
 /// The test's sums, by zone.
 #[derive(Clone, Debug, Default)]
 pub struct Test {
-    sums: BTreeMap<String, f64>,
+    runs: BTreeMap<String, Run>,
+}
+
+/// A zone's evidence since it last came to nothing.
+#[derive(Clone, Debug, Default)]
+struct Run {
+    sum: f64,
+    /// What each limiter tried since, and how much of it failed. Limiters leave what fails by themselves within a second, so
+    /// that nothing else tells who has seen it.
+    seen: BTreeMap<u16, (f64, f64)>,
 }
 
 impl Test {
     /// Takes in what is new; `sound` is the rate of failures in the other zones.
-    pub fn take(&mut self, news: &News, sound: f64) {
+    pub fn take(&mut self, from: u16, news: &News, sound: f64) {
         let (p0, p1) = rates(sound);
         let part = (MOST_AT_ONCE / (news.bad + news.ok)).min(1.0);
         let step = part * (news.bad * (p1 / p0).ln() + news.ok * ((1.0 - p1) / (1.0 - p0)).ln());
-        let sum = self.sums.entry(news.zone.clone()).or_default();
+        let run = self.runs.entry(news.zone.clone()).or_default();
         // Bounded above as well: what was sure for long must not take as long to be doubted.
-        *sum = (*sum + step).clamp(0.0, 2.0 * SURE);
+        run.sum = (run.sum + step).clamp(0.0, 2.0 * SURE);
+        if run.sum <= 0.0 {
+            return run.seen.clear();
+        }
+        let (tries, bad) = run.seen.entry(from).or_default();
+        (*tries, *bad) = (*tries + news.bad + news.ok, *bad + news.bad);
     }
 
     /// The evidence against a zone, of [`Test::sure`].
     pub fn sum(&self, zone: &str) -> f64 {
-        self.sums.get(zone).copied().unwrap_or(0.0)
+        self.runs.get(zone).map_or(0.0, |run| run.sum)
     }
 
     /// Where it is sure.
@@ -68,7 +82,7 @@
 
     /// A zone is looked at anew: it was left, or begins to be used again.
     pub fn forget(&mut self, zone: &str) {
-        self.sums.remove(zone);
+        self.runs.remove(zone);
     }
 }
 
@@ -89,15 +103,17 @@
 
 /// What is found of a zone now.
 pub fn judge(board: &Board, test: &Test, now: Millis, zone: &str) -> Verdict {
+    let Some(run) = test.runs.get(zone).filter(|run| run.sum >= SURE) else { return Verdict::Sound };
     let views = board.views(now, zone);
-    let asked: Vec<_> = views.iter().filter(|(_, _, v)| v.tries() >= FEW).collect();
     let sound = sound_rate(board, now, zone);
     let (_, p1) = rates(sound);
-    // Its own failures are more than an accident, or it has seen one at all and has tried little.
-    let sees = |v: &crate::evidence::View| v.bad >= 1.0 && v.bad / v.tries() > p1 / 2.0;
-    let seeing: Vec<_> = asked.iter().filter(|(_, _, v)| sees(v)).collect();
-    let sure = test.sum(zone) >= SURE;
-    if !sure || asked.is_empty() {
+    let tried = |n: &u16| run.seen.get(n).copied().unwrap_or_default();
+    // Also those that have not reported since the run began: they may see nothing.
+    let asked: Vec<_> = views.iter().filter(|(n, _, v)| tried(n).0.max(v.tries()) >= FEW).collect();
+    // It has seen failures of its own, and more than the rate between sound and not.
+    let sees = |n: &u16| tried(n).1 >= 1.0 && tried(n).1 / tried(n).0 > p1 / 2.0;
+    let seeing: Vec<_> = asked.iter().filter(|(n, ..)| sees(n)).collect();
+    if asked.is_empty() {
         return Verdict::Sound;
     }
     if sound >= EVERYWHERE {
@@ -143,7 +159,7 @@
                 let own = Some(["a", "b", "c"][n % 3].to_owned());
                 for news in board.report(now, n as u16, &Report { life: 1, own, rows }) {
                     let sound = sound_rate(&board, now, &news.zone);
-                    test.take(&news, sound);
+                    test.take(n as u16, &news, sound);
                 }
             }
             let verdict = judge(&board, &test, now, "a");
--- a/crates/zones/src/zones.rs
+++ b/crates/zones/src/zones.rs
@@ -70,7 +70,7 @@
     pub fn report(&mut self, now: Millis, from: u16, report: &Report) {
         for news in self.board.report(now, from, report) {
             let sound = sound_rate(&self.board, now, &news.zone);
-            self.test.take(&news, sound);
+            self.test.take(from, &news, sound);
             let (tries, bad) = self.since.entry(news.zone).or_default();
             (*tries, *bad) = (*tries + news.bad + news.ok, *bad + news.bad);
         }
