--- a/crates/daemon/src/fleet/apply.rs
+++ b/crates/daemon/src/fleet/apply.rs
@@ -7,6 +7,7 @@
 use oatbank_fleet::document::{Id, Revision};
 use oatbank_fleet::member::Acting;
 use oatbank_fleet::strict::{stricter, Rules};
+use oatbank_zones::zones::Cold;
 use oatbank_zones::{By, Left};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -37,6 +38,15 @@
         self.config(revision).map(|config| config.left).unwrap_or_default()
     }
 
+    /// What a revision spares cold servers.
+    pub(super) fn cold(&mut self, revision: &Revision) -> Cold {
+        let settings = self.config(revision).map(|config| config.setup.settings);
+        settings.map_or(Cold { share: 1.0, warm_after: 0 }, |s| Cold {
+            share: s.cold_start,
+            warm_after: s.warm_after as u64,
+        })
+    }
+
     /// The zone that this limiter stands in.
     pub(super) fn own_zone(&self) -> Option<String> {
         self.base.zone()
--- a/crates/daemon/src/fleet/zones.rs
+++ b/crates/daemon/src/fleet/zones.rs
@@ -71,7 +71,10 @@
         }
         let wanted = {
             let mut led = self.led.zones.borrow_mut();
-            let zones = led.get_or_insert_with(|| Zones::new(self.settings.peers.len(), self.life));
+            let zones = led.get_or_insert_with(|| {
+                let cold = self.applied.borrow_mut().cold(&held);
+                Zones::new(self.settings.peers.len(), cold, self.life)
+            });
             zones.report(now, self.settings.me.0, report);
             zones.decided(now, &self.led.left.borrow().1);
             zones.tick(now)
--- a/crates/zones/src/bears.rs
+++ b/crates/zones/src/bears.rs
@@ -41,7 +41,7 @@
     }
 
     /// What one server bears, a second; nothing where nobody has served anything.
-    fn each(&self) -> Option<f64> {
+    pub(crate) fn each(&self) -> Option<f64> {
         self.best.values().map(|(_, best)| *best).max_by(f64::total_cmp).filter(|best| *best > 0.0)
     }
 
--- a/crates/zones/src/course.rs
+++ b/crates/zones/src/course.rs
@@ -48,7 +48,7 @@
 }
 
 /// What is seen of it, and of the others.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Sight {
     /// It fails.
     pub fails: bool,
@@ -60,6 +60,8 @@
     pub sound: f64,
     /// What the others do not bear, as a part of this zone.
     pub stays: f64,
+    /// As much of it as its servers bear should they be cold still; 1 once they are warm.
+    pub cold_most: f64,
     /// The others serve well.
     pub others_well: bool,
 }
@@ -73,6 +75,10 @@
     stepped: Millis,
     /// Returns that failed in a row.
     failed: u32,
+    /// Its last step was one back.
+    sinking: bool,
+    /// Since when it is used again.
+    back_since: Option<Millis>,
     /// The first step back.
     first: f64,
     seed: u64,
@@ -82,7 +88,17 @@
     /// Of a zone that is wholly used, in a fleet of so many limiters: the first step back lets one of them to each server.
     pub fn new(limiters: usize, seed: u64) -> Course {
         let first = (1.0 / limiters.max(1) as f64).min(0.25);
-        Course { phase: Phase::Used, share: 1.0, order: None, stepped: 0, failed: 0, first, seed }
+        Course {
+            phase: Phase::Used,
+            share: 1.0,
+            order: None,
+            stepped: 0,
+            failed: 0,
+            sinking: false,
+            back_since: None,
+            first,
+            seed,
+        }
     }
 
     /// Of one of which the fleet uses less already, as another limiter has led it so far.
@@ -104,6 +120,11 @@
         self.phase
     }
 
+    /// Since when it is used again, while it comes back.
+    pub(crate) fn back_since(&self) -> Option<Millis> {
+        self.back_since
+    }
+
     /// How much of it is to be used.
     pub fn share(&self) -> f64 {
         self.share
@@ -141,6 +162,11 @@
 
     fn step(&mut self, now: Millis, share: f64) -> bool {
         let changed = share != self.share;
+        self.back_since = match share > 0.0 {
+            true if self.share <= 0.0 => Some(now),
+            true => self.back_since,
+            false => None,
+        };
         (self.share, self.stepped) = (share, now);
         changed
     }
@@ -161,6 +187,7 @@
             Phase::Leaving => self.leaving(now, sight),
             // Where the others fail too there is nothing to wait for.
             Phase::Out(until) if now >= until || !sight.others_well => {
+                self.sinking = false;
                 self.phase = Phase::Returning;
                 self.step(now, self.first)
             }
@@ -194,9 +221,10 @@
     fn returning(&mut self, now: Millis, sight: &Sight) -> bool {
         let tried = sight.tries >= ENOUGH && fine(sight);
         if sight.fails || broken(sight) {
-            self.failed += 1;
+            // Steps back in a row are one return that failed.
+            self.failed += u32::from(!std::mem::replace(&mut self.sinking, true));
             let back = self.share / GROW;
-            if back < self.first {
+            if sight.fails || back < self.first {
                 self.phase = Phase::Out(now + self.hold());
                 return self.step(now, 0.0);
             }
@@ -209,7 +237,12 @@
         if past < STEP_BACK || !tried && (sight.bad > 0.0 || past < PATIENCE * STEP_BACK) {
             return false;
         }
-        let share = (self.share * GROW).min(1.0);
+        // A server that has just started is spared, whoever lets it be used.
+        let share = (self.share * GROW).min(1.0).min(sight.cold_most.max(self.first));
+        if share <= self.share {
+            return false;
+        }
+        self.sinking = false;
         if share >= 1.0 {
             self.phase = Phase::Used;
         }
@@ -263,8 +296,15 @@
 mod tests {
     use super::*;
 
-    const GOOD: Sight =
-        Sight { fails: false, tries: 100.0, bad: 0.0, sound: 0.02, stays: 0.0, others_well: true };
+    const GOOD: Sight = Sight {
+        fails: false,
+        tries: 100.0,
+        bad: 0.0,
+        sound: 0.02,
+        stays: 0.0,
+        cold_most: 1.0,
+        others_well: true,
+    };
     const BAD: Sight = Sight { fails: true, bad: 30.0, ..GOOD };
 
     /// The shares that a course goes through, with when each began.
@@ -338,6 +378,17 @@
         assert!(course.next(4250, &GOOD) && course.share() == 0.2);
     }
 
+    #[test]
+    fn cold_servers_are_spared_until_they_are_warm() {
+        let mut course = Course::new(6, 8).taken_over(0, 0.0, By::Evidence);
+        let shares = play(&mut course, 0, 60_000, |now, _| Sight {
+            cold_most: if now < 30_000 { 0.3 } else { 1.0 },
+            ..GOOD
+        });
+        assert!(shares.iter().all(|(at, share)| *share <= 0.3 || *at >= 30_000), "{shares:?}");
+        assert_eq!(shares.last().map(|s| s.1), Some(1.0));
+    }
+
     #[test]
     fn where_the_others_fail_too_it_is_not_held_out() {
         let mut course = Course::new(6, 7);
--- a/crates/zones/src/zones.rs
+++ b/crates/zones/src/zones.rs
@@ -56,20 +56,35 @@
     since: BTreeMap<String, (f64, f64)>,
     /// What is decided, once that is known.
     decided: Option<Vec<Left>>,
+    /// The rate of failures outside each zone, as of the last tick.
+    sound: BTreeMap<String, f64>,
+    cold: Cold,
+    /// Attempts a second that a zone had before it was left.
+    usual: BTreeMap<String, f64>,
+}
+
+/// What a server that has just started is spared.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Cold {
+    /// It bears this part of what it will.
+    pub share: f64,
+    /// Until it has served for so long, ms.
+    pub warm_after: Millis,
 }
 
 impl Zones {
     /// Of a fleet of so many limiters.
-    pub fn new(limiters: usize, seed: u64) -> Zones {
+    pub fn new(limiters: usize, cold: Cold, seed: u64) -> Zones {
         let (board, test, bears) = Default::default();
         let (courses, since, decided) = Default::default();
-        Zones { limiters, seed, board, test, bears, courses, since, decided }
+        let (sound, usual) = Default::default();
+        Zones { limiters, seed, board, test, bears, courses, since, decided, sound, cold, usual }
     }
 
     /// Takes in a limiter's report.
     pub fn report(&mut self, now: Millis, from: u16, report: &Report) {
         for news in self.board.report(now, from, report) {
-            let sound = sound_rate(&self.board, now, &news.zone);
+            let sound = self.sound.get(&news.zone).copied().unwrap_or(0.0);
             self.test.take(from, &news, sound);
             let (tries, bad) = self.since.entry(news.zone).or_default();
             (*tries, *bad) = (*tries + news.bad + news.ok, *bad + news.bad);
@@ -134,17 +149,39 @@
             fails: judge(&self.board, &self.test, now, zone) == Verdict::Fails,
             tries,
             bad,
-            sound: sound_rate(&self.board, now, zone),
+            sound: self.sound.get(zone).copied().unwrap_or(0.0),
             stays: self.bears.stays(zone, loads),
+            cold_most: self.cold_most(now, zone, loads),
             others_well: loads.iter().all(|(z, l)| z == zone || l.share < 1.0 || l.well),
         }
     }
 
+    /// As much of a zone as its servers bear should they all be cold, until it has been used for as long as they need.
+    fn cold_most(&self, now: Millis, zone: &str, loads: &BTreeMap<String, Load>) -> f64 {
+        let course = self.courses.get(zone);
+        let used_for = course.and_then(Course::back_since).map_or(0, |since| now.saturating_sub(since));
+        let usual = self.usual.get(zone).copied().unwrap_or(0.0);
+        if used_for >= self.cold.warm_after || usual <= 0.0 {
+            return 1.0;
+        }
+        let servers = loads.get(zone).map_or(0, |l| l.servers);
+        match self.bears.each() {
+            Some(each) if servers > 0 => (self.cold.share * each * f64::from(servers) / usual).min(1.0),
+            _ => 1.0,
+        }
+    }
+
     /// Time has passed; what the fleet should decide, where that is not what it has decided.
     pub fn tick(&mut self, now: Millis) -> Option<Vec<Left>> {
         self.decided.as_ref()?;
         let loads = self.loads(now);
-        loads.iter().for_each(|(zone, load)| self.bears.saw(now, zone, *load));
+        for (zone, load) in &loads {
+            self.sound.insert(zone.clone(), sound_rate(&self.board, now, zone));
+            self.bears.saw(now, zone, *load);
+            if load.share >= 1.0 && load.well {
+                self.usual.insert(zone.clone(), load.rate);
+            }
+        }
         for zone in self.known() {
             let sight = self.sight(now, &zone, &loads);
             let fresh = self.fresh(&zone);
