--- a/crates/testkit/src/fleet.rs
+++ b/crates/testkit/src/fleet.rs
@@ -1,5 +1,6 @@
 //! Many small engines in one thread: each listens at an address of its own, answers at once and notes when it was met.
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -14,6 +15,8 @@
     pub last: Option<Instant>,
     /// When each request came, if that is kept.
     pub times: Vec<Instant>,
+    /// Requests whose id had come before, here or to another engine, if that is kept.
+    pub again: usize,
 }
 
 /// How an engine behaves.
@@ -37,6 +40,9 @@
     ill: Arc<Mutex<Vec<Ill>>>,
 }
 
+/// Ids of requests that came to any engine.
+type Ids = Arc<Mutex<HashSet<String>>>;
+
 impl Fleet {
     /// So many engines, on loopback.
     pub fn start(engines: usize) -> Fleet {
@@ -53,7 +59,7 @@
         let (tell, told) = std::sync::mpsc::channel();
         let there = met.clone();
         let ill = Arc::new(Mutex::new(vec![Ill::Well; engines]));
-        let how = ill.clone();
+        let (how, ids) = (ill.clone(), Ids::default());
         std::thread::spawn(move || {
             let runtime =
                 tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
@@ -65,7 +71,8 @@
                 let addresses = listeners.iter().map(|l| l.local_addr().expect("an address")).collect();
                 tell.send(addresses).expect("who asked");
                 for (which, listener) in listeners.into_iter().enumerate() {
-                    tokio::spawn(accept(listener, which, there.clone(), how.clone(), keep));
+                    let ids = keep.then(|| ids.clone());
+                    tokio::spawn(accept(listener, which, there.clone(), how.clone(), ids));
                 }
                 std::future::pending::<()>().await;
             });
@@ -94,10 +101,10 @@
     which: usize,
     met: Arc<Mutex<Vec<Met>>>,
     ill: Arc<Mutex<Vec<Ill>>>,
-    keep: bool,
+    ids: Option<Ids>,
 ) {
     while let Ok((stream, _)) = listener.accept().await {
-        tokio::spawn(serve(stream, which, met.clone(), ill.clone(), keep));
+        tokio::spawn(serve(stream, which, met.clone(), ill.clone(), ids.clone()));
     }
 }
 
@@ -107,7 +114,7 @@
     which: usize,
     met: Arc<Mutex<Vec<Met>>>,
     ill: Arc<Mutex<Vec<Ill>>>,
-    keep: bool,
+    ids: Option<Ids>,
 ) {
     let (mut head, mut buffer) = (Vec::new(), [0; 2048]);
     while let Ok(n @ 1..) = stream.read(&mut buffer).await {
@@ -115,6 +122,7 @@
         if !head.ends_with(b"\r\n\r\n") {
             continue;
         }
+        let again = ids.as_ref().is_some_and(|ids| came_before(&head, ids));
         head.clear();
         let count = {
             let mut met = met.lock().expect("a lock");
@@ -122,8 +130,9 @@
             let now = Instant::now();
             met[which].first.get_or_insert(now);
             met[which].last = Some(now);
-            if keep {
+            if ids.is_some() {
                 met[which].times.push(now);
+                met[which].again += usize::from(again);
             }
             met[which].requests
         };
@@ -145,3 +154,10 @@
         }
     }
 }
+
+/// Whether a request's id has come before.
+fn came_before(head: &[u8], ids: &Ids) -> bool {
+    let head = String::from_utf8_lossy(head).to_ascii_lowercase();
+    let id = head.lines().find_map(|line| line.strip_prefix("x-correlation-id:"));
+    id.is_some_and(|id| !ids.lock().expect("a lock").insert(id.trim().to_owned()))
+}
--- a/crates/zones/tests/schedules.rs
+++ b/crates/zones/tests/schedules.rs
@@ -6,7 +6,7 @@
 use oatbank_zones::Left;
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 
 /// A report, and a step of the world, ms.
 const STEP: u64 = 250;
@@ -81,11 +81,11 @@
     let mut dice = Dice(Pcg64Mcg::seed_from_u64(plan.seed));
     let mut zones = Zones::new(plan.limiters, Cold { share: COLD, warm_after: WARM_AFTER }, plan.seed);
     zones.decided(0, &[]);
-    let (mut decided, mut on_way): (Vec<Left>, VecDeque<(u64, Vec<Left>)>) = Default::default();
+    let (mut decided, mut on_way): (Vec<Left>, Option<(u64, Vec<Left>)>) = Default::default();
     let mut totals = vec![[Counts::default(); 3]; plan.limiters];
     let (mut seen, mut served_since_ill, mut late) = (Seen::default(), 0, (0.0, 0.0));
     for now in (0..plan.until).step_by(STEP as usize) {
-        if let Some((_, left)) = on_way.pop_front_if(|(at, _)| *at <= now) {
+        if let Some((_, left)) = on_way.take_if(|(at, _)| *at <= now) {
             let part = |left: &[Left]| left.iter().find(|l| l.zone == "a").map_or(1.0, |l| l.share);
             let (before, after) = (part(&decided), part(&left));
             if after < before && before == 1.0 {
@@ -141,8 +141,8 @@
             let rows = ZONES.iter().enumerate().map(row).collect();
             zones.report(now, who as u16, &Report { life: 1, own: Some("a".into()), rows });
         }
-        if let Some(wanted) = zones.tick(now).filter(|_| on_way.is_empty()) {
-            on_way.push_back((now + DECISION, wanted));
+        if let Some(wanted) = zones.tick(now).filter(|_| on_way.is_none()) {
+            on_way = Some((now + DECISION, wanted));
         }
     }
     seen
