Rig: processes that stand still, start and calm down by one place; one runner of commands

Three tests had the same lines for stopping, killing and starting by chance, two commands the same runner.

--- a/crates/daemon/src/fleet/command.rs
+++ b/crates/daemon/src/fleet/command.rs
@@ -10,6 +10,7 @@
 use oatbank_fleet::document::Digest;
 use percent_encoding::{utf8_percent_encode, NON_ALPHANUMERIC};
 use serde_json::Value;
+use std::future::Future;
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -126,10 +127,18 @@
 /// # Errors
 /// When there is no runtime.
 pub fn run(command: FleetCommand) -> Result<ExitCode, String> {
+    ended(carry_out(command))
+}
+
+/// Waits for a command's end, says why it did not end well, and gives its exit code.
+///
+/// # Errors
+/// When there is no runtime.
+pub(super) fn ended(command: impl Future<Output = Result<(), End>> + 'static) -> Result<ExitCode, String> {
     let ended = Rc::new(std::cell::Cell::new(0));
     let code = ended.clone();
     on_one_thread(async move {
-        if let Err(End(n, say)) = carry_out(command).await {
+        if let Err(End(n, say)) = command.await {
             eprintln!("oatbank: {}", say.trim_end());
             code.set(n);
         }
--- a/crates/daemon/src/fleet/zone_command.rs
+++ b/crates/daemon/src/fleet/zone_command.rs
@@ -1,12 +1,11 @@
 //! `oatbank zone`: what operators do with a fleet's zones, by calls to the decider's `fleet.control`.
 
-use super::command::{call_at, get, print, word, At, End};
-use crate::serve::on_one_thread;
+use super::command::{call_at, ended, get, print, word, At, End};
+
 use clap::Subcommand;
 use hyper::Method;
 use serde_json::Value;
 use std::process::ExitCode;
-use std::rc::Rc;
 
 /// There is no such zone, or it is the last.
 const NOT_POSSIBLE: u8 = 3;
@@ -70,16 +69,7 @@
 /// # Errors
 /// When there is no runtime.
 pub fn run(command: ZoneCommand) -> Result<ExitCode, String> {
-    let ended = Rc::new(std::cell::Cell::new(0));
-    let code = ended.clone();
-    on_one_thread(async move {
-        if let Err(End(n, say)) = carry_out(command).await {
-            eprintln!("oatbank: {}", say.trim_end());
-            code.set(n);
-        }
-        Ok(())
-    })?;
-    Ok(ExitCode::from(ended.get()))
+    ended(carry_out(command))
 }
 
 async fn carry_out(command: ZoneCommand) -> Result<(), End> {
--- a/crates/daemon/tests/elected.rs
+++ b/crates/daemon/tests/elected.rs
@@ -231,7 +231,6 @@
     eventually("all act by the first", || agreed(&rig).is_some());
     rig.ask_all("quote", Duration::from_millis(5));
     let (begun, mut decided, mut engine) = (Instant::now(), 0, 1);
-    let mut wakes: Vec<(Instant, usize)> = Vec::new();
     while begun.elapsed() < Duration::from_millis(7000) {
         let one = below(limiters as u64) as usize;
         match below(22) {
@@ -242,27 +241,16 @@
                 let (delay, loss) = (Duration::from_millis(below(150)), below(30) as f64 / 100.0);
                 rig.faults(Fault { cut: false, delay, loss, repeat: 0.1 }, |_, _| true);
             }
-            4 if rig.runs(one) => {
-                rig.stop(one);
-                wakes.push((Instant::now() + Duration::from_millis([400, 1500][below(2) as usize]), one));
-            }
-            5 if rig.runs(one) => {
-                wakes.retain(|(_, n)| *n != one);
-                rig.kill(one);
-            }
-            6 => {
-                if let Some(gone) = (0..limiters).find(|n| !rig.runs(*n)) {
-                    rig.begin(gone);
-                }
-            }
+            4 => rig.stop_for(one, Duration::from_millis([400, 1500][below(2) as usize])),
+            5 => rig.kill(one),
+            6 => rig.begin_one(),
             7 => away(&rig, true, |n| n == one),
             8 => away(&rig, true, |_| true),
             9..=14 => away(&rig, false, |_| true),
             _ => rig.faults(Fault::default(), |_, _| true),
         }
-        let still = |n: usize| wakes.iter().all(|(_, stopped)| *stopped != n);
         let at = (0..limiters)
-            .filter(|n| rig.runs(*n) && still(*n))
+            .filter(|n| rig.runs(*n) && !rig.stands_still(*n))
             .find(|n| status(&rig, *n).contains(&format!("\"decider\": \"n{n}\"")));
         if let Some(at) = at.filter(|_| engine < engines.addresses.len() && below(3) > 0) {
             // Each text once only, so that an engine tells its revision; one that fails may yet be decided.
@@ -271,18 +259,10 @@
             engine += 1;
         }
         std::thread::sleep(Duration::from_millis(50 + below(250)));
-        let now = Instant::now();
-        wakes.iter().filter(|(at, _)| *at <= now).for_each(|(_, n)| rig.go_on(*n));
-        wakes.retain(|(at, _)| *at > now);
+        rig.wake();
     }
-    rig.faults(Fault::default(), |_, _| true);
     away(&rig, false, |_| true);
-    wakes.iter().for_each(|(_, n)| rig.go_on(*n));
-    (0..limiters).for_each(|n| {
-        if !rig.runs(n) {
-            rig.begin(n)
-        }
-    });
+    rig.calm();
     eventually("all act by one revision", || agreed(&rig).is_some());
     (longest_contradiction(&engines), decided)
 }
--- a/crates/daemon/tests/fleet.rs
+++ b/crates/daemon/tests/fleet.rs
@@ -278,7 +278,6 @@
     eventually("all act by the first", || all_act_by(&rig, 1, limiters));
     rig.ask_all("quote", Duration::from_millis(5));
     let (begun, mut decided, mut engine) = (Instant::now(), 0, 1);
-    let mut wakes: Vec<(Instant, usize)> = Vec::new();
     while begun.elapsed() < Duration::from_millis(5000) {
         let one = below(limiters as u64) as usize;
         match below(9) {
@@ -289,22 +288,12 @@
                 let (delay, loss) = (Duration::from_millis(below(150)), below(30) as f64 / 100.0);
                 rig.faults(Fault { cut: false, delay, loss, repeat: 0.1 }, |_, _| true);
             }
-            4 if rig.runs(one) => {
-                rig.stop(one);
-                wakes.push((Instant::now() + Duration::from_millis([400, 1500][below(2) as usize]), one));
-            }
-            5 if rig.runs(one) => {
-                wakes.retain(|(_, n)| *n != one);
-                rig.kill(one);
-            }
-            6 => {
-                if let Some(gone) = (0..limiters).find(|n| !rig.runs(*n)) {
-                    rig.begin(gone);
-                }
-            }
+            4 => rig.stop_for(one, Duration::from_millis([400, 1500][below(2) as usize])),
+            5 => rig.kill(one),
+            6 => rig.begin_one(),
             _ => rig.faults(Fault::default(), |_, _| true),
         }
-        let decider_hears = rig.runs(0) && wakes.iter().all(|(_, n)| *n != 0);
+        let decider_hears = rig.runs(0) && !rig.stands_still(0);
         if engine < engines.addresses.len() && decider_hears && below(2) == 0 {
             // Each text once only, so that an engine tells its revision; one that fails may yet be decided.
             let (status, _) = propose(&rig, engines.addresses[engine], "&patience_ms=600");
@@ -312,17 +301,9 @@
             decided += usize::from(status == 200);
         }
         std::thread::sleep(Duration::from_millis(50 + below(250)));
-        let now = Instant::now();
-        wakes.iter().filter(|(at, _)| *at <= now).for_each(|(_, n)| rig.go_on(*n));
-        wakes.retain(|(at, _)| *at > now);
+        rig.wake();
     }
-    rig.faults(Fault::default(), |_, _| true);
-    wakes.iter().for_each(|(_, n)| rig.go_on(*n));
-    (0..limiters).for_each(|n| {
-        if !rig.runs(n) {
-            rig.begin(n)
-        }
-    });
+    rig.calm();
     eventually("all act by one revision", || {
         let first = acts_by(&rig, 0);
         first.is_some() && (1..limiters).all(|n| acts_by(&rig, n) == first)
--- a/crates/daemon/tests/zones.rs
+++ b/crates/daemon/tests/zones.rs
@@ -148,37 +148,22 @@
     let engines = Fleet::start_and_keep(9);
     let mut rig = rig(limiters, &engines, seed % 2 == 0, seed);
     let begun = Instant::now();
-    let mut wakes: Vec<(Instant, usize)> = Vec::new();
     while begun.elapsed() < 9 * SECOND {
         let one = below(limiters as u64) as usize;
         match below(12) {
             0 | 1 => engines.fall(A, Ill::Failing((25 + below(76)) as f64 / 100.0)),
             2 => engines.fall(A, Ill::Silent),
             3 => engines.fall(A, Ill::Well),
-            4 if rig.runs(one) => {
-                rig.stop(one);
-                wakes.push((Instant::now() + Duration::from_millis([300, 1500][below(2) as usize]), one));
-            }
-            5 if rig.runs(one) => {
-                wakes.retain(|(_, n)| *n != one);
-                rig.kill(one);
-            }
-            6 | 7 => {
-                if let Some(gone) = (0..limiters).find(|n| !rig.runs(*n)) {
-                    rig.begin(gone);
-                }
-            }
+            4 => rig.stop_for(one, Duration::from_millis([300, 1500][below(2) as usize])),
+            5 => rig.kill(one),
+            6 | 7 => rig.begin_one(),
             8 => rig.faults(CUT, |a, b| a == one || b == one),
             _ => rig.faults(Fault::default(), |_, _| true),
         }
         std::thread::sleep(Duration::from_millis(50 + below(400)));
-        let now = Instant::now();
-        wakes.iter().filter(|(at, _)| *at <= now).for_each(|(_, n)| rig.go_on(*n));
-        wakes.retain(|(at, _)| *at > now);
+        rig.wake();
     }
-    rig.faults(Fault::default(), |_, _| true);
-    wakes.iter().for_each(|(_, n)| rig.go_on(*n));
-    (0..limiters).filter(|n| !rig.runs(*n)).collect::<Vec<_>>().into_iter().for_each(|n| rig.begin(n));
+    rig.calm();
     // All are there, and zone a is bad: nothing is to go there.
     engines.fall(A, Ill::Failing(0.5));
     let mut late = 1.0;
--- a/crates/testkit/src/rig/mod.rs
+++ b/crates/testkit/src/rig/mod.rs
@@ -37,6 +37,8 @@
     address: SocketAddr,
     control: SocketAddr,
     stopped: bool,
+    /// A process that stands still goes on then, if [`Rig::wake`] is called.
+    wakes: Option<Instant>,
 }
 
 /// A fleet of processes.
@@ -70,7 +72,8 @@
         let coordinator = plan.elected.then(|| Coordinator::start(plan.limiters));
         let decides: Vec<String> = (0..plan.limiters).map(|n| decides(coordinator.as_ref(), n)).collect();
         let files = (0..plan.limiters).map(|n| Scratch::new(&file(&plan, n, &links, &decides[n]))).collect();
-        let process = |_| Process { child: None, address: nowhere, control: nowhere, stopped: false };
+        let process =
+            |_| Process { child: None, address: nowhere, control: nowhere, stopped: false, wakes: None };
         let mut rig = Rig {
             processes: (0..plan.limiters).map(process).collect(),
             clients: (0..plan.limiters).map(|_| Arc::default()).collect(),
@@ -112,7 +115,7 @@
             self.links.iter().filter(|((_, to), _)| *to == n).for_each(|(_, link)| link.lead_to(listen));
         }
         let control = control.unwrap_or(address);
-        self.processes[n] = Process { child: Some(child), address, control, stopped: false };
+        self.processes[n] = Process { child: Some(child), address, control, stopped: false, wakes: None };
         *self.clients[n].lock().expect("a lock") = Some(address);
     }
 
@@ -140,11 +143,50 @@
         self.processes[n].stopped = true;
     }
 
+    /// Stops a process, if it runs, until [`Rig::wake`] is called after this span.
+    pub fn stop_for(&mut self, n: usize, span: Duration) {
+        if self.runs(n) {
+            self.stop(n);
+            self.processes[n].wakes = Some(Instant::now() + span);
+        }
+    }
+
+    /// Lets those go on whose time has come.
+    pub fn wake(&mut self) {
+        let now = Instant::now();
+        let due = |p: &Process| p.wakes.is_some_and(|at| at <= now);
+        let due: Vec<usize> = (0..self.plan.limiters).filter(|n| due(&self.processes[*n])).collect();
+        due.into_iter().for_each(|n| self.go_on(n));
+    }
+
+    /// It stands still.
+    pub fn stands_still(&self, n: usize) -> bool {
+        self.processes[n].stopped
+    }
+
+    /// Starts one of those that do not run.
+    pub fn begin_one(&mut self) {
+        if let Some(gone) = (0..self.plan.limiters).find(|n| !self.runs(*n)) {
+            self.begin(gone);
+        }
+    }
+
+    /// All links are well, and all processes run.
+    pub fn calm(&mut self) {
+        self.faults(Fault::default(), |_, _| true);
+        for n in 0..self.plan.limiters {
+            self.go_on(n);
+            if !self.runs(n) {
+                self.begin(n);
+            }
+        }
+    }
+
     /// Lets it go on.
     pub fn go_on(&mut self, n: usize) {
         if self.processes[n].stopped {
             self.signal(n, "-CONT");
-            self.processes[n].stopped = false;
+            (self.processes[n].stopped, self.processes[n].wakes) = (false, None);
         }
     }
 
