Clean-up: one place each for credentials, dropped frames, rigs and the tests' events

Read again: a coordinator's credentials were split in two places, dropped frames counted twice, whole configurations copied to read one key of them, three tests built the same events. Two faults mended on the way: an unreadable over_ms left a zone at once and is refused now (with a test), and a report from a number that is no peer is dropped like other frames.

--- a/crates/daemon/src/fleet/apply.rs
+++ b/crates/daemon/src/fleet/apply.rs
@@ -35,12 +35,12 @@
 
     /// The zones of which a revision uses less than all.
     pub(super) fn left(&mut self, revision: &Revision) -> Vec<Left> {
-        self.config(revision).map(|config| config.left).unwrap_or_default()
+        self.config(revision).map(|config| config.left.clone()).unwrap_or_default()
     }
 
     /// What a revision spares cold servers.
     pub(super) fn cold(&mut self, revision: &Revision) -> Cold {
-        let settings = self.config(revision).map(|config| config.setup.settings);
+        let settings = self.config(revision).map(|config| &config.setup.settings);
         settings.map_or(Cold { share: 1.0, warm_after: 0 }, |s| Cold {
             share: s.cold_start,
             warm_after: s.warm_after as u64,
@@ -76,26 +76,27 @@
     pub(super) fn act(&mut self, acting: Acting, held: Option<&Revision>, other: Option<&Revision>) {
         self.acting = acting;
         let Some(held) = held else { return };
-        let Some(config) = self.config(held) else { return };
+        let Some(config) = self.config(held).cloned() else { return };
         match acting {
             Acting::By(_) | Acting::Strict(_, None) => self.give(config),
             Acting::Strict(_, Some(_)) => {
                 if let Some(other) = other.and_then(|r| self.config(r)) {
-                    self.give(strict(config, &other));
+                    let both = strict(config, other);
+                    self.give(both);
                 }
             }
             Acting::Refuse => {}
         }
     }
 
-    fn config(&mut self, revision: &Revision) -> Option<Config> {
+    fn config(&mut self, revision: &Revision) -> Option<&Config> {
         if !self.checked.contains_key(&revision.id()) {
             // The decider's first revision is its own file's, which was checked when it was read.
             if let Err(e) = self.check(revision) {
                 tracing::error!("fleet: {}: {e}", revision.id());
             }
         }
-        self.checked.get(&revision.id()).cloned()
+        self.checked.get(&revision.id())
     }
 
     fn give(&self, config: Config) {
--- a/crates/daemon/src/fleet/command.rs
+++ b/crates/daemon/src/fleet/command.rs
@@ -61,7 +61,7 @@
         Example:\n  oatbank fleet apply rules.toml --at 127.0.0.1:7100 --expect 4"
     )]
     Apply {
-        /// The file (TOML): attempts, classes, cold, max_units, plans, servers, suspended, zones.
+        /// The file (TOML): attempts, classes, cold, left, max_units, plans, servers, suspended, zones.
         file: String,
         /// The number of the revision that it is to follow.
         #[arg(long)]
--- a/crates/daemon/src/fleet/mod.rs
+++ b/crates/daemon/src/fleet/mod.rs
@@ -7,6 +7,7 @@
 pub mod zone_command;
 mod zones;
 
+use crate::members::credentials;
 use apply::Applied;
 use oatbank_engine::config::{Base, Fleet as Settings, FleetPeer, FleetTree};
 use oatbank_engine::engine::Engine;
@@ -41,8 +42,6 @@
     sent_bytes: u64,
     received: u64,
     received_bytes: u64,
-    /// Frames of strangers, other fleets or other versions, and damaged ones.
-    dropped: u64,
 }
 
 /// A limiter as one of its fleet.
@@ -59,6 +58,7 @@
     waiting: RefCell<HashMap<u64, oneshot::Sender<Answer>>>,
     next_ticket: Cell<u64>,
     traffic: Cell<Traffic>,
+    /// Frames of strangers, other fleets or other versions, and damaged ones.
     drops: RefCell<BTreeMap<Dropped, u64>>,
     /// How often a lease has ended without another.
     lapses: Cell<u64>,
@@ -299,17 +299,15 @@
             let (received, received_bytes) = (traffic.received + 1, traffic.received_bytes + len as u64);
             self.traffic.set(Traffic { received, received_bytes, ..traffic });
             match self.seal.read(self.settings.me, &buffer[..len]) {
+                Ok((from, _)) if self.peer(from).is_none() => self.drop_frame(Dropped::Form),
                 Ok((from, Message::Beside(bytes))) => self.beside(from, &bytes),
-                Ok((from, message)) if self.peer(from).is_some() => self.feed(Event::Message(from, message)),
-                Ok(_) => self.drop_frame(Dropped::Form),
+                Ok((from, message)) => self.feed(Event::Message(from, message)),
                 Err(why) => self.drop_frame(why),
             }
         }
     }
 
     fn drop_frame(&self, why: Dropped) {
-        let traffic = self.traffic.get();
-        self.traffic.set(Traffic { dropped: traffic.dropped + 1, ..traffic });
         *self.drops.borrow_mut().entry(why).or_default() += 1;
     }
 
@@ -339,12 +337,11 @@
 
 /// An ask without an answer in half a lease is lost: there is time for another then.
 fn registers(tree: &FleetTree, lease: Millis) -> Rc<Registers> {
-    let auth = tree.auth.as_ref().and_then(|a| a.split_once(':'));
     let config = oatbank_zookeeper::Config {
         cluster: tree.cluster.clone(),
         path: tree.path.clone(),
         session_timeout: Duration::from_millis(4000),
-        auth: auth.map(|(scheme, credentials)| (scheme.to_owned(), credentials.as_bytes().to_vec())),
+        auth: credentials(tree.auth.as_deref()),
     };
     Registers::new(config, Duration::from_millis(lease / 2))
 }
--- a/crates/daemon/src/fleet/told.rs
+++ b/crates/daemon/src/fleet/told.rs
@@ -175,6 +175,8 @@
         };
         let lease = Some(node.lease_left(now)).filter(|left| *left != Millis::MAX);
         let drops = self.drops.borrow();
+        let mut traffic = json!(self.traffic.get());
+        traffic["dropped"] = drops.values().sum::<u64>().into();
         let drops: Value =
             drops.iter().map(|(why, n)| (format!("{why:?}").to_lowercase(), json!(n))).collect();
         let mut status = json!({
@@ -188,7 +190,7 @@
             "lapses": self.lapses.get(),
             "within_ms": self.settings.terms.within,
             "bound_ms": self.settings.terms.bound(),
-            "traffic": self.traffic.get(),
+            "traffic": traffic,
             "drops": drops,
         });
         if let Some(heard) = node.tree_heard() {
--- a/crates/daemon/src/fleet/zone_command.rs
+++ b/crates/daemon/src/fleet/zone_command.rs
@@ -1,7 +1,6 @@
 //! `oatbank zone`: what operators do with a fleet's zones, by calls to the decider's `fleet.control`.
 
 use super::command::{call_at, ended, get, print, word, At, End};
-
 use clap::Subcommand;
 use hyper::Method;
 use serde_json::Value;
--- a/crates/daemon/src/fleet/zones.rs
+++ b/crates/daemon/src/fleet/zones.rs
@@ -121,7 +121,10 @@
                 }
                 return Some((StatusCode::OK, format!("{shown:#}\n")));
             }
-            [_, "leave"] if post => Some(Order::Leave(over(query))),
+            [_, "leave"] if post => match over(query) {
+                Ok(over) => Some(Order::Leave(over)),
+                Err(why) => return Some((StatusCode::BAD_REQUEST, json!({"error": why}).to_string() + "\n")),
+            },
             [_, "return"] if post => Some(Order::Return),
             [_, "hold"] if post => Some(Order::Hold),
             [_, "end"] if post => None,
@@ -151,9 +154,14 @@
 }
 
 /// `over_ms=30000`; without, at once.
-fn over(query: &str) -> Millis {
-    let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-    pairs.filter(|(key, _)| *key == "over_ms").filter_map(|(_, ms)| ms.parse().ok()).next().unwrap_or(0)
+fn over(query: &str) -> Result<Millis, String> {
+    match query.split_once('=') {
+        None if query.is_empty() => Ok(0),
+        Some(("over_ms", ms)) => {
+            ms.parse().map_err(|_| format!("over_ms: {ms:?} is not allowed; a whole number of ms is"))
+        }
+        _ => Err(format!("{query:?} is not allowed; over_ms=30000 is")),
+    }
 }
 
 /// A report that fits into one message: those zones first in which most has failed.
@@ -171,3 +179,16 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::over;
+
+    #[test]
+    fn a_span_that_cannot_be_read_is_no_order_to_leave_at_once() {
+        assert_eq!((over(""), over("over_ms=3000")), (Ok(0), Ok(3000)));
+        for bad in ["over_ms=", "over_ms=3s", "over_ms=-1", "over=3", "over_ms"] {
+            assert!(over(bad).is_err(), "{bad}");
+        }
+    }
+}
--- a/crates/daemon/src/members.rs
+++ b/crates/daemon/src/members.rs
@@ -19,15 +19,20 @@
 
 /// The source's parameters from a configuration.
 pub fn source(folder: &ZooKeeper) -> oatbank_zookeeper::Config {
-    let auth = folder.auth.as_ref().and_then(|a| a.split_once(':'));
     oatbank_zookeeper::Config {
         cluster: folder.zookeeper.clone(),
         path: folder.path.clone(),
         session_timeout: Duration::from_millis(folder.session_timeout_ms),
-        auth: auth.map(|(scheme, credentials)| (scheme.to_owned(), credentials.as_bytes().to_vec())),
+        auth: credentials(folder.auth.as_deref()),
     }
 }
 
+/// "SCHEME:CREDENTIALS", as a coordinator wants them.
+pub fn credentials(auth: Option<&str>) -> Option<(String, Vec<u8>)> {
+    let (scheme, credentials) = auth?.split_once(':')?;
+    Some((scheme.to_owned(), credentials.as_bytes().to_vec()))
+}
+
 /// Ranks of the sources.
 pub const TREE: usize = 0;
 /// See [`TREE`].
--- a/crates/daemon/tests/elected.rs
+++ b/crates/daemon/tests/elected.rs
@@ -1,8 +1,10 @@
 //! Several real processes of one fleet whose decider a coordinator elects, with faults between them, and between them and
 //! the coordinator.
 
-use oatbank_testkit::rig::seen::{acts_by, all_act_by, longest_contradiction, rules, status, status_of};
-use oatbank_testkit::rig::{Fault, Plan, Rig, CUT};
+use oatbank_testkit::rig::seen::{
+    acts_by, all_act_by, longest_contradiction, rules, start, status, status_of, WITHIN,
+};
+use oatbank_testkit::rig::{Fault, Rig, CUT};
 use oatbank_testkit::zookeeper::Coordinator;
 use oatbank_testkit::{eventually, Fleet, Scratch};
 use rand_core::{RngCore, SeedableRng};
@@ -13,12 +15,9 @@
 const OATBANK: &str = env!("CARGO_BIN_EXE_oatbank");
 /// The longest that a change is waited for to be seen.
 const PATIENCE: Duration = Duration::from_secs(3);
-/// The stated time of the usual terms.
-const WITHIN: Duration = Duration::from_millis(2000);
 
 fn rig(limiters: usize, engines: &Fleet, terms: &str, seed: u64) -> Rig {
-    let (program, rules) = (OATBANK.to_owned(), rules(engines.addresses[0], 1_000_000));
-    Rig::start(Plan { program, limiters, terms: Some(terms.to_owned()), rules, seed, elected: true })
+    start(OATBANK, limiters, engines, terms, seed, true)
 }
 
 fn coordinator(rig: &Rig) -> &Coordinator {
--- a/crates/daemon/tests/fleet.rs
+++ b/crates/daemon/tests/fleet.rs
@@ -2,9 +2,9 @@
 //! sends to, as each revision of the rules has an engine of its own.
 
 use oatbank_testkit::rig::seen::{
-    acts_by, all_act_by, contradiction, longest_contradiction, rules, status_of,
+    acts_by, all_act_by, contradiction, longest_contradiction, rules, start, status_of, WITHIN,
 };
-use oatbank_testkit::rig::{Fault, Plan, Rig, CUT};
+use oatbank_testkit::rig::{Fault, Rig, CUT};
 use oatbank_testkit::{eventually, Fleet};
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -15,12 +15,9 @@
 const OATBANK: &str = env!("CARGO_BIN_EXE_oatbank");
 /// What was let go is with its engine by then.
 const MESSAGE: Duration = Duration::from_millis(200);
-/// The stated time of the usual terms.
-const WITHIN: Duration = Duration::from_millis(2000);
 
 fn rig(limiters: usize, engines: &Fleet, terms: &str, seed: u64) -> Rig {
-    let (program, rules) = (OATBANK.to_owned(), rules(engines.addresses[0], 1_000_000));
-    Rig::start(Plan { program, limiters, terms: Some(terms.to_owned()), rules, seed, elected: false })
+    start(OATBANK, limiters, engines, terms, seed, false)
 }
 
 /// Proposes the rules of an engine; status and text of the answer.
--- a/crates/fleet/src/decider.rs
+++ b/crates/fleet/src/decider.rs
@@ -356,12 +356,11 @@
         if let Some(before) = self.term.as_mut().and_then(|t| t.before.take()) {
             return before;
         }
-        let member =
-            Member::new(self.terms, None, life, now).after_term(self.current.clone(), self.authority());
-        let confirmed = self.running.filter(|r| r.own == Some(Verdict::Confirmed));
-        let Some(running) = confirmed else { return member };
-        let mut member = member;
-        member.confirm(running.revision, running.effective_at);
+        let authority = self.authority();
+        let mut member = Member::new(self.terms, None, life, now).after_term(self.current, authority);
+        if let Some(running) = self.running.filter(|r| r.own == Some(Verdict::Confirmed)) {
+            member.confirm(running.revision, running.effective_at);
+        }
         member
     }
 
--- a/crates/testkit/src/rig/seen.rs
+++ b/crates/testkit/src/rig/seen.rs
@@ -1,11 +1,20 @@
 //! What a rig's processes are seen to act by: told by themselves, and by the engines that they send to.
 
-use super::Rig;
+use super::{Plan, Rig};
 use crate::Fleet;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+/// The stated time of the usual terms.
+pub const WITHIN: Duration = Duration::from_millis(2000);
+
+/// A rig whose first rules are those of the first engine; `terms` are keys of its `[fleet]`.
+pub fn start(program: &str, limiters: usize, engines: &Fleet, terms: &str, seed: u64, elected: bool) -> Rig {
+    let (program, rules) = (program.to_owned(), rules(engines.addresses[0], 1_000_000));
+    Rig::start(Plan { program, limiters, terms: Some(terms.to_owned()), rules, seed, elected })
+}
+
 /// Rules whose only server is this one.
 pub fn rules(engine: SocketAddr, rate: u32) -> String {
     format!(
--- a/crates/topazwind/tests/failing.rs
+++ b/crates/topazwind/tests/failing.rs
@@ -1,6 +1,9 @@
 //! Servers that fail a part of their answers, before several gateways, in virtual time and from fixed seeds: where the
 //! traffic goes, and what of it is lost.
 
+mod events;
+
+use events::{asks, ended};
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::collections::BTreeMap;
@@ -74,15 +77,7 @@
             post(&mut due, now + gap, (n, None));
             number += 1;
             let (id, customer) = (RequestId(number), CustomerId(u64::from(number % 50)));
-            let spread = gateways as f64;
-            Event::Request(Request {
-                id,
-                customer,
-                units: 1.0,
-                spread,
-                time_left: 2000.0,
-                ..Request::default()
-            })
+            asks(id, customer, gateways as f64, 2000.0)
         });
         actions.clear();
         fleet[n].handle(now, event, &mut actions);
@@ -93,9 +88,7 @@
                     done.push(Done { at: second, server, served });
                     let outcome = if served { Outcome::Ok } else { Outcome::Error };
                     let took = SERVICE * (0.5 + chance());
-                    let (attempt, complete, settled, load) = (0, served, 0.0, Vec::new());
-                    let ended = Event::Ended { id, attempt, server, outcome, complete, took, settled, load };
-                    post(&mut due, now + took, (n, Some(ended)));
+                    post(&mut due, now + took, (n, Some(ended(id, 0, server, outcome, took))));
                 }
                 Action::Timer { after, name } => post(&mut due, now + after, (n, Some(Event::Timer(name)))),
                 _ => {}
--- a/crates/topazwind/tests/fleet.rs
+++ b/crates/topazwind/tests/fleet.rs
@@ -1,6 +1,9 @@
 //! A hundred gateways before sixty servers, in virtual time and from fixed seeds: what is harmless in one gateway
 //! and adds up over all.
 
+mod events;
+
+use events::{asks, ended};
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::collections::BTreeMap;
@@ -71,14 +74,7 @@
             post(&mut due, now + gap, (n, None));
             (numbers, out.asked) = (numbers + 1, out.asked + 1);
             let (id, customer) = (RequestId(numbers), CustomerId(u64::from(numbers % 500)));
-            Event::Request(Request {
-                id,
-                customer,
-                units: 1.0,
-                spread: 50.0,
-                time_left: 4000.0,
-                ..Request::default()
-            })
+            asks(id, customer, 50.0, 4000.0)
         });
         actions.clear();
         fleet[n].handle(now, event, &mut actions);
@@ -88,11 +84,7 @@
                     out.sends.entry(server.0).or_default().push(now - begin);
                     let attempt = *tries.entry((n, id.0)).and_modify(|t| *t += 1).or_insert(0);
                     let (outcome, took) = fate(server);
-                    let complete = outcome == Outcome::Ok;
-                    let load = Vec::new();
-                    let ended =
-                        Event::Ended { id, attempt, server, outcome, complete, took, settled: 0.0, load };
-                    post(&mut due, now + took, (n, Some(ended)));
+                    post(&mut due, now + took, (n, Some(ended(id, attempt, server, outcome, took))));
                 }
                 Action::Refuse { .. } | Action::Fail(_) => out.refused += 1,
                 Action::Timer { after, name } => post(&mut due, now + after, (n, Some(Event::Timer(name)))),
--- a/crates/topazwind/tests/quota.rs
+++ b/crates/topazwind/tests/quota.rs
@@ -1,6 +1,9 @@
 //! One account asked at several gateways behind one counter, in virtual time and from fixed seeds: how much of it is
 //! sent on, as a multiple of its quota's rate.
 
+mod events;
+
+use events::{asks, ended};
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::collections::BTreeMap;
@@ -98,14 +101,7 @@
                 post(&mut due, next, n, What::Ask);
                 number += 1;
                 parts[span].asked += 1.0;
-                Event::Request(Request {
-                    id: RequestId(number),
-                    customer: CustomerId(1),
-                    units: 1.0,
-                    spread: count as f64,
-                    time_left: 2000.0,
-                    ..Request::default()
-                })
+                asks(RequestId(number), CustomerId(1), count as f64, 2000.0)
             }
         };
         actions.clear();
@@ -114,10 +110,8 @@
             match action {
                 Action::Send { id, server, .. } => {
                     parts[span].sent += 1.0;
-                    let (outcome, complete, attempt) = (Outcome::Ok, true, 0);
-                    let (took, settled, load) = (5.0, 0.0, Vec::new());
-                    let ended = Event::Ended { id, attempt, server, outcome, complete, took, settled, load };
-                    post(&mut due, now + took, n, What::Tell(ended));
+                    let took = 5.0;
+                    post(&mut due, now + took, n, What::Tell(ended(id, 0, server, Outcome::Ok, took)));
                 }
                 Action::Count { name, add, .. } => {
                     let well = play.spans[span].1 == Counter::Well;
--- a/crates/zones/src/zones.rs
+++ b/crates/zones/src/zones.rs
@@ -2,7 +2,7 @@
 
 use crate::bears::{Bears, Load};
 use crate::course::{Course, Order, Phase, Sight};
-use crate::evidence::{Board, Report, View};
+use crate::evidence::{Board, Report};
 use crate::verdict::{judge, sound_rate, Test, Verdict};
 use crate::{Left, Millis};
 use std::collections::BTreeMap;
@@ -206,8 +206,7 @@
     pub fn shown(&self, now: Millis) -> Vec<Shown> {
         let loads = self.loads(now);
         let show = |zone: String| {
-            let View { bad, rate, .. } = self.board.sum(now, &zone);
-            let tries = self.board.sum(now, &zone).tries();
+            let seen = self.board.sum(now, &zone);
             let course = self.courses.get(&zone);
             Shown {
                 verdict: judge(&self.board, &self.test, now, &zone),
@@ -216,8 +215,8 @@
                 share: course.map_or(1.0, Course::share),
                 phase: course.map_or(Phase::Used, Course::phase),
                 order: course.and_then(Course::order),
-                rate,
-                failing: if tries > 0.0 { bad / tries } else { 0.0 },
+                rate: seen.rate,
+                failing: if seen.tries() > 0.0 { seen.bad / seen.tries() } else { 0.0 },
                 stays: self.bears.stays(&zone, &loads),
                 limiters: self
                     .board
