Playbill: the operators' configuration, read, checked, changed and looked up

Requests, orders and the fleet's log need one model of the configuration that does no I/O. Bodies are read whole, kept value by value so that what is read back is what was put (numbers in the digits they came in), and laid out for look-up by host, path and key.

--- /dev/null
+++ b/crates/playbill/src/proposal.rs
@@ -0,0 +1,208 @@
+//! What an operator asks for, and building it on the configuration in place.
+
+use crate::bill::{self, Kept, Playbill};
+use crate::json::Raw;
+use crate::refused::{Invalid, Refused};
+use crate::sheet::{self, Sheet};
+use std::collections::BTreeMap;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// A call of the operator, read whole.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Proposal {
+    /// A whole configuration in place of the one there is.
+    Replace(Replacement),
+    /// Named items to put and to take away.
+    Change(Change),
+}
+
+/// A whole configuration, already checked.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Replacement {
+    built_on: u64,
+    digest: u64,
+    bill: Playbill,
+}
+
+/// Named items to put and to take away. Whether they fit shows on the configuration in place.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Change {
+    built_on: u64,
+    digest: u64,
+    version: String,
+    number: u64,
+    put: BTreeMap<String, Sheet>,
+    remove: BTreeMap<String, Vec<String>>,
+    limits: BTreeMap<String, Raw>,
+    /// What this crate does not know, named in the body or under `putItems`.
+    rest: BTreeMap<String, Raw>,
+}
+
+impl Proposal {
+    /// Reads the body of a call that replaces the configuration.
+    pub fn replace(body: &[u8]) -> Result<Proposal, Invalid> {
+        let (fields, digest) = read(body, "replace")?;
+        let built_on = bill::built_on(&fields)?;
+        Ok(Proposal::Replace(Replacement { built_on, digest, bill: Playbill::from_fields(fields)? }))
+    }
+
+    /// Reads the body of a call that changes named items.
+    pub fn change(body: &[u8]) -> Result<Proposal, Invalid> {
+        let (mut fields, digest) = read(body, "change")?;
+        let built_on = bill::built_on(&fields)?;
+        let (version, number) = bill::version(&fields)?;
+        fields.remove("version");
+        fields.remove("builtOn");
+        let items = object("putItems", fields.remove("putItems"))?;
+        let removed = object("remove", fields.remove("remove"))?;
+        for list in ["routes", "services", "customers"] {
+            if let Some(value) = fields.get(list) {
+                return Err(Invalid::new(list, value.shown(), "items under putItems"));
+            }
+        }
+        let mut limits = bill::limits_object(fields.remove("limits"))?.unwrap_or_default();
+        let mut put = BTreeMap::new();
+        for (list, value) in items {
+            match list.as_str() {
+                "limits" => limits.extend(bill::limits_object(Some(value))?.unwrap_or_default()),
+                "routes" | "services" | "customers" if value == Raw::Null => {}
+                "routes" | "services" | "customers" => {
+                    let sheet = Sheet::read(&list, value)?;
+                    put.insert(list, sheet);
+                }
+                _ if Sheet::fits(&value) => {
+                    let sheet = Sheet::read(&list, value)?;
+                    put.insert(list, sheet);
+                }
+                _ => {
+                    fields.insert(list, value);
+                }
+            }
+        }
+        // What is wrong in a row is told with the row's number in this body.
+        put.get("routes").map(bill::read_routes).transpose()?;
+        put.get("services").map(bill::read_services).transpose()?;
+        put.get("customers").map(bill::read_customers).transpose()?;
+        bill::read_limits(Some(&limits))?;
+        let mut remove = BTreeMap::new();
+        for (list, value) in removed {
+            if value == Raw::Null {
+                continue;
+            }
+            let names = sheet::strings(&value)
+                .ok_or_else(|| Invalid::new(format!("remove, {list}"), value.shown(), "a list of names"))?;
+            remove.insert(list, names);
+        }
+        Ok(Proposal::Change(Change { built_on, digest, version, number, put, remove, limits, rest: fields }))
+    }
+
+    /// The number of the version that it would be.
+    pub fn version(&self) -> u64 {
+        match self {
+            Proposal::Replace(whole) => whole.bill.version,
+            Proposal::Change(change) => change.number,
+        }
+    }
+
+    /// The number of the version that it builds on, 0 for none.
+    pub fn built_on(&self) -> u64 {
+        match self {
+            Proposal::Replace(whole) => whole.built_on,
+            Proposal::Change(change) => change.built_on,
+        }
+    }
+
+    /// Tells this call from others: the same for a repeat, whatever the white space and the order of fields.
+    pub fn digest(&self) -> u64 {
+        match self {
+            Proposal::Replace(whole) => whole.digest,
+            Proposal::Change(change) => change.digest,
+        }
+    }
+
+    /// The configuration that follows `current`.
+    pub fn onto(&self, current: Option<&Playbill>) -> Result<Playbill, Refused> {
+        let now = current.map_or(0, |bill| bill.version);
+        if self.built_on() != now {
+            return Err(Refused::Stale { current: now });
+        }
+        if self.version() <= now {
+            let found = format!("r{}", self.version());
+            return Err(Invalid::new("version", found, format!("one above r{now}, which is in place")).into());
+        }
+        match self {
+            Proposal::Replace(whole) => Ok(whole.bill.clone()),
+            Proposal::Change(change) => {
+                let kept = current.map(|bill| bill.kept().clone()).unwrap_or_default();
+                Ok(Playbill::from_kept(change.apply(kept)?)?)
+            }
+        }
+    }
+}
+
+impl Change {
+    /// Takes away first: an item that is named in both is there afterwards.
+    fn apply(&self, mut kept: Kept) -> Result<Kept, Invalid> {
+        kept.version.clone_from(&self.version);
+        for (list, names) in &self.remove {
+            match list.as_str() {
+                "routes" => kept.routes.remove(names),
+                "services" => kept.services.remove(names),
+                "customers" => kept.customers.iter_mut().for_each(|sheet| sheet.remove(names)),
+                other => on_unknown(&mut kept.rest, other, |sheet| sheet.remove(names))?,
+            }
+        }
+        for (list, items) in &self.put {
+            match list.as_str() {
+                "routes" => kept.routes.put(items),
+                "services" => kept.services.put(items),
+                "customers" => kept.customers.get_or_insert_default().put(items),
+                other => {
+                    if !kept.rest.get(other).is_some_and(Sheet::fits) {
+                        kept.rest.insert(other.to_owned(), Sheet::default().into_raw());
+                    }
+                    on_unknown(&mut kept.rest, other, |sheet| sheet.put(items))?;
+                }
+            }
+        }
+        if !self.limits.is_empty() {
+            let limits = kept.limits.get_or_insert_default();
+            limits.extend(self.limits.iter().map(|(name, value)| (name.clone(), value.clone())));
+        }
+        kept.rest.extend(self.rest.iter().map(|(name, value)| (name.clone(), value.clone())));
+        Ok(kept)
+    }
+}
+
+/// Changes a list of items that this crate does not know, if there is one of that name.
+fn on_unknown(
+    rest: &mut BTreeMap<String, Raw>,
+    list: &str,
+    then: impl Fn(&mut Sheet),
+) -> Result<(), Invalid> {
+    if let Some(value) = rest.get_mut(list).filter(|value| Sheet::fits(value)) {
+        let mut sheet = Sheet::read(list, std::mem::replace(value, Raw::Null))?;
+        then(&mut sheet);
+        *value = sheet.into_raw();
+    }
+    Ok(())
+}
+
+/// The fields of a body, and what tells it from others that are meant for the same call.
+fn read(body: &[u8], call: &str) -> Result<(BTreeMap<String, Raw>, u64), Invalid> {
+    let value = Raw::read(body)?;
+    let mut canonical = format!("{call}\n");
+    value.write(&mut canonical);
+    match value {
+        Raw::Object(fields) => Ok((fields, xxh3_64(canonical.as_bytes()))),
+        other => Err(Invalid::new("body", other.shown(), "an object")),
+    }
+}
+
+fn object(name: &str, value: Option<Raw>) -> Result<BTreeMap<String, Raw>, Invalid> {
+    match value {
+        None | Some(Raw::Null) => Ok(BTreeMap::new()),
+        Some(Raw::Object(fields)) => Ok(fields),
+        Some(other) => Err(Invalid::new(name, other.shown(), "an object with lists by their names")),
+    }
+}
--- /dev/null
+++ b/crates/playbill/src/sheet.rs
@@ -0,0 +1,281 @@
+//! Lists as they travel, in `columns` and `rows`, and reading one row's fields.
+
+use crate::json::{self, Raw};
+use crate::refused::Invalid;
+use std::collections::{BTreeMap, HashMap, HashSet};
+
+/// A list of named items, in columns and rows.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub(crate) struct Sheet {
+    columns: Vec<String>,
+    /// As many values each as there are columns.
+    rows: Vec<Vec<Raw>>,
+    /// What else the list came with.
+    rest: BTreeMap<String, Raw>,
+}
+
+impl Sheet {
+    /// Does the value look like a list of items?
+    pub(crate) fn fits(value: &Raw) -> bool {
+        matches!(value, Raw::Object(fields) if fields.contains_key("columns") && fields.contains_key("rows"))
+    }
+
+    /// Reads the list called `list`. Its items all have names, each a different one.
+    pub(crate) fn read(list: &str, value: Raw) -> Result<Sheet, Invalid> {
+        let mut rest = match value {
+            Raw::Object(fields) => fields,
+            other => return Err(Invalid::new(list, other.shown(), "an object with columns and rows")),
+        };
+        let columns = match rest.remove("columns") {
+            Some(Raw::List(columns)) => columns,
+            other => {
+                return Err(Invalid::new(
+                    format!("{list}, columns"),
+                    shown(other.as_ref()),
+                    "a list of strings",
+                ))
+            }
+        };
+        let mut names = Vec::with_capacity(columns.len());
+        for column in columns {
+            match column {
+                Raw::Text(name) if !names.contains(&name) => names.push(name),
+                other => {
+                    let allowed = "strings, each a different one";
+                    return Err(Invalid::new(format!("{list}, columns"), other.shown(), allowed));
+                }
+            }
+        }
+        let values = match rest.remove("rows") {
+            Some(Raw::List(rows)) => rows,
+            other => {
+                return Err(Invalid::new(format!("{list}, rows"), shown(other.as_ref()), "a list of lists"))
+            }
+        };
+        let mut rows = Vec::with_capacity(values.len());
+        for (at, row) in values.into_iter().enumerate() {
+            match row {
+                Raw::List(cells) if cells.len() == names.len() => rows.push(cells),
+                Raw::List(cells) => {
+                    let found = format!("{} values", cells.len());
+                    let allowed = format!("one for each of the {} columns", names.len());
+                    return Err(Invalid::new(format!("{list}, row {}", at + 1), found, allowed));
+                }
+                other => {
+                    return Err(Invalid::new(format!("{list}, row {}", at + 1), other.shown(), "a list"))
+                }
+            }
+        }
+        let sheet = Sheet { columns: names, rows, rest };
+        let mut seen = HashSet::new();
+        for item in sheet.items(list) {
+            let name = item.name()?;
+            if !seen.insert(name) {
+                return Err(item.invalid("name", "a name that an earlier row has", "a name of its own"));
+            }
+        }
+        Ok(sheet)
+    }
+
+    /// The rows, for reading their fields.
+    pub(crate) fn items<'a>(&'a self, list: &'a str) -> impl Iterator<Item = Item<'a>> {
+        let columns = &self.columns;
+        self.rows.iter().enumerate().map(move |(at, cells)| Item { list, at, columns, cells })
+    }
+
+    /// Adds the rows of `put`, each in place of the one of its name if there is one.
+    pub(crate) fn put(&mut self, put: &Sheet) {
+        let mut places = Vec::with_capacity(put.columns.len());
+        for column in &put.columns {
+            places.push(self.columns.iter().position(|c| c == column).unwrap_or_else(|| {
+                self.columns.push(column.clone());
+                self.columns.len() - 1
+            }));
+        }
+        for row in &mut self.rows {
+            row.resize(self.columns.len(), Raw::Null);
+        }
+        let mut by_name = HashMap::new();
+        if let Some(name) = self.name_column() {
+            for (at, row) in self.rows.iter().enumerate() {
+                if let Raw::Text(text) = &row[name] {
+                    by_name.insert(text.clone(), at);
+                }
+            }
+        }
+        let put_name = put.name_column();
+        for cells in &put.rows {
+            let mut row = vec![Raw::Null; self.columns.len()];
+            for (cell, place) in cells.iter().zip(&places) {
+                row[*place] = cell.clone();
+            }
+            let known = match put_name.map(|name| &cells[name]) {
+                Some(Raw::Text(text)) => by_name.get(text),
+                _ => None,
+            };
+            match known {
+                Some(at) => self.rows[*at] = row,
+                None => self.rows.push(row),
+            }
+        }
+        for (key, value) in &put.rest {
+            self.rest.insert(key.clone(), value.clone());
+        }
+    }
+
+    /// Takes the rows of these names out.
+    pub(crate) fn remove(&mut self, names: &[String]) {
+        let Some(name) = self.name_column() else { return };
+        let gone: HashSet<&str> = names.iter().map(String::as_str).collect();
+        self.rows.retain(|row| !matches!(&row[name], Raw::Text(text) if gone.contains(text.as_str())));
+    }
+
+    fn name_column(&self) -> Option<usize> {
+        self.columns.iter().position(|c| c == "name")
+    }
+
+    /// Appends the list as JSON.
+    pub(crate) fn write(&self, out: &mut String) {
+        out.push('{');
+        json::field(out, "columns");
+        json::list(out, &self.columns, |out, column| Raw::Text(column.clone()).write(out));
+        out.push(',');
+        json::field(out, "rows");
+        json::list(out, &self.rows, |out, row| json::list(out, row, |out, cell| cell.write(out)));
+        for (key, value) in &self.rest {
+            out.push(',');
+            json::field(out, key);
+            value.write(out);
+        }
+        out.push('}');
+    }
+
+    /// The list as a value.
+    pub(crate) fn into_raw(self) -> Raw {
+        let mut fields = self.rest;
+        fields.insert("columns".into(), Raw::List(self.columns.into_iter().map(Raw::Text).collect()));
+        fields.insert("rows".into(), Raw::List(self.rows.into_iter().map(Raw::List).collect()));
+        Raw::Object(fields)
+    }
+}
+
+/// A value for an error's text.
+fn shown(value: Option<&Raw>) -> String {
+    value.map_or_else(|| "nothing".into(), Raw::shown)
+}
+
+/// One row of a list.
+#[derive(Clone, Copy)]
+pub(crate) struct Item<'a> {
+    list: &'a str,
+    at: usize,
+    columns: &'a [String],
+    cells: &'a [Raw],
+}
+
+impl<'a> Item<'a> {
+    /// What is wrong in one field of the row.
+    pub(crate) fn invalid(&self, field: &str, found: impl AsRef<str>, allowed: impl AsRef<str>) -> Invalid {
+        let name = match self.get("name") {
+            Some(name) => format!(" ({})", name.shown()),
+            None => String::new(),
+        };
+        let place = format!("{}, row {}{name}, {field}", self.list, self.at + 1);
+        Invalid::new(place, found.as_ref(), allowed.as_ref())
+    }
+
+    /// The field's value, unless it is left out.
+    pub(crate) fn get(&self, field: &str) -> Option<&'a Raw> {
+        let at = self.columns.iter().position(|c| c == field)?;
+        match &self.cells[at] {
+            Raw::Null => None,
+            value => Some(value),
+        }
+    }
+
+    /// The field if `read` takes it, `None` if it is left out.
+    pub(crate) fn read<T>(
+        &self,
+        field: &str,
+        allowed: &str,
+        read: impl Fn(&'a Raw) -> Option<T>,
+    ) -> Result<Option<T>, Invalid> {
+        match self.get(field) {
+            None => Ok(None),
+            Some(value) => match read(value) {
+                None => Err(self.invalid(field, value.shown(), allowed)),
+                found => Ok(found),
+            },
+        }
+    }
+
+    /// As [`Item::read`], for a field that every row needs.
+    pub(crate) fn need<T>(
+        &self,
+        field: &str,
+        allowed: &str,
+        read: impl Fn(&'a Raw) -> Option<T>,
+    ) -> Result<T, Invalid> {
+        self.read(field, allowed, read)?.ok_or_else(|| self.invalid(field, "nothing", allowed))
+    }
+
+    /// The item's name.
+    pub(crate) fn name(&self) -> Result<&'a str, Invalid> {
+        self.need("name", "a string of one character at least", filled)
+    }
+
+    /// A list of strings, none of them empty; an empty list if it is left out.
+    pub(crate) fn strings(&self, field: &str) -> Result<Vec<String>, Invalid> {
+        let found = self.read(field, "a list of strings, none of them empty", strings)?;
+        Ok(found.unwrap_or_default())
+    }
+}
+
+/// A string.
+pub(crate) fn text(value: &Raw) -> Option<&str> {
+    match value {
+        Raw::Text(text) => Some(text),
+        _ => None,
+    }
+}
+
+/// A string that is not empty.
+pub(crate) fn filled(value: &Raw) -> Option<&str> {
+    text(value).filter(|text| !text.is_empty())
+}
+
+/// A list of strings, none of them empty.
+pub(crate) fn strings(value: &Raw) -> Option<Vec<String>> {
+    match value {
+        Raw::List(values) => values.iter().map(|value| filled(value).map(str::to_owned)).collect(),
+        _ => None,
+    }
+}
+
+/// Whether.
+pub(crate) fn flag(value: &Raw) -> Option<bool> {
+    match value {
+        Raw::Bool(flag) => Some(*flag),
+        _ => None,
+    }
+}
+
+/// A number from 0 up.
+pub(crate) fn amount(value: &Raw) -> Option<f64> {
+    match value {
+        Raw::Number(digits) => digits.parse().ok().filter(|n: &f64| n.is_finite() && *n >= 0.0),
+        _ => None,
+    }
+}
+
+/// A whole number from 0 up, `3.0` too.
+pub(crate) fn count(value: &Raw) -> Option<u64> {
+    // Up to here every whole number is a float of its own.
+    const MOST: f64 = 9_007_199_254_740_992.0;
+    amount(value).filter(|n| n.fract() == 0.0 && *n <= MOST).map(|n| n as u64)
+}
+
+/// A whole number from 0 up that is no larger than 32 bits hold.
+pub(crate) fn small(value: &Raw) -> Option<u32> {
+    count(value).and_then(|n| u32::try_from(n).ok())
+}
--- /dev/null
+++ b/crates/playbill/src/table.rs
@@ -0,0 +1,96 @@
+//! Look-up of routes by host and path, and of tenants by key.
+
+use crate::bill::Playbill;
+use std::borrow::Cow;
+use std::collections::HashMap;
+
+/// One version of the configuration, laid out for requests. It does not change.
+#[derive(Clone, Debug)]
+pub struct Table {
+    bill: Playbill,
+    /// By host, in lower case and without its port.
+    hosts: HashMap<String, Prefixes>,
+    /// Which customer holds a key.
+    keys: HashMap<String, usize>,
+}
+
+/// A host's prefixes in their order, each once, with their routes.
+#[derive(Clone, Debug, Default)]
+struct Prefixes {
+    sorted: Vec<(String, usize)>,
+    longest: usize,
+}
+
+impl Table {
+    /// Lays a configuration out. Of two routes with the same host and prefix the later one has the requests.
+    pub fn new(bill: &Playbill) -> Table {
+        let mut hosts: HashMap<String, Prefixes> = HashMap::new();
+        for (at, route) in bill.routes.iter().enumerate() {
+            let prefixes = hosts.entry(plain_host(&route.host).into_owned()).or_default();
+            prefixes.longest = prefixes.longest.max(route.prefix.len());
+            prefixes.sorted.push((route.prefix.clone(), at));
+        }
+        for prefixes in hosts.values_mut() {
+            prefixes.sorted.sort_by(|a, b| a.0.cmp(&b.0).then(b.1.cmp(&a.1)));
+            prefixes.sorted.dedup_by(|later, first| later.0 == first.0);
+        }
+        let mut keys = HashMap::new();
+        for (at, customer) in bill.customers.iter().flatten().enumerate() {
+            keys.extend(customer.keys.iter().map(|key| (key.clone(), at)));
+        }
+        Table { bill: bill.clone(), hosts, keys }
+    }
+
+    /// The number of the configuration's version.
+    pub fn version(&self) -> u64 {
+        self.bill.version
+    }
+
+    /// The route of a request, as its place in [`Playbill::routes`]: among those of the host, the one whose prefix is the
+    /// longest that begins the path. The host may come with a port and in any case, the path with a query.
+    pub fn route(&self, host: &str, path: &str) -> Option<usize> {
+        let prefixes = self.hosts.get(&*plain_host(host))?;
+        let path = path.as_bytes();
+        let end = path.iter().position(|b| *b == b'?').unwrap_or(path.len()).min(prefixes.longest);
+        // Every prefix ends with a slash, so only the path's own beginnings up to one can be it.
+        let mut rest = &path[..end];
+        while let Some(slash) = rest.iter().rposition(|b| *b == b'/') {
+            let beginning = &rest[..=slash];
+            let found = prefixes.sorted.binary_search_by(|(prefix, _)| prefix.as_bytes().cmp(beginning));
+            if let Ok(at) = found {
+                return Some(prefixes.sorted[at].1);
+            }
+            rest = &rest[..slash];
+        }
+        None
+    }
+
+    /// The tenant that holds a key, as its place in [`Playbill::customers`].
+    pub fn customer(&self, key: &str) -> Option<usize> {
+        self.keys.get(key).copied()
+    }
+
+    /// Do requests need keys?
+    pub fn has_customers(&self) -> bool {
+        self.bill.customers.is_some()
+    }
+
+    /// The configuration that it was made from.
+    pub fn bill(&self) -> &Playbill {
+        &self.bill
+    }
+}
+
+/// The host in lower case and without its port.
+fn plain_host(host: &str) -> Cow<'_, str> {
+    let end = match host.find(']') {
+        Some(bracket) if host.starts_with('[') => bracket + 1,
+        _ => host.find(':').unwrap_or(host.len()),
+    };
+    let host = &host[..end];
+    if host.bytes().any(|b| b.is_ascii_uppercase()) {
+        Cow::Owned(host.to_ascii_lowercase())
+    } else {
+        Cow::Borrowed(host)
+    }
+}
