Control calls described in OpenAPI, held to the code; tests of the configuration

The calls of servers, operators and clients are described before they are served; a test holds the list in the code to the description. Tests take each kind of invalid configuration, changes, look-up and what is read back, value by value. Shares that are all left out are told as a sum of 0, not -0.

--- a/crates/playbill/src/bill.rs
+++ b/crates/playbill/src/bill.rs
@@ -296,7 +296,7 @@
         (None, Some(service)) => Ok(vec![(service.to_owned(), 1.0)]),
         (Some(shares), Some(service)) if shares.is_empty() => Ok(vec![(service.to_owned(), 1.0)]),
         (Some(shares), _) => {
-            let sum: f64 = shares.iter().map(|(_, weight)| weight).sum();
+            let sum = shares.iter().fold(0.0, |sum, (_, weight)| sum + weight);
             if sum > 0.0 && sum.is_finite() {
                 return Ok(shares);
             }
--- /dev/null
+++ b/crates/playbill/tests/calls.rs
@@ -0,0 +1,62 @@
+//! The calls, and that the description of the interfaces has the same ones.
+
+use assert_matches::assert_matches;
+use playbill::{parse, Call, CALLS};
+
+const DESCRIPTION: &str = include_str!("../../../docs/api/control.yaml");
+
+/// The methods and paths of the description: keys two deep under `paths`, and methods beneath them.
+fn described() -> Vec<(String, String)> {
+    let mut found = Vec::new();
+    let mut path = "";
+    let lines = DESCRIPTION.lines().skip_while(|line| *line != "paths:").skip(1);
+    for line in lines.take_while(|line| line.starts_with(' ')) {
+        if let Some(key) = line.strip_prefix("  /").and_then(|rest| rest.strip_suffix(':')) {
+            path = key;
+        } else if let Some(method @ ("get" | "post" | "put" | "delete")) =
+            line.strip_prefix("    ").and_then(|rest| rest.strip_suffix(':'))
+        {
+            found.push((method.to_uppercase(), format!("/{path}")));
+        }
+    }
+    found
+}
+
+#[test]
+fn the_description_has_the_same_calls() {
+    let calls: Vec<_> = CALLS.iter().map(|(method, path)| (method.to_string(), path.to_string())).collect();
+    assert_eq!(described(), calls);
+}
+
+#[test]
+fn every_call_is_parsed_with_its_own_method_only() {
+    let mut seen = Vec::new();
+    for (method, template) in CALLS {
+        let path = template.replace("{id}", "i-7f3a91c2").replace("{zone}", "ub-east-hall");
+        let call = parse(method, &path).expect(template);
+        assert!(!seen.contains(&call), "{template} is parsed as another call");
+        seen.push(call);
+        let other = if *method == "GET" { "POST" } else { "GET" };
+        assert_matches!(parse(other, &path), None, "{other} {path}");
+        assert_matches!(parse(method, &format!("{path}/more")), None);
+    }
+}
+
+#[test]
+fn names_are_decoded_and_never_empty() {
+    assert_matches!(parse("POST", "/servers/i%2F7%20%C3%A9/beat?x=1"), Some(Call::Beat(id)) if id == "i/7 é");
+    assert_matches!(parse("POST", "/empty/a+b/end"), Some(Call::EmptyEnd(zone)) if zone == "a+b");
+    assert_matches!(parse("POST", "/servers//beat"), None);
+    assert_matches!(parse("POST", "/servers/%FF/beat"), None);
+    assert_matches!(parse("POST", "servers/i/beat"), None);
+}
+
+#[test]
+fn a_lookup_names_the_host_and_where_the_client_is() {
+    let lookup = |name: &str, region: &str, zone: &str| {
+        Some(Call::Lookup { name: name.into(), region: region.into(), zone: zone.into() })
+    };
+    let asked = "/lookup?name=jepu9.example&region=ulaan+baatar&zone=ub%2Deast&other=1";
+    assert_eq!(parse("GET", asked), lookup("jepu9.example", "ulaan baatar", "ub-east"));
+    assert_eq!(parse("GET", "/lookup?zone=z"), lookup("", "", "z"));
+}
--- /dev/null
+++ b/crates/playbill/tests/written.rs
@@ -0,0 +1,99 @@
+//! What is read back is what was put.
+
+use playbill::{Playbill, Proposal};
+
+/// Without white space, and with all fields in the order in which they are written.
+fn whole(routes: &str, rest: &str) -> String {
+    format!(
+        r#"{{"version":"r3","routes":{{"columns":["name","hostName","pathStart","service","x"],"rows":[{routes}]}},"services":{{"columns":["name","y"],"rows":[["s",{{"a":[1,2.0],"b":null}}]]}}{rest}}}"#
+    )
+}
+
+fn change(bill: &Playbill, body: &str) -> Playbill {
+    Proposal::change(body.as_bytes()).unwrap().onto(Some(bill)).unwrap()
+}
+
+#[test]
+fn every_value_comes_back_as_it_came() {
+    for value in [
+        "3",
+        "3.0",
+        "0",
+        "-0",
+        "-0.0",
+        "-7",
+        "1e3",
+        "0.1",
+        // Floats that the reader itself does not get to the last bit, and integers that 64 bits do not hold.
+        "0.30000000000000004",
+        "123456.78901234567",
+        "5e-324",
+        "18446744073709551615",
+        "-9223372036854775808",
+        "123456789012345678901234567890",
+        "true",
+        "null",
+        r#""""#,
+        r#""1.5""#,
+        r#""a \"quote\", a \\ and a / \n\t""#,
+        r#""Улаанбаатар é 🎭""#,
+        r#"{"k":{"deep":[[],{},"é",0.30000000000000004]},"z":false}"#,
+    ] {
+        let text = whole(&format!(r#"["r","h","/","s",{value}]"#), "");
+        assert_eq!(Playbill::read(&text).unwrap().text(), text);
+    }
+}
+
+#[test]
+fn escapes_are_read_as_what_they_stand_for() {
+    let text = |x: &str| whole(&format!(r#"["r","h","/","s",{x}]"#), "");
+    let bill = Playbill::read(&text(r#""\u00e9\ud83c\udfad\/\u0041\u001f""#)).unwrap();
+    assert_eq!(bill.text(), text(r#""é🎭/A\u001f""#));
+}
+
+#[test]
+fn what_it_does_not_know_is_kept() {
+    let rest = r#","limits":{"idleMs":15000,"other":[1.50]},"caches":{"columns":["name","size"],"rows":[["c",1]]},"note":"é""#;
+    let text = whole(r#"["r","h","/","s",null]"#, rest);
+    let bill = Playbill::read(&text).unwrap();
+    assert_eq!(bill.text(), text);
+    let next = change(
+        &bill,
+        r#"{"version":"r4","builtOn":"r3","note":"new","putItems":{"caches":{"columns":["name","ttl"],"rows":[["d",2.0]]}}}"#,
+    );
+    let expected = text.replace("r3", "r4").replace(r#""note":"é""#, r#""note":"new""#).replace(
+        r#"["name","size"],"rows":[["c",1]]"#,
+        r#"["name","size","ttl"],"rows":[["c",1,null],["d",null,2.0]]"#,
+    );
+    assert_eq!(next.text(), expected);
+    let last = change(&next, r#"{"version":"r5","builtOn":"r4","remove":{"caches":["c"],"unknown":["c"]}}"#);
+    assert_eq!(last.text(), expected.replace("r4", "r5").replace(r#"["c",1,null],"#, ""));
+}
+
+#[test]
+fn rows_of_other_columns_are_written_under_all_of_them() {
+    let bill = Playbill::read(&whole(r#"["r","h","/","s",1],["q","h","/q/","s",2.50]"#, "")).unwrap();
+    let next = change(
+        &bill,
+        r#"{"version":"r12","builtOn":"r3","putItems":{"routes":{"columns":["tries","name","pathStart","hostName","shares"],
+        "rows":[[2,"r","/r/","h",[{"weight":1.0,"service":"s"}]],[3,"new","/n/","h",[{"weight":7,"service":"s"}]]]}}}"#,
+    );
+    let rows = r#"["r","h","/r/",null,null,2,[{"service":"s","weight":1.0}]],["q","h","/q/","s",2.50,null,null],["new","h","/n/",null,null,3,[{"service":"s","weight":7}]]"#;
+    let expected = whole(rows, "")
+        .replace("\"r3\"", "\"r12\"")
+        .replace(r#""service","x"]"#, r#""service","x","tries","shares"]"#);
+    assert_eq!(next.text(), expected);
+    assert_eq!(Playbill::read(&expected).unwrap(), next);
+}
+
+#[test]
+fn hostile_bodies_are_refused_without_harm() {
+    let deep = "[".repeat(100_000);
+    let nul = whole(r#"["r","h","/","s","\u00001.5"]"#, "");
+    let key = whole(r#"["r","h","/","s",{1.5:2}]"#, "");
+    let escaped = whole(r#"["r","h","/","s","\\u0000"]"#, "");
+    for body in [deep.as_str(), &nul, &key, "\"\\", "{\"a\":1.2.3}", "-", "[1.5.]"] {
+        assert!(Playbill::read(body).is_err(), "{body:.60}");
+    }
+    assert_eq!(Playbill::read(&escaped).unwrap().text(), escaped);
+}
