--- /dev/null
+++ b/crates/greenroom/src/follow.rs
@@ -0,0 +1,284 @@
+//! Following other processes' news, and telling them one's own. The rows' order is [`crate::news`]'s; here are the calls,
+//! the waiting and the clock.
+
+use crate::link::Link;
+use crate::news::{Book, Millis};
+use crate::wire::{call, Decided, Follow, MemberRow, News, ServerRow};
+use bytes::Bytes;
+use prost::Message;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::hash::{BuildHasher, RandomState};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+/// Words that change nothing are gathered for so long, ms.
+const GATHER: Millis = 200.0;
+/// A call is given up so long after it should have been answered at the latest.
+const PATIENCE: Duration = Duration::from_millis(700);
+
+/// The steady clock of this process, in ms since its start.
+#[derive(Clone, Copy, Debug)]
+pub struct Steady(Instant);
+
+impl Steady {
+    /// Begins now, a little above 0: no moment is 0.
+    pub fn start() -> Self {
+        Steady(Instant::now())
+    }
+
+    /// Now.
+    pub fn now(&self) -> Millis {
+        1.0 + self.0.elapsed().as_secs_f64() * 1000.0
+    }
+}
+
+/// A number drawn by chance.
+pub fn chance() -> u64 {
+    RandomState::new().hash_one(0u8)
+}
+
+/// What a follower has said it took in.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Seen {
+    /// All of this life up to this.
+    pub seen: u64,
+    /// This edition.
+    pub edition: u64,
+    /// When it said so.
+    pub at: Millis,
+    /// It wants each word: a core machine.
+    pub each: bool,
+}
+
+/// Called when servers or limiters changed in what they are used for, or an edition was taken.
+pub type Hears = Rc<dyn Fn()>;
+
+/// What this process knows and tells.
+pub struct Knowledge {
+    clock: Steady,
+    book: RefCell<Book>,
+    decided: RefCell<(u64, Rc<Decided>)>,
+    /// A majority was asked then, or later, and knew nothing newer than what is decided here.
+    fresh: Cell<Option<Millis>>,
+    followers: RefCell<HashMap<String, Seen>>,
+    stirred: Notify,
+    hears: RefCell<Vec<Hears>>,
+}
+
+impl Knowledge {
+    /// Knows nothing yet.
+    pub fn new(clock: Steady, beat_every: Millis) -> Rc<Self> {
+        Rc::new(Knowledge {
+            clock,
+            book: RefCell::new(Book::new(chance(), beat_every, clock.now())),
+            decided: RefCell::default(),
+            fresh: Cell::default(),
+            followers: RefCell::default(),
+            stirred: Notify::new(),
+            hears: RefCell::default(),
+        })
+    }
+
+    /// Now.
+    pub fn now(&self) -> Millis {
+        self.clock.now()
+    }
+
+    /// The clock.
+    pub fn clock(&self) -> Steady {
+        self.clock
+    }
+
+    /// Calls this from now on when something changed.
+    pub fn on_change(&self, hears: Hears) {
+        self.hears.borrow_mut().push(hears);
+    }
+
+    /// Looks at servers and limiters.
+    pub fn with<T>(&self, look: impl FnOnce(&Book, Millis) -> T) -> T {
+        look(&self.book.borrow(), self.now())
+    }
+
+    /// Changes servers and limiters, and tells who follows.
+    pub fn change<T>(&self, how: impl FnOnce(&mut Book, Millis) -> T) -> T {
+        let before = { (self.book.borrow().count(), self.book.borrow().changes()) };
+        let done = how(&mut self.book.borrow_mut(), self.now());
+        let after = { (self.book.borrow().count(), self.book.borrow().changes()) };
+        if after != before {
+            self.stir(after.1 != before.1);
+        }
+        done
+    }
+
+    fn stir(&self, changed: bool) {
+        self.stirred.notify_waiters();
+        if changed {
+            let hears = self.hears.borrow().clone();
+            hears.iter().for_each(|hears| hears());
+        }
+    }
+
+    /// The newest edition known here; 0 before the first.
+    pub fn edition(&self) -> u64 {
+        self.decided.borrow().0
+    }
+
+    /// What is decided, as far as known here.
+    pub fn decided(&self) -> Rc<Decided> {
+        self.decided.borrow().1.clone()
+    }
+
+    /// Takes an edition, unless it is known already. One life never goes back.
+    pub fn decide(&self, edition: u64, decided: Decided) {
+        if edition > self.edition() {
+            *self.decided.borrow_mut() = (edition, Rc::new(decided));
+            self.stir(true);
+        }
+    }
+
+    /// A majority was asked then and knew of nothing newer than `edition`.
+    pub fn confirm(&self, at: Millis, edition: u64) {
+        if self.edition() >= edition && self.fresh.get().is_none_or(|fresh| fresh < at) {
+            self.fresh.set(Some(at));
+        }
+    }
+
+    /// How long ago a majority was known to know of nothing newer.
+    pub fn fresh_ago(&self) -> Option<Millis> {
+        self.fresh.get().map(|at| (self.now() - at).max(0.0))
+    }
+
+    /// What the follower of this name took in last.
+    pub fn seen_by(&self, name: &str) -> Seen {
+        self.followers.borrow().get(name).copied().unwrap_or_default()
+    }
+
+    /// Waits until this holds of what followers took in, or the time is up; whether it holds.
+    pub async fn wait_for(&self, within: Duration, holds: impl Fn(&HashMap<String, Seen>) -> bool) -> bool {
+        let until = Instant::now() + within;
+        loop {
+            let stirred = self.stirred.notified();
+            if holds(&self.followers.borrow()) {
+                return true;
+            }
+            if tokio::time::timeout_at(until, stirred).await.is_err() {
+                return holds(&self.followers.borrow());
+            }
+        }
+    }
+
+    fn wanted(&self, follow: &Follow, each: bool) -> bool {
+        self.edition() > follow.edition || self.book.borrow().has_news(follow.epoch, follow.seen, each)
+    }
+
+    /// Answers a call, at once or when there is news.
+    pub async fn answer(&self, follow: Follow) -> News {
+        let came = self.now();
+        if let Some(member) = &follow.member {
+            self.change(|book, now| book.member(now, &MemberRow { heard_ago: 0, lapsed: false, ..member.clone() }));
+        }
+        if follow.epoch == self.book.borrow().epoch() {
+            let seen = Seen { seen: follow.seen, edition: follow.edition, at: came, each: follow.each };
+            self.followers.borrow_mut().insert(follow.name.clone(), seen);
+            self.stirred.notify_waiters();
+        }
+        let (hold, gather) = (f64::from(follow.hold), GATHER.min(f64::from(follow.hold)));
+        loop {
+            let stirred = self.stirred.notified();
+            let waited = self.now() - came;
+            if waited >= hold || self.wanted(&follow, false) || waited >= gather && self.wanted(&follow, follow.each) {
+                break;
+            }
+            let until = if waited < gather && follow.each { gather } else { hold };
+            let left = Duration::from_secs_f64((until - waited).max(0.5) / 1000.0);
+            // Either it is woken, or looks again.
+            let _ = tokio::time::timeout(left, stirred).await;
+        }
+        let now = self.now();
+        let mut news = self.book.borrow().since(now, follow.epoch, follow.seen, follow.each);
+        news.limiters = self.book.borrow().limiters(now);
+        news.edition = self.edition();
+        if news.edition > follow.edition {
+            news.decided = Some((*self.decided()).clone());
+        }
+        news.fresh_ago = self.fresh_ago().map(|ago| ago.ceil() as u32);
+        news.held = (now - came) as u32;
+        news
+    }
+
+    /// Answers an encoded [`Follow`].
+    pub async fn answer_bytes(&self, body: Bytes) -> Vec<u8> {
+        match Follow::decode(body) {
+            Ok(follow) => self.answer(follow).await.encode_to_vec(),
+            // Of another version: it hears nothing, and says so in its log.
+            Err(_) => Vec::new(),
+        }
+    }
+
+    /// Takes in another's news; `asked` is when it was asked.
+    pub fn hear(&self, asked: Millis, news: News) {
+        if let Some(decided) = &news.decided {
+            self.decide(news.edition, decided.clone());
+        }
+        if let Some(ago) = news.fresh_ago {
+            // It was sent no sooner than it was held, and is no older then than it says.
+            self.confirm(asked + f64::from(news.held) - f64::from(ago), news.edition);
+        }
+        self.change(|book, now| book.merge(now, &news));
+    }
+
+    /// Takes in what a server said.
+    pub fn server(&self, row: &ServerRow) -> crate::news::Word {
+        self.change(|book, now| book.server(now, row))
+    }
+}
+
+/// Where a follower stands with one teller.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Place {
+    /// The teller's life.
+    pub epoch: u64,
+    /// What was taken in of it.
+    pub seen: u64,
+}
+
+/// What one call of a follower brought.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Heard {
+    /// News, or that there are none. The teller was last told by a majority that it is up to date so long ago, ms.
+    Told {
+        /// None: never.
+        fresh_ago: Option<u32>,
+        /// How many limiters the teller counts.
+        limiters: u32,
+    },
+    /// Nothing.
+    Nothing,
+}
+
+/// Asks once and takes in what comes.
+pub async fn ask(
+    known: &Knowledge,
+    link: &Link,
+    place: &mut Place,
+    name: &str,
+    each: bool,
+    hold: u32,
+    member: Option<MemberRow>,
+) -> Heard {
+    let asked = known.now();
+    let (epoch, seen, edition) = (place.epoch, place.seen, known.edition());
+    let follow = Follow { name: name.to_owned(), epoch, seen, edition, each, hold, member };
+    let within = Duration::from_millis(u64::from(hold)) + PATIENCE;
+    let answer = link.call(call::FOLLOW, follow.encode_to_vec(), within).await;
+    let Some(news) = answer.ok().filter(|b| !b.is_empty()).and_then(|b| News::decode(b).ok()) else {
+        return Heard::Nothing;
+    };
+    *place = Place { epoch: news.epoch, seen: news.seen };
+    let (fresh_ago, limiters) = (news.fresh_ago, news.limiters);
+    known.hear(asked, news);
+    Heard::Told { fresh_ago, limiters }
+}
--- /dev/null
+++ b/crates/greenroom/src/lib.rs
@@ -0,0 +1,22 @@
+//! What the programs of the system share. The cores ([`news`], [`kinds`], [`settings`]) do no I/O; [`link`], [`log`]
+//! and [`run`] are shells.
+//!
+//! | module | holds |
+//! | --- | --- |
+//! | [`kinds`] | the one closed list of error kinds, with the table from kind to answer |
+//! | [`settings`] | what a process is told by its settings file |
+//! | [`news`] | servers, members and the decided state: rows that merge, and who has seen what |
+//! | [`wire`] | messages between the system's own processes |
+//! | [`link`] | calls between processes over TCP |
+//! | [`follow`] | following another process's news, and being followed |
+//! | [`log`] | short lines with each part's prefix |
+//! | [`run`] | command line, signals and the thread that all else runs on |
+
+pub mod follow;
+pub mod kinds;
+pub mod link;
+pub mod log;
+pub mod news;
+pub mod run;
+pub mod settings;
+pub mod wire;
--- /dev/null
+++ b/crates/greenroom/src/news.rs
@@ -0,0 +1,465 @@
+//! What is known of servers and limiters: rows that merge, in whichever order and however often they come, and a count
+//! by which followers ask for what they lack.
+//!
+//! Every process of the system holds one [`Book`]. Core machines write what servers and limiters say to them; all others
+//! only merge. A row says how long ago its subject was heard, never when: no two machines need agree on the time.
+
+use crate::wire::{MemberRow, News, ServerRow};
+use std::collections::BTreeMap;
+
+/// A span or a point on this process's steady clock, ms.
+pub type Millis = f64;
+
+/// States of a server, in the order in which it passes through them.
+pub mod server_state {
+    /// Takes requests.
+    pub const READY: u32 = 0;
+    /// Finishes what it has.
+    pub const DRAINING: u32 = 1;
+    /// Has said that it ends.
+    pub const LEFT: u32 = 2;
+}
+
+/// States of a limiter.
+pub mod member_state {
+    /// Does not know enough yet.
+    pub const STARTING: u32 = 0;
+    /// Takes clients.
+    pub const READY: u32 = 1;
+    /// Is about to end.
+    pub const LEAVING: u32 = 2;
+}
+
+/// How long what has ended is remembered, ms: late words of it must find it.
+const REMEMBER: Millis = 120_000.0;
+/// A limiter whose session has ended may still act for so long, ms: it counts among the limiters.
+const STILL_ACTS: Millis = 12_000.0;
+/// A teller knows all once it has listened for so many of the servers' spans.
+const WARM_SPANS: f64 = 2.5;
+/// A server is silent after so many of its spans and a second: three words lost, and the time for a fourth.
+const SILENT_SPANS: f64 = 3.0;
+const SILENT_MORE: Millis = 1000.0;
+/// A session ends after so long without a word, ms.
+pub const SESSION: Millis = 1700.0;
+
+/// A row with what is known of it here.
+#[derive(Clone, Debug)]
+struct Held<R> {
+    row: R,
+    /// When its subject was last heard.
+    heard: Millis,
+    /// When the row was taken in as it is, for what counts down.
+    at: Millis,
+    /// The count at which it last changed in what it is used for, and at which anything was heard.
+    changed: u64,
+    touched: u64,
+}
+
+/// A row that merges.
+trait Row: Clone {
+    /// Of the same subject: takes in a newer row; whether that changes what the subject is used for. `None`: it is not
+    /// newer.
+    fn take(&mut self, other: &Self, newer: bool) -> Option<bool>;
+    fn heard_ago(&self) -> u32;
+    fn ended(&self) -> bool;
+}
+
+impl Row for ServerRow {
+    fn take(&mut self, other: &Self, _: bool) -> Option<bool> {
+        let state = self.state.max(other.state);
+        let rises = other.calls > self.calls;
+        let silent = if rises { other.silent } else { self.silent || other.silent && other.calls == self.calls };
+        if !rises && state == self.state && silent == self.silent {
+            return None;
+        }
+        let before = self.clone();
+        if rises {
+            *self = other.clone();
+        }
+        (self.state, self.silent) = (state, silent);
+        // A cold spell that goes on as told is no news, one that begins is.
+        let colder = other.cold_ms > before.cold_ms + 300;
+        let same = (self.state, self.silent, self.slots) == (before.state, before.silent, before.slots)
+            && (&self.address, &self.service, &self.zone) == (&before.address, &before.service, &before.zone);
+        Some(!same || rises && colder)
+    }
+
+    fn heard_ago(&self) -> u32 {
+        self.heard_ago
+    }
+
+    fn ended(&self) -> bool {
+        self.state == server_state::LEFT || self.silent
+    }
+}
+
+impl Row for MemberRow {
+    fn take(&mut self, other: &Self, newer: bool) -> Option<bool> {
+        if other.life != self.life {
+            // Another life of it: the one that was heard last is the present one.
+            return newer.then(|| {
+                *self = other.clone();
+                true
+            });
+        }
+        let rises = other.beat > self.beat;
+        let lapsed = if rises { other.lapsed } else { self.lapsed || other.lapsed && other.beat == self.beat };
+        let state = if rises { other.state } else { self.state };
+        if !rises && lapsed == self.lapsed {
+            return None;
+        }
+        let changes = (state, lapsed) != (self.state, self.lapsed);
+        if rises {
+            *self = other.clone();
+        }
+        self.lapsed = lapsed;
+        Some(changes)
+    }
+
+    fn heard_ago(&self) -> u32 {
+        self.heard_ago
+    }
+
+    fn ended(&self) -> bool {
+        self.lapsed
+    }
+}
+
+type Rows<R> = BTreeMap<String, Held<R>>;
+
+/// Servers and limiters as known here.
+#[derive(Debug)]
+pub struct Book {
+    epoch: u64,
+    began: Millis,
+    beat_every: Millis,
+    count: u64,
+    changes: u64,
+    servers: Rows<ServerRow>,
+    members: Rows<MemberRow>,
+}
+
+/// What a server said, or why it is not taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Word {
+    /// It is new, and changes what the server is used for, as of this count.
+    Changes(u64),
+    /// It changes nothing.
+    Same,
+}
+
+fn merge_row<R: Row>(rows: &mut Rows<R>, name: &str, row: &R, now: Millis, next: u64) -> Option<bool> {
+    let heard = now - f64::from(row.heard_ago());
+    let Some(held) = rows.get_mut(name) else {
+        let held = Held { row: row.clone(), heard, at: now, changed: next, touched: next };
+        rows.insert(name.to_owned(), held);
+        return Some(true);
+    };
+    let taken = held.row.take(row, heard > held.heard);
+    if taken.is_some() {
+        held.heard = held.heard.max(heard);
+        held.at = now;
+        held.touched = next;
+        if taken == Some(true) {
+            held.changed = next;
+        }
+    }
+    taken
+}
+
+impl Book {
+    /// An empty book of a process that begins now; `epoch` is drawn by chance and not 0.
+    pub fn new(epoch: u64, beat_every: Millis, now: Millis) -> Self {
+        let (servers, members) = (BTreeMap::new(), BTreeMap::new());
+        Book { epoch: epoch.max(1), began: now, beat_every, count: 1, changes: 1, servers, members }
+    }
+
+    /// This life.
+    pub fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
+    /// All up to this has been told or can be.
+    pub fn count(&self) -> u64 {
+        self.count
+    }
+
+    /// Rises with what changes what servers or limiters are used for.
+    pub fn changes(&self) -> u64 {
+        self.changes
+    }
+
+    /// It has listened for long enough to know all there are.
+    pub fn is_warm(&self, now: Millis) -> bool {
+        now - self.began >= WARM_SPANS * self.beat_every
+    }
+
+    fn noted(&mut self, next: u64, taken: Option<bool>) -> Word {
+        match taken {
+            None => Word::Same,
+            Some(changes) => {
+                self.count = next;
+                if changes {
+                    self.changes = next;
+                    return Word::Changes(next);
+                }
+                Word::Same
+            }
+        }
+    }
+
+    /// Takes in one row of a server.
+    pub fn server(&mut self, now: Millis, row: &ServerRow) -> Word {
+        let next = self.count + 1;
+        let taken = merge_row(&mut self.servers, &row.id, row, now, next);
+        self.noted(next, taken)
+    }
+
+    /// A server has said that it ends.
+    pub fn leaves(&mut self, now: Millis, id: &str) -> Word {
+        let row = match self.servers.get(id) {
+            Some(held) => ServerRow { state: server_state::LEFT, ..held.row.clone() },
+            // Never heard of here: late words of it must find that it has left.
+            None => ServerRow { id: id.to_owned(), state: server_state::LEFT, ..ServerRow::default() },
+        };
+        self.server(now, &row)
+    }
+
+    /// Takes in one row of a limiter.
+    pub fn member(&mut self, now: Millis, row: &MemberRow) -> Word {
+        let next = self.count + 1;
+        let taken = merge_row(&mut self.members, &row.name, row, now, next);
+        self.noted(next, taken)
+    }
+
+    /// Takes in another's news; whether it changes what is used.
+    pub fn merge(&mut self, now: Millis, news: &News) -> bool {
+        let before = self.changes;
+        for row in &news.servers {
+            self.server(now, row);
+        }
+        for row in &news.members {
+            self.member(now, row);
+        }
+        if news.whole && news.warm {
+            // What a teller that knows all has not, and what was not heard here of late either, is no more.
+            let old = now - 4.0 * self.beat_every - SILENT_MORE;
+            let told: std::collections::BTreeSet<&str> = news.servers.iter().map(|r| r.id.as_str()).collect();
+            let gone: Vec<ServerRow> = self
+                .servers
+                .values()
+                .filter(|h| h.at < old && !h.row.silent && !told.contains(h.row.id.as_str()))
+                .map(|h| ServerRow { silent: true, ..h.row.clone() })
+                .collect();
+            gone.iter().for_each(|row| _ = self.server(now, row));
+        }
+        self.changes != before
+    }
+
+    /// Looks for servers and sessions of which nothing was heard for too long, and forgets what ended long ago. Only a
+    /// core machine that has itself been awake and warm may say so. Whether anything changed.
+    pub fn look(&mut self, now: Millis, may_judge: bool) -> bool {
+        let before = self.changes;
+        if may_judge {
+            let silent = now - SILENT_SPANS * self.beat_every - SILENT_MORE;
+            let rows: Vec<ServerRow> = self
+                .servers
+                .values()
+                .filter(|h| h.heard < silent && !h.row.ended())
+                .map(|h| ServerRow { silent: true, ..h.row.clone() })
+                .collect();
+            rows.iter().for_each(|row| _ = self.server(now, row));
+            let rows: Vec<MemberRow> = self
+                .members
+                .values()
+                .filter(|h| h.heard < now - SESSION && !h.row.lapsed)
+                .map(|h| MemberRow { lapsed: true, ..h.row.clone() })
+                .collect();
+            rows.iter().for_each(|row| _ = self.member(now, row));
+        }
+        self.servers.retain(|_, h| !h.row.ended() || now - h.at < REMEMBER);
+        self.members.retain(|_, h| !h.row.lapsed || now - h.at < REMEMBER);
+        self.changes != before
+    }
+
+    /// What a follower lacks that has taken in all up to `seen` of the life `epoch`; all there is where that is not this
+    /// life. `each`: every word, not only what changes use.
+    pub fn since(&self, now: Millis, epoch: u64, seen: u64, each: bool) -> News {
+        let whole = epoch != self.epoch || seen > self.count;
+        let from = if whole { 0 } else { seen };
+        let ago = |at: Millis| (now - at).clamp(0.0, 1e9) as u32;
+        let servers = self.servers.values().filter(|h| (if each { h.touched } else { h.changed }) > from);
+        let servers = servers.map(|h| ServerRow {
+            heard_ago: ago(h.heard),
+            cold_ms: f64::from(h.row.cold_ms).max(0.0).sub_to_zero(now - h.at),
+            ..h.row.clone()
+        });
+        let members = self.members.values().filter(|h| (if each { h.touched } else { h.changed }) > from);
+        let members = members.map(|h| MemberRow { heard_ago: ago(h.heard), ..h.row.clone() });
+        News {
+            epoch: self.epoch,
+            seen: self.count,
+            whole,
+            warm: self.is_warm(now),
+            servers: servers.collect(),
+            members: members.collect(),
+            ..News::default()
+        }
+    }
+
+    /// Whether a follower lacks anything.
+    pub fn has_news(&self, epoch: u64, seen: u64, each: bool) -> bool {
+        epoch != self.epoch || seen > self.count || seen < if each { self.count } else { self.changes }
+    }
+
+    /// Servers that may be sent something, with how long they are still cold, ms.
+    pub fn servers(&self, now: Millis) -> impl Iterator<Item = (&ServerRow, Millis)> + '_ {
+        self.servers.values().map(move |h| (&h.row, (f64::from(h.row.cold_ms) - (now - h.at)).max(0.0)))
+    }
+
+    /// Limiters, with how long ago each was heard, ms.
+    pub fn members(&self, now: Millis) -> impl Iterator<Item = (&MemberRow, Millis)> + '_ {
+        self.members.values().map(move |h| (&h.row, now - h.heard))
+    }
+
+    /// The count at which a server last changed in what it is used for; 0 if it is not known.
+    pub fn changed_at(&self, id: &str) -> u64 {
+        self.servers.get(id).map_or(0, |h| h.changed)
+    }
+
+    /// How many limiters may act: those with a session, and those whose session ended a short while ago.
+    pub fn limiters(&self, now: Millis) -> u32 {
+        let acts = |h: &&Held<MemberRow>| !h.row.lapsed || now - h.heard < STILL_ACTS;
+        self.members.values().filter(acts).count() as u32
+    }
+}
+
+trait SubToZero {
+    fn sub_to_zero(self, by: f64) -> u32;
+}
+
+impl SubToZero for f64 {
+    fn sub_to_zero(self, by: f64) -> u32 {
+        (self - by).max(0.0) as u32
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rand_core::{RngCore, SeedableRng};
+    use rand_pcg::Pcg64Mcg;
+
+    fn server(id: &str, calls: u64, state: u32) -> ServerRow {
+        let address = format!("10.0.0.{}:80", id.len());
+        ServerRow { id: id.into(), service: "s".into(), address, calls, state, ..ServerRow::default() }
+    }
+
+    fn book(epoch: u64) -> Book {
+        Book::new(epoch, 1500.0, 0.0)
+    }
+
+    fn states(book: &Book) -> Vec<(String, u32, bool, u64)> {
+        book.servers(0.0).map(|(r, _)| (r.id.clone(), r.state, r.silent, r.calls)).collect()
+    }
+
+    #[test]
+    fn rows_merge_alike_in_any_order_and_however_often() {
+        for seed in 0..300 {
+            let mut rng = Pcg64Mcg::seed_from_u64(seed);
+            let mut rows = Vec::new();
+            for _ in 0..12 {
+                let row = server(["a", "bb"][rng.next_u32() as usize % 2], 1 + rng.next_u64() % 5, rng.next_u32() % 3);
+                // One life's words of one number are one word; only the silence is added by others.
+                let row = ServerRow { state: if row.calls < 4 { 0 } else { row.state }, ..row };
+                rows.push(ServerRow { silent: rng.next_u32() % 4 == 0, ..row });
+            }
+            let mut orders: [Vec<usize>; 2] = [(0..12).collect(), (0..12).chain(0..12).collect()];
+            for order in &mut orders {
+                for i in (1..order.len()).rev() {
+                    order.swap(i, rng.next_u64() as usize % (i + 1));
+                }
+            }
+            let books = orders.map(|order| {
+                let mut book = book(1);
+                order.iter().for_each(|i| _ = book.server(1.0, &rows[*i]));
+                states(&book)
+            });
+            assert_eq!(books[0], books[1], "seed {seed}");
+        }
+    }
+
+    #[test]
+    fn a_late_word_never_brings_back_what_drains_or_has_left() {
+        let mut book = book(1);
+        book.server(0.0, &server("a", 1, server_state::READY));
+        book.server(1.0, &server("a", 5, server_state::DRAINING));
+        assert_eq!(book.server(2.0, &server("a", 4, server_state::READY)), Word::Same);
+        assert_eq!(book.server(2.0, &server("a", 6, server_state::READY)), Word::Same, "it drains for good");
+        book.leaves(3.0, "a");
+        book.server(4.0, &server("a", 9, server_state::DRAINING));
+        assert_eq!(states(&book)[0].1, server_state::LEFT);
+        book.leaves(4.0, "never heard of");
+        book.server(5.0, &server("never heard of", 3, server_state::READY));
+        assert_eq!(states(&book)[1].1, server_state::LEFT);
+    }
+
+    #[test]
+    fn silence_is_told_once_and_ends_with_a_word() {
+        let mut book = book(1);
+        book.server(0.0, &server("a", 1, 0));
+        assert!(!book.look(5400.0, true), "three words and a second");
+        assert!(!book.look(5600.0, false), "who was not awake says nothing");
+        assert!(book.look(5600.0, true));
+        assert!(!book.look(5700.0, true));
+        assert_eq!(states(&book), [("a".into(), 0, true, 1)]);
+        assert!(matches!(book.server(6000.0, &server("a", 2, 0)), Word::Changes(_)));
+        assert_eq!(states(&book), [("a".into(), 0, false, 2)]);
+    }
+
+    #[test]
+    fn a_follower_asks_for_what_it_lacks_and_starts_anew_with_a_new_life() {
+        let (mut teller, mut follower) = (book(7), book(8));
+        teller.server(0.0, &server("a", 1, 0));
+        let all = teller.since(10.0, 0, 0, false);
+        assert!(all.whole);
+        follower.merge(10.0, &all);
+        assert!(!teller.has_news(all.epoch, all.seen, false));
+        teller.server(20.0, &server("a", 2, 0));
+        assert!(!teller.has_news(all.epoch, all.seen, false), "a word that changes nothing");
+        assert!(teller.has_news(all.epoch, all.seen, true));
+        teller.server(30.0, &server("a", 3, server_state::DRAINING));
+        let news = teller.since(30.0, all.epoch, all.seen, false);
+        assert!(!news.whole && news.servers.len() == 1);
+        assert!(follower.merge(30.0, &news));
+        assert_eq!(states(&follower)[0].1, server_state::DRAINING);
+        assert!(book(9).has_news(all.epoch, all.seen, false), "another life");
+    }
+
+    #[test]
+    fn a_whole_list_of_a_teller_that_knows_all_ends_what_it_lacks() {
+        let (mut teller, mut follower) = (book(7), book(8));
+        follower.server(0.0, &server("old", 1, 0));
+        teller.server(0.0, &server("a", 1, 0));
+        follower.merge(1000.0, &teller.since(1000.0, 0, 0, false));
+        assert!(states(&follower).iter().all(|s| !s.2), "the teller began just now and knows little");
+        follower.merge(9000.0, &teller.since(9000.0, 0, 0, false));
+        assert_eq!(states(&follower), [("a".into(), 0, false, 1), ("old".into(), 0, true, 1)]);
+    }
+
+    #[test]
+    fn a_limiter_is_a_member_while_its_session_stands_and_counts_a_while_longer() {
+        let mut book = book(1);
+        let row = MemberRow { name: "e1".into(), life: 5, beat: 1, state: 1, ..MemberRow::default() };
+        assert!(matches!(book.member(0.0, &row), Word::Changes(_)));
+        assert_eq!(book.member(400.0, &MemberRow { beat: 2, ..row.clone() }), Word::Same);
+        assert!(!book.look(2000.0, true));
+        assert!(book.look(2200.0, true), "no word for longer than a session");
+        assert_eq!(book.limiters(2200.0), 1, "it may still act");
+        assert_eq!(book.limiters(2200.0 + STILL_ACTS), 0);
+        // A new life that was heard later takes the place of the old one, and the old one's late word does not.
+        assert!(matches!(book.member(3000.0, &MemberRow { life: 6, ..row.clone() }), Word::Changes(_)));
+        book.member(3100.0, &MemberRow { beat: 9, heard_ago: 2000, ..row });
+        assert_eq!(book.members(3100.0).next().map(|(r, _)| r.life), Some(6));
+    }
+}
