--- a/crates/greenroom/src/follow.rs
+++ b/crates/greenroom/src/follow.rs
@@ -63,6 +63,8 @@
     decided: RefCell<(u64, Rc<Decided>)>,
     /// A majority was asked then, or later, and knew nothing newer than what is decided here.
     fresh: Cell<Option<Millis>>,
+    /// What the system's time is ahead of this process's.
+    ahead: Cell<Millis>,
     followers: RefCell<HashMap<String, Seen>>,
     stirred: Notify,
     hears: RefCell<Vec<Hears>>,
@@ -76,6 +78,7 @@
             book: RefCell::new(Book::new(chance(), beat_every, clock.now())),
             decided: RefCell::default(),
             fresh: Cell::default(),
+            ahead: Cell::default(),
             followers: RefCell::default(),
             stirred: Notify::new(),
             hears: RefCell::default(),
@@ -87,6 +90,12 @@
         self.clock.now()
     }
 
+    /// The system's time: what the process that has run for longest, or followed one that had, has counted. All agree on
+    /// it within the way between them, whatever their times of day are.
+    pub fn time(&self) -> Millis {
+        self.now() + self.ahead.get()
+    }
+
     /// The clock.
     pub fn clock(&self) -> Steady {
         self.clock
@@ -206,6 +215,7 @@
         }
         news.fresh_ago = self.fresh_ago().map(|ago| ago.ceil() as u32);
         news.held = (now - came) as u32;
+        news.time = self.time();
         news
     }
 
@@ -220,6 +230,7 @@
 
     /// Takes in another's news; `asked` is when it was asked.
     pub fn hear(&self, asked: Millis, news: News) {
+        self.ahead.set(self.ahead.get().max(news.time - self.now()));
         if let Some(decided) = &news.decided {
             self.decide(news.edition, decided.clone());
         }
--- a/crates/greenroom/src/wire.rs
+++ b/crates/greenroom/src/wire.rs
@@ -138,7 +138,7 @@
 }
 
 /// What is new.
-#[derive(Clone, PartialEq, Eq, Message)]
+#[derive(Clone, PartialEq, Message)]
 pub struct News {
     /// The teller's life.
     #[prost(uint64, tag = "1")]
@@ -173,6 +173,9 @@
     /// How many limiters there have been of late, all that may still act included.
     #[prost(uint32, tag = "11")]
     pub limiters: u32,
+    /// The system's time as known to the teller, ms: it only runs forward, and is nobody's time of day.
+    #[prost(double, tag = "12")]
+    pub time: f64,
 }
 
 /// One add to a number.
