Promptbook: a link that carries many calls on one connection, held ones too

The programs of the load balancer need calls between machines that end in time when a peer is silent, cut off or restarted. Frames with a kind and an id over TCP; a call says whether it was certainly not sent; a silent connection is given up after 1.5 s.

--- /dev/null
+++ b/crates/promptbook/src/link.rs
@@ -0,0 +1,432 @@
+//! Calls between programs: frames on one connection, many calls at once, each answered when its answer is there.
+//!
+//! A frame is a length (`u32`, big endian, of what follows), a kind (`u8`), the call's id (`u64`) and the payload; the
+//! answer carries its call's kind and id. All of it runs in a `LocalSet` on one thread.
+
+use bytes::{Buf, BufMut, Bytes, BytesMut};
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg32;
+use slab::Slab;
+use socket2::{SockRef, TcpKeepalive};
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::fmt;
+use std::future::Future;
+use std::hash::{BuildHasher, Hasher};
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::{oneshot, Notify};
+use tokio::task::JoinSet;
+use tokio::time::{sleep, sleep_until, timeout, timeout_at, Instant};
+
+/// What a handler gives back: an answer, at once or later (a held call).
+pub type Answering = Pin<Box<dyn Future<Output = Vec<u8>>>>;
+
+/// The longest payload of a frame.
+pub const LONGEST: usize = 8 << 20;
+/// How many calls of one link may wait for their answers.
+pub const OUTSTANDING: usize = 256;
+/// A connection that says nothing for so long while calls wait is given up; a call that may take longer is a held one.
+pub const SILENCE: Duration = Duration::from_millis(1500);
+
+const HEAD: usize = 4 + 1 + 8;
+const CONNECT: Duration = Duration::from_millis(400);
+const BACK_OFF: (u64, u64) = (50, 400);
+/// How much is gathered for one write, and how much may wait to be written before no more calls are read.
+const GATHER: usize = 64 << 10;
+/// Calls of one connection that a server works on at once; held calls that the other side gave up count too.
+const AT_WORK: usize = 4 * OUTSTANDING;
+
+/// Why a call has no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LinkError {
+    /// The call was certainly not sent.
+    Unreachable,
+    /// The call may or may not have been taken.
+    Lost,
+}
+
+impl fmt::Display for LinkError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            LinkError::Unreachable => "not sent: no connection",
+            LinkError::Lost => "no answer came",
+        })
+    }
+}
+
+impl std::error::Error for LinkError {}
+
+fn prepare(socket: &SockRef<'_>) -> std::io::Result<()> {
+    socket.set_tcp_nodelay(true)?;
+    socket.set_tcp_user_timeout(Some(SILENCE))?;
+    let second = Duration::from_secs(1);
+    socket.set_tcp_keepalive(&TcpKeepalive::new().with_time(second).with_interval(second))
+}
+
+fn put(out: &mut BytesMut, kind: u8, id: u64, body: &[u8]) {
+    out.reserve(HEAD + body.len());
+    out.put_u32((HEAD - 4 + body.len()) as u32);
+    out.put_u8(kind);
+    out.put_u64(id);
+    out.put_slice(body);
+}
+
+struct Frame {
+    kind: u8,
+    id: u64,
+    body: Bytes,
+}
+
+/// Takes one frame off the front; `None` until it is whole, an error if it can be none.
+fn take(buffer: &mut BytesMut) -> Result<Option<Frame>, ()> {
+    if buffer.len() < HEAD {
+        return Ok(None);
+    }
+    let length = u32::from_be_bytes([buffer[0], buffer[1], buffer[2], buffer[3]]) as usize;
+    if !(HEAD - 4..=HEAD - 4 + LONGEST).contains(&length) {
+        return Err(());
+    }
+    if buffer.len() < 4 + length {
+        buffer.reserve(4 + length - buffer.len());
+        return Ok(None);
+    }
+    let mut frame = buffer.split_to(4 + length).freeze();
+    frame.advance(4);
+    let kind = frame.get_u8();
+    let id = frame.get_u64();
+    Ok(Some(Frame { kind, id, body: frame }))
+}
+
+/// Answers calls on every connection that comes in, without end. A call whose connection ends is dropped where it
+/// waits. Answers longer than [`LONGEST`] end the connection.
+pub async fn serve(listener: TcpListener, handler: Rc<dyn Fn(u8, Bytes) -> Answering>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                if prepare(&SockRef::from(&stream)).is_ok() {
+                    tokio::task::spawn_local(answer(stream, handler.clone()));
+                }
+            }
+            // Out of descriptors, mostly: those in use come back.
+            Err(_) => sleep(Duration::from_millis(50)).await,
+        }
+    }
+}
+
+async fn answer(mut stream: TcpStream, handler: Rc<dyn Fn(u8, Bytes) -> Answering>) {
+    let (mut reader, mut writer) = stream.split();
+    let mut incoming = BytesMut::new();
+    let mut outgoing = BytesMut::new();
+    let mut at_work: JoinSet<(u8, u64, Vec<u8>)> = JoinSet::new();
+    loop {
+        while at_work.len() < AT_WORK && outgoing.len() < LONGEST {
+            match take(&mut incoming) {
+                Ok(Some(frame)) => {
+                    let answering = handler(frame.kind, frame.body);
+                    let (kind, id) = (frame.kind, frame.id);
+                    at_work.spawn_local(async move { (kind, id, answering.await) });
+                }
+                Ok(None) => break,
+                Err(()) => return,
+            }
+        }
+        let room = at_work.len() < AT_WORK && outgoing.len() < LONGEST;
+        tokio::select! {
+            biased;
+            Some(done) = at_work.join_next(), if !at_work.is_empty() => {
+                // A handler that panicked has no answer; its caller learns of it by the connection's end.
+                let Ok((kind, id, body)) = done else { return };
+                if body.len() > LONGEST { return }
+                put(&mut outgoing, kind, id, &body);
+                while let Some(done) = at_work.try_join_next() {
+                    let Ok((kind, id, body)) = done else { return };
+                    if body.len() > LONGEST { return }
+                    put(&mut outgoing, kind, id, &body);
+                }
+            }
+            wrote = writer.write_buf(&mut outgoing), if !outgoing.is_empty() => {
+                if !matches!(wrote, Ok(1..)) { return }
+                if outgoing.is_empty() && outgoing.capacity() > GATHER { outgoing = BytesMut::new() }
+            }
+            read = reader.read_buf(&mut incoming), if room => {
+                if !matches!(read, Ok(1..)) { return }
+            }
+        }
+    }
+}
+
+struct Waiting {
+    number: u32,
+    sent: bool,
+    held: bool,
+    answer: oneshot::Sender<Result<Bytes, LinkError>>,
+}
+
+struct State {
+    waiting: Slab<Waiting>,
+    next: u32,
+    /// Frames that no connection has taken yet.
+    queue: VecDeque<(u64, u8, Vec<u8>)>,
+    /// Calls sent, unanswered and not held.
+    pressing: usize,
+    running: bool,
+    /// The back-off in milliseconds; 0 while connections succeed.
+    back_off: u64,
+    retry_at: Option<Instant>,
+    chance: Pcg32,
+}
+
+impl State {
+    fn end(&mut self, key: usize) -> Waiting {
+        let waiting = self.waiting.remove(key);
+        if waiting.sent && !waiting.held {
+            self.pressing -= 1;
+        }
+        waiting
+    }
+
+    /// The key of a call that still waits.
+    fn key(&self, id: u64) -> Option<usize> {
+        let key = (id & 0xffff_ffff) as usize;
+        self.waiting.get(key).filter(|waiting| u64::from(waiting.number) == id >> 32).map(|_| key)
+    }
+
+    /// Moves queued frames of calls that still wait into `out`.
+    fn gather(&mut self, out: &mut BytesMut) {
+        while out.len() < GATHER {
+            let Some((id, kind, body)) = self.queue.pop_front() else { break };
+            let Some(key) = self.key(id) else { continue };
+            self.waiting[key].sent = true;
+            if !self.waiting[key].held {
+                self.pressing += 1;
+            }
+            put(out, kind, id, &body);
+        }
+    }
+
+    fn fail(&mut self, unsent_too: bool) {
+        let keys: Vec<usize> =
+            self.waiting.iter().filter(|(_, w)| w.sent || unsent_too).map(|(key, _)| key).collect();
+        for key in keys {
+            let waiting = self.end(key);
+            let error = if waiting.sent { LinkError::Lost } else { LinkError::Unreachable };
+            let _ = waiting.answer.send(Err(error));
+        }
+        if unsent_too {
+            self.queue.clear();
+        }
+    }
+
+    fn back_off(&mut self) {
+        self.back_off = (self.back_off * 2).clamp(BACK_OFF.0, BACK_OFF.1);
+        let half = self.back_off / 2;
+        let wait = half + u64::from(self.chance.next_u32()) % (half + 1);
+        self.retry_at = Some(Instant::now() + Duration::from_millis(wait));
+    }
+}
+
+struct Shared {
+    to: SocketAddr,
+    state: RefCell<State>,
+    wake: Notify,
+    closed: Cell<bool>,
+}
+
+/// The way to one other program: a connection made on demand and made again after a back-off.
+pub struct Link {
+    shared: Rc<Shared>,
+}
+
+impl fmt::Debug for Link {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "Link({})", self.shared.to)
+    }
+}
+
+/// A call that is dropped while it waits leaves its place.
+struct Place<'a> {
+    shared: &'a Shared,
+    id: u64,
+}
+
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        let mut state = self.shared.state.borrow_mut();
+        if let Some(key) = state.key(self.id) {
+            state.end(key);
+        }
+    }
+}
+
+impl Link {
+    /// A link to `to`; nothing is sent before the first call.
+    pub fn new(to: SocketAddr) -> Rc<Link> {
+        let mut hasher = std::collections::hash_map::RandomState::new().build_hasher();
+        hasher.write_u16(to.port());
+        let state = State {
+            waiting: Slab::new(),
+            next: 0,
+            queue: VecDeque::new(),
+            pressing: 0,
+            running: false,
+            back_off: 0,
+            retry_at: None,
+            chance: Pcg32::seed_from_u64(hasher.finish()),
+        };
+        let shared = Shared { to, state: RefCell::new(state), wake: Notify::new(), closed: Cell::new(false) };
+        Rc::new(Link { shared: Rc::new(shared) })
+    }
+
+    /// Where it leads.
+    pub fn address(&self) -> SocketAddr {
+        self.shared.to
+    }
+
+    /// Sends a call and waits for its answer, `within` at most. Without a connection it waits for one to be made;
+    /// `Unreachable` says that nothing of it was sent. A call with more than [`SILENCE`] is a held one: its waiting
+    /// alone does not make the connection count as dead.
+    pub async fn call(&self, kind: u8, body: Vec<u8>, within: Duration) -> Result<Bytes, LinkError> {
+        let until = Instant::now() + within;
+        let (sender, receiver) = oneshot::channel();
+        let id = {
+            let mut state = self.shared.state.borrow_mut();
+            if body.len() > LONGEST || state.waiting.len() >= OUTSTANDING {
+                return Err(LinkError::Unreachable);
+            }
+            state.next = state.next.wrapping_add(1);
+            let number = state.next;
+            let key =
+                state.waiting.insert(Waiting { number, sent: false, held: within > SILENCE, answer: sender });
+            let id = u64::from(number) << 32 | key as u64;
+            state.queue.push_back((id, kind, body));
+            if !state.running {
+                state.running = true;
+                tokio::task::spawn_local(run(self.shared.clone()));
+            }
+            id
+        };
+        self.shared.wake.notify_one();
+        let place = Place { shared: &self.shared, id };
+        match timeout_at(until, receiver).await {
+            Ok(Ok(answer)) => answer,
+            Ok(Err(_)) => Err(LinkError::Lost),
+            Err(_) => {
+                let state = self.shared.state.borrow();
+                let sent = state.key(id).is_none_or(|key| state.waiting[key].sent);
+                drop(state);
+                drop(place);
+                if !sent {
+                    self.shared.state.borrow_mut().queue.retain(|(queued, _, _)| *queued != id);
+                }
+                Err(if sent { LinkError::Lost } else { LinkError::Unreachable })
+            }
+        }
+    }
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        self.shared.closed.set(true);
+        self.shared.wake.notify_one();
+    }
+}
+
+async fn connect(to: SocketAddr) -> std::io::Result<TcpStream> {
+    let socket = if to.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    prepare(&SockRef::from(&socket))?;
+    timeout(CONNECT, socket.connect(to)).await?
+}
+
+/// Connects and carries frames until nothing waits to be sent and the connection has ended.
+async fn run(shared: Rc<Shared>) {
+    loop {
+        let retry_at = shared.state.borrow().retry_at;
+        if let Some(at) = retry_at {
+            sleep_until(at).await;
+        }
+        if shared.closed.get() {
+            return;
+        }
+        match connect(shared.to).await {
+            Ok(stream) => {
+                let heard = carry(&shared, stream).await;
+                let mut state = shared.state.borrow_mut();
+                if heard {
+                    state.back_off = 0;
+                    state.retry_at = None;
+                } else {
+                    state.back_off();
+                }
+                state.fail(false);
+            }
+            Err(_) => {
+                let mut state = shared.state.borrow_mut();
+                state.back_off();
+                state.fail(true);
+            }
+        }
+        let mut state = shared.state.borrow_mut();
+        if shared.closed.get() || state.queue.is_empty() {
+            state.running = false;
+            return;
+        }
+    }
+}
+
+/// Carries frames until the connection ends; says whether anything was heard on it.
+async fn carry(shared: &Shared, mut stream: TcpStream) -> bool {
+    let (mut reader, mut writer) = stream.split();
+    let mut incoming = BytesMut::new();
+    let mut outgoing = BytesMut::new();
+    let mut heard = false;
+    // Since when nothing was heard though an answer is due; calls that were given up since then still count.
+    let mut quiet_since: Option<Instant> = None;
+    loop {
+        if shared.closed.get() {
+            return heard;
+        }
+        {
+            let mut state = shared.state.borrow_mut();
+            state.gather(&mut outgoing);
+            if quiet_since.is_none() && state.pressing > 0 {
+                quiet_since = Some(Instant::now());
+            }
+        }
+        let silent_at = quiet_since.unwrap_or_else(Instant::now) + SILENCE;
+        tokio::select! {
+            biased;
+            read = reader.read_buf(&mut incoming) => {
+                if !matches!(read, Ok(1..)) { return heard }
+                heard = true;
+                let mut state = shared.state.borrow_mut();
+                loop {
+                    match take(&mut incoming) {
+                        Ok(Some(frame)) => {
+                            if let Some(key) = state.key(frame.id) {
+                                let _ = state.end(key).answer.send(Ok(frame.body));
+                            }
+                        }
+                        Ok(None) => break,
+                        Err(()) => return heard,
+                    }
+                }
+                quiet_since = (state.pressing > 0).then(Instant::now);
+            }
+            wrote = writer.write_buf(&mut outgoing), if !outgoing.is_empty() => {
+                let Ok(length @ 1..) = wrote else { return heard };
+                // Long bodies take their time to be sent; the answer is due from then on.
+                if quiet_since.is_some() && length + outgoing.len() > GATHER {
+                    quiet_since = Some(Instant::now());
+                }
+                if outgoing.is_empty() && outgoing.capacity() > 2 * GATHER { outgoing = BytesMut::new() }
+            }
+            () = shared.wake.notified(), if outgoing.is_empty() => {}
+            () = sleep_until(silent_at), if quiet_since.is_some() => return heard,
+        }
+    }
+}
--- /dev/null
+++ b/crates/promptbook/src/main.rs
@@ -0,0 +1,3 @@
+//! The program `promptbook`.
+
+fn main() {}
