Promptbook: a register agreed by rounds of ballots, without I/O, and its caller

The configuration needs a store that goes on with any majority and has no standing leader to replace.

--- /dev/null
+++ b/crates/promptbook/src/caller.rs
@@ -0,0 +1,347 @@
+//! The register as other programs use it: rounds over links to the voters, on one thread, in a `LocalSet`.
+
+use crate::acceptor::Quorum;
+use crate::link::{Link, LinkError};
+use crate::proposer::{sight, Action, Known, Operation, Outcome, Token};
+use crate::wire::{kind, Answer, Ballot, Fetch, Here, Peek, Who};
+use bytes::Bytes;
+use prost::Message;
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
+use std::fmt;
+use std::hash::{BuildHasher, Hasher};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::{mpsc, Mutex};
+use tokio::time::{sleep, timeout_at, Instant};
+
+/// How long a question of a round waits for those that are slow.
+pub const PHASE: Duration = Duration::from_millis(350);
+/// The longest back-off between two rounds, in milliseconds.
+const LONGEST_BACK_OFF: u64 = 240;
+
+/// Why a change has no result.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ChangeError<R> {
+    /// The function refused what was chosen last. The change is not made and never will be.
+    Refused(R),
+    /// No majority could be reached in time. The change is not made and never will be.
+    Unreachable,
+    /// It may have been made, or may be made yet.
+    Unknown,
+}
+
+impl<R: fmt::Debug> fmt::Display for ChangeError<R> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            ChangeError::Refused(refusal) => write!(f, "refused: {refusal:?}"),
+            ChangeError::Unreachable => f.write_str("not made: no majority could be reached"),
+            ChangeError::Unknown => f.write_str("it may or may not have been made"),
+        }
+    }
+}
+
+impl<R: fmt::Debug> std::error::Error for ChangeError<R> {}
+
+/// What a majority says it holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Peeked {
+    /// The ballot a majority agrees on, otherwise the highest seen.
+    pub ballot: Ballot,
+    /// Its edition; 0 before the first change.
+    pub edition: u64,
+    /// Whether a majority agrees on it: then it is chosen, and nothing newer was chosen before the call began.
+    pub agreed: bool,
+    /// Whether the caller holds the value of this very ballot.
+    pub known: bool,
+}
+
+/// A random number that differs between the lives of all programs.
+pub fn chance(of: u64) -> u64 {
+    let mut hasher = std::collections::hash_map::RandomState::new().build_hasher();
+    hasher.write_u64(of);
+    hasher.write_u32(std::process::id());
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
+    hasher.write_u128(now.as_nanos());
+    hasher.finish()
+}
+
+type Never = std::convert::Infallible;
+type NoChange = fn(Option<&[u8]>, u64) -> Result<Vec<u8>, Never>;
+
+/// One program's access to the register.
+pub struct Caller {
+    by: u64,
+    voters: Vec<Rc<Link>>,
+    quorum: Quorum,
+    /// The highest round seen.
+    highest: Rc<Cell<u64>>,
+    known: Rc<RefCell<Known>>,
+    /// The last one that was certainly chosen.
+    confirmed: RefCell<Known>,
+    chance: RefCell<Pcg64Mcg>,
+    /// A proposer runs one operation at a time.
+    turn: Mutex<()>,
+}
+
+impl fmt::Debug for Caller {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "Caller({:x}, {:?})", self.by, self.voters)
+    }
+}
+
+impl Caller {
+    /// A caller; `me` helps to tell callers apart, `voters` are links to all voters in their order (that of
+    /// [`voters`]).
+    pub fn new(me: u64, voters: Vec<Rc<Link>>) -> Caller {
+        let by = chance(me);
+        Caller {
+            by,
+            quorum: Quorum::of(voters.len()),
+            voters,
+            highest: Rc::default(),
+            known: Rc::default(),
+            confirmed: RefCell::default(),
+            chance: RefCell::new(Pcg64Mcg::seed_from_u64(by)),
+            turn: Mutex::new(()),
+        }
+    }
+
+    /// The newest edition and value that this caller knows to have been chosen.
+    pub fn confirmed(&self) -> (u64, Option<Bytes>) {
+        let confirmed = self.confirmed.borrow();
+        (confirmed.edition(), confirmed.value().cloned())
+    }
+
+    /// Changes the value. `change` gets the newest one (`None` before the first) with its edition and gives the next
+    /// or refuses; it may be asked several times. Gives the edition and the value that it made.
+    pub async fn change<F, R>(&self, change: F, within: Duration) -> Result<(u64, Bytes), ChangeError<R>>
+    where
+        F: Fn(Option<&[u8]>, u64) -> Result<Vec<u8>, R>,
+    {
+        let until = Instant::now() + within;
+        let Ok(_turn) = timeout_at(until, self.turn.lock()).await else {
+            return Err(ChangeError::Unreachable);
+        };
+        match self.operate(Some(change), until).await {
+            Ok(Outcome::Chosen(edition, value)) => Ok((edition, value.unwrap_or_default())),
+            Ok(Outcome::Refused(refusal)) => Err(ChangeError::Refused(refusal)),
+            Ok(Outcome::Unknown) | Err(true) => Err(ChangeError::Unknown),
+            Err(false) => Err(ChangeError::Unreachable),
+        }
+    }
+
+    /// The newest edition and value at some moment during the call, both 0 and `None` before the first change; `None`
+    /// where no majority answered in time. Without a change since the last reading, and with a majority that agrees,
+    /// this is one question to the voters and nothing is written.
+    pub async fn read(&self, within: Duration) -> Option<(u64, Option<Bytes>)> {
+        let until = Instant::now() + within;
+        for _ in 0..2 {
+            let peeked = timeout_at(until, self.peek()).await.ok()?;
+            let Some(peeked) = peeked.filter(|peeked| peeked.agreed) else { break };
+            if peeked.known || timeout_at(until, self.fetch(peeked.ballot)).await.ok()? {
+                return Some(self.confirm());
+            }
+        }
+        let _turn = timeout_at(until, self.turn.lock()).await.ok()?;
+        match self.operate::<NoChange, Never>(None, until).await {
+            Ok(Outcome::Chosen(edition, value)) => Some((edition, value)),
+            _ => None,
+        }
+    }
+
+    /// Asks what a majority holds. Ends as soon as a majority agrees, otherwise after [`PHASE`] at the latest; `None`
+    /// below a majority.
+    pub async fn peek(&self) -> Option<Peeked> {
+        let mut answers: Vec<Option<Answer>> = vec![None; self.voters.len()];
+        let mut incoming = self.ask(kind::PEEK, Peek {}.encode_to_vec());
+        let until = Instant::now() + PHASE;
+        let mut seen = None;
+        while let Ok(Some((voter, answer))) = timeout_at(until, incoming.recv()).await {
+            answers[voter] = answer.ok();
+            seen = sight(self.quorum, &answers);
+            if seen.is_some_and(|sight| sight.agreed) {
+                break;
+            }
+        }
+        let seen = seen?;
+        self.highest.set(self.highest.get().max(seen.highest));
+        let known = self.known.borrow().ballot == seen.ballot;
+        if seen.agreed && known {
+            self.confirm();
+        }
+        Some(Peeked { ballot: seen.ballot, edition: seen.edition, agreed: seen.agreed, known })
+    }
+
+    fn confirm(&self) -> (u64, Option<Bytes>) {
+        let known = self.known.borrow();
+        let mut confirmed = self.confirmed.borrow_mut();
+        if known.ballot > confirmed.ballot {
+            confirmed.clone_from(&known);
+        }
+        (known.edition(), known.value().cloned())
+    }
+
+    /// Gets the record of this ballot from whoever has it; says whether it is what is known now.
+    async fn fetch(&self, ballot: Ballot) -> bool {
+        let mut incoming = self.ask(kind::FETCH, Fetch { known: self.known.borrow().ballot }.encode_to_vec());
+        let until = Instant::now() + PHASE;
+        while let Ok(Some((_, answer))) = timeout_at(until, incoming.recv()).await {
+            // A newer one may not be chosen yet; rounds may go on from it, but this reading is not it.
+            match answer {
+                Ok(answer) if answer.accepted == ballot => self.known.borrow_mut().learn(&answer),
+                _ => continue,
+            }
+            if self.known.borrow().ballot == ballot {
+                return true;
+            }
+        }
+        false
+    }
+
+    /// Sends one question to all voters.
+    fn ask(&self, kind: u8, body: Vec<u8>) -> mpsc::UnboundedReceiver<(usize, Result<Answer, LinkError>)> {
+        let (sender, receiver) = mpsc::unbounded_channel();
+        for (voter, link) in self.voters.iter().enumerate() {
+            let (link, sender, body) = (link.clone(), sender.clone(), body.clone());
+            tokio::task::spawn_local(async move {
+                let call = link.call(kind, body, PHASE);
+                // Whoever asked may have enough already; what is being sent is sent, but nobody waits for it.
+                let answer = tokio::select! {
+                    answer = call => answer,
+                    () = sender.closed() => return,
+                };
+                let answer = answer.and_then(|answer| Answer::decode(answer).map_err(|_| LinkError::Lost));
+                let _ = sender.send((voter, answer));
+            });
+        }
+        receiver
+    }
+
+    /// `Err` says whether it may have been or may yet be chosen.
+    async fn operate<F, R>(&self, change: Option<F>, until: Instant) -> Result<Outcome<R>, bool>
+    where
+        F: Fn(Option<&[u8]>, u64) -> Result<Vec<u8>, R>,
+    {
+        let known = self.known.borrow().clone();
+        let mut operation = Operation::new(change, self.by, self.quorum, self.highest.get(), known);
+        let result = self.rounds(&mut operation, until).await;
+        self.highest.set(self.highest.get().max(operation.highest()));
+        if operation.known().ballot > self.known.borrow().ballot {
+            self.known.borrow_mut().clone_from(operation.known());
+        }
+        match result {
+            Some(outcome) => {
+                if !matches!(outcome, Outcome::Unknown) {
+                    self.confirm();
+                }
+                Ok(outcome)
+            }
+            None => Err(operation.open()),
+        }
+    }
+
+    async fn rounds<F, R>(&self, operation: &mut Operation<F, R>, until: Instant) -> Option<Outcome<R>>
+    where
+        F: Fn(Option<&[u8]>, u64) -> Result<Vec<u8>, R>,
+    {
+        for round in 0u32.. {
+            let before = operation.highest();
+            let mut action = operation.begin();
+            // The numbers of a round are never used again, whatever becomes of this call.
+            self.highest.set(self.highest.get().max(operation.highest()));
+            loop {
+                let (kind, body) = match &action {
+                    Action::Prepare(prepare) => (kind::PREPARE, prepare.encode_to_vec()),
+                    Action::Accept(accept) => (kind::ACCEPT, accept.encode_to_vec()),
+                    _ => break,
+                };
+                let token = operation.token();
+                let incoming = self.ask(kind, body);
+                action = self.phase(operation, token, incoming, until).await?;
+            }
+            if let Action::Done(outcome) = action {
+                return Some(outcome);
+            }
+            // The first time the round was only too low, mostly: it is known now, so there is nothing to wait for.
+            if round > 0 || operation.highest() <= before + 1 {
+                let longest = LONGEST_BACK_OFF.min(20 << round.min(8));
+                let wait = self.chance.borrow_mut().next_u64() % longest;
+                if timeout_at(until, sleep(Duration::from_millis(wait))).await.is_err() {
+                    return None;
+                }
+            }
+            if Instant::now() >= until {
+                return None;
+            }
+        }
+        None
+    }
+
+    /// Waits for the answers to one question; `None` when the operation's time is over.
+    async fn phase<F, R>(
+        &self,
+        operation: &mut Operation<F, R>,
+        token: Token,
+        mut incoming: mpsc::UnboundedReceiver<(usize, Result<Answer, LinkError>)>,
+        until: Instant,
+    ) -> Option<Action<R>>
+    where
+        F: Fn(Option<&[u8]>, u64) -> Result<Vec<u8>, R>,
+    {
+        let phase = Instant::now() + PHASE;
+        loop {
+            let action = match timeout_at(phase.min(until), incoming.recv()).await {
+                Ok(Some((voter, Ok(answer)))) => operation.answer(token, voter, answer),
+                Ok(Some((voter, Err(_)))) => operation.failed(token, voter),
+                Ok(None) => operation.over(),
+                Err(_) if Instant::now() >= until => return None,
+                Err(_) => operation.over(),
+            };
+            if !matches!(action, Action::Wait) {
+                return Some(action);
+            }
+        }
+    }
+}
+
+/// Asks those at `among`, and whom they name, who votes. The voters' addresses in their order, from the first that
+/// knows; `None` if nobody knows in time.
+pub async fn voters(among: &[SocketAddr], within: Duration) -> Option<Vec<SocketAddr>> {
+    let until = Instant::now() + within;
+    let (sender, mut answers) = mpsc::unbounded_channel::<Option<Here>>();
+    let mut asked: BTreeSet<SocketAddr> = BTreeSet::new();
+    let mut next: Vec<SocketAddr> = among.to_vec();
+    let mut pending = 0;
+    loop {
+        for to in next.drain(..) {
+            if asked.insert(to) {
+                pending += 1;
+                let sender = sender.clone();
+                tokio::task::spawn_local(async move {
+                    let _ = sender.send(who(&Link::new(to), PHASE).await);
+                });
+            }
+        }
+        if pending == 0 {
+            return None;
+        }
+        let here = timeout_at(until, answers.recv()).await.ok()??;
+        pending -= 1;
+        if let Some(here) = here {
+            let voters: Vec<SocketAddr> = here.voters.iter().filter_map(|v| v.parse().ok()).collect();
+            if !voters.is_empty() && voters.len() == here.voters.len() {
+                return Some(voters);
+            }
+            next.extend(here.seeds.iter().filter_map(|seed| seed.parse::<SocketAddr>().ok()));
+        }
+    }
+}
+
+/// Asks one program who votes.
+pub async fn who(link: &Link, within: Duration) -> Option<Here> {
+    Here::decode(link.call(kind::WHO, Who {}.encode_to_vec(), within).await.ok()?).ok()
+}
--- a/crates/promptbook/src/link.rs
+++ b/crates/promptbook/src/link.rs
@@ -258,7 +258,9 @@
     fn drop(&mut self) {
         let mut state = self.shared.state.borrow_mut();
         if let Some(key) = state.key(self.id) {
-            state.end(key);
+            if !state.end(key).sent {
+                state.queue.retain(|(queued, _, _)| *queued != self.id);
+            }
         }
     }
 }
@@ -311,18 +313,13 @@
             id
         };
         self.shared.wake.notify_one();
-        let place = Place { shared: &self.shared, id };
+        let _place = Place { shared: &self.shared, id };
         match timeout_at(until, receiver).await {
             Ok(Ok(answer)) => answer,
             Ok(Err(_)) => Err(LinkError::Lost),
             Err(_) => {
                 let state = self.shared.state.borrow();
                 let sent = state.key(id).is_none_or(|key| state.waiting[key].sent);
-                drop(state);
-                drop(place);
-                if !sent {
-                    self.shared.state.borrow_mut().queue.retain(|(queued, _, _)| *queued != id);
-                }
                 Err(if sent { LinkError::Lost } else { LinkError::Unreachable })
             }
         }
