--- a/crates/promptbook/src/lib.rs
+++ b/crates/promptbook/src/lib.rs
@@ -5,6 +5,8 @@
 
 pub mod acceptor;
 pub mod caller;
+pub mod disk;
 pub mod link;
 pub mod proposer;
+pub mod voter;
 pub mod wire;
--- /dev/null
+++ b/crates/promptbook/tests/program.rs
@@ -0,0 +1,155 @@
+//! Three programs and a caller: founding, changes, a machine less, a lost disk, all killed at once.
+
+use promptbook::caller::{voters, who, Caller, ChangeError};
+use promptbook::link::Link;
+use promptbook::wire::Standing;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::task::LocalSet;
+
+const LONG: Duration = Duration::from_secs(10);
+
+struct Machine {
+    folder: PathBuf,
+    address: SocketAddr,
+    program: Option<Child>,
+}
+
+impl Machine {
+    fn start(&mut self, seeds: &[SocketAddr], first_start: bool) {
+        let settings = self.folder.join("node.toml");
+        let data = self.folder.join("data");
+        let port = self.address.port();
+        let seeds: Vec<String> = seeds.iter().map(|seed| format!("\"{}:8688\"", seed.ip())).collect();
+        let text = format!(
+            "nodeName = \"core\"\nip = \"{}\"\ninnerPorts = [{port},{}]\nseeds = [{}]\nfirstStart = {first_start}\n\
+             dataFolder = {:?}\nunknown = 1\n",
+            self.address.ip(),
+            port + 15,
+            seeds.join(","),
+            data
+        );
+        std::fs::write(&settings, text).unwrap();
+        let program = Command::new(env!("CARGO_BIN_EXE_promptbook"))
+            .env("OATBANK_SETTINGS", settings)
+            .stderr(Stdio::null())
+            .spawn()
+            .unwrap();
+        self.program = Some(program);
+    }
+
+    fn kill(&mut self) {
+        if let Some(mut program) = self.program.take() {
+            program.kill().unwrap();
+            program.wait().unwrap();
+        }
+    }
+
+    fn wipe(&self) {
+        std::fs::remove_dir_all(self.folder.join("data")).unwrap();
+    }
+}
+
+impl Drop for Machine {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+fn machines(under: &Path) -> Vec<Machine> {
+    let port = TcpListener::bind((Ipv4Addr::new(127, 20, 0, 1), 0)).unwrap().local_addr().unwrap().port();
+    (1..=3)
+        .map(|n| {
+            let folder = under.join(n.to_string());
+            std::fs::create_dir_all(&folder).unwrap();
+            Machine {
+                folder,
+                address: SocketAddr::new(Ipv4Addr::new(127, 20, 0, n).into(), port),
+                program: None,
+            }
+        })
+        .collect()
+}
+
+async fn append(caller: &Caller, text: &str) -> Result<u64, ChangeError<()>> {
+    let change = |before: Option<&[u8]>, _| Ok([before.unwrap_or_default(), text.as_bytes()].concat());
+    caller.change(change, LONG).await.map(|(edition, _)| edition)
+}
+
+async fn value(caller: &Caller) -> Option<(u64, String)> {
+    let (edition, value) = caller.read(LONG).await?;
+    Some((edition, String::from_utf8(value.unwrap_or_default().to_vec()).unwrap()))
+}
+
+async fn until_voting(link: &Rc<Link>) {
+    let voting = async {
+        while who(link, LONG).await.is_none_or(|here| here.standing() != Standing::Voting) {
+            tokio::task::yield_now().await;
+        }
+    };
+    tokio::time::timeout(LONG, voting).await.unwrap();
+}
+
+async fn scenario() {
+    let under = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("store-{}", std::process::id()));
+    let mut machines = machines(&under);
+    let addresses: Vec<SocketAddr> = machines.iter().map(|machine| machine.address).collect();
+    for machine in &mut machines {
+        machine.start(&addresses, true);
+    }
+    let links: Vec<Rc<Link>> = addresses.iter().map(|address| Link::new(*address)).collect();
+    for link in &links {
+        until_voting(link).await;
+    }
+    assert_eq!(voters(&addresses[1..2], LONG).await, Some(addresses.clone()));
+    let one = Caller::new(1, links.clone());
+    let two = Caller::new(2, addresses.iter().map(|address| Link::new(*address)).collect());
+    assert_eq!(value(&one).await, Some((0, String::new())));
+    assert_eq!(append(&one, "a").await, Ok(1));
+    assert_eq!(append(&two, "b").await, Ok(2));
+    assert_eq!(value(&one).await, Some((2, "ab".into())));
+    let refused = one.change(|_, edition| Err::<Vec<u8>, u64>(edition), LONG).await;
+    assert_eq!(refused, Err(ChangeError::Refused(2)));
+
+    // A machine less: it goes on. It comes back with its disk lost, and learns what it missed.
+    machines[0].kill();
+    assert_eq!(append(&one, "c").await, Ok(3));
+    machines[0].wipe();
+    machines[0].start(&addresses[1..], false);
+    until_voting(&links[0]).await;
+    machines[2].kill();
+    assert_eq!(append(&two, "d").await, Ok(4));
+    assert_eq!(value(&one).await, Some((4, "abcd".into())));
+
+    // Below a majority nothing is promised; what may have been made is found out by the next majority.
+    machines[1].kill();
+    let short = Duration::from_millis(100);
+    assert_eq!(
+        one.change(|_, _| Ok::<_, ()>(b"x".to_vec()), short).await,
+        Err(ChangeError::<()>::Unreachable)
+    );
+    assert_eq!(one.peek().await, None);
+    machines[0].kill();
+    for machine in &mut machines {
+        machine.start(&addresses, false);
+    }
+    for link in &links {
+        until_voting(link).await;
+    }
+    assert_eq!(value(&two).await, Some((4, "abcd".into())));
+    assert_eq!(append(&one, "e").await, Ok(5));
+    assert_eq!(two.read(LONG).await.map(|(edition, _)| edition), Some(5));
+    let peeked = two.peek().await.unwrap();
+    assert!(peeked.agreed && peeked.known && peeked.edition == 5);
+    drop(machines);
+    let _ = std::fs::remove_dir_all(under);
+}
+
+#[test]
+fn three_programs_keep_a_value() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    LocalSet::new().block_on(&runtime, scenario());
+}
