--- /dev/null
+++ b/crates/promptbook/src/main.rs
@@ -0,0 +1,78 @@
+//! The program `promptbook`: runs on every core machine and votes on what is agreed.
+
+use greenroom::run::{self, Program, Signals, Told, Word};
+use greenroom::settings::Settings;
+use greenroom::{link, log};
+use promptbook::voter::{Terms, Voter};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpSocket};
+
+/// The store's place among a machine's inner ports.
+const STORE: u16 = 0;
+/// The wait before the disk is tried again at the start.
+const DISK_AGAIN: Duration = Duration::from_millis(250);
+const BACKLOG: u32 = 1024;
+
+fn main() -> ExitCode {
+    let about = "the store of configuration: keeps what a majority of the core machines agrees on";
+    run::main(&Program { name: "promptbook", about }, serve)
+}
+
+fn terms(settings: &Settings) -> Result<Terms, String> {
+    let folder = settings.data.as_ref().ok_or("dataFolder: is missing; allowed: a folder")?;
+    Ok(Terms {
+        address: settings.inner_address(STORE),
+        seeds: settings.seeds.iter().map(|seed| settings.inner_of(*seed.ip(), STORE)).collect(),
+        first_start: settings.first_start,
+        folder: PathBuf::from(folder),
+    })
+}
+
+fn listen(address: SocketAddr) -> Result<TcpListener, String> {
+    let bound = || {
+        let socket = TcpSocket::new_v4()?;
+        socket.set_reuseaddr(true)?;
+        socket.bind(address)?;
+        socket.listen(BACKLOG)
+    };
+    bound().map_err(|e| format!("{address}: {e}"))
+}
+
+/// Opens the disk, again and again if it refuses.
+async fn start(terms: Terms) -> Rc<Voter> {
+    let mut said = false;
+    loop {
+        match Voter::start(terms.clone()) {
+            Ok(voter) => return voter,
+            Err(error) => {
+                if !said {
+                    log::error!("store: cannot start yet: {}", error);
+                }
+                said = true;
+                tokio::time::sleep(DISK_AGAIN).await;
+            }
+        }
+    }
+}
+
+async fn serve(told: Rc<Told>, mut signals: Signals) -> Result<(), String> {
+    let settings = told.settings();
+    let terms = terms(&settings)?;
+    let listener = listen(terms.address)?;
+    log::info!("store: {} listens at {}", settings.node, terms.address);
+    tokio::task::spawn_local(async move {
+        let voter = start(terms).await;
+        tokio::task::spawn_local(voter.clone().vote());
+        tokio::task::spawn_local(voter.clone().look());
+        link::serve(listener, voter.handler()).await;
+    });
+    // What it needs of its settings does not change in its life.
+    while signals.next().await != Word::End {}
+    // Writes are made whole between two waits, so none is open here: it is as whole as after any loss of power.
+    log::info!("store: {} has ended in order", settings.node);
+    std::process::exit(0)
+}
