Split the decision module by concern

Admission, counter, choice, pressure and further attempts now have a file each in logic/, with their constants at the head; what a gateway remembers moved to the other records in state.rs. No decision changes.

--- /dev/null
+++ b/crates/topazwind/src/logic/pressure.rs
@@ -0,0 +1,86 @@
+//! Pressure: what is sent on, what is held, and which of that is worthiest.
+
+use super::*;
+
+/// Requests held at once, as a share of the concurrency limit; past it the least worthy are refused early.
+const HELD_SHARE: f64 = 0.5;
+
+impl Open {
+    /// How long an attempt is waited for from now: as long as its answer may earn something.
+    pub(super) fn time_out(&self, now: Millis) -> Millis {
+        let until = if self.class.late_worth > 0.0 { self.ends_at } else { self.aim_at };
+        (until - now).max(1.0)
+    }
+}
+
+impl Gateway {
+    /// Sends a request's next attempt if the concurrency limit and some server allow it.
+    pub(super) fn place(&mut self, now: Millis, id: RequestId) -> bool {
+        let Some(open) = self.open.remove(&id) else { return false };
+        let free = self.flow.out < self.flow.limit.max(1.0) && now >= self.flow.rest_until;
+        let chosen = if free { self.choose(now, &open) } else { None };
+        let open = self.open.entry(id).or_insert(open);
+        let Some(server) = chosen else { return false };
+        // While a body is coming its server does nothing yet: it counts as out, also among its customer's,
+        // and its time runs, once it is whole.
+        let whole = !open.request.uploading;
+        let counts = f64::from(u8::from(whole));
+        if let Some(s) = self.servers.get_mut(&server) {
+            s.out += counts;
+            s.tokens -= 1.0;
+            s.sent_at = now;
+        }
+        let timeout = if whole { open.time_out(now) } else { 0.0 };
+        self.acts.push(Action::Send { id, server, timeout });
+        let (first, trusted) = (open.attempts.is_empty(), self.flow.trusted(now));
+        open.attempts.push(Attempt { server, sent: now, live: true, may_have_run: true, whole });
+        if !whole {
+            (open.aim_at, open.ends_at) = (f64::INFINITY, f64::INFINITY);
+        }
+        self.flow.out += counts;
+        if let Some(c) = self.customers.get_mut(&open.request.customer) {
+            c.open += counts;
+            if first && c.plan.rate > 0.0 {
+                // What passes beyond the quota takes nothing from the store, so it counts as declined.
+                let kind = if open.beyond { DECLINED } else { ACCEPTED };
+                c.record(now, kind, open.request.units, trusted);
+            }
+        }
+        if first {
+            self.flow.retries = (self.flow.retries + RETRY_EARN).min(RETRY_SAVED);
+            let fade = (-(now - self.flow.sent_at).max(0.0) / 2000.0).exp();
+            self.flow.send_rate = self.flow.send_rate * fade + 1.0 / 2000.0;
+            self.flow.sent_at = now;
+        }
+        true
+    }
+
+    /// Sends what is held, worthiest first, and refuses what can no longer meet its aim.
+    pub(super) fn serve_held(&mut self, now: Millis) {
+        let mut order: Vec<(f64, RequestId)> = Vec::new();
+        for id in std::mem::take(&mut self.held) {
+            let Some(open) = self.open.get(&id) else { continue };
+            let mean = self.mean(open);
+            if open.aim_at - now < 2.0 * mean + 2.0 * TICK {
+                self.finish(now, id);
+                continue;
+            }
+            let price = self.set.plans.get(open.request.plan.0).map_or(1.0, |p| p.price);
+            let worth = open.class.worth * price * open.request.units / mean.max(1.0);
+            // Newer first among equals: under pressure the oldest would only just miss their aim.
+            order.push((worth * (1.2 - (now - open.arrived) / (open.aim_at - open.arrived)), id));
+        }
+        order.sort_by(|a, b| b.0.total_cmp(&a.0).then(b.1.cmp(&a.1)));
+        for (place, (_, id)) in order.into_iter().enumerate() {
+            if (!self.flow.subset || self.flow.out >= self.flow.limit)
+                && place as f64 > HELD_SHARE * self.flow.limit
+            {
+                self.finish(now, id);
+            } else if self.open.get(&id).is_some_and(|o| o.attempts.is_empty()) {
+                self.decide(now, id);
+            } else if !self.place(now, id) {
+                self.hold(id);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/topazwind/src/logic/retries.rs
@@ -0,0 +1,189 @@
+//! Further attempts and final answers.
+
+use super::*;
+
+/// A second copy goes out once an attempt has run this many mean answer times: so late that it is for
+/// lost attempts only.
+const HEDGE_AFTER: f64 = 8.0;
+/// Mean answer time, as a share of the aim, at which the concurrency limit starts to fall.
+const SLOW_MARK: f64 = 0.27;
+/// Attempts a server that the concurrency limit never falls below, over all gateways.
+const LEAST_LIMIT: f64 = 2.0;
+
+impl Gateway {
+    /// The last byte of a body goes out: the request's time begins, and its server has something to do.
+    pub(super) fn uploaded(&mut self, now: Millis, id: RequestId, attempt: u8) {
+        let Some(open) = self.open.get_mut(&id).filter(|o| o.ends_at == f64::INFINITY) else { return };
+        let Some(a) = open.attempts.get_mut(usize::from(attempt)).filter(|a| a.live && !a.whole) else {
+            return;
+        };
+        (a.whole, a.sent) = (true, now);
+        let server = a.server;
+        let left = open.request.time_left;
+        (open.aim_at, open.ends_at) = (now + open.class.aim.min(left), now + left);
+        let (timeout, customer) = (open.time_out(now), open.request.customer);
+        self.acts.push(Action::Await { id, attempt, timeout });
+        self.count_out(customer, server);
+    }
+
+    /// One more attempt is out: its customer's, its server's and this gateway's.
+    pub(super) fn count_out(&mut self, customer: CustomerId, server: ServerId) {
+        if let Some(c) = self.customers.get_mut(&customer) {
+            c.open += 1.0;
+        }
+        if let Some(s) = self.servers.get_mut(&server) {
+            s.out += 1.0;
+        }
+        self.flow.out += 1.0;
+    }
+
+    /// An attempt that ends before its body was whole never counted as out, has not run whatever brought it
+    /// down, and tells nothing of its server's speed.
+    pub(super) fn ends_early(
+        &mut self,
+        id: RequestId,
+        attempt: u8,
+        server: ServerId,
+        outcome: Outcome,
+    ) -> Outcome {
+        let Some(open) = self.open.get(&id) else { return outcome };
+        if open.attempts.get(usize::from(attempt)).is_none_or(|a| a.whole || !a.live) {
+            return outcome;
+        }
+        // What follows takes it off again, as it does with any other.
+        self.count_out(open.request.customer, server);
+        match outcome {
+            Outcome::Cancelled | Outcome::TimedOut => Outcome::Moot,
+            outcome => outcome,
+        }
+    }
+
+    pub(super) fn ended(
+        &mut self,
+        now: Millis,
+        id: RequestId,
+        attempt: u8,
+        outcome: Outcome,
+        complete: bool,
+    ) {
+        self.flow.out = (self.flow.out - 1.0).max(0.0);
+        let Some(open) = self.open.get_mut(&id) else { return };
+        // A cold server takes long because it is cold: that is no queue, and no reason to send others less.
+        let at = open.attempts.get(usize::from(attempt)).and_then(|a| self.servers.get(&a.server));
+        let warmth = at.map_or(1.0, |s| Self::warmth(&self.set, now, s));
+        let Some(a) = open.attempts.get_mut(usize::from(attempt)) else { return };
+        let took = (now - a.sent) * warmth;
+        a.live = false;
+        a.may_have_run = !matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot);
+        if let Some(c) = self.customers.get_mut(&open.request.customer) {
+            c.open = (c.open - 1.0).max(0.0);
+        }
+        if matches!(outcome, Outcome::Ok | Outcome::TimedOut) {
+            let ratio = (took / open.class.aim.max(1.0)).min(2.0);
+            let (gain, step) = if self.flow.subset { (0.1, 0.05) } else { (0.03, 0.01) };
+            self.flow.slowness += gain * (ratio - self.flow.slowness);
+            if let Some(mean) = self.class_mean.get_mut(open.request.class.0) {
+                *mean += 0.03 * (took - *mean);
+            }
+            if self.flow.slowness > SLOW_MARK {
+                // Fewer than this cannot be a queue of ours: slowness then has other causes, and
+                // refusing more would only serve less, for ever.
+                let floor = LEAST_LIMIT * self.servers.len() as f64 / self.set.gateways.max(1.0);
+                let floor = if self.flow.subset { floor } else { floor.max(2.0) };
+                self.flow.limit = (self.flow.limit * (1.0 - step)).max(floor);
+            } else if self.flow.subset && self.flow.out + 1.0 > 0.6 * self.flow.limit {
+                let most = START_LIMIT * self.servers.len() as f64 / self.set.gateways.max(1.0);
+                self.flow.limit = (self.flow.limit * (1.0 + step)).min(most);
+            } else if self.flow.out > 0.6 * self.flow.limit {
+                self.flow.limit += 1.0 / self.flow.limit.max(1.0);
+            }
+            let rest = took * (1.0 / self.flow.limit - 1.0);
+            self.flow.rest_until = if rest > 0.0 { now + rest } else { 0.0 };
+        }
+        let (over, live) = (open.ends_at == f64::NEG_INFINITY, open.attempts.iter().any(|a| a.live));
+        if complete || over {
+            if !over {
+                self.close(id, now);
+            } else if !live {
+                self.open.remove(&id);
+            }
+            return;
+        }
+        if live {
+            return;
+        }
+        // What met no server has loaded none: sent elsewhere it is the first attempt that counts, whatever is
+        // saved up. With an old list most first choices may be gone.
+        let price = if outcome == Outcome::ConnectFailed { 0.0 } else { 1.0 };
+        let again = outcome != Outcome::Cancelled && self.may_repeat(now, id) && self.flow.retries >= price;
+        if again && self.place(now, id) {
+            self.flow.retries -= price;
+            return;
+        }
+        self.finish(now, id);
+    }
+
+    /// Whether another attempt is allowed and could still earn.
+    pub(super) fn may_repeat(&self, now: Millis, id: RequestId) -> bool {
+        let Some(open) = self.open.get(&id) else { return false };
+        let mean = self.mean(open);
+        let first_run = open.attempts.iter().filter(|a| a.may_have_run).map(|a| a.sent).next();
+        let allowed = match (open.class.repeat, first_run) {
+            (_, None) | (Repeat::Safe, _) => true,
+            (Repeat::Unsafe, Some(_)) => false,
+            (Repeat::Keyed { window, .. }, Some(sent)) => now - sent < window - TICK,
+        };
+        let tries = open.tries == 0 || (open.attempts.len() as u32) < open.tries;
+        allowed && tries && !open.streaming && !open.spent && open.aim_at - now > mean
+    }
+
+    /// The final answer: refused where that is true and harmless, else failed.
+    pub(super) fn finish(&mut self, now: Millis, id: RequestId) {
+        let Some(open) = self.open.get(&id) else { return };
+        let ran = open.attempts.iter().any(|a| a.may_have_run);
+        let harmless = match open.class.repeat {
+            Repeat::Safe | Repeat::Keyed { group: Group::All, .. } => true,
+            _ => !ran,
+        };
+        let retry_after = self.come_back(open);
+        self.held.retain(|h| *h != id);
+        if self.close(id, now) {
+            self.acts.push(if harmless { Action::Refuse { id, retry_after } } else { Action::Fail(id) });
+        }
+    }
+
+    /// When a refused client may find room: once its quota has refilled, and no sooner than an answer takes.
+    pub(super) fn come_back(&self, open: &Open) -> Millis {
+        // Without a server an answer's time says nothing, and where answers take less than a housekeeping it
+        // would say "at once".
+        let least = if self.flow.ready == 0 { open.class.aim } else { self.mean(open).max(TICK) };
+        let units = open.request.units;
+        let refill = self.customers.get(&open.request.customer).filter(|c| c.plan.rate > 0.0).map(|c| {
+            let short = if c.thin { units } else { (c.used + units - c.plan.burst).max(0.0) };
+            1000.0 * short / c.plan.rate
+        });
+        refill.unwrap_or(0.0).max(least).min(self.set.max_retry_after)
+    }
+
+    pub(super) fn tick(&mut self, now: Millis) {
+        self.acts.push(Action::Timer { after: TICK, name: 0 });
+        self.forget(now);
+        for id in self.untold.iter().copied().collect::<Vec<_>>() {
+            self.sync(now, id);
+        }
+        let calm = self.flow.out < 0.8 * self.flow.limit && self.set.parallel_tries;
+        let hedges = self.open.iter().filter(|(_, open)| {
+            let late = open.attempts.last().is_some_and(|a| now - a.sent > HEDGE_AFTER * self.mean(open));
+            late && !open.request.uploading
+                && open.ends_at > now
+                && open.attempts.iter().filter(|a| a.live).count() == 1
+        });
+        let hedges: Vec<RequestId> = hedges.map(|(id, _)| *id).collect();
+        for id in hedges {
+            let may = calm && self.flow.retries >= 1.0 && self.may_repeat(now, id);
+            if may && self.place(now, id) {
+                self.flow.retries -= 1.0;
+            }
+        }
+    }
+}
--- a/crates/topazwind/src/state.rs
+++ b/crates/topazwind/src/state.rs
@@ -1,8 +1,11 @@
 //! What a gateway remembers: plain records, without a rule or a value of their own. Who sets and reads
-//! them, and why, is in `logic.rs`.
+//! them, and why, is in `logic/`.
 
 use crate::interface::*;
 use crate::window::Window;
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// What this gateway has told the counter under one kind, and what it last read.
 #[derive(Clone, Copy, Default)]
@@ -140,3 +143,70 @@
     pub(crate) pace: f64,
     pub(crate) paced_at: Millis,
 }
+
+/// What quota admission says of a request.
+#[derive(PartialEq)]
+pub(crate) enum Verdict {
+    Within,
+    Beyond,
+    Wait,
+    Refuse,
+}
+
+/// A server that a request may go to.
+pub(crate) struct Able {
+    pub(crate) id: ServerId,
+    pub(crate) warmth: f64,
+    pub(crate) roll: f64,
+}
+
+/// One gateway's decision module.
+pub struct Gateway {
+    pub(crate) set: Settings,
+    pub(crate) rng: Pcg64Mcg,
+    pub(crate) servers: BTreeMap<ServerId, Server>,
+    pub(crate) customers: BTreeMap<CustomerId, Customer>,
+    /// Customers with something to tell the counter.
+    pub(crate) untold: BTreeSet<CustomerId>,
+    /// Where the search for customers to forget has come to.
+    pub(crate) looked: CustomerId,
+    pub(crate) calls: BTreeMap<CountName, (CustomerId, usize)>,
+    pub(crate) open: BTreeMap<RequestId, Open>,
+    pub(crate) held: Vec<RequestId>,
+    pub(crate) class_mean: Vec<Millis>,
+    /// The servers in this gateway's own order.
+    pub(crate) ranked: Vec<ServerId>,
+    pub(crate) salt: u64,
+    pub(crate) flow: Flow,
+    pub(crate) acts: Vec<Action>,
+}
+
+impl Gateway {
+    /// The record of one that has met nothing yet.
+    pub(crate) fn blank(set: Settings, class_mean: Vec<Millis>, flow: Flow, seed: u64) -> Self {
+        let (servers, customers, calls, open, untold, looked) = Default::default();
+        let (mut rng, held, acts) = (Pcg64Mcg::seed_from_u64(seed), Vec::new(), Vec::new());
+        let (ranked, salt) = (Vec::new(), rng.next_u64());
+        Gateway {
+            set,
+            rng,
+            servers,
+            customers,
+            untold,
+            looked,
+            calls,
+            open,
+            held,
+            class_mean,
+            ranked,
+            salt,
+            flow,
+            acts,
+        }
+    }
+
+    /// A random number from 0 up to 1.
+    pub(crate) fn chance(&mut self) -> f64 {
+        (self.rng.next_u64() >> 11) as f64 / (1u64 << 53) as f64
+    }
+}
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -7,8 +7,8 @@
 cargo build --locked --release
 scripts/readme.sh
 cargo test --locked --profile tested --workspace
-policy=crates/topazwind/src/logic.rs
-lines=$(grep -cve '^[[:space:]]*$' "$policy")
-wide=$(awk 'length($0) > 110' "$policy" | wc -l)
+policy=crates/topazwind/src/logic
+lines=$(cat "$policy"/*.rs | grep -cve '^[[:space:]]*$')
+wide=$(cat "$policy"/*.rs | awk 'length($0) > 110' | wc -l)
 echo "$policy: $lines non-blank lines (1200 at most), $wide over 110 characters (none allowed)"
 [ "$lines" -le 1200 ] && [ "$wide" -eq 0 ]
