--- a/crates/daemon/src/front/receive.rs
+++ b/crates/daemon/src/front/receive.rs
@@ -83,7 +83,7 @@
     }
     let mut pace = Pace::new();
     let mut start = Start::default();
-    while !start.is_long() {
+    while !start.is_longer_than(body::HELD) {
         let Some(piece) = pace.next(&mut body).await.map_err(rejection)? else {
             whole();
             return Ok(Upload::Whole(start.finish()));
--- a/crates/engine/src/body.rs
+++ b/crates/engine/src/body.rs
@@ -56,10 +56,16 @@
     /// Waits for room for a body of so many bytes, or for a stream's window where it is longer or not known. A small body
     /// has its room with its connection.
     pub async fn take(&self, length: Option<u64>) -> Option<Room> {
+        self.take_held(length, HELD).await
+    }
+
+    /// As [`Rooms::take`], where a body is held whole up to so many bytes.
+    pub async fn take_held(&self, length: Option<u64>, held: usize) -> Option<Room> {
         let kib = match length {
             Some(length) if length <= SMALL as u64 => return None,
-            Some(length) if length <= HELD as u64 => length as usize / 1024 + 1,
-            _ => STREAM_KIB,
+            Some(length) if length <= held as u64 => length as usize / 1024 + 1,
+            Some(_) => STREAM_KIB,
+            None => STREAM_KIB.max(held / 1024),
         };
         // More than there is in all could never be had.
         let kib = kib.min(self.most.get()).max(1) as u32;
@@ -114,9 +120,9 @@
         self.all.extend_from_slice(&piece);
     }
 
-    /// It is longer than what is held of a body.
-    pub fn is_long(&self) -> bool {
-        self.first.len().max(self.all.len()) > HELD
+    /// It is longer than so many bytes.
+    pub fn is_longer_than(&self, most: usize) -> bool {
+        self.first.len().max(self.all.len()) > most
     }
 
     /// All that was pushed.
--- a/crates/engine/src/direct.rs
+++ b/crates/engine/src/direct.rs
@@ -122,7 +122,7 @@
 
     fn report(&mut self, outcome: Outcome) {
         if let Some(shared) = self.shared.take() {
-            let end = End { outcome, answer: Some(()), load: Vec::new() };
+            let end = End { outcome, answer: (outcome == Outcome::Ok).then_some(()), load: Vec::new() };
             shared.change(|core, now| core.attempt_ended(now, self.id, self.number, end));
         }
     }
--- a/crates/engine/src/engine/book.rs
+++ b/crates/engine/src/engine/book.rs
@@ -45,6 +45,8 @@
     pub(super) ends: Millis,
     /// While its body is coming: how long its client waits from when that is whole, ms.
     pub(super) left: Option<Millis>,
+    /// What a server answered that is no success.
+    pub(super) said: Option<A>,
     /// Attempts it may have; 0: no limit.
     pub(super) most: u32,
     attempts: Vec<Attempt>,
@@ -106,6 +108,7 @@
             request: Arc::new(request),
             ends,
             left: None,
+            said: None,
             most,
             attempts: Vec::new(),
         };
@@ -135,7 +138,10 @@
 
     /// Takes the right to give a request its final answer: to be had once.
     pub(super) fn reply(&mut self, id: RequestId) -> Option<Reply<A>> {
-        let reply = self.entries.get_mut(&id)?.reply.take()?;
+        let entry = self.entries.get_mut(&id)?;
+        let reply = entry.reply.take()?;
+        // Nobody asks for it any more.
+        entry.said = None;
         self.owing -= 1;
         Some(reply)
     }
--- a/crates/engine/src/engine/core.rs
+++ b/crates/engine/src/engine/core.rs
@@ -40,6 +40,7 @@
         id: RequestId,
         number: u8,
         server: ServerId,
+        name: Arc<str>,
         address: SocketAddr,
         request: Arc<Q>,
         span: Millis,
@@ -164,7 +165,7 @@
             Action::Send { id, server, timeout } => self.send(now, id, server, timeout),
             Action::Await { id, attempt, timeout } => self.wait_for(now, id, attempt, timeout),
             Action::Refuse { id, retry_after } => self.answer(id, Answer::Refused(retry_after)),
-            Action::Fail(id) => self.answer(id, Answer::Failed),
+            Action::Fail(id) => self.fail(id, Answer::Failed),
             Action::Cancel { id, attempt } => self.end(now, id, attempt, Outcome::Cancelled, Vec::new()),
             Action::Count { name, add, ttl } => self.count(now, name, add, ttl),
             Action::Timer { after, name } => self.timers.arm(now + after, Due::Module(name)),
@@ -205,9 +206,11 @@
 
     /// Guards against a module that says nothing: the client is answered while it still waits.
     fn last_call(&mut self, now: Millis, id: RequestId) {
-        let Some(reply) = self.book.reply(id) else { return };
+        if self.book.get_mut(id).is_none_or(|entry| entry.over()) {
+            return;
+        }
         tracing::debug!("request {} ended by the clock", id.0);
-        reply(Answer::TimedOut);
+        self.fail(id, Answer::TimedOut);
         self.feed(now, Event::Gone(id));
         self.book.forget(id);
     }
@@ -218,6 +221,12 @@
         }
     }
 
+    /// Nothing better comes: what a server said of its own counts more than that the request has failed.
+    fn fail(&mut self, id: RequestId, failed: Answer<A>) {
+        let said = self.book.get_mut(id).and_then(|entry| entry.said.take());
+        self.answer(id, said.map_or(failed, Answer::Served));
+    }
+
     /// Gives a request its final answer, once.
     fn answer(&mut self, id: RequestId, answer: Answer<A>) {
         if let Some(reply) = self.book.reply(id) {
@@ -243,11 +252,11 @@
             return self.end(now, id, number, Outcome::Moot, Vec::new());
         }
         let request = entry.request.clone();
-        let Some(address) = self.fleet.address(server) else {
+        let Some((name, address)) = self.fleet.place(server) else {
             return self.end(now, id, number, Outcome::ConnectFailed, Vec::new());
         };
         self.timers.arm(now + span, Due::Attempt(id, number));
-        self.outputs.push_back(Output::Attempt { id, number, server, address, request, span });
+        self.outputs.push_back(Output::Attempt { id, number, server, name, address, request, span });
     }
 
     /// How far a body that is still coming has gone with an attempt.
@@ -280,10 +289,18 @@
         if !self.book.is_live(id, attempt) {
             return;
         }
-        if let (Outcome::Ok, Some(answer)) = (end.outcome, end.answer) {
-            if let Some(reply) = self.book.reply(id) {
-                reply(Answer::Served(answer));
+        match (end.outcome, end.answer) {
+            (Outcome::Ok, Some(answer)) => {
+                if let Some(reply) = self.book.reply(id) {
+                    reply(Answer::Served(answer));
+                }
+            }
+            (Outcome::Error, Some(answer)) => {
+                if let Some(entry) = self.book.get_mut(id).filter(|entry| !entry.over()) {
+                    entry.said = Some(answer);
+                }
             }
+            _ => {}
         }
         self.tell_end(now, id, attempt, end.outcome, end.load);
         self.drain(now);
--- a/crates/engine/src/engine/fleet.rs
+++ b/crates/engine/src/engine/fleet.rs
@@ -4,13 +4,14 @@
 use oatbank_operations::suspension::{Marks, NeverListed, Suspensions};
 use std::collections::{BTreeSet, HashMap, HashSet};
 use std::net::SocketAddr;
+use std::sync::Arc;
 use topazwind::interface::{ListUpdate, Millis, ServerEntry, ServerId, ServerState};
 
 struct Known {
     address: SocketAddr,
     /// What its list says, before what operators say.
     entry: ServerEntry,
-    id: String,
+    id: Arc<str>,
 }
 
 /// The parts of zones that a limiter may use: of each server's limiters so many, at even distances, so that they add up.
@@ -65,8 +66,9 @@
         self.known.is_empty()
     }
 
-    pub(super) fn address(&self, server: ServerId) -> Option<SocketAddr> {
-        self.known.get(&server).map(|s| s.address)
+    /// A server's name and where it listens.
+    pub(super) fn place(&self, server: ServerId) -> Option<(Arc<str>, SocketAddr)> {
+        self.known.get(&server).map(|s| (s.id.clone(), s.address))
     }
 
     pub(super) fn is_ready(&self, server: ServerId) -> bool {
@@ -190,7 +192,7 @@
                 tracing::warn!(server = member.id, "members: {} has no address that can be read", member.id);
                 return None;
             };
-            let known = Known { address, entry: entry.clone(), id: member.id.clone() };
+            let known = Known { address, entry: entry.clone(), id: member.id.as_str().into() };
             self.known.insert(server, known);
             self.numbers.insert(member.id.clone(), server);
         }
--- a/crates/engine/src/engine/mod.rs
+++ b/crates/engine/src/engine/mod.rs
@@ -288,7 +288,7 @@
 
     fn carry_out(self: &Rc<Self>, output: Output<U::Request>) {
         match output {
-            Output::Attempt { id, number, server, address, request, span } => {
+            Output::Attempt { id, number, server, name, address, request, span } => {
                 let asked = self.clone();
                 let may_send =
                     Rc::new(move || asked.closed().is_none() && asked.core.borrow().fleet().is_ready(server));
@@ -296,7 +296,7 @@
                 let progress = Rc::new(move |progress| {
                     told.change(|core, now| core.progress(now, id, number, progress));
                 });
-                self.attempt(id, number, Job { server, address, request, span, may_send, progress });
+                self.attempt(id, number, Job { server, name, address, request, span, may_send, progress });
             }
             Output::CallOff { id, number } => {
                 if let Some(task) = self.tasks.borrow_mut().remove(&(id, number)) {
--- a/crates/engine/src/ports/upstream.rs
+++ b/crates/engine/src/ports/upstream.rs
@@ -11,6 +11,8 @@
 pub struct Job<Q> {
     /// The server.
     pub server: ServerId,
+    /// Its name in the list.
+    pub name: Arc<str>,
     /// Where it listens.
     pub address: SocketAddr,
     /// What is sent. Further attempts of the same request share it.
@@ -28,7 +30,8 @@
 pub struct End<A> {
     /// What came of it.
     pub outcome: Outcome,
-    /// The answer; looked at with [`Outcome::Ok`] only.
+    /// The answer. One that comes with [`Outcome::Error`] is given to the client where nothing better comes; with any
+    /// other outcome than that and [`Outcome::Ok`] it is not looked at.
     pub answer: Option<A>,
     /// The server's load report in the order of the settings; empty without one.
     pub load: Vec<f64>,
--- a/crates/engine/src/upstreams/http1.rs
+++ b/crates/engine/src/upstreams/http1.rs
@@ -1,7 +1,7 @@
 //! Servers that are met over HTTP/1.1, and the connections kept to them.
 //!
 //! Connections are kept here and not in a pooling client: such a client sends again by itself, and does not
-//! tell whether a request went out.
+//! tell whether a request went out. What heads say is a [`Dialect`]'s.
 
 use crate::body::{self, Body, Broken, Feed, Gone, Room, Rooms, Sending, Start, Upload, HELD, LONGEST};
 use crate::ports::clock::Clock;
@@ -47,6 +47,108 @@
 /// session flaps is the same process, and one that did restart has closed them.
 const KEEP_OVER_FLAP: Millis = 1000.0;
 
+/// What the heads of requests and answers say, and how much of an answer is held.
+///
+/// It decides on what was read of an answer; that nothing was written, that a body is whole and that a connection is
+/// free is seen to here.
+pub trait Dialect: 'static {
+    /// What an answer becomes.
+    type Answer: 'static;
+
+    /// Sets what a server is told beside what goes on from the client.
+    fn address(&self, job: &Job<Forward>, headers: &mut HeaderMap);
+
+    /// What an answer's head means.
+    fn judge(&self, job: &Job<Forward>, head: &Parts) -> Verdict;
+
+    /// Makes the answer that goes to the client.
+    fn answer(&self, head: Parts, body: Body) -> Self::Answer;
+
+    /// The values of the server's load report, in the order of the settings; none without one.
+    fn load(&self, _headers: &HeaderMap) -> Vec<f64> {
+        Vec::new()
+    }
+
+    /// An answer up to this many bytes is read whole before it counts; a longer one is passed on as it comes.
+    fn held(&self) -> usize {
+        HELD
+    }
+
+    /// The longest answer that is passed on, bytes.
+    fn longest(&self) -> u64 {
+        LONGEST
+    }
+
+    /// A connection on which a server confirms nothing for this long is broken; none: the system decides.
+    fn unconfirmed(&self) -> Option<Duration> {
+        None
+    }
+}
+
+/// What the head of an answer means.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Verdict {
+    /// How the attempt has ended, once the answer is whole.
+    pub outcome: Outcome,
+    /// Nothing more is read of it and its connection is closed.
+    pub spoilt: bool,
+    /// It may be given to a client. With [`Outcome::Error`] that is where nothing better comes.
+    pub given: bool,
+    /// It has no body by its kind, whatever lengths it tells.
+    pub bodiless: bool,
+    /// How long its server keeps the connection when idle, ms, where it tells that.
+    pub keeps: Option<Millis>,
+}
+
+impl Verdict {
+    /// An answer with a body of which the outcome is this; given to the client if that is [`Outcome::Ok`].
+    pub fn new(outcome: Outcome) -> Self {
+        Verdict { outcome, spoilt: false, given: outcome == Outcome::Ok, bodiless: false, keeps: None }
+    }
+
+    /// An answer that cannot be used.
+    pub fn spoilt(outcome: Outcome) -> Self {
+        Verdict { spoilt: true, given: false, ..Verdict::new(outcome) }
+    }
+}
+
+/// The platform's servers.
+#[derive(Clone, Debug, Default)]
+pub struct Platform {
+    /// Names of the values in a load report, in the order of the settings.
+    pub report: Vec<String>,
+}
+
+impl Dialect for Platform {
+    type Answer = Body;
+
+    fn address(&self, job: &Job<Forward>, headers: &mut HeaderMap) {
+        if let Ok(host) = HeaderValue::try_from(job.address.to_string()) {
+            headers.insert(HOST, host);
+        }
+        if let Ok(left) = HeaderValue::try_from(format!("{:.3}", job.span / 1000.0)) {
+            headers.insert(TIME_LEFT, left);
+        }
+    }
+
+    fn judge(&self, _: &Job<Forward>, head: &Parts) -> Verdict {
+        let not_run = head.headers.get(NOT_RUN).is_some_and(|v| v.as_bytes() == b"1");
+        Verdict::new(match head.status {
+            StatusCode::OK => Outcome::Ok,
+            StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if not_run => Outcome::Full,
+            _ => Outcome::Error,
+        })
+    }
+
+    fn answer(&self, _: Parts, body: Body) -> Body {
+        body
+    }
+
+    fn load(&self, headers: &HeaderMap) -> Vec<f64> {
+        load_report(headers, &self.report)
+    }
+}
+
 const LOAD: HeaderName = HeaderName::from_static("x-backend-load");
 const NOT_RUN: HeaderName = HeaderName::from_static("x-unprocessed");
 const TIME_LEFT: HeaderName = HeaderName::from_static("x-time-left");
@@ -147,6 +249,8 @@
     task: AbortHandle,
     address: SocketAddr,
     idle_since: Millis,
+    /// It is used again within this, ms.
+    keeps: Millis,
     /// Counts among the open ones while it lives.
     _slot: Slot,
 }
@@ -175,18 +279,20 @@
     most: Cell<usize>,
     longest_idle: Millis,
     connect_timeout: Duration,
+    unconfirmed: Option<Duration>,
 }
 
 impl Pool {
     /// An empty pool that opens `most` connections at most.
-    fn new(conn_idle: Millis, connect_timeout: Millis, most: usize) -> Self {
+    fn new(connections: Connections, unconfirmed: Option<Duration>) -> Self {
         Pool {
             idle: RefCell::default(),
             parked: RefCell::default(),
             open: Rc::default(),
-            most: Cell::new(most),
-            longest_idle: conn_idle * IDLE_SHARE,
-            connect_timeout: Duration::from_secs_f64(connect_timeout / 1000.0),
+            most: Cell::new(connections.most),
+            longest_idle: connections.idle * IDLE_SHARE,
+            connect_timeout: Duration::from_secs_f64(connections.connect_timeout / 1000.0),
+            unconfirmed,
         }
     }
 
@@ -195,16 +301,18 @@
         let mut idle = self.idle.borrow_mut();
         let waiting = idle.get_mut(&server)?;
         while let Some(c) = waiting.pop() {
-            if c.address == address && !c.sender.is_closed() && now - c.idle_since < self.longest_idle {
+            if c.address == address && !c.sender.is_closed() && now - c.idle_since < c.keeps {
                 return Some(c);
             }
         }
         None
     }
 
-    fn put(&self, server: ServerId, mut connection: Connection, now: Millis) {
+    /// Keeps a connection for its server's next request, of which the server says that it keeps it so long.
+    fn put(&self, server: ServerId, mut connection: Connection, keeps: Option<Millis>, now: Millis) {
         if !connection.sender.is_closed() {
             connection.idle_since = now;
+            connection.keeps = keeps.map_or(self.longest_idle, |k| (k * IDLE_SHARE).min(self.longest_idle));
             self.idle.borrow_mut().entry(server).or_default().push(connection);
         }
     }
@@ -217,7 +325,7 @@
             if parked.get(server).is_some_and(|since| now - since >= KEEP_OVER_FLAP) {
                 return false;
             }
-            waiting.retain(|c| !c.sender.is_closed() && now - c.idle_since < self.longest_idle);
+            waiting.retain(|c| !c.sender.is_closed() && now - c.idle_since < c.keeps);
             !waiting.is_empty()
         });
         let idle = self.idle.borrow();
@@ -259,6 +367,9 @@
         let up = tokio::time::timeout(self.connect_timeout, TcpStream::connect(address)).await;
         let stream = up.ok()?.ok()?;
         stream.set_nodelay(true).ok()?;
+        if self.unconfirmed.is_some() {
+            SockRef::from(&stream).set_tcp_user_timeout(self.unconfirmed).ok()?;
+        }
         let wrote = Rc::new(Cell::new(false));
         let io = TokioIo::new(Noted { stream, wrote: wrote.clone() });
         let (sender, connection) = http1::Builder::new().max_buf_size(BUFFER).handshake(io).await.ok()?;
@@ -266,23 +377,23 @@
             // How it ends is seen by the attempt that is out on it.
             let _ = connection.await;
         });
-        Some(Connection { sender, wrote, task: task.abort_handle(), address, idle_since: 0.0, _slot: slot })
+        let task = task.abort_handle();
+        Some(Connection { sender, wrote, task, address, idle_since: 0.0, keeps: 0.0, _slot: slot })
     }
 }
 
 /// What the attempts share.
-struct Shared {
+struct Shared<D> {
     clock: Rc<dyn Clock>,
     pool: Pool,
-    /// Names of the values in a load report, in the order of the settings.
-    report: Vec<String>,
+    dialect: D,
     /// For the bodies of answers.
     rooms: Rooms,
 }
 
 /// Servers over HTTP/1.1.
-pub struct Http1 {
-    shared: Rc<Shared>,
+pub struct Http1<D: Dialect = Platform> {
+    shared: Rc<Shared<D>>,
 }
 
 /// How connections to servers are kept.
@@ -299,18 +410,26 @@
 }
 
 impl Http1 {
-    /// No connections yet.
+    /// The platform's servers; no connections yet.
     pub fn new(clock: Rc<dyn Clock>, connections: Connections, report: Vec<String>) -> Self {
-        let pool = Pool::new(connections.idle, connections.connect_timeout, connections.most);
-        Http1 { shared: Rc::new(Shared { clock, pool, report, rooms: Rooms::new(connections.bodies_kib) }) }
+        Http1::speaking(Platform { report }, clock, connections)
+    }
+}
+
+impl<D: Dialect> Http1<D> {
+    /// Servers of this dialect; no connections yet.
+    pub fn speaking(dialect: D, clock: Rc<dyn Clock>, connections: Connections) -> Self {
+        let pool = Pool::new(connections, dialect.unconfirmed());
+        let rooms = Rooms::new(connections.bodies_kib);
+        Http1 { shared: Rc::new(Shared { clock, pool, dialect, rooms }) }
     }
 }
 
-impl Upstream for Http1 {
+impl<D: Dialect> Upstream for Http1<D> {
     type Request = Forward;
-    type Answer = Body;
+    type Answer = D::Answer;
 
-    fn attempt(&self, job: Job<Forward>) -> Local<End<Body>> {
+    fn attempt(&self, job: Job<Forward>) -> Local<End<D::Answer>> {
         let shared = self.shared.clone();
         Box::pin(async move { run(&shared, &job).await })
     }
@@ -329,7 +448,7 @@
     }
 }
 
-async fn run(shared: &Rc<Shared>, job: &Job<Forward>) -> End<Body> {
+async fn run<D: Dialect>(shared: &Rc<Shared<D>>, job: &Job<Forward>) -> End<D::Answer> {
     let gone = Rc::new(Gone::default());
     loop {
         let kept = shared.pool.take(job.server, job.address, shared.clock.now());
@@ -352,7 +471,7 @@
             return End::without_answer(Outcome::ConnectFailed);
         }
         connection.wrote.set(false);
-        match connection.sender.try_send_request(request(job, &gone)).await {
+        match connection.sender.try_send_request(request(&shared.dialect, job, &gone)).await {
             Ok(answer) => {
                 // A body that is held whole goes out with its head, and an empty one is never asked for.
                 let sent = !job.request.body.is_stream() || gone.sent.get();
@@ -372,19 +491,14 @@
     }
 }
 
-fn request(job: &Job<Forward>, gone: &Rc<Gone>) -> hyper::Request<Sending<Forward>> {
+fn request<D: Dialect>(dialect: &D, job: &Job<Forward>, gone: &Rc<Gone>) -> hyper::Request<Sending<Forward>> {
     let forward = &job.request;
     let body = Sending::new(forward.clone(), |f| &f.body, job.progress.clone(), gone.clone());
     let mut request = hyper::Request::new(body);
     *request.method_mut() = forward.method.clone();
     *request.uri_mut() = forward.uri.clone();
     *request.headers_mut() = forward.headers.clone();
-    if let Ok(host) = HeaderValue::try_from(job.address.to_string()) {
-        request.headers_mut().insert(HOST, host);
-    }
-    if let Ok(left) = HeaderValue::try_from(format!("{:.3}", job.span / 1000.0)) {
-        request.headers_mut().insert(TIME_LEFT, left);
-    }
+    dialect.address(job, request.headers_mut());
     request
 }
 
@@ -400,13 +514,13 @@
 
 /// The head's lengths agree with each other and with the most that is taken. Without any the body ends with its
 /// connection, and the head has to say that this ends: else nobody knows whether more is to come.
-fn framed(head: &Parts, body: &Incoming) -> bool {
+fn framed(head: &Parts, body: &Incoming, bodiless: bool, longest: u64) -> bool {
     let many = |name| head.headers.get_all(name).iter().count();
     let plain = match many(CONTENT_LENGTH) + many(TRANSFER_ENCODING) {
-        0 => closes(head),
+        0 => bodiless || closes(head),
         lengths => lengths == 1,
     };
-    plain && !head.status.is_informational() && body.size_hint().lower() <= LONGEST
+    plain && !head.status.is_informational() && body.size_hint().lower() <= longest
 }
 
 /// The connection ends with this answer.
@@ -422,49 +536,55 @@
 
 /// Reads an answer whole where it is short: only then is it known to be one, and its connection free. One that is
 /// spoilt ends its connection at once, however much is still to come. A long one is passed on as it comes.
-async fn receive(
-    shared: &Rc<Shared>,
+async fn receive<D: Dialect>(
+    shared: &Rc<Shared<D>>,
     job: &Job<Forward>,
     connection: Connection,
     answer: Response<Incoming>,
     sent: bool,
-) -> End<Body> {
+) -> End<D::Answer> {
     let (head, mut body) = answer.into_parts();
-    if !framed(&head, &body) {
+    let dialect = &shared.dialect;
+    let verdict = dialect.judge(job, &head);
+    if verdict.spoilt {
+        return End::without_answer(verdict.outcome);
+    }
+    if !framed(&head, &body, verdict.bodiless, dialect.longest()) {
         return End::without_answer(Outcome::Error);
     }
-    let load = load_report(&head.headers, &shared.report);
-    let room = shared.rooms.take(body.size_hint().exact()).await;
-    let held = match hold(&mut body).await {
+    let load = dialect.load(&head.headers);
+    let most = dialect.held();
+    let room = shared.rooms.take_held(body.size_hint().exact(), most).await;
+    let held = match hold(&mut body, most).await {
         Ok(held) => held,
         Err(e) => return End { outcome: broken(&e), answer: None, load },
     };
 
     // One whose request was answered before it was whole has the rest of it on the way.
-    let kept = (!closes(&head) && sent).then(|| (shared.clone(), job.server, job.may_send.clone()));
+    let kept = (!closes(&head) && sent).then(|| Kept {
+        shared: shared.clone(),
+        server: job.server,
+        may_send: job.may_send.clone(),
+        keeps: verdict.keeps,
+    });
     let begun = Begun { connection, kept };
     let body = match held {
         Held::Whole(bytes) => {
             begun.over();
             Body::held(bytes, room)
         }
-        Held::Start(_) if head.status != StatusCode::OK => {
+        Held::Start(_) if verdict.outcome != Outcome::Ok => {
             return End { outcome: Outcome::Error, answer: None, load }
         }
         Held::Start(held) => {
             let length = body.size_hint().exact().map(|left| left + held.len() as u64);
             let (feed, rest) = body::pieces();
-            tokio::task::spawn_local(pass_on(body, held.len() as u64, feed, begun));
+            tokio::task::spawn_local(pass_on(body, held.len() as u64, dialect.longest(), feed, begun));
             Body::Stream { held, length, rest, room }
         }
     };
-    let not_run = head.headers.get(NOT_RUN).is_some_and(|v| v.as_bytes() == b"1");
-    let outcome = match head.status {
-        StatusCode::OK => Outcome::Ok,
-        StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if not_run => Outcome::Full,
-        _ => Outcome::Error,
-    };
-    End { outcome, answer: Some(body), load }
+    let answer = verdict.given.then(|| dialect.answer(head, body));
+    End { outcome: verdict.outcome, answer, load }
 }
 
 /// What there is of an answer once it is known to be short or long.
@@ -474,15 +594,15 @@
 }
 
 /// Reads an answer until it is whole or longer than what is held; of one that says so itself, nothing.
-async fn hold(body: &mut Incoming) -> Result<Held, hyper::Error> {
-    if body.size_hint().lower() > HELD as u64 {
+async fn hold(body: &mut Incoming, most: usize) -> Result<Held, hyper::Error> {
+    if body.size_hint().lower() > most as u64 {
         return Ok(Held::Start(Bytes::new()));
     }
     let mut start = Start::default();
     while let Some(frame) = body.frame().await {
         let Ok(piece) = frame?.into_data() else { continue };
         start.push(piece);
-        if start.is_long() {
+        if start.is_longer_than(most) {
             return Ok(Held::Start(start.finish()));
         }
     }
@@ -490,27 +610,31 @@
 }
 
 /// Where a connection goes when its answer is whole: to the idle ones of this server, if that is still in use.
-type Kept = (Rc<Shared>, ServerId, Rc<dyn Fn() -> bool>);
+struct Kept<D> {
+    shared: Rc<Shared<D>>,
+    server: ServerId,
+    may_send: Rc<dyn Fn() -> bool>,
+    keeps: Option<Millis>,
+}
 
 /// A connection whose answer has begun, and where it goes once that is whole; dropped before, it closes.
-struct Begun {
+struct Begun<D> {
     connection: Connection,
-    kept: Option<Kept>,
+    kept: Option<Kept<D>>,
 }
 
-impl Begun {
+impl<D> Begun<D> {
     /// The answer is whole.
     fn over(self) {
-        if let Some((shared, server, may_send)) = self.kept {
-            if may_send() {
-                shared.pool.put(server, self.connection, shared.clock.now());
-            }
+        if let Some(kept) = self.kept.filter(|kept| (kept.may_send)()) {
+            let now = kept.shared.clock.now();
+            kept.shared.pool.put(kept.server, self.connection, kept.keeps, now);
         }
     }
 }
 
 /// Passes a long answer on as it comes, no faster than it is taken. When whoever takes it leaves, it ends.
-async fn pass_on(mut body: Incoming, mut passed: u64, feed: Feed, begun: Begun) {
+async fn pass_on<D: Dialect>(mut body: Incoming, mut passed: u64, longest: u64, feed: Feed, begun: Begun<D>) {
     let why = loop {
         let frame = tokio::select! {
             frame = tokio::time::timeout(STALL, body.frame()) => frame,
@@ -530,7 +654,7 @@
             },
         };
         passed += piece.len() as u64;
-        if passed > LONGEST {
+        if passed > longest {
             break Broken::TooLong;
         }
         match tokio::time::timeout(STALL, feed.send(Ok(piece))).await {
--- a/crates/engine/src/upstreams/inprocess.rs
+++ b/crates/engine/src/upstreams/inprocess.rs
@@ -64,7 +64,7 @@
             }
             // Not a reset: that the application drops a request is no sign of a handler that has gone.
             let outcome = ended.await.unwrap_or(Outcome::Cancelled);
-            End { outcome, answer: Some(()), load: Vec::new() }
+            End { outcome, answer: (outcome == Outcome::Ok).then_some(()), load: Vec::new() }
         })
     }
 }
--- a/crates/testkit/src/conformance/upstream.rs
+++ b/crates/testkit/src/conformance/upstream.rs
@@ -45,7 +45,15 @@
     let (address, request) = test.server(behaviour);
     let (server, request) = (ServerId(behaviour as u64), Arc::new(request));
     test.way()
-        .attempt(Job { server, address, request, span: 1000.0, may_send, progress: Rc::new(|_| ()) })
+        .attempt(Job {
+            server,
+            name: "one".into(),
+            address,
+            request,
+            span: 1000.0,
+            may_send,
+            progress: Rc::new(|_| ()),
+        })
         .await
 }
 
@@ -87,7 +95,8 @@
     let (reached, noticed) = (test.reached(), test.called_off());
     let (address, request) = test.server(Behaviour::Silent);
     let (server, request) = (ServerId(Behaviour::Silent as u64), Arc::new(request));
-    let job = Job { server, address, request, span: 1000.0, may_send: yes, progress: Rc::new(|_| ()) };
+    let (name, progress) = ("one".into(), Rc::new(|_| ()));
+    let job = Job { server, name, address, request, span: 1000.0, may_send: yes, progress };
     let mut attempting = Box::pin(test.way().attempt(job));
     tokio::select! {
         end = &mut attempting => panic!("a silent server ended as {:?}", end.outcome),
