Engine: clients' connections are read for any desk, the platform's stays in the daemon

A proxy of a whole system reads clients under the same guards but decides by other headers. The front takes a Desk that judges a head and serves a request, and its bounds as FrontLimits; Engine::ask takes on a request and tells when its client leaves. An answer that breaks off towards HTTP/1.0 without a length resets the connection, as its end would look whole.

--- /dev/null
+++ b/crates/daemon/src/front.rs
@@ -0,0 +1,92 @@
+//! What comes of the platform's requests.
+
+use hyper::header::{HeaderMap, HeaderName};
+use hyper::http::request::Parts;
+use hyper::{Method, Response, StatusCode};
+use oatbank_engine::body::{Body, Room, Upload};
+use oatbank_engine::classify::{self, Rejection};
+use oatbank_engine::engine::{Answer, Engine};
+use oatbank_engine::front::{self, Desk, Judged};
+use oatbank_engine::open_ids::OpenIds;
+use oatbank_engine::respond::{self, plain, ComeBack};
+use oatbank_engine::upstreams::http1::{Forward, Http1};
+use std::rc::Rc;
+use topazwind::interface::{Millis, Request};
+
+/// All client connections.
+pub type Front = front::Front<PlatformDesk>;
+
+/// Judges by the platform's headers and asks one engine.
+pub struct PlatformDesk {
+    engine: Rc<Engine<Http1>>,
+    come_back: ComeBack,
+    ids: OpenIds,
+}
+
+impl PlatformDesk {
+    /// A desk with no request open.
+    pub fn new(engine: Rc<Engine<Http1>>, come_back: ComeBack) -> Self {
+        PlatformDesk { engine, come_back, ids: OpenIds::default() }
+    }
+}
+
+/// What the platform's headers say of a request.
+pub struct Ticket {
+    request: Request,
+    /// Those that go on.
+    headers: HeaderMap,
+}
+
+impl Desk for PlatformDesk {
+    type Ticket = Ticket;
+
+    fn now(&self) -> Millis {
+        self.engine.now()
+    }
+
+    fn names_requests_by(&self) -> HeaderName {
+        classify::CORRELATION
+    }
+
+    fn judge(&self, head: &Parts) -> Result<Judged<Ticket>, Rejection> {
+        if head.uri.path() == "/healthz" {
+            return Ok(Judged::Answer(if self.engine.is_ready() {
+                plain(StatusCode::OK, "ok\n")
+            } else {
+                plain(StatusCode::SERVICE_UNAVAILABLE, "starting\n")
+            }));
+        }
+        if let Some(wait) = self.engine.closed() {
+            let refused = respond::answered(Answer::Refused(wait), self.come_back, Response::new);
+            return Ok(Judged::Answer(refused));
+        }
+        let revision = self.engine.revision();
+        let mut request = classify::by_path(head, revision.names(), revision.settings())?;
+        // Its body may take seconds, and the settings may change meanwhile.
+        request.rules = revision.rules(request.class);
+        Ok(Judged::Taken(Ticket { request, headers: classify::headers_on(&head.headers) }))
+    }
+
+    async fn serve(
+        &self,
+        ticket: Ticket,
+        head: Parts,
+        body: Upload,
+        room: Option<Room>,
+    ) -> Result<Response<Body>, Rejection> {
+        let Ticket { mut request, headers } = ticket;
+        if head.method == Method::GET && !matches!(&body, Upload::Whole(bytes) if bytes.is_empty()) {
+            return Err(Rejection::bad("no body is wanted\n"));
+        }
+        request.uploading = body.is_stream();
+        let id = classify::single(&head.headers, &classify::CORRELATION)?.unwrap_or_default();
+        let _held = self.ids.hold(id)?;
+        let forward = Forward { method: head.method, uri: head.uri, headers, body, room };
+        let (begun, account) = (self.engine.now(), request.customer.0);
+        let span = tracing::debug_span!("request", id, account);
+        let answer = span.in_scope(|| self.engine.ask(request, forward)).await;
+        let ms = self.engine.now() - begun;
+        span.in_scope(|| tracing::debug!(ms, outcome = answer.name(), "answered"));
+        Ok(respond::answered(answer, self.come_back, Response::new))
+    }
+}
--- a/crates/daemon/src/serve.rs
+++ b/crates/daemon/src/serve.rs
@@ -1,7 +1,8 @@
 //! The life of a serving process: from its listener to the last answer.
 
-use crate::front::Front;
+use crate::front::{Front, PlatformDesk};
 use oatbank_engine::engine::{finish_within, Engine, Setup};
+use oatbank_engine::front::FrontLimits;
 use oatbank_engine::ports::clock::Clock;
 use oatbank_engine::respond::ComeBack;
 use oatbank_engine::supervise::keep_running;
@@ -119,7 +120,11 @@
     /// # Errors
     /// When the address cannot be had.
     pub fn start(plan: &Plan, engine: Rc<Engine<Http1>>) -> std::io::Result<Self> {
-        let front = Front::new(engine.clone(), plan.budget(1.0), plan.come_back);
+        let front = Front::new(
+            PlatformDesk::new(engine.clone(), plan.come_back),
+            plan.budget(1.0),
+            FrontLimits::default(),
+        );
         let listener = Rc::new(match plan.passed {
             Some(descriptor) => adopt(descriptor)?,
             None => bind(plan.listen)?,
--- a/crates/engine/src/engine/mod.rs
+++ b/crates/engine/src/engine/mod.rs
@@ -24,9 +24,10 @@
 use oatbank_zones::evidence::Row;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeSet, HashMap};
+use std::future::Future;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::Notify;
+use tokio::sync::{oneshot, Notify};
 use tokio::task::AbortHandle;
 use topazwind::interface::*;
 
@@ -261,6 +262,28 @@
         self.change(|core, now| core.arrive(now, request, forward, reply))
     }
 
+    /// Takes on a request at once, and waits for its answer. Dropped before that: the client has left.
+    pub fn ask(
+        self: &Rc<Self>,
+        request: Request,
+        forward: U::Request,
+    ) -> impl Future<Output = Answer<U::Answer>> + use<U>
+    where
+        U::Answer: Send,
+    {
+        let (sender, receiver) = oneshot::channel();
+        // A client that has just left needs no answer.
+        let reply = Box::new(move |answer| drop(sender.send(answer)));
+        let id = self.arrive(request, forward, reply);
+        let watch = Watch { engine: self.clone(), id, answered: false };
+        async move {
+            // The sender is only lost with the request's entry, and that is a defect: it has then failed.
+            let answer = receiver.await.unwrap_or(Answer::Failed);
+            watch.over();
+            answer
+        }
+    }
+
     /// The client has left; nothing more is owed.
     pub fn gone(self: &Rc<Self>, id: RequestId) {
         self.change(|core, now| core.gone(now, id));
@@ -375,6 +398,28 @@
     }
 }
 
+/// Tells the engine when whoever waits for an answer leaves before it.
+struct Watch<U: Upstream> {
+    engine: Rc<Engine<U>>,
+    id: RequestId,
+    answered: bool,
+}
+
+impl<U: Upstream> Watch<U> {
+    /// The answer has come.
+    fn over(mut self) {
+        self.answered = true;
+    }
+}
+
+impl<U: Upstream> Drop for Watch<U> {
+    fn drop(&mut self) {
+        if !self.answered {
+            self.engine.gone(self.id);
+        }
+    }
+}
+
 /// Reports that an attempt may have run, should its task die before it has reported anything.
 struct Report<U: Upstream> {
     engine: Rc<Engine<U>>,
--- a/crates/daemon/src/front/heard.rs
+++ b/crates/engine/src/front/heard.rs
@@ -4,41 +4,53 @@
 
 use memchr::{memchr_iter, memmem};
 
-/// The most that is kept: what the parser's own buffer holds, in which a head must fit whole.
-const MOST: usize = 16 * 1024;
-
 /// The last bytes that came on a connection.
-#[derive(Default)]
-pub struct Heard(Vec<u8>);
+pub(super) struct Heard {
+    bytes: Vec<u8>,
+    /// The most that is kept: what the parser's own buffer holds, in which a head must fit whole.
+    most: usize,
+}
 
 impl Heard {
+    /// Nothing has come; so many bytes are kept.
+    pub(super) fn new(most: usize) -> Self {
+        Heard { bytes: Vec::new(), most }
+    }
+
     /// These bytes have come.
-    pub fn push(&mut self, bytes: &[u8]) {
-        let bytes = &bytes[bytes.len().saturating_sub(MOST)..];
-        let over = (self.0.len() + bytes.len()).saturating_sub(MOST);
-        self.0.drain(..over);
-        self.0.extend_from_slice(bytes);
+    pub(super) fn push(&mut self, bytes: &[u8]) {
+        let bytes = &bytes[bytes.len().saturating_sub(self.most)..];
+        let over = (self.bytes.len() + bytes.len()).saturating_sub(self.most);
+        self.bytes.drain(..over);
+        self.bytes.extend_from_slice(bytes);
     }
 
     /// Nothing that came so far belongs to a head that is still to be read.
-    pub fn forget(&mut self) {
-        self.0 = Vec::new();
+    pub(super) fn forget(&mut self) {
+        self.bytes = Vec::new();
     }
 
     /// Whether the head in which this value stands has no `Content-Length`. A head that cannot be found has one, for
-    /// all that is known.
-    pub fn has_no_length(&self, value: &[u8]) -> bool {
-        let mut found = false;
-        for at in memmem::find_iter(&self.0, value) {
-            let start = head_ends(&self.0[..at]).last().unwrap_or(0);
-            let end = head_ends(&self.0[at..]).next().map_or(self.0.len(), |end| at + end);
-            let head = &self.0[start..end];
-            if head.split(|b| *b == b'\n').any(is_length) {
+    /// all that is known; without a value to find it by it may be any.
+    pub(super) fn has_no_length(&self, value: &[u8]) -> bool {
+        let has_length = |head: &[u8]| head.split(|b| *b == b'\n').any(is_length);
+        if value.is_empty() {
+            return !has_length(&self.bytes);
+        }
+        // Up to where heads have been looked at.
+        let mut seen = 0;
+        for at in memmem::find_iter(&self.bytes, value) {
+            if at < seen {
+                continue;
+            }
+            let start = head_ends(&self.bytes[..at]).last().unwrap_or(0);
+            let end = head_ends(&self.bytes[at..]).next().map_or(self.bytes.len(), |end| at + end);
+            if has_length(&self.bytes[start..end]) {
                 return false;
             }
-            found = true;
+            seen = end;
         }
-        found
+        seen > 0
     }
 }
 
@@ -60,8 +72,10 @@
 mod tests {
     use super::*;
 
+    const MOST: usize = 16 * 1024;
+
     fn heard(pieces: &[&str]) -> Heard {
-        let mut heard = Heard::default();
+        let mut heard = Heard::new(MOST);
         pieces.iter().for_each(|p| heard.push(p.as_bytes()));
         heard
     }
@@ -76,6 +90,11 @@
                 .has_no_length(b"a1"));
         }
         assert!(!heard(&[plain, chunked]).has_no_length(b"a2"), "a head that is not found");
+        assert!(heard(&[plain, chunked]).has_no_length(b""));
+        assert!(
+            !heard(&[plain, "Content-Length: 3\r\n", chunked]).has_no_length(b""),
+            "no value to find it by"
+        );
     }
 
     #[test]
@@ -92,9 +111,9 @@
 
     #[test]
     fn what_is_kept_is_bounded() {
-        let mut heard = Heard::default();
+        let mut heard = Heard::new(MOST);
         (0..100).for_each(|_| heard.push(&[b'x'; 1000]));
         heard.push(&[b'y'; 20_000]);
-        assert_eq!(heard.0.len(), MOST);
+        assert_eq!(heard.bytes.len(), MOST);
     }
 }
--- a/crates/daemon/src/front/mod.rs
+++ b/crates/engine/src/front/mod.rs
@@ -1,28 +1,30 @@
 //! Clients: accepts their connections, reads requests and writes each one answer.
+//!
+//! What comes of a request is its [`Desk`]'s. Here it is seen to that what is read can be read in one way only, that who
+//! is slow or silent holds up nobody, and that an answer which breaks off ends its connection.
 
 mod heard;
 mod receive;
 
+use crate::body::{Body, Broken, Room, Rooms, Upload, HELD, LONGEST};
+use crate::classify::{self, Rejection};
+use crate::respond;
 use bytes::Bytes;
 use heard::Heard;
+use http::request::Parts;
 use hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
-use hyper::header::{HeaderMap, HeaderValue};
+use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use hyper::header::{CONNECTION, CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Method, Request, Response, StatusCode};
+use hyper::{Method, Request, Response, StatusCode, Uri, Version};
 use hyper_util::rt::TokioIo;
-use oatbank_engine::body::{Body, Broken, Room, Rooms, Upload};
-use oatbank_engine::classify::{self, Rejection};
-use oatbank_engine::engine::{Answer, Engine};
-use oatbank_engine::open_ids::OpenIds;
-use oatbank_engine::respond::{self, plain, ComeBack};
-use oatbank_engine::upstreams::http1::{Forward, Http1};
 use oatbank_operations::budget::Budget;
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::convert::Infallible;
+use std::future::Future;
 use std::io;
 use std::mem::MaybeUninit;
 use std::net::Shutdown;
@@ -32,26 +34,19 @@
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{oneshot, Notify};
-use topazwind::interface::{Millis, RequestId};
+use tokio::sync::Notify;
+use topazwind::interface::Millis;
 
-/// Buffer of a client's connection: room for the longest head that is read.
-const BUFFER: usize = 16 * 1024;
 /// Pause after a failed accept: without descriptors it would fail again at once, and spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-/// A head that is not whole this long after it began, or after its connection came, is given up; so is a connection
-/// that says nothing, and a short answer that is not taken. Clients may take 2 s for a head, and a bad one is owed an end
-/// within 3 s; the rest is for the look round that finds it.
-const WHOLE_WITHIN: Millis = 2500.0;
 /// A streamed answer of which nothing is written for this long is given up: its server has been by then, so it is the
 /// client that takes nothing.
 const STREAM_STALL: Millis = 15_000.0;
 /// Room for a body is waited for this long.
 const ROOM_WITHIN: Duration = Duration::from_millis(1000);
+const NO_TUNNEL: Rejection = Rejection { status: StatusCode::NOT_IMPLEMENTED, why: "no tunnels\n" };
 const NO_ROOM: Rejection =
     Rejection { status: StatusCode::SERVICE_UNAVAILABLE, why: "too many long bodies at once\n" };
-/// A connection between two requests is closed after this: some clients ask once and never close.
-const KEEP_IDLE: Millis = 10_000.0;
 /// How often connections are looked at for that.
 const LOOK: Duration = Duration::from_millis(100);
 /// A first head's time counts from its first byte, but from no later than this after the connection came, ms.
@@ -61,6 +56,86 @@
 /// A new connection's first words are waited for this long, ms, before it may have to give way.
 const FIRST_WORDS: Millis = 100.0;
 
+/// The least buffer that the parser works with.
+const LEAST_BUFFER: usize = 8 * 1024;
+
+/// What clients may take.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct FrontLimits {
+    /// A head that is not whole this long, ms, after it began, or after its connection came, is given up; so is a
+    /// connection that says nothing, and a short answer that is not taken. Clients may take 2 s for a head, and a bad one
+    /// is owed an end within 3 s; the rest is for the look round that finds it.
+    pub whole_within: Millis,
+    /// A connection between two requests is closed after this, ms: some clients ask once and never close.
+    pub keep_idle: Millis,
+    /// Buffer of a client's connection: room for the longest head that is read; 8 KiB at least.
+    pub head_bytes: usize,
+    /// The longest body that is taken, bytes.
+    pub body_bytes: u64,
+    /// A body up to this many bytes is held whole, so that it can be sent again.
+    pub held: usize,
+    /// A client of whose body nothing comes for this long, while something is waited for, is given up; with the time for
+    /// its head it is so within the 3 s that a bad client is owed an end in.
+    pub silence: Duration,
+}
+
+impl Default for FrontLimits {
+    fn default() -> Self {
+        FrontLimits {
+            whole_within: 2500.0,
+            keep_idle: 10_000.0,
+            head_bytes: 16 * 1024,
+            body_bytes: LONGEST,
+            held: HELD,
+            silence: Duration::from_millis(2000),
+        }
+    }
+}
+
+/// What a head alone decides.
+#[derive(Debug)]
+pub enum Judged<T> {
+    /// The answer, whatever its body; that is not kept.
+    Answer(Response<Body>),
+    /// Its body is wanted, and goes on with this.
+    Taken(T),
+}
+
+/// Where requests are handed in: decides what comes of each.
+///
+/// The error of either step is an answer too, after which the connection is closed: what stands behind a request that
+/// cannot be used may be anything.
+pub trait Desk: 'static {
+    /// What is known of a request from its head, while its body comes.
+    type Ticket;
+
+    /// The time, ms, by the clock of the engine.
+    fn now(&self) -> Millis;
+
+    /// The header by whose value a request's head can be told from what else has come on its connection. Of a request
+    /// with a coded body it may stand once only.
+    fn names_requests_by(&self) -> HeaderName;
+
+    /// Judges a head before its body is read. A URI in absolute form stands as it came, with its host in `Host`.
+    ///
+    /// # Errors
+    /// The answer to what is turned away.
+    fn judge(&self, head: &Parts) -> Result<Judged<Self::Ticket>, Rejection>;
+
+    /// Answers a request whose body is there, or has begun to come; the URI is path and query. Dropped before its end:
+    /// the client has left.
+    ///
+    /// # Errors
+    /// The answer to what is turned away.
+    fn serve(
+        &self,
+        ticket: Self::Ticket,
+        head: Parts,
+        body: Upload,
+        room: Option<Room>,
+    ) -> impl Future<Output = Result<Response<Body>, Rejection>>;
+}
+
 /// Where a client's connection stands.
 #[derive(Clone, Copy, PartialEq)]
 enum Phase {
@@ -82,6 +157,7 @@
 
 /// What is known of one client connection.
 struct Peer {
+    limits: FrontLimits,
     phase: Cell<Phase>,
     since: Cell<Millis>,
     /// Something came while the request before was in hand: the next one has begun.
@@ -95,6 +171,8 @@
     uploading: Cell<bool>,
     /// An answer is on its way that comes piece by piece.
     streaming: Cell<bool>,
+    /// Its answer broke off and it could take the end of its connection for that of the answer.
+    cut: Cell<bool>,
     /// When it last said something, or came; whether it has said anything.
     heard_at: Cell<Millis>,
     spoke: Cell<bool>,
@@ -159,10 +237,10 @@
     fn limit(&self) -> Millis {
         match self.phase.get() {
             Phase::Writing if self.streaming.get() => STREAM_STALL,
-            Phase::Reading | Phase::Writing => WHOLE_WITHIN,
+            Phase::Reading | Phase::Writing => self.limits.whole_within,
             // The engine sees to it that a request is answered in its time.
             Phase::Busy | Phase::Uploading | Phase::Passing | Phase::Draining => f64::INFINITY,
-            Phase::Idle => KEEP_IDLE,
+            Phase::Idle => self.limits.keep_idle,
         }
     }
 
@@ -194,14 +272,14 @@
 }
 
 /// A client's stream, which notes when its peer is heard and has been told all.
-struct Watched {
+struct Watched<D> {
     /// Looked at from outside too, for what has come unread.
     stream: Rc<TcpStream>,
     peer: Rc<Peer>,
-    engine: Rc<Engine<Http1>>,
+    desk: Rc<D>,
 }
 
-impl AsyncRead for Watched {
+impl<D: Desk> AsyncRead for Watched<D> {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
         loop {
@@ -211,7 +289,7 @@
                 Err(e) => return Poll::Ready(Err(e)),
                 Ok(0) => return Poll::Ready(Ok(())),
                 Ok(_) => {
-                    self.peer.heard(self.engine.now(), &buf.filled()[before..]);
+                    self.peer.heard(self.desk.now(), &buf.filled()[before..]);
                     return Poll::Ready(Ok(()));
                 }
             }
@@ -219,7 +297,7 @@
     }
 }
 
-impl AsyncWrite for Watched {
+impl<D: Desk> AsyncWrite for Watched<D> {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         self.write(cx, |stream| stream.try_write(buf))
     }
@@ -238,7 +316,7 @@
 
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
         // A socket keeps nothing back.
-        self.peer.flushed(self.engine.now());
+        self.peer.flushed(self.desk.now());
         Poll::Ready(Ok(()))
     }
 
@@ -247,7 +325,7 @@
     }
 }
 
-impl Watched {
+impl<D: Desk> Watched<D> {
     fn write(
         &self,
         cx: &mut Context<'_>,
@@ -258,7 +336,7 @@
             match how(&self.stream) {
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
                 done => {
-                    self.peer.wrote(self.engine.now());
+                    self.peer.wrote(self.desk.now());
                     return Poll::Ready(done);
                 }
             }
@@ -273,11 +351,10 @@
 }
 
 /// All client connections.
-pub struct Front {
-    engine: Rc<Engine<Http1>>,
-    come_back: ComeBack,
+pub struct Front<D> {
+    desk: Rc<D>,
+    limits: FrontLimits,
     peers: RefCell<HashMap<u64, Rc<Peer>>>,
-    ids: OpenIds,
     most: Cell<usize>,
     /// For the bodies of requests.
     rooms: Rooms,
@@ -292,14 +369,13 @@
     left: Notify,
 }
 
-impl Front {
+impl<D: Desk> Front<D> {
     /// A front that stays within its parts of the budget.
-    pub fn new(engine: Rc<Engine<Http1>>, budget: Budget, come_back: ComeBack) -> Rc<Self> {
+    pub fn new(desk: D, budget: Budget, limits: FrontLimits) -> Rc<Self> {
         Rc::new(Front {
-            engine,
-            come_back,
+            desk: Rc::new(desk),
+            limits,
             peers: RefCell::default(),
-            ids: OpenIds::default(),
             most: Cell::new(budget.clients),
             rooms: Rooms::new(budget.uploads_kib),
             next: Cell::new(0),
@@ -344,7 +420,7 @@
 
     /// Makes one connection give way; false where all have a request in hand, and the newcomer has to wait.
     fn make_room(&self) -> bool {
-        let (peers, now) = (self.peers.borrow(), self.engine.now());
+        let (peers, now) = (self.peers.borrow(), self.desk.now());
         let able = peers.values().filter(|p| !p.over.get()).filter_map(|p| Some((p.gives_way(now)?, p)));
         match able.max_by(|(a, _), (b, _)| a.total_cmp(b)) {
             // Between two requests it is asked, so that one which has just come in is not lost.
@@ -359,7 +435,7 @@
     pub async fn look_round(self: Rc<Self>) {
         loop {
             tokio::time::sleep(LOOK).await;
-            let now = self.engine.now();
+            let now = self.desk.now();
             for peer in self.peers.borrow().values().filter(|p| now - p.since.get() > p.limit()) {
                 match peer.phase.get() {
                     Phase::Idle => peer.ask_to_leave(),
@@ -396,6 +472,11 @@
         self.peers.borrow().values().for_each(|peer| peer.ask_to_leave());
     }
 
+    /// Where its requests are handed in.
+    pub fn desk(&self) -> &Rc<D> {
+        &self.desk
+    }
+
     /// Connections that are open.
     pub fn open(&self) -> usize {
         self.peers.borrow().len()
@@ -404,36 +485,46 @@
     async fn serve(self: Rc<Self>, stream: TcpStream, number: u64) {
         // An answer is one small write, and is wanted now.
         let _ = stream.set_nodelay(true);
+        let buffer = self.limits.head_bytes.max(LEAST_BUFFER);
         let peer = Rc::new(Peer {
+            limits: self.limits,
             phase: Cell::new(Phase::Reading),
-            since: Cell::new(self.engine.now()),
+            since: Cell::new(self.desk.now()),
             ahead: Cell::new(false),
             leave: Notify::new(),
             asked: Cell::new(false),
             uploading: Cell::new(false),
             streaming: Cell::new(false),
-            heard_at: Cell::new(self.engine.now()),
+            cut: Cell::new(false),
+            heard_at: Cell::new(self.desk.now()),
             spoke: Cell::new(false),
-            said: RefCell::default(),
+            said: RefCell::new(Heard::new(buffer)),
             over: Cell::new(false),
         });
         let _listed = Listed::new(self.clone(), number, peer.clone());
         let service = service_fn(|request| {
             let (front, peer) = (self.clone(), peer.clone());
             async move {
+                let closes = request.version() == Version::HTTP_10;
                 let answer = front.answer(request, &peer).await;
-                peer.enter(Phase::Writing, front.engine.now());
-                Ok::<_, Infallible>(answer.map(|body| Given::new(body, peer)))
+                peer.enter(Phase::Writing, front.desk.now());
+                Ok::<_, Infallible>(answer.map(|body| Given::new(body, closes, peer)))
             }
         });
         let stream = Rc::new(stream);
-        let watched = Watched { stream: stream.clone(), peer: peer.clone(), engine: self.engine.clone() };
+        let watched = Watched { stream: stream.clone(), peer: peer.clone(), desk: self.desk.clone() };
         let mut builder = http1::Builder::new();
-        builder.max_buf_size(BUFFER);
+        builder.max_buf_size(buffer);
         let mut connection = pin!(builder.serve_connection(TokioIo::new(watched), service));
         loop {
             tokio::select! {
-                _ = connection.as_mut() => return,
+                _ = connection.as_mut() => {
+                    if peer.cut.get() {
+                        // Reset, or it would look whole.
+                        let _ = SockRef::from(&*stream).set_linger(Some(Duration::ZERO));
+                    }
+                    return;
+                }
                 () = peer.leave.notified() => {
                     if peer.over.get() {
                         return;
@@ -467,64 +558,42 @@
     /// Answers one request; the error is an answer too, to what is none of the limiter's work.
     async fn handle(&self, request: Request<Incoming>, peer: &Rc<Peer>) -> Result<Response<Body>, Rejection> {
         let (mut head, body) = request.into_parts();
-        framing(&head.headers, peer)?;
-        // Judged before its body is read: nothing is kept for what is turned away.
-        if head.uri.path() == "/healthz" {
-            peer.enter(Phase::Busy, self.engine.now());
-            let ready = self.engine.is_ready();
-            return Ok(if ready {
-                plain(StatusCode::OK, "ok\n")
-            } else {
-                plain(StatusCode::SERVICE_UNAVAILABLE, "starting\n")
-            });
+        framing(&head.headers, &*self.desk, peer)?;
+        // The host of an absolute form counts, whatever `Host` says (RFC 9112, 3.2.2).
+        if let (Some(_), Some(host)) = (head.uri.scheme(), host_of(&head.uri)) {
+            head.headers.insert(HOST, host);
         }
-        if let Some(wait) = self.engine.closed() {
-            return Ok(respond::answered(Answer::Refused(wait), self.come_back, Response::new));
+        // Judged before its body is read: nothing is kept for what is turned away.
+        let ticket = match self.desk.judge(&head)? {
+            Judged::Answer(answer) => {
+                peer.enter(Phase::Busy, self.desk.now());
+                return Ok(answer);
+            }
+            Judged::Taken(ticket) => ticket,
+        };
+        if head.method == Method::CONNECT {
+            return Err(NO_TUNNEL);
         }
-        let revision = self.engine.revision();
-        let mut request = classify::by_path(&head, revision.names(), revision.settings())?;
-        // Its body may take seconds, and the settings may change meanwhile.
-        request.rules = revision.rules(request.class);
-        let headers = classify::headers_on(&head.headers);
         let (body, room) = self.receive(body, peer).await?;
-        if head.method == Method::GET && !matches!(&body, Upload::Whole(bytes) if bytes.is_empty()) {
-            return Err(Rejection::bad("no body is wanted\n"));
-        }
-        request.uploading = body.is_stream();
         // A server is asked by path and query, however the client put it.
         if let (Some(_), Some(path)) = (head.uri.scheme(), head.uri.path_and_query()) {
             head.uri = path.clone().into();
         }
-        let id = classify::single(&headers, &classify::CORRELATION)?.unwrap_or_default();
-        let _held = self.ids.hold(id)?;
-        let forward = Forward { method: head.method, uri: head.uri, headers: headers.clone(), body, room };
-        peer.enter(if request.uploading { Phase::Passing } else { Phase::Busy }, self.engine.now());
-        let (sender, receiver) = oneshot::channel();
-        // A client that has just left needs no answer.
-        let reply = Box::new(move |answer| drop(sender.send(answer)));
-        let (begun, account) = (self.engine.now(), request.customer.0);
-        let span = tracing::debug_span!("request", id = head_id(&forward), account);
-        let id = span.in_scope(|| self.engine.arrive(request, forward, reply));
-        let mut watch = Watch { engine: &self.engine, id, answered: false };
-        // The sender is only lost with the request's entry, and that is a defect: it has then failed.
-        let answer = receiver.await.unwrap_or(Answer::Failed);
-        watch.answered = true;
-        let ms = self.engine.now() - begun;
-        span.in_scope(|| tracing::debug!(ms, outcome = answer.name(), "answered"));
-        Ok(respond::answered(answer, self.come_back, Response::new))
+        peer.enter(if body.is_stream() { Phase::Passing } else { Phase::Busy }, self.desk.now());
+        self.desk.serve(ticket, head, body, room).await
     }
 
     async fn receive(&self, body: Incoming, peer: &Rc<Peer>) -> Result<(Upload, Option<Room>), Rejection> {
-        peer.enter(Phase::Uploading, self.engine.now());
+        peer.enter(Phase::Uploading, self.desk.now());
         peer.uploading.set(true);
         let length = if body.is_end_stream() { Some(0) } else { body.size_hint().exact() };
-        let room = tokio::time::timeout(ROOM_WITHIN, self.rooms.take(length)).await;
+        let room = tokio::time::timeout(ROOM_WITHIN, self.rooms.take_held(length, self.limits.held)).await;
         let room = room.map_err(|_| {
             peer.uploading.set(false);
             NO_ROOM
         })?;
-        let (engine, uploading) = (self.engine.clone(), peer.clone());
-        let upload = receive::receive(body, move || uploading.uploaded(engine.now())).await;
+        let (desk, uploading) = (self.desk.clone(), peer.clone());
+        let upload = receive::receive(body, self.limits, move || uploading.uploaded(desk.now())).await;
         // What could not be taken is answered, and its connection closed.
         upload.map(|upload| (upload, room)).inspect_err(|_| peer.uploading.set(false))
     }
@@ -533,13 +602,15 @@
 /// An answer on its way to a client.
 struct Given {
     body: Body,
+    /// It may end with its connection.
+    closes: bool,
     peer: Rc<Peer>,
 }
 
 impl Given {
-    fn new(body: Body, peer: Rc<Peer>) -> Self {
+    fn new(body: Body, closes: bool, peer: Rc<Peer>) -> Self {
         peer.streaming.set(matches!(body, Body::Stream { .. }));
-        Given { body, peer }
+        Given { body, closes, peer }
     }
 }
 
@@ -557,7 +628,11 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
-        Pin::new(&mut self.body).poll_frame(cx)
+        let frame = ready!(Pin::new(&mut self.body).poll_frame(cx));
+        if self.closes && matches!(frame, Some(Err(_))) {
+            self.peer.cut.set(true);
+        }
+        Poll::Ready(frame)
     }
 
     fn is_end_stream(&self) -> bool {
@@ -569,49 +644,29 @@
     }
 }
 
-/// The client's name for a request, for the log.
-fn head_id(forward: &Forward) -> &str {
-    forward.headers.get(&classify::CORRELATION).and_then(|id| id.to_str().ok()).unwrap_or_default()
-}
-
 /// Takes a connection off the list whichever way it ends.
-struct Listed {
-    front: Rc<Front>,
+struct Listed<D> {
+    front: Rc<Front<D>>,
     number: u64,
 }
 
-impl Listed {
-    fn new(front: Rc<Front>, number: u64, peer: Rc<Peer>) -> Self {
+impl<D> Listed<D> {
+    fn new(front: Rc<Front<D>>, number: u64, peer: Rc<Peer>) -> Self {
         front.peers.borrow_mut().insert(number, peer);
         Listed { front, number }
     }
 }
 
-impl Drop for Listed {
+impl<D> Drop for Listed<D> {
     fn drop(&mut self) {
         self.front.peers.borrow_mut().remove(&self.number);
         self.front.left.notify_one();
     }
 }
 
-/// Tells the engine when the client leaves before its answer: its connection's task is dropped then.
-struct Watch<'a> {
-    engine: &'a Rc<Engine<Http1>>,
-    id: RequestId,
-    answered: bool,
-}
-
-impl Drop for Watch<'_> {
-    fn drop(&mut self) {
-        if !self.answered {
-            self.engine.gone(self.id);
-        }
-    }
-}
-
 /// Turns away what can be read in two ways, and may so hide a second request: a length beside a coding, or a coding
 /// beside `chunked`.
-fn framing(headers: &HeaderMap, peer: &Peer) -> Result<(), Rejection> {
+fn framing<D: Desk>(headers: &HeaderMap, desk: &D, peer: &Peer) -> Result<(), Rejection> {
     if headers.contains_key(TRANSFER_ENCODING) {
         let coding = classify::single(headers, &TRANSFER_ENCODING)?.unwrap_or_default();
         if !coding.trim().eq_ignore_ascii_case("chunked") {
@@ -622,7 +677,7 @@
         }
         // The parser does not show a length that stands behind the coding, so the bytes are looked at. The name of a
         // request is its own.
-        let id = classify::single(headers, &classify::CORRELATION)?.unwrap_or_default();
+        let id = classify::single(headers, &desk.names_requests_by())?.unwrap_or_default();
         if headers.contains_key(CONTENT_LENGTH) || !peer.said.borrow().has_no_length(id.as_bytes()) {
             return Err(Rejection::bad("Content-Length beside Transfer-Encoding\n"));
         }
@@ -630,6 +685,13 @@
     classify::single(headers, &HOST).map(|_| ())
 }
 
+/// The host of a URI as `Host` puts it.
+fn host_of(uri: &Uri) -> Option<HeaderValue> {
+    let authority = uri.authority()?.as_str();
+    // Who somebody is on that host is none of its name.
+    HeaderValue::try_from(authority.rsplit('@').next()?).ok()
+}
+
 fn closing(mut response: Response<Body>) -> Response<Body> {
     response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     response
--- a/crates/daemon/src/front/receive.rs
+++ b/crates/engine/src/front/receive.rs
@@ -1,18 +1,16 @@
 //! Bodies of clients' requests: read whole while they are small, else passed on as they come. Progress is judged, and
 //! not the time in all: a client may be slow, but must get on.
 
+use super::FrontLimits;
+use crate::body::{self, Broken, Feed, Start, Upload, LONGEST};
+use crate::classify::Rejection;
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
 use hyper::StatusCode;
-use oatbank_engine::body::{self, Broken, Feed, Start, Upload, LONGEST};
-use oatbank_engine::classify::Rejection;
 use std::time::Duration;
 use tokio::time::{timeout, Instant};
 
-/// A client of which nothing comes for this long, while something is waited for, is given up; with the time for its
-/// head it is so within the 3 s that a bad client is owed an end in.
-const SILENCE: Duration = Duration::from_millis(2000);
 /// What a body may take in all: this long, and a second for so many bytes. A quarter of what slow clients reach.
 const GRACE: Duration = Duration::from_millis(3000);
 const LEAST_RATE: f64 = 16.0 * 1024.0;
@@ -22,7 +20,6 @@
 /// which writes to the end before it reads gets its answer and keeps its connection.
 const LINGER: Duration = Duration::from_secs(30);
 
-const TOO_LONG: Rejection = Rejection { status: StatusCode::PAYLOAD_TOO_LARGE, why: "over 64 MiB\n" };
 const TOO_SLOW: Rejection =
     Rejection { status: StatusCode::REQUEST_TIMEOUT, why: "the body takes too long\n" };
 
@@ -30,17 +27,18 @@
 struct Pace {
     begun: Instant,
     bytes: u64,
+    limits: FrontLimits,
 }
 
 impl Pace {
-    fn new() -> Self {
-        Pace { begun: Instant::now(), bytes: 0 }
+    fn new(limits: FrontLimits) -> Self {
+        Pace { begun: Instant::now(), bytes: 0, limits }
     }
 
     /// How long the next piece is waited for.
     fn patience(&self) -> Duration {
         let due = GRACE + Duration::from_secs_f64(self.bytes as f64 / LEAST_RATE);
-        SILENCE.min(due.saturating_sub(self.begun.elapsed()))
+        self.limits.silence.min(due.saturating_sub(self.begun.elapsed()))
     }
 
     /// The next piece of a body; none at its end.
@@ -51,7 +49,7 @@
             // Trailers say nothing that is passed on.
             let Ok(piece) = frame.map_err(|_| Broken::Left)?.into_data() else { continue };
             self.bytes += piece.len() as u64;
-            if self.bytes > LONGEST {
+            if self.bytes > self.limits.body_bytes {
                 return Err(Broken::TooLong);
             }
             return Ok(Some(piece));
@@ -59,11 +57,16 @@
     }
 }
 
-fn rejection(why: Broken) -> Rejection {
+fn too_long(limits: &FrontLimits) -> Rejection {
+    let why = if limits.body_bytes == LONGEST { "over 64 MiB\n" } else { "the body is too long\n" };
+    Rejection { status: StatusCode::PAYLOAD_TOO_LARGE, why }
+}
+
+fn rejection(why: Broken, limits: &FrontLimits) -> Rejection {
     match why {
         Broken::Left | Broken::Spent => Rejection::bad("the body is not whole\n"),
         Broken::Stalled => TOO_SLOW,
-        Broken::TooLong => TOO_LONG,
+        Broken::TooLong => too_long(limits),
     }
 }
 
@@ -72,19 +75,23 @@
 ///
 /// # Errors
 /// When it is too long, does not get on, or breaks off before it is known to be long.
-pub async fn receive(mut body: Incoming, whole: impl FnOnce() + 'static) -> Result<Upload, Rejection> {
+pub(super) async fn receive(
+    mut body: Incoming,
+    limits: FrontLimits,
+    whole: impl FnOnce() + 'static,
+) -> Result<Upload, Rejection> {
     if body.is_end_stream() {
         whole();
         return Ok(Upload::Whole(Bytes::new()));
     }
     let length = body.size_hint().exact();
-    if length.is_some_and(|l| l > LONGEST) {
-        return Err(TOO_LONG);
+    if length.is_some_and(|l| l > limits.body_bytes) {
+        return Err(too_long(&limits));
     }
-    let mut pace = Pace::new();
+    let mut pace = Pace::new(limits);
     let mut start = Start::default();
-    while !start.is_longer_than(body::HELD) {
-        let Some(piece) = pace.next(&mut body).await.map_err(rejection)? else {
+    while !start.is_longer_than(limits.held) {
+        let Some(piece) = pace.next(&mut body).await.map_err(|why| rejection(why, &limits))? else {
             whole();
             return Ok(Upload::Whole(start.finish()));
         };
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -10,6 +10,7 @@
 //! | [`config`] | a configuration without a platform |
 //! | [`counters`] | the platform's text protocol, and one within the process |
 //! | [`direct`] | a limiter whose server is a handler, deciding on the caller's thread |
+//! | [`front`] | clients' connections: requests are read, handed in at a desk and answered |
 //! | [`handle`] | the way to an engine from other threads |
 //! | [`members`] | the platform's discovery agent, and a fixed list |
 //! | [`upstreams`] | servers over HTTP/1.1, and a handler within the process |
@@ -22,6 +23,7 @@
 pub mod counters;
 pub mod direct;
 pub mod engine;
+pub mod front;
 pub mod handle;
 pub mod members;
 pub mod open_ids;
