--- /dev/null
+++ b/crates/callboard/src/lib.rs
@@ -0,0 +1,8 @@
+//! The registry. Pure: [`orders`] (what an operator's order makes of what is decided), [`directory`] (which limiters a
+//! client is sent to), [`beat`] (what a server says). Shells: [`council`] (agreeing with the store), [`outside`] (calls).
+
+pub mod beat;
+pub mod council;
+pub mod directory;
+pub mod orders;
+pub mod outside;
--- /dev/null
+++ b/crates/callboard/src/outside.rs
@@ -0,0 +1,312 @@
+//! The outside calls of the core: servers, operators, and clients that ask where to go. `docs/api/control.yaml` comes
+//! first; this follows it.
+
+use crate::council::Council;
+use crate::directory;
+use crate::orders::{Order, Refusal};
+use crate::beat;
+use bytes::Bytes;
+use greenroom::follow::{Knowledge, Seen};
+use greenroom::kinds::Kind;
+use greenroom::log::{self, Few};
+use greenroom::news::{server_state, SESSION};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::header::{HeaderValue, CONTENT_TYPE};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use miniserde::json::{Array, Number, Object, Value};
+use playbill::{parse, Call};
+use playbill::Proposal;
+use std::cell::Cell;
+use std::collections::HashMap;
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+
+/// Longest body of a server's word, and of an order.
+const LONGEST_BEAT: usize = 64 * 1024;
+const LONGEST_ORDER: usize = 32 * 1024 * 1024;
+/// A body comes on within this.
+const BODY_WITHIN: Duration = Duration::from_millis(4000);
+/// A connection that says nothing for this long is closed.
+const IDLE: Duration = Duration::from_secs(20);
+/// A server that leaves is acknowledged once another core machine knows of it: waited for so long. Its second is for us.
+const SHARED_WITHIN: Duration = Duration::from_millis(650);
+/// Limiters are waited for so long before an order is acknowledged.
+const ACTS_WITHIN: Duration = Duration::from_millis(400);
+/// A core machine that asked a majority no longer ago than this, ms, is in touch with it.
+const IN_TOUCH: f64 = 1500.0;
+/// Connections at once.
+const MOST_CALLERS: usize = 1500;
+/// Clients keep an answer of the directory for so long, s.
+const VALID: f64 = 2.0;
+
+/// Answers outside calls.
+pub struct Outside {
+    known: Rc<Knowledge>,
+    council: Rc<Council>,
+    /// Another core machine is there to share with.
+    alone: bool,
+    zones: Vec<String>,
+    valid: f64,
+    open: Cell<usize>,
+    stopping: Cell<bool>,
+    stops: Notify,
+    few: Few,
+}
+
+type Answer = Response<Full<Bytes>>;
+
+fn object(fields: Vec<(&str, Value)>) -> Value {
+    let mut object = Object::new();
+    for (name, value) in fields {
+        object.insert(name.to_owned(), value);
+    }
+    Value::Object(object)
+}
+
+fn answer(status: u16, body: String) -> Answer {
+    let mut answer = Response::new(Full::from(body));
+    *answer.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    answer.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    answer
+}
+
+fn json(value: &Value) -> Answer {
+    answer(200, miniserde::json::to_string(value))
+}
+
+fn refuse(kind: Kind, problem: impl Into<String>) -> Answer {
+    let body = object(vec![("problem", Value::String(problem.into())), ("kind", Value::String(kind.word().into()))]);
+    answer(kind.status(), miniserde::json::to_string(&body))
+}
+
+/// Takes one off a count whichever way its holder ends.
+struct Held<'a>(&'a Cell<usize>);
+
+impl Drop for Held<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+impl Outside {
+    /// Answers by this knowledge; `alone`: there is no other core machine.
+    pub fn new(known: Rc<Knowledge>, council: Rc<Council>, alone: bool, zones: Vec<String>, ttl_max_s: f64) -> Rc<Self> {
+        let (open, stopping, stops, few) = (Cell::new(0), Cell::new(false), Notify::new(), Few::default());
+        let valid = if ttl_max_s > 0.0 { VALID.min(ttl_max_s) } else { VALID };
+        Rc::new(Outside { known, council, alone, zones, valid, open, stopping, stops, few })
+    }
+
+    /// Answers calls that come in here, for the life of the process.
+    pub async fn serve(self: Rc<Self>, listener: TcpListener) {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) if self.open.get() < MOST_CALLERS => {
+                    tokio::task::spawn_local(self.clone().connection(stream));
+                }
+                Ok(_) => {
+                    if let Some(left_out) = self.few.may() {
+                        log::warn!("calls: {} connections are open, one more closed ({} lines left out)", MOST_CALLERS, left_out);
+                    }
+                }
+                Err(e) => {
+                    log::warn!("calls: accept: {}", e);
+                    tokio::time::sleep(Duration::from_millis(20)).await;
+                }
+            }
+        }
+    }
+
+    /// From now on calls are answered and their connections closed; ends once none is open, or the time is up.
+    pub async fn stop(&self, within: Duration) {
+        self.stopping.set(true);
+        self.stops.notify_waiters();
+        let until = tokio::time::Instant::now() + within;
+        while self.open.get() > 0 && tokio::time::Instant::now() < until {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    async fn connection(self: Rc<Self>, stream: TcpStream) {
+        self.open.set(self.open.get() + 1);
+        let _held = Held(&self.open);
+        let _ = stream.set_nodelay(true);
+        let heard = Rc::new(Notify::new());
+        let service = service_fn(|request| {
+            heard.notify_one();
+            let outside = self.clone();
+            async move {
+                let mut answer = outside.answer(request).await;
+                if outside.stopping.get() {
+                    answer.headers_mut().insert(hyper::header::CONNECTION, HeaderValue::from_static("close"));
+                }
+                Ok::<_, Infallible>(answer)
+            }
+        });
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(64 * 1024);
+        let mut connection = std::pin::pin!(builder.serve_connection(TokioIo::new(stream), service));
+        loop {
+            tokio::select! {
+                _ = connection.as_mut() => return,
+                () = self.stops.notified() => connection.as_mut().graceful_shutdown(),
+                idle = tokio::time::timeout(IDLE, heard.notified()) => {
+                    if idle.is_err() {
+                        connection.as_mut().graceful_shutdown();
+                        let _ = tokio::time::timeout(Duration::from_secs(2), connection.as_mut()).await;
+                        return;
+                    }
+                }
+            }
+        }
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Answer {
+        let (head, body) = request.into_parts();
+        let path = head.uri.path_and_query().map_or("/", |p| p.as_str());
+        let Some(call) = parse(head.method.as_str(), path) else {
+            return refuse(Kind::Unknown, format!("no such call: {} {}", head.method, head.uri.path()));
+        };
+        match call {
+            Call::Beat(id) => match collect(body, LONGEST_BEAT).await {
+                Ok(body) => self.beat(&id, &body).await,
+                Err(e) => e,
+            },
+            Call::Leave(id) => self.leave(&id).await,
+            Call::Replace => self.settings(body, Proposal::replace).await,
+            Call::Change => self.settings(body, Proposal::change).await,
+            Call::Read => self.read().await,
+            Call::EmptyBegin(zone) => self.empty(zone, true).await,
+            Call::EmptyEnd(zone) => self.empty(zone, false).await,
+            Call::Lookup { region, zone, .. } => self.lookup(&zone, &region),
+            Call::Ready => answer(200, "{}".into()),
+        }
+    }
+
+    // ---- Servers ------------------------------------------------------------------------------
+
+    async fn beat(&self, id: &str, body: &[u8]) -> Answer {
+        let row = match beat::read(id, body) {
+            Ok(row) => row,
+            Err(problem) => return refuse(Kind::Invalid, problem),
+        };
+        let leaves = row.state != server_state::READY;
+        self.known.server(&row);
+        if !self.alone && self.known.fresh_ago().is_none_or(|ago| ago > IN_TOUCH) {
+            // What is told here reaches nobody, and its silence elsewhere would be taken for its end.
+            return refuse(Kind::Starting, "this core machine is in touch with no majority");
+        }
+        if leaves && !self.shared(id).await {
+            return refuse(Kind::Busy, "no other core machine has taken it in");
+        }
+        answer(200, "{}".into())
+    }
+
+    async fn leave(&self, id: &str) -> Answer {
+        self.known.change(|book, now| book.leaves(now, id));
+        if self.shared(id).await {
+            answer(200, "{}".into())
+        } else {
+            refuse(Kind::Busy, "no other core machine has taken it in")
+        }
+    }
+
+    /// Whether another core machine knows what this server said last: what is acknowledged must not end with this one.
+    async fn shared(&self, id: &str) -> bool {
+        let since = self.known.with(|book, _| book.changed_at(id));
+        let taken = |seen: &HashMap<String, Seen>| seen.values().any(|s| s.each && s.seen >= since);
+        self.alone || self.known.wait_for(SHARED_WITHIN, taken).await
+    }
+
+    // ---- Operators ----------------------------------------------------------------------------
+
+    async fn settings(&self, body: Incoming, read: fn(&[u8]) -> Result<Proposal, playbill::Invalid>) -> Answer {
+        let body = match collect(body, LONGEST_ORDER).await {
+            Ok(body) => body,
+            Err(e) => return e,
+        };
+        match read(&body) {
+            Ok(proposal) => self.order(Order::Settings(proposal)).await,
+            Err(e) => {
+                log::info!("order: refused, {}", e);
+                refuse(Kind::Invalid, e.to_string())
+            }
+        }
+    }
+
+    async fn empty(&self, zone: String, begin: bool) -> Answer {
+        if !self.zones.contains(&zone) {
+            return refuse(Kind::Unknown, format!("no such zone: {zone}; there are {}", self.zones.join(", ")));
+        }
+        self.order(Order::Empty { zone, begin }).await
+    }
+
+    async fn order(&self, order: Order) -> Answer {
+        let what = match &order {
+            Order::Settings(proposal) => format!("r{}", proposal.version()),
+            Order::Empty { zone, begin } => format!("zone {zone} {}", if *begin { "empty" } else { "taken back" }),
+        };
+        match self.council.order(&order).await {
+            Ok(edition) => {
+                let acts = self.acts(edition).await;
+                log::info!("order: {} in force, edition {}{}", what, edition, if acts { "" } else { ", not yet everywhere" });
+                answer(200, "{}".into())
+            }
+            Err(Refusal { kind, problem }) => {
+                log::info!("order: {} not taken, {}: {}", what, kind.word(), problem);
+                refuse(kind, problem)
+            }
+        }
+    }
+
+    /// Waits for all limiters with a session to act by an edition.
+    async fn acts(&self, edition: u64) -> bool {
+        let all = || {
+            self.known.with(|book, now| {
+                let mut live = book.members(now).filter(|(row, ago)| !row.lapsed && *ago < SESSION);
+                live.all(|(row, _)| row.edition >= edition)
+            })
+        };
+        self.known.wait_for(ACTS_WITHIN, |_| all()).await
+    }
+
+    async fn read(&self) -> Answer {
+        match self.council.newest().await {
+            Ok(decided) if decided.config.is_empty() => refuse(Kind::Unknown, "there is no configuration yet"),
+            Ok(decided) => answer(200, decided.config.clone()),
+            Err(Refusal { kind, problem }) => refuse(kind, problem),
+        }
+    }
+
+    // ---- Clients ------------------------------------------------------------------------------
+
+    fn lookup(&self, zone: &str, region: &str) -> Answer {
+        let fronts = self.known.with(|book, now| directory::fronts(book.members(now), zone, region));
+        if fronts.is_empty() {
+            return refuse(Kind::Starting, "no limiter is ready, as far as is known here");
+        }
+        let mut addresses = Array::new();
+        fronts.into_iter().for_each(|front| addresses.push(Value::String(front)));
+        let valid = Value::Number(Number::F64(self.valid));
+        json(&object(vec![("addresses", Value::Array(addresses)), ("validS", valid)]))
+    }
+}
+
+/// Reads a body whole.
+async fn collect(body: Incoming, most: usize) -> Result<Bytes, Answer> {
+    match tokio::time::timeout(BODY_WITHIN, Limited::new(body, most).collect()).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => {
+            Err(refuse(Kind::TooLong, format!("the body is longer than {most} bytes")))
+        }
+        Ok(Err(_)) => Err(refuse(Kind::Invalid, "the body is not whole")),
+        Err(_) => Err(refuse(Kind::TooSlow, "the body does not get on")),
+    }
+}
+
--- a/crates/engine/src/counters/local.rs
+++ b/crates/engine/src/counters/local.rs
@@ -47,7 +47,8 @@
 pub struct Numbers(Arc<Mutex<Sums>>);
 
 impl Numbers {
-    fn add(&self, now: Millis, call: &Call) -> CallEnd {
+    /// Adds to a number, and tells its total.
+    pub fn add(&self, now: Millis, call: &Call) -> CallEnd {
         // A sum is changed in one step, so one that panicked beside it left nothing half done.
         self.0.lock().unwrap_or_else(PoisonError::into_inner).add(now, call)
     }
--- /dev/null
+++ b/crates/engine/src/front/heads.rs
@@ -0,0 +1,328 @@
+//! Heads and bodies of requests and answers as bytes, for connections on which several requests are in hand at once.
+
+use crate::classify::Rejection;
+use bytes::{Buf, Bytes, BytesMut};
+use http::header::{HeaderMap, HeaderName, HeaderValue, CONNECTION, CONTENT_LENGTH, EXPECT, HOST, TRANSFER_ENCODING};
+use http::request::Parts;
+use http::{Method, Request, StatusCode, Uri, Version};
+
+/// Most headers of one head.
+const MOST_HEADERS: usize = 100;
+/// Longest line of a chunk's size.
+const LONGEST_SIZE: usize = 64;
+/// Most that trailers take; they say nothing that is passed on.
+const LONGEST_TRAILERS: usize = 8 * 1024;
+
+const SMUGGLED: &str = "Content-Length beside Transfer-Encoding\n";
+
+/// Where a body ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ends {
+    /// After so many bytes.
+    After(u64),
+    /// With its last chunk.
+    Chunks(Chunk),
+    /// It has ended.
+    Over,
+}
+
+/// Where a chunked body stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Chunk {
+    /// Before a size.
+    Size,
+    /// So many bytes of this chunk are to come.
+    Data(u64),
+    /// Before the line's end behind a chunk's bytes.
+    Behind,
+    /// In the trailers, of which so many bytes have come.
+    Trailers(usize),
+}
+
+/// A request's head.
+#[derive(Debug)]
+pub struct Head {
+    /// What it says.
+    pub parts: Parts,
+    /// Where its body ends.
+    pub ends: Ends,
+    /// The connection ends with its answer.
+    pub last: bool,
+    /// Its sender waits for a word before it sends the body.
+    pub waits: bool,
+}
+
+/// Takes a head off the front of what has come; none if it is not whole yet.
+///
+/// # Errors
+/// When it is no head, or can be read in two ways.
+pub fn head(buffer: &mut BytesMut, most: usize) -> Result<Option<Head>, Rejection> {
+    // Empty lines before a request are let pass (RFC 9112, 2.2).
+    while buffer.first().is_some_and(|b| matches!(b, b'\r' | b'\n')) {
+        buffer.advance(1);
+    }
+    let mut room = [httparse::EMPTY_HEADER; MOST_HEADERS];
+    let mut parsed = httparse::Request::new(&mut room);
+    let length = match parsed.parse(buffer) {
+        Ok(httparse::Status::Complete(length)) if length <= most => length,
+        Ok(httparse::Status::Partial) if buffer.len() < most => return Ok(None),
+        Ok(_) | Err(httparse::Error::TooManyHeaders) => {
+            let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
+            return Err(Rejection { status, why: "the head is too long\n" });
+        }
+        Err(_) => return Err(Rejection::bad("no request that can be read\n")),
+    };
+    let method = parsed.method.and_then(|m| Method::from_bytes(m.as_bytes()).ok());
+    let method = method.ok_or(Rejection::bad("no method that can be read\n"))?;
+    let uri: Option<Uri> = parsed.path.and_then(|p| p.parse().ok());
+    let uri = uri.ok_or(Rejection::bad("no path that can be read\n"))?;
+    let old = parsed.version == Some(0);
+    let mut headers = HeaderMap::with_capacity(parsed.headers.len());
+    for header in parsed.headers.iter() {
+        let name = HeaderName::from_bytes(header.name.as_bytes());
+        let (Ok(name), Ok(value)) = (name, HeaderValue::from_bytes(header.value)) else {
+            return Err(Rejection::bad("a header cannot be read\n"));
+        };
+        headers.append(name, value);
+    }
+    buffer.advance(length);
+    let ends = ends(&headers, old)?;
+    if headers.get_all(HOST).iter().count() > 1 {
+        return Err(Rejection::bad("Host stands twice\n"));
+    }
+    let last = if old { !says(&headers, "keep-alive") } else { says(&headers, "close") };
+    let waits = ends != Ends::Over
+        && headers.get(EXPECT).is_some_and(|v| v.as_bytes().eq_ignore_ascii_case(b"100-continue"));
+    let mut request = Request::new(());
+    *request.method_mut() = method;
+    *request.uri_mut() = uri;
+    *request.version_mut() = if old { Version::HTTP_10 } else { Version::HTTP_11 };
+    *request.headers_mut() = headers;
+    Ok(Some(Head { parts: request.into_parts().0, ends, last, waits }))
+}
+
+/// Whether `Connection` names this option.
+pub fn says(headers: &HeaderMap, option: &str) -> bool {
+    let values = headers.get_all(CONNECTION).iter();
+    let mut options = values.flat_map(|v| v.as_bytes().split(|b| *b == b','));
+    options.any(|said| said.trim_ascii().eq_ignore_ascii_case(option.as_bytes()))
+}
+
+/// Where a request's body ends. What can be read in two ways may hide a second request, and is turned away.
+fn ends(headers: &HeaderMap, old: bool) -> Result<Ends, Rejection> {
+    let mut codings = headers.get_all(TRANSFER_ENCODING).iter();
+    let mut lengths = headers.get_all(CONTENT_LENGTH).iter();
+    match (codings.next(), lengths.next()) {
+        (None, None) => Ok(Ends::Over),
+        (Some(_), Some(_)) => Err(Rejection::bad(SMUGGLED)),
+        (Some(coding), None) => {
+            if old || codings.next().is_some() || !coding.as_bytes().trim_ascii().eq_ignore_ascii_case(b"chunked") {
+                let status = StatusCode::NOT_IMPLEMENTED;
+                return Err(Rejection { status, why: "no other coding than chunked\n" });
+            }
+            Ok(Ends::Chunks(Chunk::Size))
+        }
+        (None, Some(length)) => {
+            let plain = |v: &HeaderValue| -> Option<u64> {
+                let text = v.to_str().ok()?;
+                (!text.is_empty() && text.bytes().all(|b| b.is_ascii_digit())).then(|| text.parse().ok())?
+            };
+            if lengths.next().is_some() {
+                return Err(Rejection::bad("Content-Length stands twice\n"));
+            }
+            match plain(length) {
+                Some(0) => Ok(Ends::Over),
+                Some(length) => Ok(Ends::After(length)),
+                None => Err(Rejection::bad("Content-Length is no number\n")),
+            }
+        }
+    }
+}
+
+/// Takes the next piece of a body off the front of what has come. None: more has to come first, or the body is over.
+///
+/// # Errors
+/// When it is no body.
+pub fn piece(buffer: &mut BytesMut, ends: &mut Ends) -> Result<Option<Bytes>, Rejection> {
+    const BAD: Rejection = Rejection::bad("the body cannot be read\n");
+    loop {
+        match ends {
+            Ends::Over => return Ok(None),
+            Ends::After(left) => {
+                let taken = (buffer.len() as u64).min(*left);
+                if taken == 0 {
+                    return Ok(None);
+                }
+                *left -= taken;
+                if *left == 0 {
+                    *ends = Ends::Over;
+                }
+                return Ok(Some(buffer.split_to(taken as usize).freeze()));
+            }
+            Ends::Chunks(Chunk::Size) => {
+                let Some(line) = line(buffer, LONGEST_SIZE).ok_or(BAD)? else { return Ok(None) };
+                let digits = line.split(|b| *b == b';').next().unwrap_or_default().trim_ascii();
+                let size = std::str::from_utf8(digits).ok().filter(|d| d.bytes().all(|b| b.is_ascii_hexdigit()));
+                let size = size.and_then(|d| u64::from_str_radix(d, 16).ok()).ok_or(BAD)?;
+                *ends = Ends::Chunks(if size == 0 { Chunk::Trailers(0) } else { Chunk::Data(size) });
+            }
+            Ends::Chunks(Chunk::Data(left)) => {
+                let taken = (buffer.len() as u64).min(*left);
+                if taken == 0 {
+                    return Ok(None);
+                }
+                *left -= taken;
+                if *left == 0 {
+                    *ends = Ends::Chunks(Chunk::Behind);
+                }
+                return Ok(Some(buffer.split_to(taken as usize).freeze()));
+            }
+            Ends::Chunks(Chunk::Behind) => {
+                let Some(line) = line(buffer, 2).ok_or(BAD)? else { return Ok(None) };
+                if !line.is_empty() {
+                    return Err(BAD);
+                }
+                *ends = Ends::Chunks(Chunk::Size);
+            }
+            Ends::Chunks(Chunk::Trailers(come)) => {
+                let Some(line) = line(buffer, LONGEST_TRAILERS).ok_or(BAD)? else { return Ok(None) };
+                *come += line.len() + 2;
+                if *come > LONGEST_TRAILERS {
+                    return Err(BAD);
+                }
+                if line.is_empty() {
+                    *ends = Ends::Over;
+                }
+            }
+        }
+    }
+}
+
+/// Takes a line off the front, without its end. The outer none: it is too long or ends otherwise than in CR LF.
+fn line(buffer: &mut BytesMut, most: usize) -> Option<Option<Bytes>> {
+    match buffer.iter().position(|b| *b == b'\n') {
+        Some(0) => None,
+        Some(at) if buffer[at - 1] == b'\r' && at < most + 2 => {
+            let line = buffer.split_to(at + 1).freeze();
+            Some(Some(line.slice(..at - 1)))
+        }
+        Some(_) => None,
+        None if buffer.len() > most + 1 => None,
+        None => Some(None),
+    }
+}
+
+/// How an answer's end is told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Told {
+    /// So many bytes.
+    Length(u64),
+    /// In chunks.
+    Chunked,
+    /// With the connection.
+    Close,
+    /// There is no body, whatever the headers say.
+    None,
+}
+
+/// An answer's head as bytes.
+pub fn answer(status: StatusCode, headers: &HeaderMap, told: Told, close: bool, out: &mut BytesMut) {
+    out.extend_from_slice(b"HTTP/1.1 ");
+    out.extend_from_slice(status.as_str().as_bytes());
+    out.extend_from_slice(b" ");
+    out.extend_from_slice(status.canonical_reason().unwrap_or("Status").as_bytes());
+    out.extend_from_slice(b"\r\n");
+    let mut line = |name: &[u8], value: &[u8]| {
+        out.extend_from_slice(name);
+        out.extend_from_slice(b": ");
+        out.extend_from_slice(value);
+        out.extend_from_slice(b"\r\n");
+    };
+    for (name, value) in headers {
+        // Where the answer ends is told below, and nowhere else.
+        let framing = *name == TRANSFER_ENCODING || *name == CONNECTION || *name == CONTENT_LENGTH && told != Told::None;
+        if !framing {
+            line(name.as_str().as_bytes(), value.as_bytes());
+        }
+    }
+    match told {
+        Told::Length(length) => line(b"content-length", length.to_string().as_bytes()),
+        Told::Chunked => line(b"transfer-encoding", b"chunked"),
+        Told::Close | Told::None => {}
+    }
+    if close || told == Told::Close {
+        line(b"connection", b"close");
+    }
+    out.extend_from_slice(b"\r\n");
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn read(text: &str) -> Result<Option<Head>, Rejection> {
+        head(&mut BytesMut::from(text), 16 * 1024)
+    }
+
+    fn bodies(text: &str, mut ends: Ends) -> Result<(Vec<u8>, Ends, Vec<u8>), Rejection> {
+        // However it comes: byte by byte.
+        let (mut buffer, mut body) = (BytesMut::new(), Vec::new());
+        let mut rest = text.bytes();
+        loop {
+            while let Some(piece) = piece(&mut buffer, &mut ends)? {
+                body.extend_from_slice(&piece);
+            }
+            if ends == Ends::Over {
+                return Ok((body, ends, rest.collect()));
+            }
+            match rest.next() {
+                Some(byte) => buffer.extend_from_slice(&[byte]),
+                None => return Ok((body, ends, Vec::new())),
+            }
+        }
+    }
+
+    #[test]
+    fn what_can_be_read_in_two_ways_is_turned_away() {
+        let post = |lines: &str| read(&format!("POST /a HTTP/1.1\r\nHost: h\r\n{lines}\r\n"));
+        for lines in [
+            "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
+            "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n",
+            "Content-Length: 3\r\nContent-Length: 3\r\n",
+            "Content-Length: +3\r\n",
+            "Content-Length: 3, 3\r\n",
+            "Transfer-Encoding: gzip, chunked\r\n",
+            "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+            "Transfer-Encoding : chunked\r\n",
+            "Host: other\r\n",
+        ] {
+            assert!(post(lines).is_err(), "{lines:?}");
+        }
+        assert!(matches!(post("Content-Length: 3\r\n"), Ok(Some(Head { ends: Ends::After(3), .. }))));
+        assert!(matches!(post("Content-Length: 0\r\n"), Ok(Some(Head { ends: Ends::Over, .. }))));
+    }
+
+    #[test]
+    fn a_head_comes_whole_or_not_at_all_and_has_its_bound() {
+        let whole = "\r\nGET /a?b=1 HTTP/1.1\r\nHost: h\r\nConnection: x, Close\r\n\r\n";
+        for cut in 0..whole.len() {
+            assert!(matches!(read(&whole[..cut]), Ok(None)), "{cut}");
+        }
+        let head = read(whole).expect("a head").expect("whole");
+        assert!(head.last && !head.waits && head.parts.uri.path() == "/a");
+        let long = format!("GET / HTTP/1.1\r\nX: {}", "x".repeat(17 * 1024));
+        assert_eq!(read(&long).expect_err("too long").status, 431);
+        assert!(read("GET / HTTP/1.0\r\nConnection: keep-alive\r\n\r\n").is_ok_and(|h| h.is_some_and(|h| !h.last)));
+    }
+
+    #[test]
+    fn chunks_are_put_together_and_bad_ones_are_no_body() {
+        let chunks = Ends::Chunks(Chunk::Size);
+        let (body, ends, rest) = bodies("3;x=y\r\nabc\r\nA\r\n0123456789\r\n0\r\nT: 1\r\n\r\nGET", chunks).expect("a body");
+        assert_eq!((body.as_slice(), ends, rest.as_slice()), (&b"abc0123456789"[..], Ends::Over, &b"GET"[..]));
+        assert_eq!(bodies("3\r\nab", chunks).expect("part of one").1, Ends::Chunks(Chunk::Data(1)));
+        for bad in ["x\r\n", "-1\r\n", "\r\n", "3\nabc", "3\r\nabcd\r\n", "11111111111111111\r\n"] {
+            assert!(bodies(bad, chunks).is_err(), "{bad:?}");
+        }
+    }
+}
--- a/crates/engine/src/front/mod.rs
+++ b/crates/engine/src/front/mod.rs
@@ -3,7 +3,9 @@
 //! What comes of a request is its [`Desk`]'s. Here it is seen to that what is read can be read in one way only, that who
 //! is slow or silent holds up nobody, and that an answer which breaks off ends its connection.
 
+mod heads;
 mod heard;
+mod lanes;
 mod receive;
 
 use crate::body::{Body, Broken, Room, Rooms, Upload, HELD, LONGEST};
@@ -116,6 +118,11 @@
     /// with a coded body it may stand once only.
     fn names_requests_by(&self) -> HeaderName;
 
+    /// Whether several requests of one connection may be in hand at once; answers keep their order.
+    fn several_at_once(&self) -> bool {
+        false
+    }
+
     /// Judges a head before its body is read. A URI in absolute form stands as it came, with its host in `Host`.
     ///
     /// # Errors
@@ -512,6 +519,9 @@
             }
         });
         let stream = Rc::new(stream);
+        if self.desk.several_at_once() {
+            return lanes::serve(self.clone(), stream, peer).await;
+        }
         let watched = Watched { stream: stream.clone(), peer: peer.clone(), desk: self.desk.clone() };
         let mut builder = http1::Builder::new();
         builder.max_buf_size(buffer);
@@ -559,12 +569,7 @@
     async fn handle(&self, request: Request<Incoming>, peer: &Rc<Peer>) -> Result<Response<Body>, Rejection> {
         let (mut head, body) = request.into_parts();
         framing(&head.headers, &*self.desk, peer)?;
-        // The host of an absolute form counts, whatever `Host` says (RFC 9112, 3.2.2).
-        if let (Some(_), Some(host)) = (head.uri.scheme(), host_of(&head.uri)) {
-            head.headers.insert(HOST, host);
-        }
-        // Judged before its body is read: nothing is kept for what is turned away.
-        let ticket = match self.desk.judge(&head)? {
+        let ticket = match self.look(&mut head)? {
             Judged::Answer(answer) => {
                 peer.enter(Phase::Busy, self.desk.now());
                 return Ok(answer);
@@ -575,12 +580,22 @@
             return Err(NO_TUNNEL);
         }
         let (body, room) = self.receive(body, peer).await?;
+        peer.enter(if body.is_stream() { Phase::Passing } else { Phase::Busy }, self.desk.now());
+        self.desk.serve(ticket, head, body, room).await
+    }
+
+    /// Judges a head before its body is read: nothing is kept for what is turned away.
+    fn look(&self, head: &mut Parts) -> Result<Judged<D::Ticket>, Rejection> {
+        // The host of an absolute form counts, whatever `Host` says (RFC 9112, 3.2.2).
+        if let (Some(_), Some(host)) = (head.uri.scheme(), host_of(&head.uri)) {
+            head.headers.insert(HOST, host);
+        }
+        let judged = self.desk.judge(head)?;
         // A server is asked by path and query, however the client put it.
         if let (Some(_), Some(path)) = (head.uri.scheme(), head.uri.path_and_query()) {
             head.uri = path.clone().into();
         }
-        peer.enter(if body.is_stream() { Phase::Passing } else { Phase::Busy }, self.desk.now());
-        self.desk.serve(ticket, head, body, room).await
+        Ok(judged)
     }
 
     async fn receive(&self, body: Incoming, peer: &Rc<Peer>) -> Result<(Upload, Option<Room>), Rejection> {
--- a/crates/engine/src/front/receive.rs
+++ b/crates/engine/src/front/receive.rs
@@ -20,7 +20,7 @@
 /// which writes to the end before it reads gets its answer and keeps its connection.
 const LINGER: Duration = Duration::from_secs(30);
 
-const TOO_SLOW: Rejection =
+pub(super) const TOO_SLOW: Rejection =
     Rejection { status: StatusCode::REQUEST_TIMEOUT, why: "the body takes too long\n" };
 
 /// What has come so far, against the time it took.
@@ -57,7 +57,7 @@
     }
 }
 
-fn too_long(limits: &FrontLimits) -> Rejection {
+pub(super) fn too_long(limits: &FrontLimits) -> Rejection {
     let why = if limits.body_bytes == LONGEST { "over 64 MiB\n" } else { "the body is too long\n" };
     Rejection { status: StatusCode::PAYLOAD_TOO_LARGE, why }
 }
--- /dev/null
+++ b/crates/proscenium/src/house.rs
@@ -0,0 +1,491 @@
+//! The desk of the system's dialect: what a request is checked against, whose quota it draws on, and which service's engine
+//! takes it. One engine a service: each has its own servers, concurrency limit, means and further tries.
+
+use crate::counts::Counter;
+use crate::lease::Lease;
+use crate::scene::{class, plan, share, Scene};
+use greenroom::follow::{chance, Knowledge};
+use greenroom::kinds::Kind;
+use greenroom::log::{self, Few};
+use greenroom::news::{server_state, Millis};
+use greenroom::run::Told;
+use greenroom::settings::Settings as Node;
+use http::header::{HeaderMap, HeaderName, HeaderValue, AUTHORIZATION, CONTENT_LENGTH, HOST, RETRY_AFTER};
+use http::request::Parts;
+use http::{Response, StatusCode};
+use oatbank_engine::body::{Body, Room, Upload};
+use oatbank_engine::classify::{self, Rejection};
+use oatbank_engine::engine::{Answer, Engine, Names, Setup};
+use oatbank_engine::front::{Desk, Judged};
+use oatbank_engine::ports::clock::{Clock, SystemClock};
+use oatbank_engine::ports::membership::{Member, News};
+use oatbank_engine::upstreams::house::{self, House as Words};
+use oatbank_engine::upstreams::http1::{Connections, Forward, Http1};
+use oatbank_operations::budget::{Budget, Limits};
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, HashMap};
+use std::rc::Rc;
+use std::sync::Arc;
+use topazwind::interface::{ClassId, CustomerId, PlanId, Request, Rules, ServerState, Settings};
+
+/// Names a try of a client.
+pub const TRY_ID: HeaderName = HeaderName::from_static("try-id");
+const TIME_LEFT: HeaderName = HeaderName::from_static("time-left-ms");
+const CUSTOMER: HeaderName = HeaderName::from_static("customer");
+
+/// A server closes a connection that stood idle this long, ms, where it says nothing else.
+const SERVER_IDLE: Millis = 8000.0;
+/// A connection to a server that is not up within this, ms, has failed: regions are 70 ms apart and back.
+const CONNECT: Millis = 400.0;
+/// Where a limiter may not act yet, clients come back after this, ms.
+const SOON: Millis = 300.0;
+/// Cost of a server in another zone of the region, and in another region, beside the near one.
+const SAME_REGION: f64 = 1.5;
+const OTHER_REGION: f64 = 4.0;
+/// Share of the rule's further tries that is spent: what others see a little later is in the rest.
+const TRIES_SHARE: f64 = 0.75;
+/// Share of a cold server's rate that all limiters together send it.
+const COLD_SHARE: f64 = 1.2;
+/// What a server bears while it is cold, beside what it bears.
+const COLD_START: f64 = 0.3;
+/// A cold spell that is told anew and ends within this of the one before, ms, is the same one.
+const SAME_SPELL: Millis = 700.0;
+/// Longest wait that a refusal tells, ms.
+const LONGEST_WAIT: Millis = 2000.0;
+/// Descriptors kept for links to other processes.
+const LINKS: usize = 400;
+/// How many services share what this process may hold.
+const SERVICES: usize = 4;
+
+type ServiceEngine = Engine<Http1<Words>>;
+
+struct Service {
+    engine: Rc<ServiceEngine>,
+    /// Routes by name, in the order of the module's classes.
+    classes: RefCell<Vec<String>>,
+    /// When cold servers' spells began, on the engine's clock, by id.
+    spells: RefCell<HashMap<String, Millis>>,
+    members: RefCell<Vec<Member>>,
+    settings: RefCell<Settings>,
+}
+
+/// A request that may go on.
+pub struct Ticket {
+    scene: Rc<Scene>,
+    route: usize,
+    customer: Option<usize>,
+    within: u64,
+    time_left: Millis,
+}
+
+/// The desk.
+pub struct House {
+    known: Rc<Knowledge>,
+    told: Rc<Told>,
+    counter: Rc<Counter>,
+    clock: Rc<dyn Clock>,
+    lease: Lease,
+    budget: Budget,
+    scene: RefCell<Option<Rc<Scene>>>,
+    services: RefCell<BTreeMap<String, Rc<Service>>>,
+    /// Tenants by name, in the order of the module's numbers.
+    tenants: RefCell<HashMap<String, u64>>,
+    began: Cell<bool>,
+    few: Few,
+    rolls: Cell<u64>,
+}
+
+fn refuse(kind: Kind, wait: Millis) -> Response<Body> {
+    let mut response = Response::new(Body::from(kind.word()));
+    *response.status_mut() = StatusCode::from_u16(kind.status()).unwrap_or(StatusCode::BAD_GATEWAY);
+    if wait > 0.0 && kind.is_promise() {
+        let text = format!("{:.3}", wait.min(LONGEST_WAIT).ceil() / 1000.0);
+        if let Ok(value) = HeaderValue::try_from(text) {
+            response.headers_mut().insert(RETRY_AFTER, value);
+        }
+    }
+    response
+}
+
+/// What this process may hold, by purpose.
+pub fn budget(node: &Node) -> Budget {
+    let limits = Limits { sockets: node.files.saturating_sub(200) as usize, memory_mb: node.memory_mb as f64 };
+    Budget::divide(limits, LINKS, 1.0)
+}
+
+impl House {
+    /// Knows no edition yet.
+    pub fn new(known: Rc<Knowledge>, told: Rc<Told>, counter: Rc<Counter>) -> Rc<Self> {
+        let node = told.settings();
+        // No time of day: it may jump. The module wants a time above 0.
+        let clock: Rc<dyn Clock> = Rc::new(SystemClock::starting_at(1e9));
+        Rc::new(House {
+            known,
+            told,
+            counter,
+            clock,
+            lease: Lease::new(&node.bounds),
+            budget: budget(&node),
+            scene: RefCell::default(),
+            services: RefCell::default(),
+            tenants: RefCell::default(),
+            began: Cell::new(false),
+            few: Few::default(),
+            rolls: Cell::new(chance()),
+        })
+    }
+
+    /// Now, on the engines' clock.
+    pub fn now(&self) -> Millis {
+        self.clock.now()
+    }
+
+    /// A roll in 0 to 1.
+    fn roll(&self) -> f64 {
+        let next = self.rolls.get().wrapping_mul(0x5851_f42d_4c95_7f2d).wrapping_add(0x1405_7b7e_f767_814f);
+        self.rolls.set(next);
+        (next >> 11) as f64 / (1u64 << 53) as f64
+    }
+
+    // ---- What is known ------------------------------------------------------------------------
+
+    /// Whether clients may be served. Once it has begun, a limiter goes on by what it knows as long as its lease stands.
+    pub fn is_ready(&self) -> bool {
+        if self.scene.borrow().is_none() {
+            return false;
+        }
+        let fresh = self.known.fresh_ago();
+        if !self.began.get() && self.lease.may_begin(self.known.now(), fresh) && self.knows_servers() {
+            self.began.set(true);
+            log::info!("proxy: ready by edition {}", self.known.edition());
+        }
+        self.began.get() && self.lease.stands(fresh)
+    }
+
+    fn knows_servers(&self) -> bool {
+        self.known.with(|book, now| book.servers(now).next().is_some())
+    }
+
+    /// Requests that still owe an answer.
+    pub fn owed(&self) -> usize {
+        self.services.borrow().values().map(|s| s.engine.owed()).sum()
+    }
+
+    /// Fails all that is still owed.
+    pub fn fail_all(&self) {
+        let services: Vec<_> = self.services.borrow().values().cloned().collect();
+        services.iter().for_each(|s| s.engine.fail_all());
+    }
+
+    /// Takes in what has changed.
+    pub fn refresh(&self) {
+        let node = self.told.settings();
+        let edition = self.known.edition();
+        let before = self.scene.borrow().as_ref().map_or(0, |s| s.edition);
+        if edition > before {
+            let decided = self.known.decided();
+            if !decided.config.is_empty() {
+                match Scene::new(edition, &decided, &node) {
+                    Ok(scene) => {
+                        log::info!("proxy: edition {}, r{}", edition, scene.table.version());
+                        let scene = Rc::new(scene);
+                        self.set_plans(&scene);
+                        *self.scene.borrow_mut() = Some(scene);
+                    }
+                    Err(e) => log::error!("proxy: edition {} cannot be read, the old one holds: {}", edition, e),
+                }
+            }
+        }
+        let scene = self.scene.borrow().clone();
+        if let Some(scene) = scene {
+            self.set_services(&scene, &node);
+        }
+    }
+
+    fn limiters(&self) -> f64 {
+        f64::from(self.known.with(|book, now| book.limiters(now))).max(1.0)
+    }
+
+    fn set_plans(&self, scene: &Scene) {
+        let mut tenants = self.tenants.borrow_mut();
+        let customers = scene.table.bill().customers.as_deref().unwrap_or_default();
+        for customer in customers {
+            let next = tenants.len() as u64;
+            tenants.entry(customer.name.clone()).or_insert(next);
+        }
+        // Plans stand by tenant: one that is gone keeps its place.
+        let mut plans = vec![plan(0.0, 0.0); tenants.len()];
+        for customer in customers {
+            if let Some(at) = tenants.get(&customer.name) {
+                plans[*at as usize] = plan(customer.rate, customer.burst);
+            }
+        }
+        self.counter.settle(plans);
+    }
+
+    fn set_services(&self, scene: &Scene, node: &Node) {
+        let bill = scene.table.bill();
+        for of in &bill.services {
+            if !self.services.borrow().contains_key(&of.name) {
+                let service = Rc::new(self.open(&of.name));
+                self.services.borrow_mut().insert(of.name.clone(), service);
+            }
+        }
+        let services: Vec<_> = self.services.borrow().iter().map(|(n, s)| (n.clone(), s.clone())).collect();
+        for (name, service) in services {
+            let of = bill.services.iter().find(|s| s.name == name);
+            let (cold_s, cold_rate) = of.map_or((0.0, 0.0), |s| (s.cold_s, s.cold_rate));
+            let mut settings = self.settings(node, cold_s, cold_rate);
+            let mut classes = service.classes.borrow_mut();
+            for route in &bill.routes {
+                if route.shares.iter().any(|(s, _)| *s == name) && !classes.contains(&route.name) {
+                    classes.push(route.name.clone());
+                }
+            }
+            settings.classes = classes
+                .iter()
+                .map(|n| bill.routes.iter().find(|r| r.name == *n).map(|r| class(r, r.rank)).unwrap_or_default())
+                .collect();
+            let zones = node.zones.iter().map(|(zone, _)| zone.clone()).collect();
+            let names = Names { classes: classes.clone(), zones, ..Names::default() };
+            drop(classes);
+            if !same(&service.settings.borrow(), &settings) {
+                service.engine.revise(&names, &settings);
+                *service.settings.borrow_mut() = settings;
+            }
+            let members = self.members(&name, &service, scene, cold_s * 1000.0);
+            if *service.members.borrow() != members {
+                (service.engine.told())(News::Complete(members.clone()));
+                *service.members.borrow_mut() = members;
+            }
+        }
+    }
+
+    fn settings(&self, node: &Node, cold_s: f64, cold_rate: f64) -> Settings {
+        let limiters = self.limiters();
+        let own = node.zones.iter().position(|(zone, _)| *zone == node.zone).unwrap_or(0);
+        let cost = |(zone, region): &(String, String)| match () {
+            () if *zone == node.zone => 1.0,
+            () if *region == node.region => SAME_REGION,
+            () => OTHER_REGION,
+        };
+        Settings {
+            gateways: limiters,
+            zone: own as u16,
+            max_units: 1.0,
+            parallel_tries: true,
+            retry_after: true,
+            max_retry_after: LONGEST_WAIT,
+            cold_start: COLD_START,
+            warm_after: cold_s * 1000.0,
+            zone_cost: node.zones.iter().map(cost).collect(),
+            retry_saved: TRIES_SHARE * node.bounds.extra_tries / limiters,
+            retry_earn: TRIES_SHARE * node.bounds.retry_ratio,
+            cold_rate: COLD_SHARE * cold_rate / limiters,
+            ..Settings::default()
+        }
+    }
+
+    fn open(&self, name: &str) -> Service {
+        let connections = Connections {
+            idle: SERVER_IDLE,
+            connect_timeout: CONNECT,
+            most: self.budget.servers / SERVICES,
+            bodies_kib: self.budget.answers_kib / SERVICES,
+        };
+        let upstream = Http1::speaking(Words::default(), self.clock.clone(), connections);
+        let setup = Setup { seed: chance(), ..Setup::default() };
+        let engine = Engine::new(&setup, self.clock.clone(), upstream);
+        engine.start();
+        let (known, lease) = (self.known.clone(), self.lease);
+        engine.guard_by(Rc::new(move || (!lease.stands(known.fresh_ago())).then_some(SOON)));
+        log::info!("proxy: service {}", name);
+        Service {
+            engine,
+            classes: RefCell::default(),
+            spells: RefCell::default(),
+            members: RefCell::default(),
+            settings: RefCell::default(),
+        }
+    }
+
+    /// The servers of a service that may be sent something.
+    fn members(&self, name: &str, service: &Service, scene: &Scene, cold: Millis) -> Vec<Member> {
+        let now = self.clock.now();
+        let mut spells = service.spells.borrow_mut();
+        let members: Vec<Member> = self.known.with(|book, at| {
+            let able = book.servers(at).filter(|(row, _)| {
+                row.service == name
+                    && row.state == server_state::READY
+                    && !row.silent
+                    && !scene.empty.contains(&row.zone)
+            });
+            let member = |(row, left): (&greenroom::wire::ServerRow, Millis)| {
+                let started = if left > 0.0 {
+                    let began = now - (cold - left).max(0.0);
+                    let told = spells.entry(row.id.clone()).or_insert(began);
+                    if (*told - began).abs() > SAME_SPELL {
+                        *told = began;
+                    }
+                    *told
+                } else {
+                    spells.get(&row.id).copied().unwrap_or(0.0)
+                };
+                Some(Member {
+                    id: row.id.clone(),
+                    address: Some(row.address.parse().ok()?),
+                    zone: row.zone.clone(),
+                    cell: 0,
+                    weight: 1.0,
+                    started,
+                    state: ServerState::Ready,
+                })
+            };
+            able.filter_map(member).collect()
+        });
+        spells.retain(|id, _| members.iter().any(|m| m.id == *id));
+        members
+    }
+
+    // ---- Requests -----------------------------------------------------------------------------
+
+    /// Which route and tenant a request belongs to.
+    fn ticket(&self, head: &Parts) -> Result<Ticket, Response<Body>> {
+        let scene = self.scene.borrow().clone();
+        let Some(scene) = scene.filter(|_| self.is_ready()) else { return Err(refuse(Kind::Starting, SOON)) };
+        let text = |name: &HeaderName| head.headers.get(name).and_then(|v| v.to_str().ok());
+        let host = head.uri.host().or_else(|| text(&HOST)).unwrap_or_default();
+        let Some(at) = scene.table.route(host, head.uri.path()) else { return Err(refuse(Kind::Unknown, 0.0)) };
+        let route = &scene.table.bill().routes[at];
+        let mut customer = None;
+        if scene.table.has_customers() {
+            let key = text(&AUTHORIZATION).and_then(|v| v.strip_prefix("Bearer ")).map(str::trim);
+            customer = key.and_then(|key| scene.table.customer(key));
+            if customer.is_none() && !route.keyless {
+                return Err(refuse(Kind::NoKey, 0.0));
+            }
+        }
+        let Some(within) = scene.within(at, customer) else { return Err(refuse(Kind::Busy, SOON)) };
+        let left = text(&TIME_LEFT).and_then(|v| v.trim().parse::<f64>().ok()).filter(|v| v.is_finite() && *v > 0.0);
+        let time_left = left.unwrap_or(route.give_up_ms).min(route.give_up_ms);
+        Ok(Ticket { scene, route: at, customer, within, time_left })
+    }
+
+    /// Gives a request its one answer.
+    async fn take(&self, ticket: Ticket, head: Parts, body: Upload, room: Option<Room>) -> Response<Body> {
+        let bill = ticket.scene.table.bill();
+        let route = &bill.routes[ticket.route];
+        let tenant = ticket.customer.and_then(|at| bill.customers.as_ref()?.get(at));
+        if let Some(tenant) = tenant {
+            let number = self.tenants.borrow().get(&tenant.name).copied().unwrap_or(0);
+            if tenant.rate > 0.0 {
+                let admitted = self.counter.admit(CustomerId(number), PlanId(number as usize), self.limiters());
+                if let Err(wait) = admitted {
+                    return refuse(Kind::Quota, wait.max(SOON));
+                }
+            }
+        }
+        let service = share(route, self.roll()).and_then(|name| self.services.borrow().get(name).cloned());
+        let Some(service) = service else { return refuse(Kind::Busy, SOON) };
+        let headers = headers_on(&head.headers, tenant.map(|t| t.name.as_str()));
+        let at = service.classes.borrow().iter().position(|n| *n == route.name).unwrap_or(0);
+        let rank = tenant.and_then(|t| t.rank).unwrap_or(route.rank);
+        let rules = Rules { class: class(route, rank), max_attempts: route.tries };
+        let request = Request {
+            class: ClassId(at),
+            units: 1.0,
+            time_left: ticket.time_left,
+            spread: 1.0,
+            uploading: body.is_stream(),
+            rules: Some(Arc::new(rules)),
+            within: ticket.within,
+            ..Request::default()
+        };
+        let forward = Forward { method: head.method, uri: head.uri, headers, body, room };
+        match service.engine.ask(request, forward).await {
+            Answer::Served(response) => response,
+            Answer::Refused(wait) => {
+                self.note("refused");
+                refuse(Kind::Busy, wait.max(1.0))
+            }
+            Answer::Failed => {
+                self.note("failed");
+                refuse(Kind::Failed, 0.0)
+            }
+            Answer::TimedOut => {
+                self.note("too late");
+                refuse(Kind::Late, 0.0)
+            }
+        }
+    }
+
+    fn note(&self, what: &str) {
+        if let Some(left_out) = self.few.may() {
+            log::debug!("proxy: {} ({} lines left out)", what, left_out);
+        }
+    }
+}
+
+/// Of one engine's settings all that is set here.
+fn same(a: &Settings, b: &Settings) -> bool {
+    let class = |s: &Settings| -> Vec<[f64; 4]> {
+        s.classes.iter().map(|c| [c.aim, c.deadline, c.worth, f64::from(c.repeat == topazwind::interface::Repeat::Safe)]).collect()
+    };
+    a.gateways == b.gateways
+        && a.zone == b.zone
+        && a.zone_cost == b.zone_cost
+        && a.warm_after == b.warm_after
+        && a.cold_rate == b.cold_rate
+        && class(a) == class(b)
+}
+
+/// What goes on of a client's headers: the key does not, and whose it was is told.
+fn headers_on(headers: &HeaderMap, tenant: Option<&str>) -> HeaderMap {
+    let mut on = house::headers_on(headers);
+    for name in [AUTHORIZATION, CUSTOMER, CONTENT_LENGTH] {
+        on.remove(name);
+    }
+    if let Some(value) = tenant.and_then(|t| HeaderValue::try_from(t).ok()) {
+        on.insert(CUSTOMER, value);
+    }
+    on
+}
+
+/// The desk that the front hands requests in at.
+pub struct HouseDesk(pub Rc<House>);
+
+impl Desk for HouseDesk {
+    type Ticket = Ticket;
+
+    fn now(&self) -> Millis {
+        self.0.clock.now()
+    }
+
+    fn names_requests_by(&self) -> HeaderName {
+        TRY_ID
+    }
+
+    fn several_at_once(&self) -> bool {
+        true
+    }
+
+    fn judge(&self, head: &Parts) -> Result<Judged<Ticket>, Rejection> {
+        if classify::single(&head.headers, &TRY_ID)?.is_none_or(str::is_empty) {
+            return Err(Rejection::bad("Try-Id is missing\n"));
+        }
+        Ok(match self.0.ticket(head) {
+            Ok(ticket) => Judged::Taken(ticket),
+            Err(answer) => Judged::Answer(answer),
+        })
+    }
+
+    async fn serve(
+        &self,
+        ticket: Ticket,
+        head: Parts,
+        body: Upload,
+        room: Option<Room>,
+    ) -> Result<Response<Body>, Rejection> {
+        Ok(self.0.take(ticket, head, body, room).await)
+    }
+}
--- /dev/null
+++ b/crates/proscenium/src/lib.rs
@@ -0,0 +1,11 @@
+//! The proxy. Pure: [`scene`] (what an edition says), [`lease`] (how long it may be acted by), [`keepers`] (who keeps a
+//! number). Shells: [`house`] (the desk, and an engine for each service), [`counts`] (quotas over all limiters), [`session`]
+//! (with a control limiter, and a few others), [`ready`].
+
+pub mod counts;
+pub mod house;
+pub mod keepers;
+pub mod lease;
+pub mod ready;
+pub mod scene;
+pub mod session;
--- /dev/null
+++ b/crates/proscenium/src/scene.rs
@@ -0,0 +1,126 @@
+//! What is in force: one immutable snapshot of an edition, swapped whole.
+
+use greenroom::settings::Settings;
+use greenroom::wire::Decided;
+use playbill::{Invalid, Kind, Playbill, Route, Table};
+use std::collections::BTreeSet;
+use topazwind::interface::{Class, Plan, Repeat};
+
+/// A zone has a bit in the mask of zones that a request's servers may stand in.
+const MOST_ZONES: usize = 63;
+
+/// What one edition says.
+#[derive(Debug)]
+pub struct Scene {
+    /// The edition.
+    pub edition: u64,
+    /// Routes and keys.
+    pub table: Table,
+    /// Zones that are to be empty.
+    pub empty: BTreeSet<String>,
+    /// By route: the zones that its homes allow; 0: all.
+    within: Vec<u64>,
+    /// By customer.
+    customers_within: Vec<u64>,
+}
+
+/// The bit of each zone that stands in one of these regions; 0 where none is named.
+fn mask(settings: &Settings, homes: &[String]) -> u64 {
+    let zones = settings.zones.iter().take(MOST_ZONES).enumerate();
+    zones.filter(|(_, (_, region))| homes.contains(region)).fold(0, |mask, (at, _)| mask | 1 << at)
+}
+
+impl Scene {
+    /// Reads what was decided.
+    ///
+    /// # Errors
+    /// When the configuration cannot be read.
+    pub fn new(edition: u64, decided: &Decided, settings: &Settings) -> Result<Scene, Invalid> {
+        let bill = Playbill::read(&decided.config)?;
+        let within = bill.routes.iter().map(|r| mask(settings, &r.homes)).collect();
+        let customers = bill.customers.as_deref().unwrap_or_default();
+        let customers_within = customers.iter().map(|c| mask(settings, &c.homes)).collect();
+        let empty = decided.empty.iter().cloned().collect();
+        Ok(Scene { edition, table: Table::new(&bill), empty, within, customers_within })
+    }
+
+    /// The zones that a request's servers may stand in; 0: all. `None`: its homes leave none.
+    pub fn within(&self, route: usize, customer: Option<usize>) -> Option<u64> {
+        let of_route = self.within.get(route).copied().unwrap_or(0);
+        let of_customer = customer.and_then(|c| self.customers_within.get(c)).copied().unwrap_or(0);
+        match (of_route, of_customer) {
+            (0, mask) | (mask, 0) => Some(mask),
+            (a, b) => Some(a & b).filter(|both| *both != 0),
+        }
+    }
+}
+
+/// How the decision module sees a route.
+pub fn class(route: &Route, rank: u32) -> Class {
+    Class {
+        aim: route.target_ms.max(1.0),
+        deadline: route.give_up_ms,
+        late_worth: 0.3,
+        worth: 1.0 / (1.0 + f64::from(rank)),
+        repeat: match route.kind {
+            Kind::Safe | Kind::Download => Repeat::Safe,
+            Kind::Unsafe => Repeat::Unsafe,
+        },
+    }
+}
+
+/// How the decision module sees a tenant's quota.
+pub fn plan(rate: f64, burst: f64) -> Plan {
+    // A quota without a burst still lets one second through at once.
+    let burst = if burst > 0.0 { burst } else { rate };
+    Plan { rate, burst: if rate > 0.0 { burst.max(1.0) } else { 0.0 }, price: 1.0, over_cost: 1.0, ..Plan::default() }
+}
+
+/// The service of a route that a roll in 0 to 1 falls on.
+pub fn share(route: &Route, roll: f64) -> Option<&str> {
+    let all: f64 = route.shares.iter().map(|(_, weight)| weight.max(0.0)).sum();
+    let mut at = roll * all;
+    let with_weight = || route.shares.iter().filter(|(_, weight)| *weight > 0.0);
+    for (service, weight) in with_weight() {
+        if at < *weight {
+            return Some(service);
+        }
+        at -= weight;
+    }
+    with_weight().last().map(|(service, _)| service.as_str())
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn settings() -> Settings {
+        Settings::parse(include_str!("../../greenroom/tests/node.toml")).expect("settings")
+    }
+
+    fn decided() -> Decided {
+        let config = r#"{"version":"r7","routes":{"columns":["name","hostName","pathStart","routeKind","giveUpMs","targetMs","rank","shares","tries","homeRegions","service"],"rows":[["a","h","/a/","safe",1000,400,2,[{"service":"s","weight":90},{"service":"t","weight":10}],2,[],null],["b","h","/b/","unsafe",1200,500,1,null,2,["akl"],"s"]]},"services":{"columns":["name","healthPath"],"rows":[["s","/health"],["t","/health"]]},"limits":{},"customers":{"columns":["name","keys","rank","ratePerS","burst","homeRegions"],"rows":[["x",["k"],0,83,83,[]],["y",["l"],0,0,0,["chc"]]]}}"#;
+        Decided { config: config.into(), empty: vec!["chc-hornby".into()], ..Decided::default() }
+    }
+
+    #[test]
+    fn homes_of_route_and_tenant_both_bind() {
+        let (settings, scene) = (settings(), Scene::new(3, &decided(), &settings()).expect("a scene"));
+        let zones = |mask: u64| -> Vec<&str> {
+            let zones = settings.zones.iter().enumerate();
+            zones.filter(|(at, _)| mask & 1 << at != 0).map(|(_, (zone, _))| zone.as_str()).collect()
+        };
+        assert_eq!(scene.within(0, Some(0)), Some(0), "anywhere");
+        assert_eq!(zones(scene.within(1, Some(0)).expect("some")), ["akl-eastt", "akl-penrose"]);
+        assert_eq!(zones(scene.within(0, Some(1)).expect("some")), ["chc-hornby", "chc-sockburn"]);
+        assert_eq!(scene.within(1, Some(1)), None, "akl and chc leave none");
+    }
+
+    #[test]
+    fn weights_cut_the_roll() {
+        let scene = Scene::new(3, &decided(), &settings()).expect("a scene");
+        let route = &scene.table.bill().routes[0];
+        assert_eq!((share(route, 0.0), share(route, 0.89), share(route, 0.91)), (Some("s"), Some("s"), Some("t")));
+        assert_eq!(share(route, 1.0), Some("t"));
+    }
+}
--- a/crates/topazwind/src/interface.rs
+++ b/crates/topazwind/src/interface.rs
@@ -168,6 +168,37 @@
     pub report: Vec<Load>,
     /// The operators' weights.
     pub goal: Goal,
+    /// What a server costs by its zone's number, as a multiple; for one left out, 1 near and a little more else.
+    pub zone_cost: Vec<f64>,
+    /// The most further attempts that can be saved up, which are there at first too; 0: 10.
+    pub retry_saved: f64,
+    /// Further attempts earned by each first one; 0: 0.1.
+    pub retry_earn: f64,
+    /// The most requests a second that this gateway sends to one cold server; 0: what one that is warm gets, by
+    /// the share of its capacity that it surely has.
+    pub cold_rate: f64,
+    /// Mean answer times after which a second copy goes out; 0: 8.
+    pub hedge_after: f64,
+}
+
+/// What a keeper of quotas is told at its start.
+#[derive(Clone, Debug, Default)]
+pub struct QuotaSettings {
+    /// Plans of customers.
+    pub plans: Vec<Plan>,
+    /// The most units one request counts for.
+    pub max_units: f64,
+    /// There is a counter service.
+    pub counter: bool,
+    /// A call to it ends as timed out after this span.
+    pub counter_timeout: Millis,
+}
+
+impl From<&Settings> for QuotaSettings {
+    fn from(set: &Settings) -> Self {
+        let (plans, max_units) = (set.plans.clone(), set.max_units);
+        QuotaSettings { plans, max_units, counter: set.counter, counter_timeout: set.counter_timeout }
+    }
 }
 
 /// State of a server in the list.
@@ -242,10 +273,56 @@
     pub repeat: bool,
     /// Its body is still coming. Its time counts from [`Event::Uploaded`].
     pub uploading: bool,
+    /// Zones that its servers may stand in, a bit for each by its number; 0: all. A zone past the 64th is in none.
+    pub within: u64,
     /// What it was read by; without, the settings of the moment hold.
     pub rules: Option<Arc<Rules>>,
 }
 
+/// What a request draws from its customer's quota.
+#[derive(Clone, Debug, Default)]
+pub struct Draw {
+    /// Its customer.
+    pub customer: CustomerId,
+    /// Its customer's plan.
+    pub plan: PlanId,
+    /// Units it draws.
+    pub units: f64,
+    /// Number of gateways the customer comes in through.
+    pub spread: f64,
+    /// Marked as a client's repeat.
+    pub repeat: bool,
+    /// When it came; set by the keeper, as is what follows.
+    pub arrived: Millis,
+    /// It waits for its customer's count.
+    pub asked: bool,
+    /// It has passed the quota.
+    pub passed: bool,
+}
+
+impl From<&Request> for Draw {
+    fn from(request: &Request) -> Self {
+        let Request { customer, plan, units, spread, repeat, .. } = *request;
+        Draw { customer, plan, units, spread, repeat, ..Draw::default() }
+    }
+}
+
+/// What a quota says of a request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Verdict {
+    /// It may go on.
+    Within,
+    /// It is beyond the quota and may go on all the same, as it earns more than it costs.
+    Beyond,
+    /// Not now: the customer has too much out, its ceiling has no room yet, or its count is on its way.
+    Wait,
+    /// It is beyond the quota.
+    Refuse {
+        /// When the quota may have room.
+        retry_after: Millis,
+    },
+}
+
 /// How an attempt, a probe or a call ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
