--- a/crates/engine/src/engine/core.rs
+++ b/crates/engine/src/engine/core.rs
@@ -164,8 +164,8 @@
         match action {
             Action::Send { id, server, timeout } => self.send(now, id, server, timeout),
             Action::Await { id, attempt, timeout } => self.wait_for(now, id, attempt, timeout),
-            Action::Refuse { id, retry_after } => self.answer(id, Answer::Refused(retry_after)),
-            Action::Fail(id) => self.fail(id, Answer::Failed),
+            Action::Refuse { id, retry_after } => self.give_up(id, Answer::Refused(retry_after)),
+            Action::Fail(id) => self.give_up(id, Answer::Failed),
             Action::Cancel { id, attempt } => self.end(now, id, attempt, Outcome::Cancelled, Vec::new()),
             Action::Count { name, add, ttl } => self.count(now, name, add, ttl),
             Action::Timer { after, name } => self.timers.arm(now + after, Due::Module(name)),
@@ -210,7 +210,7 @@
             return;
         }
         tracing::debug!("request {} ended by the clock", id.0);
-        self.fail(id, Answer::TimedOut);
+        self.give_up(id, Answer::TimedOut);
         self.feed(now, Event::Gone(id));
         self.book.forget(id);
     }
@@ -221,10 +221,11 @@
         }
     }
 
-    /// Nothing better comes: what a server said of its own counts more than that the request has failed.
-    fn fail(&mut self, id: RequestId, failed: Answer<A>) {
+    /// Nothing better comes: what a server said of its own counts more than what the limiter would say. A refusal too,
+    /// as what may run again may have run.
+    fn give_up(&mut self, id: RequestId, otherwise: Answer<A>) {
         let said = self.book.get_mut(id).and_then(|entry| entry.said.take());
-        self.answer(id, said.map_or(failed, Answer::Served));
+        self.answer(id, said.map_or(otherwise, Answer::Served));
     }
 
     /// Gives a request its final answer, once.
--- /dev/null
+++ b/crates/engine/tests/front.rs
@@ -0,0 +1,220 @@
+//! Clients of a desk of another kind than the platform's, through an engine to servers that name each try.
+
+use oatbank_engine::body::{Body, Room, Upload};
+use oatbank_engine::classify::Rejection;
+use oatbank_engine::engine::{Answer, Engine, Setup};
+use oatbank_engine::front::{Desk, Front, FrontLimits, Judged};
+use oatbank_engine::members::fixed;
+use oatbank_engine::ports::clock::SystemClock;
+use oatbank_engine::ports::membership::Member;
+use oatbank_engine::respond::{self, ComeBack};
+use oatbank_engine::upstreams::house::{headers_on, House};
+use oatbank_engine::upstreams::http1::{Connections, Forward, Http1};
+use oatbank_operations::budget::{Budget, Limits};
+use oatbank_testkit::{read_message, Act, Message, Server, PATIENCE};
+use std::io::{BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+use std::sync::mpsc;
+use topazwind::interface::{Class, Millis, Plan, Request, Settings};
+
+use http::request::Parts;
+use http::{HeaderName, Response, StatusCode};
+
+/// Sends all that comes to one service.
+struct Hall(Rc<Engine<Http1<House>>>);
+
+impl Desk for Hall {
+    type Ticket = Request;
+
+    fn now(&self) -> Millis {
+        self.0.now()
+    }
+
+    fn names_requests_by(&self) -> HeaderName {
+        HeaderName::from_static("try-id")
+    }
+
+    fn judge(&self, head: &Parts) -> Result<Judged<Request>, Rejection> {
+        if head.uri.path() == "/closed" {
+            return Ok(Judged::Answer(respond::plain(StatusCode::SERVICE_UNAVAILABLE, "closed\n")));
+        }
+        Ok(Judged::Taken(Request { units: 1.0, spread: 1.0, time_left: 3000.0, ..Request::default() }))
+    }
+
+    async fn serve(
+        &self,
+        mut request: Request,
+        head: Parts,
+        body: Upload,
+        room: Option<Room>,
+    ) -> Result<Response<Body>, Rejection> {
+        request.uploading = body.is_stream();
+        let headers = headers_on(&head.headers);
+        let forward = Forward { method: head.method, uri: head.uri, headers, body, room };
+        let answer: Answer<Response<Body>> = self.0.ask(request, forward).await;
+        Ok(respond::answered(answer, ComeBack::Standard, |served| served))
+    }
+}
+
+fn setup() -> Setup {
+    let class = Class { aim: 500.0, deadline: 3000.0, worth: 1.0, ..Class::default() };
+    let plan = Plan { rate: 1000.0, burst: 1000.0, price: 1.0, over_cost: 1.0, ..Plan::default() };
+    let settings = Settings {
+        gateways: 1.0,
+        classes: vec![class],
+        plans: vec![plan],
+        max_units: 1.0,
+        max_attempts: 2,
+        ..Settings::default()
+    };
+    Setup { settings, ..Setup::default() }
+}
+
+/// A front before this server, on a thread of its own.
+fn front(server: &Server) -> SocketAddr {
+    let (tell, told) = mpsc::channel();
+    let address = server.address;
+    std::thread::spawn(move || {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+        tokio::task::LocalSet::new().block_on(&runtime, async move {
+            let budget = Budget::divide(Limits::default(), 0, 1.0);
+            let connections = Connections {
+                idle: 10_000.0,
+                connect_timeout: 1000.0,
+                most: budget.servers,
+                bodies_kib: budget.answers_kib,
+            };
+            let clock = Rc::new(SystemClock::new());
+            let house = House { held: 64, ..House::default() };
+            let upstream = Http1::speaking(house, clock.clone(), connections);
+            let engine = Engine::new(&setup(), clock, upstream);
+            engine.start();
+            fixed::tell(&engine.told(), vec![Member::ready("s-1", address)]);
+            let front = Front::new(Hall(engine), budget, FrontLimits::default());
+            let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
+            tell.send(listener.local_addr().expect("an address")).expect("the test");
+            tokio::task::spawn_local(front.clone().look_round());
+            front.accept(Rc::new(listener)).await;
+        });
+    });
+    told.recv().expect("a front")
+}
+
+struct Client(TcpStream, BufReader<TcpStream>);
+
+impl Client {
+    fn of(server: &Server) -> Client {
+        let stream = TcpStream::connect(front(server)).expect("a connection");
+        stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+        let reader = BufReader::new(stream.try_clone().expect("a clone"));
+        Client(stream, reader)
+    }
+
+    fn send(&mut self, text: &str) {
+        self.0.write_all(text.as_bytes()).expect("a request is written");
+    }
+
+    fn ask(&mut self, text: &str) -> Message {
+        self.send(text);
+        read_message(&mut self.1).expect("an answer")
+    }
+}
+
+fn to(m: &Message, status: &str, headers: &str, body: &str) -> Vec<u8> {
+    let (id, length) = (m.header("Try-Id").expect("a name"), body.len());
+    format!("HTTP/1.1 {status}\r\nTry-Id: {id}\r\n{headers}Content-Length: {length}\r\n\r\n{body}")
+        .into_bytes()
+}
+
+fn echo() -> Server {
+    Server::start(|m| {
+        let said = format!("{} {}", m.start, String::from_utf8_lossy(&m.body));
+        Act::Write(to(m, "200 OK", "Server-Seal: s\r\n", &said))
+    })
+}
+
+#[test]
+fn any_request_that_can_be_read_in_one_way_goes_on_and_its_answer_comes_back() {
+    let server = echo();
+    let mut client = Client::of(&server);
+    let get = client.ask("GET /a?b HTTP/1.1\r\nHost: h\r\nTry-Id: 1\r\nContent-Length: 2\r\n\r\nhi");
+    assert_eq!((get.status(), &get.body[..]), (200, &b"GET /a?b HTTP/1.1 hi"[..]), "a body with GET");
+    assert_eq!((get.header("Try-Id"), get.header("Server-Seal")), (Some("1"), Some("s")));
+    let put = client.ask(
+        "PUT http://u@shop:81/a HTTP/1.1\r\nHost: other\r\nTry-Id: 2\r\nTransfer-Encoding: chunked\r\n\r\n\
+         2\r\nhi\r\n0\r\n\r\n",
+    );
+    assert_eq!(put.body, b"PUT /a HTTP/1.1 hi");
+    let closed = client.ask("GET /closed HTTP/1.1\r\nHost: h\r\n\r\n");
+    assert_eq!((closed.status(), closed.header("Connection")), (503, None));
+    client.send("HEAD /a HTTP/1.1\r\nHost: h\r\nTry-Id: 3\r\n\r\n");
+    let delete = client.ask("DELETE /b HTTP/1.1\r\nHost: h\r\nTry-Id: 4\r\n\r\n");
+    assert_eq!(delete.status(), 200);
+    let seen = server.seen.lock().expect("a lock");
+    let hosts: Vec<_> = seen.iter().filter_map(|m| m.header("Host")).collect();
+    assert_eq!(hosts, ["h", "shop:81", "h", "h"]);
+}
+
+#[test]
+fn what_can_be_read_in_two_ways_is_turned_away() {
+    let server = echo();
+    for head in [
+        "POST / HTTP/1.1\r\nHost: h\r\nTry-Id: 1\r\nTransfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n",
+        "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "POST / HTTP/1.1\r\nHost: h\r\nTry-Id: 1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n",
+        "GET / HTTP/1.1\r\nHost: h\r\nHost: i\r\nTry-Id: 1\r\n\r\n",
+        "CONNECT h:80 HTTP/1.1\r\nHost: h:80\r\nTry-Id: 1\r\n\r\n",
+    ] {
+        let mut client = Client::of(&server);
+        let answer = client.ask(head);
+        assert!(matches!(answer.status(), 400 | 501), "{head}: {}", answer.start);
+        assert_eq!(answer.header("Connection"), Some("close"), "{head}");
+        assert_eq!(client.1.read(&mut [0]).ok(), Some(0), "{head}: closed");
+    }
+    assert_eq!(server.count(), 0);
+}
+
+#[test]
+fn a_servers_own_error_is_given_on_where_nothing_better_comes() {
+    let server = Server::start(|m| Act::Write(to(m, "404 Not Found", "X-A: 1\r\n", "no such thing")));
+    let answer = Client::of(&server).ask("GET / HTTP/1.1\r\nHost: h\r\nTry-Id: 1\r\n\r\n");
+    assert_eq!((answer.status(), answer.header("X-A")), (404, Some("1")));
+    assert_eq!(answer.body, b"no such thing");
+}
+
+#[test]
+fn what_a_server_spoilt_is_no_answer_of_its_own() {
+    let server = Server::start(|m| Act::Write(to(m, "200 OK", "", "unsealed")));
+    let answer = Client::of(&server).ask("GET / HTTP/1.1\r\nHost: h\r\nTry-Id: 1\r\n\r\n");
+    // The class may run again, so a refusal is an answer too.
+    assert!(matches!(answer.status(), 429 | 502), "{}", answer.start);
+}
+
+#[test]
+fn an_answer_that_breaks_off_never_looks_whole() {
+    for (length, version) in [(true, "1.1"), (false, "1.1"), (true, "1.0"), (false, "1.0")] {
+        let server = Server::start(move |m| {
+            let (id, body) = (m.header("Try-Id").expect("a name"), "x".repeat(100));
+            let (framing, body) = match length {
+                true => ("Content-Length: 900", body),
+                false => ("Transfer-Encoding: chunked", format!("64\r\n{body}\r\n")),
+            };
+            let head = format!("HTTP/1.1 200 OK\r\nTry-Id: {id}\r\nServer-Seal: s\r\n{framing}\r\n\r\n");
+            Act::Close(format!("{head}{body}").into_bytes())
+        });
+        let mut client = Client::of(&server);
+        client.send(&format!("GET / HTTP/{version}\r\nHost: h\r\nTry-Id: 1\r\n\r\n"));
+        let mut all = Vec::new();
+        let end = client.1.read_to_end(&mut all);
+        let text = String::from_utf8_lossy(&all).to_lowercase();
+        let by_itself = text.contains("content-length: 900") || text.contains("transfer-encoding: chunked");
+        let cut = !text.ends_with("\r\n0\r\n\r\n");
+        // It may have broken off before any of it was written.
+        let nothing = text.is_empty();
+        assert!(
+            end.is_err() || text.starts_with("http/1.1 502") || by_itself && cut || nothing,
+            "{length} {version}: {end:?}, {text}"
+        );
+    }
+}
