Quotas can be kept alone: the keeper of a gateway's quotas is a type of its own

Several gateways behind one entry need one keeper of quotas between them. Quotas now owns the customers, the calls to the counter and how these fare, and the random numbers; a gateway has one and hands it what a request draws.

--- a/crates/topazwind/src/interface.rs
+++ b/crates/topazwind/src/interface.rs
@@ -170,6 +170,26 @@
     pub goal: Goal,
 }
 
+/// What a keeper of quotas is told at its start.
+#[derive(Clone, Debug, Default)]
+pub struct QuotaSettings {
+    /// Plans of customers.
+    pub plans: Vec<Plan>,
+    /// The most units one request counts for.
+    pub max_units: f64,
+    /// There is a counter service.
+    pub counter: bool,
+    /// A call to it ends as timed out after this span.
+    pub counter_timeout: Millis,
+}
+
+impl From<&Settings> for QuotaSettings {
+    fn from(set: &Settings) -> Self {
+        let (plans, max_units) = (set.plans.clone(), set.max_units);
+        QuotaSettings { plans, max_units, counter: set.counter, counter_timeout: set.counter_timeout }
+    }
+}
+
 /// State of a server in the list.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum ServerState {
@@ -246,6 +266,50 @@
     pub rules: Option<Arc<Rules>>,
 }
 
+/// What a request draws from its customer's quota.
+#[derive(Clone, Debug, Default)]
+pub struct Draw {
+    /// Its customer.
+    pub customer: CustomerId,
+    /// Its customer's plan.
+    pub plan: PlanId,
+    /// Units it draws.
+    pub units: f64,
+    /// Number of gateways the customer comes in through.
+    pub spread: f64,
+    /// Marked as a client's repeat.
+    pub repeat: bool,
+    /// When it came; set by the keeper, as is what follows.
+    pub arrived: Millis,
+    /// It waits for its customer's count.
+    pub asked: bool,
+    /// It has passed the quota.
+    pub passed: bool,
+}
+
+impl From<&Request> for Draw {
+    fn from(request: &Request) -> Self {
+        let Request { customer, plan, units, spread, repeat, .. } = *request;
+        Draw { customer, plan, units, spread, repeat, ..Draw::default() }
+    }
+}
+
+/// What a quota says of a request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Verdict {
+    /// It may go on.
+    Within,
+    /// It is beyond the quota and may go on all the same, as it earns more than it costs.
+    Beyond,
+    /// Not now: the customer has too much out, its ceiling has no room yet, or its count is on its way.
+    Wait,
+    /// It is beyond the quota.
+    Refuse {
+        /// When the quota may have room.
+        retry_after: Millis,
+    },
+}
+
 /// How an attempt, a probe or a call ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
--- a/crates/topazwind/src/lib.rs
+++ b/crates/topazwind/src/lib.rs
@@ -1,7 +1,8 @@
 //! The decisions of a quota-keeping gateway ("limiter") in front of a shared API.
 //!
 //! [`logic::Gateway`] is one gateway's decision module: it takes settings and a seed, then events with
-//! their times, and appends the actions to carry out. The vocabulary is in [`interface`]; [`wire`] reads
+//! their times, and appends the actions to carry out. [`logic::Quotas`] is its keeping of quotas by itself,
+//! for callers with several gateways or none. The vocabulary is in [`interface`]; [`wire`] reads
 //! and writes the frames of the bench's adapter protocol and decides nothing.
 //!
 //! ```
--- a/crates/topazwind/src/logic/admission.rs
+++ b/crates/topazwind/src/logic/admission.rs
@@ -44,10 +44,6 @@
         Customer { plan, spread, touched: now, tallies, last_sync, drained_at: now, thin, ..Self::default() }
     }
 
-    pub(super) fn window(&self) -> Millis {
-        1000.0 * self.plan.burst / self.plan.rate
-    }
-
     /// The rate a thin customer asks at: the last one read, drifting back to half of its quota.
     pub(super) fn habit(&self, now: Millis) -> f64 {
         let usual = self.plan.rate * 0.9;
@@ -86,10 +82,6 @@
         }
     }
 
-    pub(super) fn accepted(&self) -> f64 {
-        self.counts.of(ACCEPTED)
-    }
-
     pub(super) fn observed_since(&self, from: Millis) -> f64 {
         self.counts.since(from, BUCKET)
     }
@@ -117,9 +109,8 @@
         self.plan.rate > 0.0 && self.observed_since(now - self.window()) >= self.plan.burst
     }
 
-    /// A call to the counter is out.
-    pub(super) fn busy(&self) -> bool {
-        self.tallies.iter().any(|t| t.in_flight.is_some() || t.closing.is_some())
+    fn refuse(&self, units: f64) -> Verdict {
+        Verdict::Refuse { retry_after: self.refill(units).max(TICK) }
     }
 
     /// Nothing is left to remember of a customer that has not come for so long.
@@ -181,14 +172,14 @@
         tally.doubt = 0.0;
         tally.total = total;
         let since = std::mem::replace(&mut tally.read_at, now);
-        self.spread_out(now, kind, rise - arrived, since, settled);
+        self.even_out(now, kind, rise - arrived, since, settled);
         if kind == ACCEPTED {
             self.share = Some(self.share(STALE));
         }
     }
 
     /// Books others' units evenly over the time since the last read, in place of what was presumed of them.
-    pub(super) fn spread_out(
+    pub(super) fn even_out(
         &mut self,
         now: Millis,
         kind: usize,
@@ -213,75 +204,73 @@
     }
 }
 
-impl Flow {
-    /// How old what was read of a customer may be, ms, for the others' use not to be presumed.
-    pub(super) fn trusted(&self, now: Millis) -> Millis {
-        match self.silent || now < self.settles_at {
-            true => 0.0,
-            false if self.pace > CROWDED => STALE,
-            false => f64::INFINITY,
+impl Quotas {
+    /// A keeper that knows nothing yet but its settings.
+    pub fn new(set: QuotaSettings, seed: u64) -> Self {
+        Quotas::blank(set, Calling { pace: 1.0, ..Calling::default() }, 1.0, seed)
+    }
+
+    /// Takes new settings. Plans stand where they stood before.
+    pub fn settle(&mut self, set: QuotaSettings) {
+        for customer in self.customers.values_mut() {
+            if let Some(plan) = set.plans.get(customer.of.0) {
+                customer.plan = plan.clone();
+            }
         }
+        self.set = set;
+    }
+
+    /// From now on this process uses this part of what is a gateway's own.
+    pub fn take_part(&mut self, now: Millis, part: f64) {
+        // What has grown so far grew at the part before.
+        let before = std::mem::replace(&mut self.part, part);
+        self.customers.values_mut().for_each(|c| c.age(now, before));
     }
-}
 
-impl Gateway {
-    pub(super) fn arrive(&mut self, now: Millis, request: Request) {
-        let of = || self.set.classes.get(request.class.0).cloned().unwrap_or_default();
-        let rules = request.rules.as_ref();
-        let class = rules.map_or_else(of, |r| r.class.clone());
-        let tries = rules.map_or(self.set.max_attempts, |r| r.max_attempts);
-        let (id, customer) = (request.id, request.customer);
-        let plan = self.set.plans.get(request.plan.0).cloned().unwrap_or_default();
-        let entry = self.customers.entry(customer);
+    /// A request has come in: its customer is known from here on, and its count may be asked for.
+    pub fn meet(&mut self, now: Millis, draw: &mut Draw, actions: &mut Vec<Action>) {
+        let plan = self.set.plans.get(draw.plan.0).cloned().unwrap_or_default();
         let most = self.set.max_units.max(1.0);
-        let fresh = || Customer { of: request.plan, ..Customer::new(plan, request.spread, most, now) };
-        entry.or_insert_with(fresh).touched = now;
-        let (aim_at, ends_at) = (now + class.aim.min(request.time_left), now + request.time_left);
-        let asked = self.ask(now, customer, request.units);
-        let open = Open { request, class, tries, arrived: now, aim_at, ends_at, asked, ..Open::default() };
-        let hopeless = open.aim_at - now < self.mean(&open).max(2.0 * TICK) / 2.0;
-        self.open.insert(id, open);
-        self.untold.insert(customer);
-        if hopeless {
-            // What can no longer be served in time is not started, and would outlast the housekeeping.
-            return self.finish(now, id);
-        }
-        self.decide(now, id);
-        self.sync(now, customer);
+        let fresh = || Customer { of: draw.plan, ..Customer::new(plan, draw.spread, most, now) };
+        self.customers.entry(draw.customer).or_insert_with(fresh).touched = now;
+        (draw.arrived, draw.passed) = (now, false);
+        draw.asked = self.ask(now, draw, actions);
+        self.untold.insert(draw.customer);
     }
 
-    /// Admits, holds or refuses a request that has not been sent yet.
-    pub(super) fn decide(&mut self, now: Millis, id: RequestId) {
-        match self.admit(now, id) {
-            Verdict::Refuse => self.finish(now, id),
-            Verdict::Wait => self.hold(id),
-            // All that are known have been taken out: waiting would only tell the client later.
-            _ if self.flow.ready == 0 && !self.servers.is_empty() => self.finish(now, id),
-            verdict => {
-                if let Some(open) = self.open.get_mut(&id) {
-                    open.beyond = verdict == Verdict::Beyond;
-                }
-                if !self.place(now, id) {
-                    self.hold(id);
-                }
-            }
-        }
+    /// Meets and weighs at once, for a caller that holds nothing: no count is waited for. A `Wait` is then
+    /// the caller's to decide.
+    pub fn admit(&mut self, now: Millis, mut draw: Draw, actions: &mut Vec<Action>) -> Verdict {
+        self.meet(now, &mut draw, actions);
+        draw.asked = false;
+        self.weigh(now, &mut draw, false)
     }
 
-    pub(super) fn hold(&mut self, id: RequestId) {
-        if !self.held.contains(&id) {
-            self.held.push(id);
+    /// Books what became of a request: sent on within its quota, or declined for whatever reason. What is
+    /// sent on beyond takes nothing from the store, so it counts as declined. [`Quotas::tick`] tells it.
+    pub fn record(&mut self, now: Millis, customer: CustomerId, units: f64, sent: bool) {
+        if self.book(now, customer, units, sent) {
+            self.untold.insert(customer);
         }
     }
 
-    pub(super) fn admit(&mut self, now: Millis, id: RequestId) -> Verdict {
+    /// The same where the customer is told of anyway; false if it has no quota.
+    pub(super) fn book(&mut self, now: Millis, customer: CustomerId, units: f64, sent: bool) -> bool {
+        let (part, trusted) = (self.part, self.calling.trusted(now));
+        let Some(c) = self.customers.get_mut(&customer).filter(|c| c.plan.rate > 0.0) else { return false };
+        c.age(now, part);
+        c.record(now, if sent { ACCEPTED } else { DECLINED }, units, trusted);
+        true
+    }
+
+    /// What its quota says of a request that was met, again for one that waits. While the caller is calm,
+    /// one beyond the quota may go on where that earns more than it costs.
+    pub fn weigh(&mut self, now: Millis, draw: &mut Draw, calm: bool) -> Verdict {
         let roll = self.chance();
-        let calm = self.flow.out < 0.7 * self.flow.limit && self.held.is_empty();
-        let (counter, trusted) = (self.set.counter, self.flow.trusted(now));
-        let part = self.flow.part;
-        let Some(open) = self.open.get_mut(&id) else { return Verdict::Refuse };
-        let (units, waited) = (open.request.units, now - open.arrived);
-        let Some(c) = self.customers.get_mut(&open.request.customer) else { return Verdict::Refuse };
+        let (counter, trusted, part) = (self.set.counter, self.calling.trusted(now), self.part);
+        let (units, waited) = (draw.units, now - draw.arrived);
+        let unknown = Verdict::Refuse { retry_after: TICK };
+        let Some(c) = self.customers.get_mut(&draw.customer) else { return unknown };
         let plan = c.plan.clone();
         if plan.rate > 0.0 {
             c.age(now, part);
@@ -290,38 +279,33 @@
         // other, restart, or find the counter down. It hurts traffic gathered on one gateway, which waits.
         let short = plan.ceiling_rate > 0.0 && c.lease < units;
         if c.thin {
-            if open.asked && c.tallies[ACCEPTED].in_flight.is_some() && waited < COUNT_WAIT {
+            if draw.asked && c.tallies[ACCEPTED].in_flight.is_some() && waited < COUNT_WAIT {
                 return Verdict::Wait;
             }
             let rate = c.habit(now);
             let within = rate * c.window() / 1000.0 + units <= plan.burst || roll >= 1.0 - plan.rate / rate;
             // A client's repeat was refused elsewhere: with its customer unknown, likely with reason.
-            let doubtful = open.request.repeat && c.view.is_none() && counter;
-            open.passed |= within && !doubtful || plan.over_worth > plan.over_cost && calm;
-            return match open.passed {
+            let doubtful = draw.repeat && c.view.is_none() && counter;
+            draw.passed |= within && !doubtful || plan.over_worth > plan.over_cost && calm;
+            return match draw.passed {
                 true if short => Verdict::Wait,
                 true => Verdict::Within,
-                false => Verdict::Refuse,
+                false => c.refuse(units),
             };
         }
         if short {
             return Verdict::Wait;
         }
-        if plan.max_open > 0.0 {
-            // Open cap: each gateway keeps to a fair share, so it holds though no other can be
-            // heard. It hurts a customer gathered on one gateway while servers are slow; it waits for a slot.
-            if c.open >= (plan.max_open * part / c.spread).floor().max(1.0) {
-                return Verdict::Wait;
-            }
+        // Open cap: each gateway keeps to a fair share, so it holds though no other can be
+        // heard. It hurts a customer gathered on one gateway while servers are slow; it waits for a slot.
+        if plan.max_open > 0.0 && c.open >= (plan.max_open * part / c.spread).floor().max(1.0) {
+            return Verdict::Wait;
         }
         // A customer that asks more than its quota gets all of it either way, so a reserve costs it nothing
         // lasting and takes up what the others sent unseen.
         // Where reads are rare all others may meet the same refill unseen, so more of it is kept.
-        let kept = if trusted.is_finite() {
-            (units / c.share(trusted) - units).min(AHEAD * plan.burst)
-        } else {
-            0.0
-        };
+        let ahead = if trusted.is_finite() { AHEAD * plan.burst } else { 0.0 };
+        let kept = (units / c.share(trusted) - units).min(ahead);
         let reserve = if c.pressed(now) { kept.max(RESERVE * plan.burst) } else { 0.0 };
         let units = units + reserve;
         // Refill: the window forgets that the store refills meanwhile, so after a burst it refuses what
@@ -334,31 +318,8 @@
         }
         let past = c.observed_since(now - c.window()) >= plan.burst * HARD_FACTOR;
         if past || roll < c.suppression(now) {
-            return Verdict::Refuse;
+            return c.refuse(draw.units);
         }
         Verdict::Within
     }
-
-    /// Ends a request: what was never sent counts as declined, what is still out is called off.
-    pub(super) fn close(&mut self, id: RequestId, now: Millis) -> bool {
-        let Some(open) = self.open.get_mut(&id) else { return false };
-        if open.attempts.is_empty() {
-            let (customer, trusted) = (open.request.customer, self.flow.trusted(now));
-            if let Some(c) = self.customers.get_mut(&customer).filter(|c| c.plan.rate > 0.0) {
-                self.untold.insert(customer);
-                c.age(now, self.flow.part);
-                c.record(now, DECLINED, open.request.units, trusted);
-            }
-        }
-        for (i, attempt) in open.attempts.iter().enumerate() {
-            if attempt.live && self.set.cancelling && !open.streaming {
-                self.acts.push(Action::Cancel { id, attempt: i as u8 });
-            }
-        }
-        open.ends_at = f64::NEG_INFINITY;
-        if open.attempts.iter().all(|a| !a.live) {
-            self.open.remove(&id);
-        }
-        true
-    }
 }
--- a/crates/topazwind/src/logic/choice.rs
+++ b/crates/topazwind/src/logic/choice.rs
@@ -211,12 +211,6 @@
         able.into_iter().map(cost).min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, id)| id)
     }
 
-    /// How long the oldest attempt that is out at a server has been so.
-    pub(super) fn longest_out(&self, now: Millis, server: ServerId) -> Millis {
-        let attempts = self.open.values().flat_map(|o| &o.attempts);
-        attempts.filter(|a| a.live && a.server == server).map(|a| now - a.sent).fold(0.0, f64::max)
-    }
-
     /// One of those that may be chosen, by chance, as often as it is warm.
     pub(super) fn draw(&mut self, able: &[Able]) -> usize {
         let mut left = self.chance() * able.iter().map(|a| a.warmth).sum::<f64>();
--- a/crates/topazwind/src/logic/counter.rs
+++ b/crates/topazwind/src/logic/counter.rs
@@ -32,30 +32,33 @@
 /// Share of the burst, in SYNC_SHAREs, that is never left untold for the pace.
 const PACE_SHARE: f64 = 4.0;
 
-impl Gateway {
-    /// The stable name of one customer's count of a kind in an epoch.
-    pub(super) fn name(customer: CustomerId, kind: usize, epoch: i64) -> CountName {
-        let mut x = customer.0.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ ((epoch as u64) << 1 | kind as u64);
-        for _ in 0..2 {
-            x = (x ^ (x >> 31)).wrapping_mul(0xd6e8_feb8_6659_fd93);
+impl Calling {
+    /// How old what was read of a customer may be, ms, for the others' use not to be presumed.
+    pub(super) fn trusted(&self, now: Millis) -> Millis {
+        match self.silent || now < self.settles_at {
+            true => 0.0,
+            false if self.pace > CROWDED => STALE,
+            false => f64::INFINITY,
         }
-        CountName(x ^ (x >> 32))
     }
+}
 
+impl Quotas {
     /// Counts a thin customer's request by chance, a call for each tenth of what may be or is asked in a
     /// window: by its answer this request is decided, if what is known is old. The danger is that hundreds
     /// of gateways drown the counter; it covers a slow counter, restarts and new customers, and it hurts
     /// by the noise of what is counted for others.
-    pub(super) fn ask(&mut self, now: Millis, customer: CustomerId, units: f64) -> bool {
+    pub(super) fn ask(&mut self, now: Millis, draw: &Draw, actions: &mut Vec<Action>) -> bool {
+        let (customer, units) = (draw.customer, draw.units);
         let roll = self.chance();
-        let counting = self.set.counter && now >= self.flow.count_after;
+        let counting = self.set.counter && now >= self.calling.after;
         let Some(c) = self.customers.get_mut(&customer).filter(|c| c.thin && counting) else { return false };
         let span = (THIN_EPOCH * c.window()).min(EPOCH);
         let epoch = (now / span).floor();
         let old = c.view.is_none_or(|(at, _)| now - at > FRESH);
         let most = c.plan.burst.max(c.habit(now) * c.window() / 1000.0);
         let chance =
-            (units / (SYNC_SHARE * most)).min(1.0) * (1.0 / c.pace(now, self.flow.pace)).max(CALL_LEAST);
+            (units / (SYNC_SHARE * most)).min(1.0) * (1.0 / c.pace(now, self.calling.pace)).max(CALL_LEAST);
         let t = &mut c.tallies[ACCEPTED];
         if t.in_flight.is_some() {
             t.pending += units;
@@ -69,16 +72,16 @@
         }
         let add = std::mem::take(&mut t.pending) + units / chance;
         t.in_flight = Some(add);
-        let name = Self::name(customer, ACCEPTED, t.epoch);
+        let name = count_name(customer, ACCEPTED, t.epoch);
         self.calls.insert(name, (customer, ACCEPTED));
-        self.acts.push(Action::Count { name, add, ttl: NAME_TTL });
+        actions.push(Action::Count { name, add, ttl: NAME_TTL });
         old
     }
 
     /// Tells the counter what is new of a customer, if that is due. The first call also reads what others
     /// have told; while the counter is crowded it waits until the customer's use could matter.
-    pub(super) fn sync(&mut self, now: Millis, customer: CustomerId) {
-        if !self.set.counter || now < self.flow.count_after {
+    pub(super) fn sync(&mut self, now: Millis, customer: CustomerId, actions: &mut Vec<Action>) {
+        if !self.set.counter || now < self.calling.after {
             return;
         }
         let epoch = (now / EPOCH).floor() as i64;
@@ -87,7 +90,7 @@
             return;
         };
         let new = c.tallies[ACCEPTED].pending + c.tallies[DECLINED].pending;
-        let (pace, share) = (c.pace(now, self.flow.pace), SYNC_SHARE * c.plan.burst);
+        let (pace, share) = (c.pace(now, self.calling.pace), SYNC_SHARE * c.plan.burst);
         let first = !c.known && c.tallies[ACCEPTED].in_flight.is_none() && new >= (pace - 1.0) * share;
         let waited = now - c.last_sync;
         let flush = waited >= (SYNC_EVERY + FLUSH_AFTER) * pace;
@@ -108,53 +111,47 @@
                 continue;
             }
             if t.epoch != epoch {
-                let old = Self::name(customer, kind, t.epoch);
+                let old = count_name(customer, kind, t.epoch);
                 if !first && t.closing.is_none() && pace <= CROWDED {
                     t.closing = Some((old, t.total));
                     self.calls.insert(old, (customer, kind));
-                    self.acts.push(Action::Count { name: old, add: 0.0, ttl: NAME_TTL });
+                    actions.push(Action::Count { name: old, add: 0.0, ttl: NAME_TTL });
                 }
                 (t.epoch, t.total, t.doubt) = (epoch, 0.0, 0.0);
             }
             let add = std::mem::take(&mut t.pending);
             t.in_flight = Some(add);
-            let name = Self::name(customer, kind, epoch);
+            let name = count_name(customer, kind, epoch);
             self.calls.insert(name, (customer, kind));
-            self.acts.push(Action::Count { name, add, ttl: NAME_TTL });
+            actions.push(Action::Count { name, add, ttl: NAME_TTL });
             c.last_sync = now;
         }
     }
 
-    pub(super) fn counted(
-        &mut self,
-        now: Millis,
-        name: CountName,
-        outcome: Outcome,
-        took: Millis,
-        total: f64,
-    ) {
+    /// A call to the counter has ended.
+    pub fn counted(&mut self, now: Millis, name: CountName, outcome: Outcome, took: Millis, total: f64) {
         let ok = outcome == Outcome::Ok;
         let slow = took > SLOW_CALL * self.set.counter_timeout;
-        let flow = &mut self.flow;
+        let calling = &mut self.calling;
         if ok {
-            if flow.silent && flow.count_ok_at > 0.0 {
-                flow.settles_at = now + (now - flow.count_ok_at - SILENT_AFTER).min(SETTLE);
+            if calling.silent && calling.ok_at > 0.0 {
+                calling.settles_at = now + (now - calling.ok_at - SILENT_AFTER).min(SETTLE);
             }
-            (flow.count_pause, flow.count_after, flow.count_ok_at, flow.silent) = (0.0, 0.0, now, false);
-            flow.pace *= if slow { 1.0 } else { PACE_DOWN };
-        } else if outcome != Outcome::Reset && now - flow.paced_at >= PACE_STEP {
+            (calling.pause, calling.after, calling.ok_at, calling.silent) = (0.0, 0.0, now, false);
+            calling.pace *= if slow { 1.0 } else { PACE_DOWN };
+        } else if outcome != Outcome::Reset && now - calling.paced_at >= PACE_STEP {
             // A call that was lost with its connection tells nothing of how crowded the counter is.
-            (flow.pace, flow.paced_at) = (flow.pace * PACE_UP, now);
+            (calling.pace, calling.paced_at) = (calling.pace * PACE_UP, now);
         }
-        flow.pace = flow.pace.clamp(1.0, PACE_MOST);
-        if !ok && now - flow.count_ok_at >= SILENT_AFTER {
-            flow.silent = true;
-            if now >= flow.count_after {
-                flow.count_pause = (flow.count_pause * 2.0).max(self.set.counter_timeout).min(MAX_BACKOFF);
-                flow.count_after = now + flow.count_pause;
+        calling.pace = calling.pace.clamp(1.0, PACE_MOST);
+        if !ok && now - calling.ok_at >= SILENT_AFTER {
+            calling.silent = true;
+            if now >= calling.after {
+                calling.pause = (calling.pause * 2.0).max(self.set.counter_timeout).min(MAX_BACKOFF);
+                calling.after = now + calling.pause;
             }
         }
-        let settled = now >= flow.settles_at;
+        let settled = now >= calling.settles_at;
         let Some((customer, kind)) = self.calls.remove(&name) else { return };
         let Some(c) = self.customers.get_mut(&customer) else { return };
         if c.thin {
@@ -165,13 +162,13 @@
             return;
         }
         self.untold.insert(customer);
-        c.age(now, self.flow.part);
+        c.age(now, self.part);
         c.known = true;
         if c.tallies[kind].closing.is_some_and(|(n, _)| n == name) {
             let Some((_, last)) = c.tallies[kind].closing.take() else { return };
             if ok {
                 let since = c.tallies[kind].read_at;
-                c.spread_out(now, kind, (total - last).max(0.0), since, settled);
+                c.even_out(now, kind, (total - last).max(0.0), since, settled);
             }
         } else if ok {
             c.read(now, kind, total, settled);
@@ -179,7 +176,7 @@
             // Through a silence, what has left the window is nobody's concern any more: told at its end, all
             // that each gateway kept would stand for use of the moment.
             let mine = if kind == ACCEPTED { c.counts.mine() } else { c.counts.of(kind) };
-            let kept = if self.flow.silent { mine } else { f64::INFINITY };
+            let kept = if self.calling.silent { mine } else { f64::INFINITY };
             let t = &mut c.tallies[kind];
             let sent = t.in_flight.take().unwrap_or(0.0);
             (t.pending, t.doubt) = (t.pending.min(kept), t.doubt.min(kept));
@@ -188,8 +185,16 @@
         }
     }
 
+    /// Housekeeping, every 20 ms or so: tells the counter what is due, and forgets who has not come for long.
+    pub fn tick(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        self.forget(now);
+        for id in self.untold.iter().copied().collect::<Vec<_>>() {
+            self.sync(now, id, actions);
+        }
+    }
+
     /// Forgets customers that have not come for long, some at a time.
-    pub(super) fn forget(&mut self, now: Millis) {
+    fn forget(&mut self, now: Millis) {
         let batch: Vec<CustomerId> =
             self.customers.range(self.looked..).take(IDLE_BATCH).map(|(id, _)| *id).collect();
         self.looked = CustomerId(batch.last().filter(|_| batch.len() == IDLE_BATCH).map_or(0, |id| id.0 + 1));
--- a/crates/topazwind/src/logic/mod.rs
+++ b/crates/topazwind/src/logic/mod.rs
@@ -8,8 +8,8 @@
 mod retries;
 
 use crate::interface::*;
-pub use crate::state::Gateway;
 use crate::state::*;
+pub use crate::state::{Gateway, Quotas};
 
 /// Shortest time between two syncs of a customer, ms: one bucket.
 const SYNC_EVERY: Millis = 250.0;
@@ -32,22 +32,14 @@
 const RETRY_SAVED: f64 = 10.0;
 /// Attempts a server may start with in the concurrency limit, over all gateways.
 const START_LIMIT: f64 = 8.0;
-/// The two counts kept for a customer: units sent on, and units declined for whatever reason. The
-/// design's observed count is their sum; kept apart, an answer to one alone is never inconsistent.
-const ACCEPTED: usize = 0;
-const DECLINED: usize = 1;
 
 impl Gateway {
     /// A gateway that knows nothing yet but its settings.
     pub fn new(set: Settings, seed: u64) -> Self {
         let class_mean = set.classes.iter().map(|c| c.aim / 5.0).collect();
-        let flow = Flow { retries: RETRY_SAVED, pace: 1.0, part: 1.0, ..Flow::default() };
-        Gateway::blank(set, class_mean, flow, seed)
-    }
-
-    /// Customers of which something is remembered.
-    pub fn remembered(&self) -> usize {
-        self.customers.len()
+        let flow = Flow { retries: RETRY_SAVED, ..Flow::default() };
+        let quotas = Quotas::new((&set).into(), seed);
+        Gateway::blank(set, quotas, class_mean, flow)
     }
 
     /// Takes in one event and appends what is to be done.
@@ -62,11 +54,7 @@
         match event {
             Event::Servers { update, entries } => self.list(now, update, entries),
             Event::Settings(set) => self.settle(*set),
-            Event::Part(part) => {
-                // What has grown so far grew at the part before.
-                let before = std::mem::replace(&mut self.flow.part, part);
-                self.customers.values_mut().for_each(|c| c.age(now, before));
-            }
+            Event::Part(part) => self.quotas.take_part(now, part),
             Event::Request(request) => self.arrive(now, request),
             Event::Spent(id) => _ = self.open.entry(id).and_modify(|o| o.spent = true),
             Event::Uploaded { id, attempt } => self.uploaded(now, id, attempt),
@@ -79,7 +67,9 @@
             Event::Gone(id) => _ = self.close(id, now),
             Event::Timer(_) => self.tick(now),
             Event::Probed { server, load, .. } => self.note_load(now, server, &load),
-            Event::Counted { name, outcome, took, total } => self.counted(now, name, outcome, took, total),
+            Event::Counted { name, outcome, took, total } => {
+                self.quotas.counted(now, name, outcome, took, total)
+            }
         }
         self.serve_held(now);
         actions.append(&mut self.acts);
@@ -96,15 +86,70 @@
                 None => self.class_mean.push(class.aim / 5.0),
             }
         }
-        for customer in self.customers.values_mut() {
-            if let Some(plan) = set.plans.get(customer.of.0) {
-                customer.plan = plan.clone();
+        self.quotas.settle((&set).into());
+        self.set = set;
+    }
+
+    fn arrive(&mut self, now: Millis, request: Request) {
+        let of = || self.set.classes.get(request.class.0).cloned().unwrap_or_default();
+        let rules = request.rules.as_ref();
+        let class = rules.map_or_else(of, |r| r.class.clone());
+        let tries = rules.map_or(self.set.max_attempts, |r| r.max_attempts);
+        let (id, customer) = (request.id, request.customer);
+        let (aim_at, ends_at) = (now + class.aim.min(request.time_left), now + request.time_left);
+        let mut draw = Draw::from(&request);
+        self.quotas.meet(now, &mut draw, &mut self.acts);
+        let open = Open { request, draw, class, tries, aim_at, ends_at, ..Open::default() };
+        let hopeless = open.aim_at - now < self.mean(&open).max(2.0 * TICK) / 2.0;
+        self.open.insert(id, open);
+        if hopeless {
+            // What can no longer be served in time is not started, and would outlast the housekeeping.
+            return self.finish(now, id);
+        }
+        self.decide(now, id);
+        self.quotas.sync(now, customer, &mut self.acts);
+    }
+
+    /// Admits, holds or refuses a request that has not been sent yet.
+    fn decide(&mut self, now: Millis, id: RequestId) {
+        let calm = self.flow.out < 0.7 * self.flow.limit && self.held.is_empty();
+        let Some(open) = self.open.get_mut(&id) else { return };
+        let verdict = self.quotas.weigh(now, &mut open.draw, calm);
+        open.beyond = verdict == Verdict::Beyond;
+        match verdict {
+            Verdict::Refuse { .. } => self.finish(now, id),
+            Verdict::Wait => self.hold(id),
+            // All that are known have been taken out: waiting would only tell the client later.
+            _ if self.flow.ready == 0 && !self.servers.is_empty() => self.finish(now, id),
+            _ => {
+                if !self.place(now, id) {
+                    self.hold(id);
+                }
             }
         }
-        self.set = set;
     }
 
-    fn mean(&self, open: &Open) -> Millis {
-        self.class_mean.get(open.request.class.0).copied().unwrap_or(0.0)
+    fn hold(&mut self, id: RequestId) {
+        if !self.held.contains(&id) {
+            self.held.push(id);
+        }
+    }
+
+    /// Ends a request: what was never sent counts as declined, what is still out is called off.
+    fn close(&mut self, id: RequestId, now: Millis) -> bool {
+        let Some(open) = self.open.get_mut(&id) else { return false };
+        if open.attempts.is_empty() {
+            self.quotas.record(now, open.request.customer, open.request.units, false);
+        }
+        for (i, attempt) in open.attempts.iter().enumerate() {
+            if attempt.live && self.set.cancelling && !open.streaming {
+                self.acts.push(Action::Cancel { id, attempt: i as u8 });
+            }
+        }
+        open.ends_at = f64::NEG_INFINITY;
+        if open.attempts.iter().all(|a| !a.live) {
+            self.open.remove(&id);
+        }
+        true
     }
 }
--- a/crates/topazwind/src/logic/pressure.rs
+++ b/crates/topazwind/src/logic/pressure.rs
@@ -32,21 +32,15 @@
         }
         let timeout = if whole { open.time_out(now) } else { 0.0 };
         self.acts.push(Action::Send { id, server, timeout });
-        let (first, trusted) = (open.attempts.is_empty(), self.flow.trusted(now));
+        let first = open.attempts.is_empty();
         open.attempts.push(Attempt { server, sent: now, live: true, may_have_run: true, whole });
         if !whole {
             (open.aim_at, open.ends_at) = (f64::INFINITY, f64::INFINITY);
         }
         self.flow.out += counts;
-        if let Some(c) = self.customers.get_mut(&open.request.customer) {
-            c.open += counts;
-            if first && c.plan.rate > 0.0 {
-                // What passes beyond the quota takes nothing from the store, so it counts as declined.
-                let kind = if open.beyond { DECLINED } else { ACCEPTED };
-                c.record(now, kind, open.request.units, trusted);
-            }
-        }
+        self.quotas.out(open.request.customer, counts);
         if first {
+            self.quotas.book(now, open.request.customer, open.request.units, !open.beyond);
             self.flow.retries = (self.flow.retries + RETRY_EARN).min(RETRY_SAVED);
             let fade = (-(now - self.flow.sent_at).max(0.0) / 2000.0).exp();
             self.flow.send_rate = self.flow.send_rate * fade + 1.0 / 2000.0;
@@ -68,7 +62,7 @@
             let price = self.set.plans.get(open.request.plan.0).map_or(1.0, |p| p.price);
             let worth = open.class.worth * price * open.request.units / mean.max(1.0);
             // Newer first among equals: under pressure the oldest would only just miss their aim.
-            order.push((worth * (1.2 - (now - open.arrived) / (open.aim_at - open.arrived)), id));
+            order.push((worth * (1.2 - (now - open.draw.arrived) / (open.aim_at - open.draw.arrived)), id));
         }
         order.sort_by(|a, b| b.0.total_cmp(&a.0).then(b.1.cmp(&a.1)));
         for (place, (_, id)) in order.into_iter().enumerate() {
--- a/crates/topazwind/src/logic/retries.rs
+++ b/crates/topazwind/src/logic/retries.rs
@@ -28,9 +28,7 @@
 
     /// One more attempt is out: its customer's, its server's and this gateway's.
     pub(super) fn count_out(&mut self, customer: CustomerId, server: ServerId) {
-        if let Some(c) = self.customers.get_mut(&customer) {
-            c.open += 1.0;
-        }
+        self.quotas.out(customer, 1.0);
         if let Some(s) = self.servers.get_mut(&server) {
             s.out += 1.0;
         }
@@ -75,9 +73,7 @@
         let took = (now - a.sent) * warmth;
         a.live = false;
         a.may_have_run = !matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot);
-        if let Some(c) = self.customers.get_mut(&open.request.customer) {
-            c.open = (c.open - 1.0).max(0.0);
-        }
+        self.quotas.out(open.request.customer, -1.0);
         if matches!(outcome, Outcome::Ok | Outcome::TimedOut) {
             let ratio = (took / open.class.aim.max(1.0)).min(2.0);
             let (gain, step) = if self.flow.subset { (0.1, 0.05) } else { (0.03, 0.01) };
@@ -157,20 +153,13 @@
         // Without a server an answer's time says nothing, and where answers take less than a housekeeping it
         // would say "at once".
         let least = if self.flow.ready == 0 { open.class.aim } else { self.mean(open).max(TICK) };
-        let units = open.request.units;
-        let refill = self.customers.get(&open.request.customer).filter(|c| c.plan.rate > 0.0).map(|c| {
-            let short = if c.thin { units } else { (c.used + units - c.plan.burst).max(0.0) };
-            1000.0 * short / c.plan.rate
-        });
-        refill.unwrap_or(0.0).max(least).min(self.set.max_retry_after)
+        let customer = self.quotas.customers.get(&open.request.customer);
+        customer.map_or(0.0, |c| c.refill(open.request.units)).max(least).min(self.set.max_retry_after)
     }
 
     pub(super) fn tick(&mut self, now: Millis) {
         self.acts.push(Action::Timer { after: TICK, name: 0 });
-        self.forget(now);
-        for id in self.untold.iter().copied().collect::<Vec<_>>() {
-            self.sync(now, id);
-        }
+        self.quotas.tick(now, &mut self.acts);
         let calm = self.flow.out < 0.8 * self.flow.limit && self.set.parallel_tries;
         let hedges = self.open.iter().filter(|(_, open)| {
             let late = open.attempts.last().is_some_and(|a| now - a.sent > HEDGE_AFTER * self.mean(open));
--- a/crates/topazwind/src/state.rs
+++ b/crates/topazwind/src/state.rs
@@ -1,5 +1,5 @@
-//! What a gateway remembers: plain records, without a rule or a value of their own. Who sets and reads
-//! them, and why, is in `logic/`.
+//! What a gateway remembers: plain records and what can be read off them, without a rule or a value of their
+//! own. Who sets and reads them, and why, is in `logic/`.
 
 use crate::interface::*;
 use crate::window::Window;
@@ -7,6 +7,11 @@
 use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeMap, BTreeSet};
 
+/// The two counts kept for a customer: units sent on, and units declined for whatever reason. The
+/// design's observed count is their sum; kept apart, an answer to one alone is never inconsistent.
+pub(crate) const ACCEPTED: usize = 0;
+pub(crate) const DECLINED: usize = 1;
+
 /// What this gateway has told the counter under one kind, and what it last read.
 #[derive(Clone, Copy, Default)]
 pub(crate) struct Tally {
@@ -49,6 +54,31 @@
     pub(crate) view: Option<(Millis, f64)>,
 }
 
+impl Customer {
+    pub(crate) fn window(&self) -> Millis {
+        1000.0 * self.plan.burst / self.plan.rate
+    }
+
+    pub(crate) fn accepted(&self) -> f64 {
+        self.counts.of(ACCEPTED)
+    }
+
+    /// How long it takes for its quota to have room for so much.
+    pub(crate) fn refill(&self, units: f64) -> Millis {
+        let short = if self.thin { units } else { (self.used + units - self.plan.burst).max(0.0) };
+        if self.plan.rate > 0.0 {
+            1000.0 * short / self.plan.rate
+        } else {
+            0.0
+        }
+    }
+
+    /// A call to the counter is out.
+    pub(crate) fn busy(&self) -> bool {
+        self.tallies.iter().any(|t| t.in_flight.is_some() || t.closing.is_some())
+    }
+}
+
 /// What is known of one server.
 #[derive(Default)]
 pub(crate) struct Server {
@@ -89,10 +119,10 @@
 #[derive(Default)]
 pub(crate) struct Open {
     pub(crate) request: Request,
+    pub(crate) draw: Draw,
     pub(crate) class: Class,
     /// Attempts it may have; 0: no limit.
     pub(crate) tries: u32,
-    pub(crate) arrived: Millis,
     pub(crate) aim_at: Millis,
     pub(crate) ends_at: Millis,
     pub(crate) attempts: Vec<Attempt>,
@@ -100,17 +130,12 @@
     /// Its body cannot be sent again.
     pub(crate) spent: bool,
     pub(crate) beyond: bool,
-    /// It waits for its customer's count; it has passed the quota.
-    pub(crate) asked: bool,
-    pub(crate) passed: bool,
 }
 
 /// What is known of the fleet and this gateway's own traffic as a whole.
 #[derive(Default)]
 pub(crate) struct Flow {
     pub(crate) started: bool,
-    /// The part that this process uses of what is a gateway's own.
-    pub(crate) part: f64,
     /// Mean answer time of the fleet, and its ratio to the aims.
     pub(crate) mean: Millis,
     pub(crate) slowness: f64,
@@ -131,11 +156,32 @@
     pub(crate) retries: f64,   // further attempts saved up
     pub(crate) send_rate: f64, // first sends a millisecond, decaying
     pub(crate) sent_at: Millis,
-    /// Pause after failed calls to the counter.
-    pub(crate) count_pause: Millis,
-    pub(crate) count_after: Millis,
+}
+
+/// A server that a request may go to.
+pub(crate) struct Able {
+    pub(crate) id: ServerId,
+    pub(crate) warmth: f64,
+    pub(crate) roll: f64,
+}
+
+/// The stable name of one customer's count of a kind in an epoch.
+pub(crate) fn count_name(customer: CustomerId, kind: usize, epoch: i64) -> CountName {
+    let mut x = customer.0.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ ((epoch as u64) << 1 | kind as u64);
+    for _ in 0..2 {
+        x = (x ^ (x >> 31)).wrapping_mul(0xd6e8_feb8_6659_fd93);
+    }
+    CountName(x ^ (x >> 32))
+}
+
+/// How calls to the counter fare.
+#[derive(Default)]
+pub(crate) struct Calling {
+    /// Pause after failed calls.
+    pub(crate) pause: Millis,
+    pub(crate) after: Millis,
     /// When a call was last answered; the counter has been silent since.
-    pub(crate) count_ok_at: Millis,
+    pub(crate) ok_at: Millis,
     pub(crate) silent: bool,
     /// After a silence others have not all told yet; they have by then.
     pub(crate) settles_at: Millis,
@@ -144,33 +190,52 @@
     pub(crate) paced_at: Millis,
 }
 
-/// What quota admission says of a request.
-#[derive(PartialEq)]
-pub(crate) enum Verdict {
-    Within,
-    Beyond,
-    Wait,
-    Refuse,
+/// The customers' quotas as one gateway keeps them, together with all others through the counter. A
+/// [`Gateway`] has its own; alone it serves callers that decide all else themselves.
+pub struct Quotas {
+    pub(crate) set: QuotaSettings,
+    pub(crate) rng: Pcg64Mcg,
+    pub(crate) customers: BTreeMap<CustomerId, Customer>,
+    /// Customers with something to tell the counter.
+    pub(crate) untold: BTreeSet<CustomerId>,
+    /// Where the search for customers to forget has come to.
+    pub(crate) looked: CustomerId,
+    pub(crate) calls: BTreeMap<CountName, (CustomerId, usize)>,
+    /// The part that this process uses of what is a gateway's own.
+    pub(crate) part: f64,
+    pub(crate) calling: Calling,
 }
 
-/// A server that a request may go to.
-pub(crate) struct Able {
-    pub(crate) id: ServerId,
-    pub(crate) warmth: f64,
-    pub(crate) roll: f64,
+impl Quotas {
+    /// The record of one that has met nobody yet.
+    pub(crate) fn blank(set: QuotaSettings, calling: Calling, part: f64, seed: u64) -> Self {
+        let (rng, (customers, untold, looked, calls)) = (Pcg64Mcg::seed_from_u64(seed), Default::default());
+        Quotas { set, rng, customers, untold, looked, calls, part, calling }
+    }
+
+    /// A random number from 0 up to 1.
+    pub(crate) fn chance(&mut self) -> f64 {
+        (self.rng.next_u64() >> 11) as f64 / (1u64 << 53) as f64
+    }
+
+    /// Customers of which something is remembered.
+    pub fn remembered(&self) -> usize {
+        self.customers.len()
+    }
+
+    /// So many more of a customer's attempts are out, or fewer.
+    pub fn out(&mut self, customer: CustomerId, more: f64) {
+        if let Some(c) = self.customers.get_mut(&customer) {
+            c.open = (c.open + more).max(0.0);
+        }
+    }
 }
 
 /// One gateway's decision module.
 pub struct Gateway {
     pub(crate) set: Settings,
-    pub(crate) rng: Pcg64Mcg,
     pub(crate) servers: BTreeMap<ServerId, Server>,
-    pub(crate) customers: BTreeMap<CustomerId, Customer>,
-    /// Customers with something to tell the counter.
-    pub(crate) untold: BTreeSet<CustomerId>,
-    /// Where the search for customers to forget has come to.
-    pub(crate) looked: CustomerId,
-    pub(crate) calls: BTreeMap<CountName, (CustomerId, usize)>,
+    pub(crate) quotas: Quotas,
     pub(crate) open: BTreeMap<RequestId, Open>,
     pub(crate) held: Vec<RequestId>,
     pub(crate) class_mean: Vec<Millis>,
@@ -183,30 +248,30 @@
 
 impl Gateway {
     /// The record of one that has met nothing yet.
-    pub(crate) fn blank(set: Settings, class_mean: Vec<Millis>, flow: Flow, seed: u64) -> Self {
-        let (servers, customers, calls, open, untold, looked) = Default::default();
-        let (mut rng, held, acts) = (Pcg64Mcg::seed_from_u64(seed), Vec::new(), Vec::new());
-        let (ranked, salt) = (Vec::new(), rng.next_u64());
-        Gateway {
-            set,
-            rng,
-            servers,
-            customers,
-            untold,
-            looked,
-            calls,
-            open,
-            held,
-            class_mean,
-            ranked,
-            salt,
-            flow,
-            acts,
-        }
+    pub(crate) fn blank(set: Settings, mut quotas: Quotas, class_mean: Vec<Millis>, flow: Flow) -> Self {
+        let (servers, open, salt) = (BTreeMap::new(), BTreeMap::new(), quotas.rng.next_u64());
+        let (held, ranked, acts) = Default::default();
+        Gateway { set, servers, quotas, open, held, class_mean, ranked, salt, flow, acts }
     }
 
     /// A random number from 0 up to 1.
     pub(crate) fn chance(&mut self) -> f64 {
-        (self.rng.next_u64() >> 11) as f64 / (1u64 << 53) as f64
+        self.quotas.chance()
+    }
+
+    /// Customers of which something is remembered.
+    pub fn remembered(&self) -> usize {
+        self.quotas.remembered()
+    }
+
+    /// Mean answer time of a request's class.
+    pub(crate) fn mean(&self, open: &Open) -> Millis {
+        self.class_mean.get(open.request.class.0).copied().unwrap_or(0.0)
+    }
+
+    /// How long the oldest attempt that is out at a server has been so.
+    pub(crate) fn longest_out(&self, now: Millis, server: ServerId) -> Millis {
+        let attempts = self.open.values().flat_map(|o| &o.attempts);
+        attempts.filter(|a| a.live && a.server == server).map(|a| now - a.sent).fold(0.0, f64::max)
     }
 }
--- /dev/null
+++ b/crates/topazwind/tests/quotas.rs
@@ -0,0 +1,102 @@
+//! Quotas kept alone, for a caller that decides all else itself.
+
+use topazwind::interface::*;
+use topazwind::logic::Quotas;
+
+fn quotas() -> Quotas {
+    let plans = vec![
+        Plan { rate: 5.0, burst: 10.0, ..Plan::default() },
+        Plan::default(),
+        Plan { max_open: 2.0, ..Plan::default() },
+    ];
+    Quotas::new(QuotaSettings { plans, max_units: 1.0, counter: true, counter_timeout: 50.0 }, 11)
+}
+
+fn draw(customer: u64, plan: usize) -> Draw {
+    Draw { customer: CustomerId(customer), plan: PlanId(plan), units: 1.0, spread: 1.0, ..Draw::default() }
+}
+
+/// Asks so many times and books what is said; returns how many were let in.
+fn ask(quotas: &mut Quotas, now: Millis, customer: u64, plan: usize, n: usize) -> usize {
+    let mut told = Vec::new();
+    let mut one = || {
+        let within = quotas.admit(now, draw(customer, plan), &mut told) == Verdict::Within;
+        quotas.record(now, CustomerId(customer), 1.0, within);
+        within
+    };
+    (0..n).filter(|_| one()).count()
+}
+
+fn tick(quotas: &mut Quotas, now: Millis) -> Vec<(CountName, f64)> {
+    let mut actions = Vec::new();
+    quotas.tick(now, &mut actions);
+    let count = |action| match action {
+        Action::Count { name, add, .. } => (name, add),
+        other => panic!("{other:?} is no call to the counter"),
+    };
+    actions.into_iter().map(count).collect()
+}
+
+#[test]
+fn a_burst_passes_and_what_follows_is_told_when_to_come_back() {
+    let mut quotas = quotas();
+    assert_eq!(ask(&mut quotas, 1000.0, 1, 0, 10), 10);
+    ask(&mut quotas, 1000.0, 1, 0, 10);
+    match quotas.admit(1000.0, draw(1, 0), &mut Vec::new()) {
+        Verdict::Refuse { retry_after } => assert!((20.0..=2000.0).contains(&retry_after), "{retry_after}"),
+        other => panic!("{other:?}"),
+    }
+    assert_eq!(ask(&mut quotas, 1000.0, 2, 0, 10), 10, "another customer has its own");
+    assert_eq!(ask(&mut quotas, 1000.0, 3, 1, 100), 100, "and without a quota all pass");
+    assert_eq!(quotas.remembered(), 3);
+}
+
+#[test]
+fn over_a_minute_a_customer_gets_its_rate() {
+    let mut quotas = quotas();
+    let within: usize = (0..3000).map(|i| ask(&mut quotas, f64::from(i) * 20.0, 1, 0, 1)).sum();
+    assert!((270..=340).contains(&within), "{within} of 300 and a burst of 10");
+}
+
+#[test]
+fn what_is_booked_is_told_and_what_others_told_counts() {
+    let mut quotas = quotas();
+    ask(&mut quotas, 1000.0, 1, 0, 4);
+    let told = tick(&mut quotas, 1020.0);
+    assert_eq!(told.iter().map(|(_, add)| add).sum::<f64>(), 4.0);
+    assert!(tick(&mut quotas, 1040.0).is_empty(), "once");
+    // Others have used the whole burst.
+    quotas.counted(1050.0, told[0].0, Outcome::Ok, 5.0, 24.0);
+    assert_eq!(ask(&mut quotas, 1060.0, 1, 0, 5), 0);
+}
+
+#[test]
+fn a_refused_request_is_told_as_declined() {
+    let mut quotas = quotas();
+    quotas.admit(1000.0, draw(1, 0), &mut Vec::new());
+    quotas.record(1000.0, CustomerId(1), 1.0, false);
+    let told: Vec<f64> =
+        [1020.0, 3000.0].iter().flat_map(|at| tick(&mut quotas, *at)).map(|(_, add)| add).collect();
+    assert!(told.contains(&1.0), "{told:?}");
+    // It took nothing from the store.
+    assert_eq!(ask(&mut quotas, 10_000.0, 1, 0, 10), 10);
+}
+
+#[test]
+fn what_is_out_counts_against_the_open_cap() {
+    let mut quotas = quotas();
+    quotas.admit(0.0, draw(1, 2), &mut Vec::new());
+    quotas.out(CustomerId(1), 2.0);
+    assert_eq!(quotas.admit(1.0, draw(1, 2), &mut Vec::new()), Verdict::Wait);
+    quotas.out(CustomerId(1), -1.0);
+    assert_eq!(quotas.admit(2.0, draw(1, 2), &mut Vec::new()), Verdict::Within);
+}
+
+#[test]
+fn new_plans_hold_for_known_customers() {
+    let mut quotas = quotas();
+    ask(&mut quotas, 1000.0, 1, 0, 10);
+    let plans = vec![Plan { rate: 50.0, burst: 100.0, ..Plan::default() }];
+    quotas.settle(QuotaSettings { plans, max_units: 1.0, ..QuotaSettings::default() });
+    assert_eq!(ask(&mut quotas, 1000.0, 1, 0, 90), 90);
+}
