Zones, cold servers and further attempts can be set; a request may be kept to zones

Several gateways behind one entry share servers, and each service has its own idea of what a zone, a repeat or a second copy may cost. Settings take a cost for each zone, the further attempts saved and earned, the rate to a cold server and when a second copy goes out; a request may name the zones that its servers may stand in, and is refused at once where none there takes requests. Ejection then goes by the servers in its reach.

--- a/crates/topazwind/src/interface.rs
+++ b/crates/topazwind/src/interface.rs
@@ -168,6 +168,17 @@
     pub report: Vec<Load>,
     /// The operators' weights.
     pub goal: Goal,
+    /// What a server costs by its zone's number, as a multiple; for one left out, 1 near and a little more else.
+    pub zone_cost: Vec<f64>,
+    /// The most further attempts that can be saved up, which are there at first too; 0: 10.
+    pub retry_saved: f64,
+    /// Further attempts earned by each first one; 0: 0.1.
+    pub retry_earn: f64,
+    /// The most requests a second that this gateway sends to one cold server; 0: what one that is warm gets, by
+    /// the share of its capacity that it surely has.
+    pub cold_rate: f64,
+    /// Mean answer times after which a second copy goes out; 0: 8.
+    pub hedge_after: f64,
 }
 
 /// What a keeper of quotas is told at its start.
@@ -262,6 +273,8 @@
     pub repeat: bool,
     /// Its body is still coming. Its time counts from [`Event::Uploaded`].
     pub uploading: bool,
+    /// Zones that its servers may stand in, a bit for each by its number; 0: all. A zone past the 64th is in none.
+    pub within: u64,
     /// What it was read by; without, the settings of the moment hold.
     pub rules: Option<Arc<Rules>>,
 }
--- a/crates/topazwind/src/logic/choice.rs
+++ b/crates/topazwind/src/logic/choice.rs
@@ -95,7 +95,6 @@
             }
             known.entry = entry;
         }
-        self.flow.ready = self.servers.values().filter(|s| s.entry.state == ServerState::Ready).count();
         self.ranked = self.servers.keys().copied().collect();
         let salt = self.salt;
         self.ranked.sort_by_key(|s| (s.0 ^ salt).wrapping_mul(0x9e37_79b9_7f4a_7c15).rotate_left(29));
@@ -117,9 +116,10 @@
     pub(super) fn choose(&mut self, now: Millis, open: &Open) -> Option<ServerId> {
         let ran = open.attempts.iter().find(|a| a.may_have_run).copied();
         let bound = ran.and_then(|a| self.servers.get(&a.server)).map(|s| (s.entry.zone, s.entry.cell));
-        let ready = self.servers.values().filter(|s| s.entry.state == ServerState::Ready).count();
+        let within = open.request.within;
+        let (ready, in_reach) = (self.ready(0).count(), self.ready(within).count());
         let sound = |s: &Server| s.ejected_until <= now && (s.fails < EJECT_AFTER || s.out < 1.0);
-        let healthy = self.servers.values().filter(|s| sound(s)).count();
+        let healthy = self.servers.values().filter(|s| s.within(within) && sound(s)).count();
         // Subsetting: danger is that evidence of each server comes too rarely to act on. Of a subset, in an
         // order of this gateway's own, two are compared: all compared would send many gateways to one server
         // at once. It covers every kind of slowness and hurts by uneven shares, which load reports even out.
@@ -141,6 +141,8 @@
         let all_warm = || self.servers.values().filter(warm).count().max(1) as f64;
         let rate = self.flow.send_rate;
         let rate_to_warm = if subset { rate / size } else { (rate / all_warm()).max(0.0005) };
+        // Several gateways before the same servers divide what a cold one may be sent: each has its bound.
+        let cold_most = given(self.set.cold_rate / 1000.0, f64::INFINITY);
         let mut able = Vec::new();
         for id in self.ranked.clone() {
             if subset && able.len() as f64 >= size {
@@ -149,7 +151,7 @@
             let roll = self.chance();
             let warmth = Self::warmth(&self.set, now, &self.servers[&id]);
             let Some(s) = self.servers.get_mut(&id) else { continue };
-            if s.entry.state != ServerState::Ready || s.paused_until > now {
+            if s.entry.state != ServerState::Ready || s.paused_until > now || !s.within(within) {
                 continue;
             }
             let allowed = match open.class.repeat {
@@ -158,20 +160,20 @@
                 repeat => repeat != Repeat::Unsafe,
             };
             if ran.is_some() && !allowed
-                || open.attempts.iter().any(|a| a.server == id && (a.live || ready > 1))
+                || open.attempts.iter().any(|a| a.server == id && (a.live || in_reach > 1))
             {
                 continue;
             }
-            // Ejection holds while half of the fleet is sound; past that, slowness is everyone's and only
-            // servers that cannot be reached stay out.
-            if !sound(s) && (2 * healthy >= ready || s.unreachable) {
+            // Ejection holds while half of those in reach are sound; past that, slowness is everyone's and
+            // only servers that cannot be reached stay out.
+            if !sound(s) && (2 * healthy >= in_reach || s.unreachable) {
                 continue;
             }
             if warmth < 1.0 {
                 // Slow start: each gateway sends a cold server no more than its own mean rate to a warm one,
                 // scaled by the surely present capacity; danger is toppling it, by a burst or together. Half
                 // as much again from each of a hundred gateways toppled one by chance.
-                let rate = warmth * rate_to_warm;
+                let rate = (warmth * rate_to_warm).min(cold_most);
                 s.tokens = (s.tokens + (now - s.tokens_at).max(0.0) * rate).min(1.0);
                 s.tokens_at = now;
                 if s.tokens < 1.0 {
@@ -195,7 +197,8 @@
             let mean = fleet + (told(s.mean) - fleet) * stale;
             let fade = (-(now - s.crowd_at).max(0.0) / (FAST_SPAN * slack * slack)).exp();
             let crowd = usual + (s.crowd - usual) * fade;
-            let zone = if s.entry.zone == self.set.zone { 1.0 } else { CROSS_ZONE };
+            let usual_zone = if s.entry.zone == self.set.zone { 1.0 } else { CROSS_ZONE };
+            let zone = self.set.zone_cost.get(usize::from(s.entry.zone)).copied().unwrap_or(usual_zone);
             let turn = TURN * (-(now - s.sent_at).max(0.0) / round).exp() + CHANCE * able.roll;
             // An attempt that is out for longer says so before it ends; warmth the draw has weighed. A cold
             // one that may be sent something and has had nothing for long has its turn: its tokens are its
--- a/crates/topazwind/src/logic/mod.rs
+++ b/crates/topazwind/src/logic/mod.rs
@@ -37,7 +37,7 @@
     /// A gateway that knows nothing yet but its settings.
     pub fn new(set: Settings, seed: u64) -> Self {
         let class_mean = set.classes.iter().map(|c| c.aim / 5.0).collect();
-        let flow = Flow { retries: RETRY_SAVED, ..Flow::default() };
+        let flow = Flow { retries: given(set.retry_saved, RETRY_SAVED), ..Flow::default() };
         let quotas = Quotas::new((&set).into(), seed);
         Gateway::blank(set, quotas, class_mean, flow)
     }
@@ -116,11 +116,12 @@
         let Some(open) = self.open.get_mut(&id) else { return };
         let verdict = self.quotas.weigh(now, &mut open.draw, calm);
         open.beyond = verdict == Verdict::Beyond;
+        let within = open.request.within;
         match verdict {
             Verdict::Refuse { .. } => self.finish(now, id),
             Verdict::Wait => self.hold(id),
-            // All that are known have been taken out: waiting would only tell the client later.
-            _ if self.flow.ready == 0 && !self.servers.is_empty() => self.finish(now, id),
+            // All that it may go to have been taken out: waiting would only tell the client later.
+            _ if self.ready(within).next().is_none() && !self.servers.is_empty() => self.finish(now, id),
             _ => {
                 if !self.place(now, id) {
                     self.hold(id);
--- a/crates/topazwind/src/logic/pressure.rs
+++ b/crates/topazwind/src/logic/pressure.rs
@@ -41,7 +41,9 @@
         self.quotas.out(open.request.customer, counts);
         if first {
             self.quotas.book(now, open.request.customer, open.request.units, !open.beyond);
-            self.flow.retries = (self.flow.retries + RETRY_EARN).min(RETRY_SAVED);
+            let (earn, most) =
+                (given(self.set.retry_earn, RETRY_EARN), given(self.set.retry_saved, RETRY_SAVED));
+            self.flow.retries = (self.flow.retries + earn).min(most);
             let fade = (-(now - self.flow.sent_at).max(0.0) / 2000.0).exp();
             self.flow.send_rate = self.flow.send_rate * fade + 1.0 / 2000.0;
             self.flow.sent_at = now;
--- a/crates/topazwind/src/logic/retries.rs
+++ b/crates/topazwind/src/logic/retries.rs
@@ -152,7 +152,11 @@
     pub(super) fn come_back(&self, open: &Open) -> Millis {
         // Without a server an answer's time says nothing, and where answers take less than a housekeeping it
         // would say "at once".
-        let least = if self.flow.ready == 0 { open.class.aim } else { self.mean(open).max(TICK) };
+        let least = if self.ready(open.request.within).next().is_none() {
+            open.class.aim
+        } else {
+            self.mean(open).max(TICK)
+        };
         let customer = self.quotas.customers.get(&open.request.customer);
         customer.map_or(0.0, |c| c.refill(open.request.units)).max(least).min(self.set.max_retry_after)
     }
@@ -161,8 +165,9 @@
         self.acts.push(Action::Timer { after: TICK, name: 0 });
         self.quotas.tick(now, &mut self.acts);
         let calm = self.flow.out < 0.8 * self.flow.limit && self.set.parallel_tries;
+        let hedge_after = given(self.set.hedge_after, HEDGE_AFTER);
         let hedges = self.open.iter().filter(|(_, open)| {
-            let late = open.attempts.last().is_some_and(|a| now - a.sent > HEDGE_AFTER * self.mean(open));
+            let late = open.attempts.last().is_some_and(|a| now - a.sent > hedge_after * self.mean(open));
             late && !open.request.uploading
                 && open.ends_at > now
                 && open.attempts.iter().filter(|a| a.live).count() == 1
--- a/crates/topazwind/src/state.rs
+++ b/crates/topazwind/src/state.rs
@@ -54,6 +54,13 @@
     pub(crate) view: Option<(Millis, f64)>,
 }
 
+impl Server {
+    /// It stands in one of these zones.
+    pub(crate) fn within(&self, zones: u64) -> bool {
+        zones == 0 || self.entry.zone < 64 && zones >> self.entry.zone & 1 == 1
+    }
+}
+
 impl Customer {
     pub(crate) fn window(&self) -> Millis {
         1000.0 * self.plan.burst / self.plan.rate
@@ -115,6 +122,14 @@
     pub(crate) whole: bool,
 }
 
+/// A setting, or what holds where it is left at nothing.
+pub(crate) fn given(set: f64, usual: f64) -> f64 {
+    match set > 0.0 {
+        true => set,
+        false => usual,
+    }
+}
+
 /// A request that is owed an answer.
 #[derive(Default)]
 pub(crate) struct Open {
@@ -145,8 +160,6 @@
     pub(crate) spread: f64,
     /// This gateway keeps to a part of the fleet.
     pub(crate) subset: bool,
-    /// Servers on the list that take requests.
-    pub(crate) ready: usize,
     /// Nothing is sent before this.
     pub(crate) rest_until: Millis,
     /// Mean reported crowding.
@@ -264,6 +277,11 @@
         self.quotas.remembered()
     }
 
+    /// Servers in these zones that take requests.
+    pub(crate) fn ready(&self, zones: u64) -> impl Iterator<Item = &Server> {
+        self.servers.values().filter(move |s| s.entry.state == ServerState::Ready && s.within(zones))
+    }
+
     /// Mean answer time of a request's class.
     pub(crate) fn mean(&self, open: &Open) -> Millis {
         self.class_mean.get(open.request.class.0).copied().unwrap_or(0.0)
--- a/crates/topazwind/src/wire/host.rs
+++ b/crates/topazwind/src/wire/host.rs
@@ -129,8 +129,7 @@
                 time_left: r.f64(20)?,
                 spread: r.f32(16)?,
                 repeat: r.u16(10)? & 2 != 0,
-                uploading: false,
-                rules: None,
+                ..Request::default()
             }),
             1030 => Event::Ended {
                 id: RequestId(r.u32(6)?),
--- a/crates/topazwind/src/wire/settings.rs
+++ b/crates/topazwind/src/wire/settings.rs
@@ -133,6 +133,7 @@
             worst_class: lines.num("goal.worst_class", 0.0)?,
             worst_plan: lines.num("goal.worst_tenant", 0.0)?,
         },
+        ..Settings::default()
     })
 }
 
--- /dev/null
+++ b/crates/topazwind/tests/settings.rs
@@ -0,0 +1,179 @@
+//! Settings that may be left out: what each does, and that nothing changes without it.
+
+mod events;
+
+use events::{asks, ended};
+use topazwind::interface::*;
+use topazwind::logic::Gateway;
+
+struct Rig {
+    gateway: Gateway,
+    next: u32,
+}
+
+fn settings() -> Settings {
+    Settings {
+        gateways: 1.0,
+        classes: vec![Class { aim: 500.0, deadline: 1500.0, worth: 1.0, ..Class::default() }],
+        max_units: 1.0,
+        parallel_tries: true,
+        cancelling: true,
+        cold_start: 0.5,
+        warm_after: 60_000.0,
+        ..Settings::default()
+    }
+}
+
+fn server(n: u64, zone: u16) -> ServerEntry {
+    ServerEntry { server: ServerId(n), weight: 1.0, zone, ..ServerEntry::default() }
+}
+
+impl Rig {
+    fn new(settings: Settings, entries: Vec<ServerEntry>) -> Self {
+        let mut rig = Rig { gateway: Gateway::new(settings, 11), next: 0 };
+        rig.feed(0.0, Event::Servers { update: ListUpdate::Full, entries });
+        rig
+    }
+
+    fn feed(&mut self, now: Millis, event: Event) -> Vec<Action> {
+        let mut actions = Vec::new();
+        self.gateway.handle(now, event, &mut actions);
+        actions
+    }
+
+    fn ask(&mut self, now: Millis, within: u64) -> (RequestId, Vec<Action>) {
+        self.next += 1;
+        let id = RequestId(self.next);
+        let mut ask = asks(id, CustomerId(1), 1.0, 1500.0);
+        if let Event::Request(request) = &mut ask {
+            request.within = within;
+        }
+        (id, self.feed(now, ask))
+    }
+
+    /// Asks every 20 ms for so many times, each served within 5 ms; returns where they went.
+    fn serve(&mut self, from: Millis, times: u32, within: u64) -> Vec<ServerId> {
+        let one = |i| {
+            let now = from + 20.0 * f64::from(i);
+            let (id, actions) = self.ask(now, within);
+            let server = sent(&actions).expect("sent on");
+            self.feed(now + 5.0, ended(id, 0, server, Outcome::Ok, 5.0));
+            server
+        };
+        (0..times).map(one).collect()
+    }
+}
+
+fn sent(actions: &[Action]) -> Option<ServerId> {
+    actions.iter().find_map(|a| match a {
+        Action::Send { server, .. } => Some(*server),
+        _ => None,
+    })
+}
+
+fn refused(actions: &[Action]) -> bool {
+    actions.iter().any(|a| matches!(a, Action::Refuse { .. }))
+}
+
+#[test]
+fn zones_cost_what_is_set_and_the_near_one_least_without() {
+    let served = |zone_cost| {
+        let entries = (0..3).map(|zone| server(u64::from(zone), zone)).collect();
+        Rig::new(Settings { zone_cost, ..settings() }, entries).serve(0.0, 50, 0)
+    };
+    assert!(served(vec![]).iter().all(|s| *s == ServerId(0)));
+    assert!(served(vec![1.5, 1.5, 1.0]).iter().all(|s| *s == ServerId(2)));
+    // A zone left out costs what it would without.
+    assert!(served(vec![2.0]).iter().all(|s| *s != ServerId(0)));
+}
+
+#[test]
+fn a_request_keeps_to_its_zones() {
+    let entries = || (1..=6).map(|n| server(n, (n % 3) as u16)).collect();
+    let mut rig = Rig::new(settings(), entries());
+    assert!(rig.serve(0.0, 50, 0b010).iter().all(|s| s.0 % 3 == 1));
+    assert!(rig.serve(2000.0, 50, 0b110).iter().all(|s| s.0 % 3 != 0));
+    // So do its further attempts, as long as there is one.
+    let (id, actions) = rig.ask(4000.0, 0b100);
+    let first = sent(&actions).unwrap();
+    let again = sent(&rig.feed(4001.0, ended(id, 0, first, Outcome::Error, 1.0))).unwrap();
+    assert_eq!(first.0 + again.0, 2 + 5);
+    let last = rig.feed(4002.0, ended(id, 1, again, Outcome::Error, 1.0));
+    assert!(sent(&last).is_none() && refused(&last), "{last:?}");
+}
+
+#[test]
+fn where_no_server_is_allowed_a_request_is_refused_at_once() {
+    let mut rig = Rig::new(settings(), vec![server(1, 0), server(2, 70)]);
+    for within in [0b10, 1 << 6] {
+        let (_, actions) = rig.ask(0.0, within);
+        assert!(sent(&actions).is_none() && refused(&actions), "{actions:?}");
+    }
+    // And the others are as they were.
+    assert_eq!(rig.serve(10.0, 1, 0b1), [ServerId(1)]);
+}
+
+#[test]
+fn where_all_allowed_servers_fail_ejection_does_not_hold() {
+    let entries = (1..=6).map(|n| server(n, u16::from(n > 4))).collect();
+    let mut rig = Rig::new(settings(), entries);
+    for i in 0..12 {
+        let now = f64::from(i) * 20.0;
+        let (id, actions) = rig.ask(now, 0b10);
+        let server = sent(&actions).expect("sent on");
+        assert!(server.0 > 4);
+        rig.feed(now + 1.0, ended(id, 0, server, Outcome::Error, 1.0));
+        rig.feed(now + 2.0, Event::Gone(id));
+    }
+}
+
+#[test]
+fn further_attempts_are_saved_and_earned_as_set() {
+    let further = |retry_saved, retry_earn| {
+        let entries = (1..=40).map(|n| server(n, 0)).collect();
+        let mut rig = Rig::new(Settings { retry_saved, retry_earn, ..settings() }, entries);
+        let mut further = 0;
+        for i in 0..9 {
+            let now = f64::from(i) * 20.0;
+            let (id, mut actions) = rig.ask(now, 0);
+            let mut attempt = 0;
+            while let Some(server) = sent(&actions) {
+                actions = rig.feed(now + 1.0, ended(id, attempt, server, Outcome::Error, 1.0));
+                attempt += 1;
+            }
+            further += attempt - 1;
+        }
+        further
+    };
+    // One at first, and one more by each four: at the fifth and the ninth.
+    assert_eq!(further(1.0, 0.25), 3);
+    assert_eq!(further(0.5, 0.25), 0, "less than one is none");
+    assert_eq!(further(0.0, 0.0), 10, "ten are there, and of nine no whole one is earned");
+}
+
+#[test]
+fn a_cold_server_is_sent_no_more_than_set() {
+    let to_cold = |cold_rate| {
+        let cold = ServerEntry { started: 1.0, ..server(1, 0) };
+        let entries = vec![cold, server(2, 0), server(3, 0)];
+        let mut rig = Rig::new(Settings { cold_rate, cold_start: 0.95, ..settings() }, entries);
+        rig.serve(10.0, 500, 0).iter().filter(|s| **s == ServerId(1)).count()
+    };
+    assert!(to_cold(0.0) > 20, "{} in ten seconds", to_cold(0.0));
+    let bounded = to_cold(0.5);
+    assert!((2..=6).contains(&bounded), "{bounded} in ten seconds");
+    assert_eq!(to_cold(1000.0), to_cold(0.0), "no more than without");
+}
+
+#[test]
+fn a_second_copy_goes_out_when_set() {
+    let hedged_at = |hedge_after| {
+        let mut rig =
+            Rig::new(Settings { hedge_after, ..settings() }, (1..=4).map(|n| server(n, 0)).collect());
+        rig.ask(0.0, 0);
+        (1..25).map(|i| 20.0 * f64::from(i)).find(|now| sent(&rig.feed(*now, Event::Timer(0))).is_some())
+    };
+    // The class's answers are held to take a fifth of its aim, 100 ms, until some came.
+    assert_eq!(hedged_at(2.0), Some(220.0));
+    assert_eq!(hedged_at(0.0), None, "eight of them are past the aim");
+}
