Decisions: a concurrency limit that begins by the servers' size, slow by its own mark

Ruled out: servers turning away (no 'not run' arrivals), cold servers (none after the start). With subsetting of 8 servers a limiter also drew far ones.

--- a/crates/proscenium/src/house.rs
+++ b/crates/proscenium/src/house.rs
@@ -42,6 +42,14 @@
 /// Cost of a server in another zone of the region, and in another region, beside the near one.
 const SAME_REGION: f64 = 1.5;
 const OTHER_REGION: f64 = 4.0;
+/// Answers that take this share of the aim on the mean say that servers are full: the work alone may take a third, and the
+/// way to another region a tenth.
+const SLOW_MARK: f64 = 0.7;
+/// Requests of a service that a limiter has out at once at least. Servers turn away what is too much for them, and that
+/// costs less than a request that is held back for a limit that has not grown yet.
+const LEAST_LIMIT: f64 = 12.0;
+/// A limiter compares all servers of a service up to this number: the near ones are among them.
+const SUBSET_LEAST: f64 = 40.0;
 /// Share of the rule's further tries that is spent: what others see a little later is in the rest.
 const TRIES_SHARE: f64 = 0.75;
 /// Share of a cold server's rate that all limiters together send it.
@@ -282,6 +290,9 @@
             retry_saved: TRIES_SHARE * node.bounds.extra_tries / limiters,
             retry_earn: TRIES_SHARE * node.bounds.retry_ratio,
             cold_rate: COLD_SHARE * cold_rate / limiters,
+            slow_mark: SLOW_MARK,
+            least_limit: LEAST_LIMIT,
+            subset_least: SUBSET_LEAST,
             ..Settings::default()
         }
     }
--- a/crates/topazwind/src/interface.rs
+++ b/crates/topazwind/src/interface.rs
@@ -179,6 +179,13 @@
     pub cold_rate: f64,
     /// Mean answer times after which a second copy goes out; 0: 8.
     pub hedge_after: f64,
+    /// Mean answer time, as a share of the aim, at which the concurrency limit starts to fall; 0: 0.27. Where the work
+    /// alone takes such a share, time says nothing of a queue below it.
+    pub slow_mark: f64,
+    /// The concurrency limit never falls below this; 0: two attempts a server, over all gateways.
+    pub least_limit: f64,
+    /// A gateway keeps to no fewer servers than this; 0: 8.
+    pub subset_least: f64,
 }
 
 /// What a keeper of quotas is told at its start.
--- a/crates/topazwind/src/logic/choice.rs
+++ b/crates/topazwind/src/logic/choice.rs
@@ -123,7 +123,7 @@
         // Subsetting: danger is that evidence of each server comes too rarely to act on. Of a subset, in an
         // order of this gateway's own, two are compared: all compared would send many gateways to one server
         // at once. It covers every kind of slowness and hurts by uneven shares, which load reports even out.
-        let size = (self.flow.send_rate * SUBSET_SPAN).max(SUBSET_LEAST);
+        let size = (self.flow.send_rate * SUBSET_SPAN).max(given(self.set.subset_least, SUBSET_LEAST));
         let subset = size < ready as f64;
         self.flow.subset = subset;
         // Noise decides nothing: danger is that the server which was luckiest so far gets all, and is the
--- a/crates/topazwind/src/logic/mod.rs
+++ b/crates/topazwind/src/logic/mod.rs
@@ -87,6 +87,7 @@
             }
         }
         self.quotas.settle((&set).into());
+        self.flow.limit = self.flow.limit.max(set.least_limit);
         self.set = set;
     }
 
