--- a/crates/proscenium/src/counts.rs
+++ b/crates/proscenium/src/counts.rs
@@ -172,9 +172,13 @@
 }
 
 fn settings(plans: Vec<Plan>) -> QuotaSettings {
-    QuotaSettings { plans, max_units: 1.0, counter: true, counter_timeout: WITHIN.as_secs_f64() * 1000.0 }
+    let counter_timeout = WITHIN.as_secs_f64() * 1000.0;
+    QuotaSettings { plans, max_units: 1.0, counter: true, counter_timeout, sync_every: SYNC_EVERY }
 }
 
+/// Between two syncs of a tenant, ms: a tenth of a window of one second. What a tenant that begins to press sends through all
+/// limiters between two syncs comes on top of its burst.
+const SYNC_EVERY: Millis = 100.0;
 /// Longest that a number is kept, ms.
 const LONGEST: Millis = 120_000.0;
 /// A limiter whose session ended is taken to keep its numbers for this long, ms: it may be cut off from the core alone, and
--- a/crates/topazwind/src/interface.rs
+++ b/crates/topazwind/src/interface.rs
@@ -199,12 +199,15 @@
     pub counter: bool,
     /// A call to it ends as timed out after this span.
     pub counter_timeout: Millis,
+    /// Shortest time between two syncs of a customer; 0: 250 ms, a bucket.
+    pub sync_every: Millis,
 }
 
 impl From<&Settings> for QuotaSettings {
     fn from(set: &Settings) -> Self {
         let (plans, max_units) = (set.plans.clone(), set.max_units);
-        QuotaSettings { plans, max_units, counter: set.counter, counter_timeout: set.counter_timeout }
+        let (counter, counter_timeout, sync_every) = (set.counter, set.counter_timeout, 0.0);
+        QuotaSettings { plans, max_units, counter, counter_timeout, sync_every }
     }
 }
 
--- a/crates/topazwind/src/logic/counter.rs
+++ b/crates/topazwind/src/logic/counter.rs
@@ -93,9 +93,10 @@
         let (pace, share) = (c.pace(now, self.calling.pace), SYNC_SHARE * c.plan.burst);
         let first = !c.known && c.tallies[ACCEPTED].in_flight.is_none() && new >= (pace - 1.0) * share;
         let waited = now - c.last_sync;
-        let flush = waited >= (SYNC_EVERY + FLUSH_AFTER) * pace;
+        let every = given(self.set.sync_every, SYNC_EVERY);
+        let flush = waited >= (every + FLUSH_AFTER) * pace;
         let least = if flush { 0.0 } else { share * pace.min(PACE_SHARE) };
-        let due = new > 0.0 && new >= least && waited >= SYNC_EVERY * pace.min(PACE_SHARE);
+        let due = new > 0.0 && new >= least && waited >= every * pace.min(PACE_SHARE);
         if !(first || due) {
             if new <= 0.0 && !c.busy() {
                 self.untold.remove(&customer);
