Quotas: what passed beyond the burst before limiters heard of each other is paid back

What was over was forgotten (the store was capped at the burst). Plan.debt keeps it; 0, as in service, forgets it.

--- a/crates/fleet/src/strict.rs
+++ b/crates/fleet/src/strict.rs
@@ -127,6 +127,7 @@
         price: a.price.min(b.price),
         over_worth: a.over_worth.min(b.over_worth),
         over_cost: a.over_cost.max(b.over_cost),
+        debt: a.debt.max(b.debt),
     }
 }
 
--- a/crates/proscenium/src/scene.rs
+++ b/crates/proscenium/src/scene.rs
@@ -72,7 +72,9 @@
 /// Parts of a tenant's rate and burst that are given out. The rest is for what limiters let through before they hear of each
 /// other: at six times the quota some 0.2 s of it.
 const RATE_PART: f64 = 0.97;
-const BURST_PART: f64 = 0.8;
+const BURST_PART: f64 = 0.75;
+/// That much beyond it, in bursts, is paid back before anything else passes.
+const DEBT: f64 = 4.0;
 
 /// How the decision module sees a tenant's quota.
 pub fn plan(rate: f64, burst: f64) -> Plan {
@@ -81,7 +83,7 @@
     }
     // A quota without a burst still lets one second through at once.
     let burst = if burst > 0.0 { burst } else { rate };
-    Plan { rate: rate * RATE_PART, burst: (burst * BURST_PART).max(1.0), price: 1.0, over_cost: 1.0, ..Plan::default() }
+    Plan { rate: rate * RATE_PART, burst: (burst * BURST_PART).max(1.0), price: 1.0, over_cost: 1.0, debt: DEBT, ..Plan::default() }
 }
 
 /// The service of a route that a roll in 0 to 1 falls on.
--- a/crates/topazwind/src/interface.rs
+++ b/crates/topazwind/src/interface.rs
@@ -91,6 +91,9 @@
     pub over_worth: f64,
     /// Share of the worth charged for a try sent beyond the quota.
     pub over_cost: f64,
+    /// What has passed beyond the burst before gateways heard of each other is owed, up to so many bursts: until it
+    /// is paid back nothing passes. 0: it is forgotten.
+    pub debt: f64,
 }
 
 /// A value of the servers' load reports.
--- a/crates/topazwind/src/logic/admission.rs
+++ b/crates/topazwind/src/logic/admission.rs
@@ -78,7 +78,7 @@
     pub(super) fn book(&mut self, kind: usize, at: Millis, units: f64, mine: f64) {
         self.counts.add(at, BUCKET, kind, units, mine);
         if kind == ACCEPTED {
-            self.used = (self.used + units).min(self.plan.burst);
+            self.used = (self.used + units).min((1.0 + self.plan.debt) * self.plan.burst);
         }
     }
 
@@ -142,7 +142,7 @@
         self.counts.presume(now, BUCKET, kind, others);
         if kind == ACCEPTED {
             let most = if trusted == STALE { 1.0 } else { DEBT };
-            self.used = (self.used + others).min(most * self.plan.burst);
+            self.used = (self.used + others).min(most.max(1.0 + self.plan.debt) * self.plan.burst);
         }
         self.tallies[kind].pending += units;
     }
@@ -310,6 +310,9 @@
         let units = units + reserve;
         // Refill: the window forgets that the store refills meanwhile, so after a burst it refuses what
         // the quota still holds. What the same counts leave in the store passes too.
+        if plan.debt > 0.0 && c.used > plan.burst {
+            return c.refuse(draw.units);
+        }
         if plan.rate <= 0.0 || c.accepted().min(c.used) + units <= plan.burst {
             return Verdict::Within;
         }
--- a/crates/topazwind/src/wire/settings.rs
+++ b/crates/topazwind/src/wire/settings.rs
@@ -94,6 +94,7 @@
             price: num("pays", 1.0)?,
             over_worth: num("excess_worth", 0.0)?,
             over_cost: num("over_cost", 0.0)?,
+            ..Plan::default()
         });
     }
     let report = match lines.text("report.source") {
