Proxy: second copies after three mean answer times; a stream over its length is cut

Ruled out on the way: the requests that missed their deadline behind a served answer stood behind a request of 3 s on the same connection, whose order holds.

--- a/crates/engine/src/front/lanes.rs
+++ b/crates/engine/src/front/lanes.rs
@@ -392,8 +392,10 @@
         };
         let (mut before, mut piece) = (BytesMut::from(head), held);
         loop {
-            if let Some(left) = &mut left {
-                *left = left.checked_sub(piece.len() as u64)?;
+            match left.map(|left| left.checked_sub(piece.len() as u64)) {
+                // More than was told is not the answer that was told.
+                Some(None) => return Some(Parted::Cut),
+                rest => left = rest.flatten(),
             }
             if told == Told::Chunked && !piece.is_empty() {
                 before.extend_from_slice(format!("{:x}\r\n", piece.len()).as_bytes());
--- a/crates/proscenium/src/house.rs
+++ b/crates/proscenium/src/house.rs
@@ -291,6 +291,7 @@
             retry_earn: TRIES_SHARE * node.bounds.retry_ratio,
             cold_rate: COLD_SHARE * cold_rate / limiters,
             slow_mark: SLOW_MARK,
+            hedge_after: 3.0,
             least_limit: LEAST_LIMIT,
             subset_least: SUBSET_LEAST,
             ..Settings::default()
