--- a/crates/promptbook/src/acceptor.rs
+++ b/crates/promptbook/src/acceptor.rs
@@ -47,26 +47,28 @@
 pub struct Acceptor {
     kept: Kept,
     record: Option<Record>,
+    /// For each voter the ticket given out last, 0 for none; not kept.
+    tickets: Vec<u64>,
+    next_ticket: u64,
 }
 
 impl Acceptor {
-    /// A voter at the founding: its place among the voters, and its first incarnation (not 0).
-    pub fn founded(voters: Vec<String>, me: usize, chance: u32) -> Acceptor {
+    /// A voter at the founding: its place among the voters, and a random number.
+    pub fn founded(voters: Vec<String>, me: usize, chance: u64) -> Acceptor {
         let mut known = vec![0; voters.len()];
-        known[me] = u64::from(chance | 1);
-        Acceptor {
-            kept: Kept { voters, me: me as u32, incarnation: known[me], known, ..Kept::default() },
-            record: None,
-        }
+        known[me] = chance >> 32 | 1;
+        let kept = Kept { voters, me: me as u32, incarnation: known[me], known, ..Kept::default() };
+        Acceptor { tickets: vec![0; kept.voters.len()], kept, record: None, next_ticket: chance | 1 }
     }
 
-    /// A voter from what was durable; `None` if that does not fit together.
-    pub fn restored(kept: Kept, record: Option<Record>) -> Option<Acceptor> {
+    /// A voter from what was durable, with a random number; `None` if it does not fit together.
+    pub fn restored(kept: Kept, record: Option<Record>, chance: u64) -> Option<Acceptor> {
         let fits = (kept.me as usize) < kept.voters.len()
             && kept.known.len() == kept.voters.len()
             && kept.incarnation != 0
             && record.is_some() == (kept.accepted != Ballot::default());
-        fits.then_some(Acceptor { kept, record })
+        let tickets = vec![0; kept.voters.len()];
+        fits.then_some(Acceptor { kept, record, tickets, next_ticket: chance | 1 })
     }
 
     /// All that is durable, besides the record.
@@ -90,6 +92,7 @@
             adopted: self.kept.adopted,
             edition: self.record.as_ref().map_or(0, |record| record.edition),
             record: None,
+            ticket: 0,
         }
     }
 
@@ -141,13 +144,21 @@
         self.with_record(Verdict::Given, asked.known)
     }
 
-    /// Records that a voter has a new incarnation, and reports what this one holds.
+    /// Records that a voter has a new incarnation, and reports what this one holds; first gives out a ticket.
     pub fn rejoin(&mut self, asked: &Rejoin) -> (Answer, Write) {
         let voter = asked.voter as usize;
-        if voter == self.kept.me as usize || self.kept.known.get(voter).is_none_or(|k| asked.incarnation < *k)
-        {
+        if voter == self.kept.me as usize || voter >= self.kept.voters.len() {
             return (self.answer(Verdict::Rejected), Write::Nothing);
         }
+        if asked.ticket == 0
+            || asked.ticket != self.tickets[voter]
+            || asked.incarnation < self.kept.known[voter]
+        {
+            self.tickets[voter] = self.next_ticket;
+            self.next_ticket = self.next_ticket.wrapping_add(2);
+            let answer = Answer { ticket: self.tickets[voter], ..self.answer(Verdict::Rejected) };
+            return (answer, Write::Nothing);
+        }
         let write = if self.kept.known[voter] == asked.incarnation { Write::Nothing } else { Write::Kept };
         self.kept.known[voter] = asked.incarnation;
         (self.with_record(Verdict::Given, Ballot::default()), write)
@@ -160,24 +171,25 @@
     voters: Vec<String>,
     me: usize,
     quorum: Quorum,
-    chance: u32,
+    chance: u64,
     incarnation: u64,
+    tickets: Vec<u64>,
     reports: Vec<Option<Answer>>,
 }
 
 impl Rejoining {
     /// Begins; `chance` is a random number.
-    pub fn new(voters: Vec<String>, me: usize, chance: u32) -> Rejoining {
+    pub fn new(voters: Vec<String>, me: usize, chance: u64) -> Rejoining {
         let quorum = Quorum::of(voters.len());
-        let incarnation = 1 << 32 | u64::from(chance);
-        let reports = vec![None; voters.len()];
-        Rejoining { voters, me, quorum, chance, incarnation, reports }
+        let (tickets, reports) = (vec![0; voters.len()], vec![None; voters.len()]);
+        Rejoining { voters, me, quorum, chance, incarnation: 1 << 32 | chance >> 32, tickets, reports }
     }
 
-    /// What to ask, and whom: those that have not reported to this incarnation.
-    pub fn ask(&self) -> (Rejoin, Vec<usize>) {
-        let whom = (0..self.voters.len()).filter(|v| *v != self.me && self.reports[*v].is_none()).collect();
-        (Rejoin { voter: self.me as u32, incarnation: self.incarnation }, whom)
+    /// Whom to ask what: those that have not reported to this incarnation.
+    pub fn ask(&self) -> Vec<(usize, Rejoin)> {
+        let whom = (0..self.voters.len()).filter(|v| *v != self.me && self.reports[*v].is_none());
+        let (voter, incarnation) = (self.me as u32, self.incarnation);
+        whom.map(|v| (v, Rejoin { voter, incarnation, ticket: self.tickets[v] })).collect()
     }
 
     /// The voters' addresses.
@@ -198,10 +210,11 @@
         match answer.verdict() {
             Verdict::Given => self.reports[voter] = Some(answer),
             Verdict::Rejected => {
-                // Someone has seen a later life than this one claims to be: claim a later one, and ask all again.
+                self.tickets[voter] = answer.ticket;
+                // Someone has seen as late a life as this one claims to be: claim a later one, ask all again.
                 let seen = answer.known.get(self.me).copied().unwrap_or(0);
                 if seen >= self.incarnation {
-                    self.incarnation = ((seen >> 32) + 1) << 32 | u64::from(self.chance);
+                    self.incarnation = ((seen >> 32) + 1) << 32 | self.chance >> 32;
                     self.reports = vec![None; self.voters.len()];
                 }
                 return None;
@@ -212,6 +225,7 @@
             self.reports.iter().enumerate().filter_map(|(v, r)| Some((v, r.clone()?))).collect();
         let standing: Vec<_> = consistent(given.iter().map(|(voter, report)| (*voter, report))).collect();
         for (voter, _) in &given {
+            // One from before the reporter's own loss does not count; it is asked again.
             if standing.iter().all(|(stands, _)| stands != voter) {
                 self.reports[*voter] = None;
             }
@@ -240,6 +254,6 @@
             kept.known[voter] = kept.known[voter].max(report.incarnation);
         }
         kept.known[self.me] = self.incarnation;
-        Acceptor::restored(kept, record)
+        Acceptor::restored(kept, record, self.chance)
     }
 }
--- a/crates/promptbook/src/lib.rs
+++ b/crates/promptbook/src/lib.rs
@@ -7,6 +7,8 @@
 pub mod caller;
 pub mod disk;
 pub mod link;
+#[cfg(test)]
+mod model;
 pub mod proposer;
 pub mod voter;
 pub mod wire;
--- a/crates/promptbook/src/link.rs
+++ b/crates/promptbook/src/link.rs
@@ -427,3 +427,129 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use tokio::task::LocalSet;
+
+    const LONG: Duration = Duration::from_secs(10);
+
+    fn run_here(test: impl Future<Output = ()>) {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        LocalSet::new().block_on(&runtime, test);
+    }
+
+    async fn listener() -> (TcpListener, Rc<Link>) {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let link = Link::new(listener.local_addr().unwrap());
+        (listener, link)
+    }
+
+    /// A scripted peer reads one call.
+    async fn hear(stream: &mut TcpStream, buffer: &mut BytesMut) -> Option<Frame> {
+        loop {
+            if let Some(frame) = take(buffer).unwrap() {
+                return Some(frame);
+            }
+            if stream.read_buf(buffer).await.unwrap_or(0) == 0 {
+                return None;
+            }
+        }
+    }
+
+    async fn say(stream: &mut TcpStream, frame: &Frame, body: &[u8]) {
+        let mut out = BytesMut::new();
+        put(&mut out, frame.kind, frame.id, body);
+        stream.write_all(&out).await.unwrap();
+    }
+
+    #[test]
+    fn many_calls_share_a_connection_and_a_held_one_does_not_hold_the_others() {
+        run_here(async {
+            let (listener, link) = listener().await;
+            let release = Rc::new(Notify::new());
+            let released = release.clone();
+            let handler = Rc::new(move |kind, body: Bytes| -> Answering {
+                let released = released.clone();
+                Box::pin(async move {
+                    if kind == 9 {
+                        released.notified().await;
+                    }
+                    [&[kind], &body[..]].concat()
+                })
+            });
+            tokio::task::spawn_local(serve(listener, handler));
+            let holding = link.clone();
+            let held = tokio::task::spawn_local(async move { holding.call(9, b"held".to_vec(), LONG).await });
+            let large = vec![7; 3 << 20];
+            let answer = link.call(1, large.clone(), LONG).await.unwrap();
+            assert!(answer[0] == 1 && answer[1..] == large[..]);
+            for n in 0..100u8 {
+                assert_eq!(link.call(2, vec![n], LONG).await.unwrap(), vec![2, n]);
+            }
+            assert!(!held.is_finished());
+            release.notify_one();
+            assert_eq!(&held.await.unwrap().unwrap()[1..], b"held");
+            assert_eq!(link.call(3, vec![0; LONGEST + 1], LONG).await, Err(LinkError::Unreachable));
+        });
+    }
+
+    #[test]
+    fn what_was_not_sent_is_told_from_what_may_have_been_taken() {
+        run_here(async {
+            let (peer, link) = listener().await;
+            let calling = link.clone();
+            let call = tokio::task::spawn_local(async move { calling.call(1, vec![1], LONG).await });
+            let (mut stream, _) = peer.accept().await.unwrap();
+            assert!(hear(&mut stream, &mut BytesMut::new()).await.is_some());
+            drop((stream, peer));
+            assert_eq!(call.await.unwrap(), Err(LinkError::Lost));
+            assert_eq!(link.call(1, vec![1], LONG).await, Err(LinkError::Unreachable));
+        });
+    }
+
+    #[test]
+    fn a_late_answer_belongs_to_no_other_call() {
+        run_here(async {
+            let (peer, link) = listener().await;
+            let short = Duration::from_millis(20);
+            let calling = link.clone();
+            let call = tokio::task::spawn_local(async move { calling.call(1, vec![1], short).await });
+            let (mut stream, _) = peer.accept().await.unwrap();
+            let mut buffer = BytesMut::new();
+            let first = hear(&mut stream, &mut buffer).await.unwrap();
+            assert_eq!(call.await.unwrap(), Err(LinkError::Lost));
+            let calling = link.clone();
+            let call = tokio::task::spawn_local(async move { calling.call(1, vec![2], LONG).await });
+            let second = hear(&mut stream, &mut buffer).await.unwrap();
+            say(&mut stream, &first, b"late").await;
+            say(&mut stream, &second, b"right").await;
+            assert_eq!(&call.await.unwrap().unwrap()[..], b"right");
+        });
+    }
+
+    #[test]
+    fn a_connection_that_stays_silent_is_made_anew() {
+        run_here(async {
+            let (peer, link) = listener().await;
+            // Calls that were given up still tell that nothing is heard.
+            let short = Duration::from_millis(20);
+            let calling = link.clone();
+            let mut calls = tokio::task::spawn_local(async move {
+                while calling.call(1, vec![1], short).await != Ok(Bytes::from_static(b"heard")) {}
+            });
+            let (mut silent, _) = peer.accept().await.unwrap();
+            let mut buffer = BytesMut::new();
+            while hear(&mut silent, &mut buffer).await.is_some() {}
+            let (mut stream, _) = peer.accept().await.unwrap();
+            let mut buffer = BytesMut::new();
+            loop {
+                tokio::select! {
+                    ended = &mut calls => break ended.unwrap(),
+                    call = hear(&mut stream, &mut buffer) => say(&mut stream, &call.unwrap(), b"heard").await,
+                }
+            }
+        });
+    }
+}
--- a/crates/promptbook/src/voter.rs
+++ b/crates/promptbook/src/voter.rs
@@ -67,7 +67,7 @@
         let state = match Disk::open(&terms.folder) {
             Ok(Some((disk, kept, record))) => {
                 let edition = record.as_ref().map_or(0, |record| record.edition);
-                match Acceptor::restored(kept, record) {
+                match Acceptor::restored(kept, record, chance(edition)) {
                     Some(acceptor) => {
                         info!("Votes again, at edition {edition}.");
                         State::Voting(acceptor, disk)
@@ -96,7 +96,7 @@
             info!("Does not vote: the first start names {}.", voters.join(", "));
             return Ok(State::Outside(voters));
         };
-        let acceptor = Acceptor::founded(voters, me, chance(u64::from(terms.address.port())) as u32);
+        let acceptor = Acceptor::founded(voters, me, chance(u64::from(terms.address.port())));
         let disk = Disk::create(&terms.folder, acceptor.kept(), None)?;
         info!("Founded with {} voters.", founders.len());
         Ok(State::Voting(acceptor, disk))
@@ -223,20 +223,17 @@
                 State::Outside(voters) => !voters.is_empty(),
                 State::Rejoining(_) => true,
             };
-            named.remove(&self.terms.address);
-            links.retain(|address, _| named.contains(address));
-            for address in &named {
-                links.entry(*address).or_insert_with(|| Link::new(*address));
-            }
             if matches!(*self.state.borrow(), State::Rejoining(_)) {
-                self.rejoin(&mut links).await;
-                if !matches!(*self.state.borrow(), State::Voting(..)) {
+                if !self.rejoin(&mut links).await {
                     sleep(AGAIN.0).await;
                 }
                 continue;
             }
-            let found = self.find(&links, &mut named).await;
-            match found {
+            named.remove(&self.terms.address);
+            for address in &named {
+                links.entry(*address).or_insert_with(|| Link::new(*address));
+            }
+            match self.find(&links, &mut named).await {
                 Some(voters) => self.found_voters(voters, known),
                 None if !known => sleep(AGAIN.0).await,
                 None => {}
@@ -247,14 +244,17 @@
         }
     }
 
+    fn chance(&self) -> u64 {
+        chance(u64::from(self.terms.address.port()))
+    }
+
     fn found_voters(&self, voters: Vec<String>, known: bool) {
         let me = self.terms.address.to_string();
         let mut state = self.state.borrow_mut();
         match voters.iter().position(|voter| *voter == me) {
             Some(me) => {
                 info!("Has lost its disk: asks the other voters.");
-                let chance = chance(u64::from(self.terms.address.port())) as u32;
-                *state = State::Rejoining(Rejoining::new(voters, me, chance));
+                *state = State::Rejoining(Rejoining::new(voters, me, self.chance()));
             }
             None => {
                 if !known {
@@ -291,46 +291,49 @@
         None
     }
 
-    async fn rejoin(&self, links: &mut BTreeMap<SocketAddr, Rc<Link>>) {
-        let (asked, whom) = match &*self.state.borrow() {
-            State::Rejoining(rejoining) => {
-                let (asked, whom) = rejoining.ask();
-                let address = |voter: usize| rejoining.voters()[voter].parse::<SocketAddr>().ok();
-                (asked, whom.into_iter().filter_map(|v| Some((v, address(v)?))).collect::<Vec<_>>())
-            }
-            _ => return,
-        };
+    /// Asks the other voters, each twice: for its ticket and for its report. Says whether this one votes now.
+    async fn rejoin(&self, links: &mut BTreeMap<SocketAddr, Rc<Link>>) -> bool {
         let (sender, mut answers) = mpsc::unbounded_channel();
-        for (voter, address) in whom {
-            let link = links.entry(address).or_insert_with(|| Link::new(address)).clone();
-            let sender = sender.clone();
-            tokio::task::spawn_local(async move {
-                let answer = link.call(kind::REJOIN, asked.encode_to_vec(), ASKING).await;
-                if let Some(answer) = answer.ok().and_then(|answer| Answer::decode(answer).ok()) {
-                    let _ = sender.send((voter, answer));
-                }
-            });
-        }
-        drop(sender);
+        let mut asked_of = BTreeMap::new();
         let until = Instant::now() + 2 * ASKING;
-        while let Ok(Some((voter, answer))) = timeout_at(until, answers.recv()).await {
+        loop {
+            if let State::Rejoining(rejoining) = &*self.state.borrow() {
+                for (voter, asked) in rejoining.ask() {
+                    let Ok(address) = rejoining.voters()[voter].parse::<SocketAddr>() else { continue };
+                    if asked_of.insert(voter, asked) == Some(asked) {
+                        continue;
+                    }
+                    let link = links.entry(address).or_insert_with(|| Link::new(address)).clone();
+                    let sender = sender.clone();
+                    tokio::task::spawn_local(async move {
+                        let answer = link.call(kind::REJOIN, asked.encode_to_vec(), ASKING).await;
+                        if let Some(answer) = answer.ok().and_then(|answer| Answer::decode(answer).ok()) {
+                            let _ = sender.send((voter, asked, answer));
+                        }
+                    });
+                }
+            }
+            let Ok(Some((voter, asked, answer))) = timeout_at(until, answers.recv()).await else {
+                return false;
+            };
             let mut state = self.state.borrow_mut();
-            let State::Rejoining(rejoining) = &mut *state else { return };
+            let State::Rejoining(rejoining) = &mut *state else { return false };
             let Some(acceptor) = rejoining.report(&asked, voter, answer) else { continue };
             match Disk::create(&self.terms.folder, acceptor.kept(), acceptor.record()) {
                 Ok(disk) => {
                     let edition = acceptor.record().map_or(0, |record| record.edition);
                     info!("Has rejoined and votes, at edition {edition}.");
                     *state = State::Voting(acceptor, disk);
+                    return true;
                 }
                 Err(error) => {
-                    // Begun again under the next incarnation.
-                    error!("Cannot rejoin: {error}.");
+                    // What was reported may be old by the next try, so it begins again.
+                    error!("Cannot rejoin yet: {error}.");
                     let (voters, me) = (rejoining.voters().to_vec(), acceptor.kept().me as usize);
-                    *state = State::Rejoining(Rejoining::new(voters, me, chance(asked.incarnation) as u32));
+                    *state = State::Rejoining(Rejoining::new(voters, me, self.chance()));
+                    return false;
                 }
             }
-            return;
         }
     }
 }
--- a/crates/promptbook/src/wire.rs
+++ b/crates/promptbook/src/wire.rs
@@ -91,7 +91,8 @@
     pub known: Ballot,
 }
 
-/// Says that a voter has lost its disk and votes under a new incarnation; asks for what the asked voter holds.
+/// Says that a voter has lost its disk and votes under a new incarnation from then on; asks for what the asked one
+/// holds.
 #[derive(Clone, Copy, PartialEq, Eq, Message)]
 pub struct Rejoin {
     /// Which voter.
@@ -100,6 +101,9 @@
     /// Its new incarnation.
     #[prost(uint64, tag = "2")]
     pub incarnation: u64,
+    /// What the asked one gave out last for this voter, so that nothing from an earlier life of it is taken late.
+    #[prost(uint64, tag = "3")]
+    pub ticket: u64,
 }
 
 /// What came of a question.
@@ -143,6 +147,9 @@
     /// The record, where it is newer than what the asker knows.
     #[prost(message, optional, tag = "8")]
     pub record: Option<Record>,
+    /// To one that rejoins: the ticket that its questions have to carry.
+    #[prost(uint64, tag = "9")]
+    pub ticket: u64,
 }
 
 /// Asks a program who votes.
