--- a/crates/promptbook/src/lib.rs
+++ b/crates/promptbook/src/lib.rs
@@ -6,6 +6,8 @@
 pub mod acceptor;
 pub mod caller;
 pub mod disk;
+#[cfg(test)]
+mod model;
 pub mod proposer;
 pub mod voter;
 pub mod wire;
