--- a/crates/proscenium/src/counts.rs
+++ b/crates/proscenium/src/counts.rs
@@ -21,7 +21,7 @@
 use topazwind::logic::Quotas;
 
 /// Adds are gathered for so long.
-const GATHER: Duration = Duration::from_millis(10);
+const GATHER: Duration = Duration::from_millis(25);
 /// A keeper is waited for so long.
 const WITHIN: Duration = Duration::from_millis(400);
 /// Between two looks at what is due.
@@ -173,12 +173,14 @@
 
 fn settings(plans: Vec<Plan>) -> QuotaSettings {
     let counter_timeout = WITHIN.as_secs_f64() * 1000.0;
-    QuotaSettings { plans, max_units: 1.0, counter: true, counter_timeout, sync_every: SYNC_EVERY }
+    QuotaSettings { plans, max_units: 1.0, counter: true, counter_timeout, sync_every: SYNC_EVERY, flush_after: FLUSH_AFTER }
 }
 
 /// Between two syncs of a tenant, ms: a tenth of a window of one second. What a tenant that begins to press sends through all
 /// limiters between two syncs comes on top of its burst.
 const SYNC_EVERY: Millis = 100.0;
+/// A tenth of a burst at most is told so late, ms: the way to a keeper in another region is dear.
+const FLUSH_AFTER: Millis = 3000.0;
 /// Longest that a number is kept, ms.
 const LONGEST: Millis = 120_000.0;
 /// A limiter whose session ended is taken to keep its numbers for this long, ms: it may be cut off from the core alone, and
--- a/crates/proscenium/src/house.rs
+++ b/crates/proscenium/src/house.rs
@@ -41,7 +41,7 @@
 const SOON: Millis = 300.0;
 /// Cost of a server in another zone of the region, and in another region, beside the near one.
 const SAME_REGION: f64 = 1.5;
-const OTHER_REGION: f64 = 4.0;
+const OTHER_REGION: f64 = 9.0;
 /// Answers that take this share of the aim on the mean say that servers are full: the work alone may take a third, and the
 /// way to another region a tenth.
 const SLOW_MARK: f64 = 0.7;
--- a/crates/proscenium/src/session.rs
+++ b/crates/proscenium/src/session.rs
@@ -17,14 +17,14 @@
 /// Place of the registry among a machine's inner ports.
 const REGISTRY: u16 = 1;
 /// The control limiter's answer may be held so long, ms: well within a session.
-const HOLD: u32 = 350;
+const HOLD: u32 = 600;
 /// A control limiter that asked a majority longer ago than this, ms, is left for another.
 const IN_TOUCH: u32 = 1500;
 /// Another is asked so soon after one has failed.
 const AGAIN: Duration = Duration::from_millis(60);
-/// How many other limiters are followed, how long their answers may be held, ms, and when one that failed is replaced.
+/// How many other limiters are followed, the first of them in the own region where there is one, how long their answers may be held, ms, and when one that failed is replaced.
 const FEW: u64 = 2;
-const FEW_HOLD: u32 = 600;
+const FEW_HOLD: u32 = 1500;
 const FEW_AGAIN: Duration = Duration::from_millis(300);
 /// Each is followed for so many calls; then the lot falls anew, so that no two groups keep to themselves.
 const FEW_CALLS: u32 = 20;
@@ -169,9 +169,12 @@
         let mut round = chance();
         loop {
             round = round.wrapping_add(1);
-            let name = self.told.settings().node;
+            let (name, region) = (self.told.settings().node, self.told.settings().region);
             let partner = self.known.with(|book, now| {
+                // News comes in from afar by one; the way between regions is dear.
+                let near = nth == 0 && book.members(now).any(|(row, _)| row.region == region && row.name != name);
                 let others = book.members(now).filter(|(row, _)| !row.lapsed && row.name != name);
+                let others = others.filter(|(row, _)| !near || row.region == region);
                 let others: Vec<(String, SocketAddr)> =
                     others.filter_map(|(row, _)| Some((row.name.clone(), row.inner.parse().ok()?))).collect();
                 let drawn = keeper(round.wrapping_mul(2 * nth + 1), others.iter().map(|(name, _)| name.as_str()))?;
--- a/crates/topazwind/src/interface.rs
+++ b/crates/topazwind/src/interface.rs
@@ -204,13 +204,15 @@
     pub counter_timeout: Millis,
     /// Shortest time between two syncs of a customer; 0: 250 ms, a bucket.
     pub sync_every: Millis,
+    /// Use that is too small for a sync is told after this; 0: 1000 ms.
+    pub flush_after: Millis,
 }
 
 impl From<&Settings> for QuotaSettings {
     fn from(set: &Settings) -> Self {
         let (plans, max_units) = (set.plans.clone(), set.max_units);
-        let (counter, counter_timeout, sync_every) = (set.counter, set.counter_timeout, 0.0);
-        QuotaSettings { plans, max_units, counter, counter_timeout, sync_every }
+        let (counter, counter_timeout) = (set.counter, set.counter_timeout);
+        QuotaSettings { plans, max_units, counter, counter_timeout, ..QuotaSettings::default() }
     }
 }
 
--- a/crates/topazwind/src/logic/counter.rs
+++ b/crates/topazwind/src/logic/counter.rs
@@ -94,7 +94,7 @@
         let first = !c.known && c.tallies[ACCEPTED].in_flight.is_none() && new >= (pace - 1.0) * share;
         let waited = now - c.last_sync;
         let every = given(self.set.sync_every, SYNC_EVERY);
-        let flush = waited >= (every + FLUSH_AFTER) * pace;
+        let flush = waited >= (every + given(self.set.flush_after, FLUSH_AFTER)) * pace;
         let least = if flush { 0.0 } else { share * pace.min(PACE_SHARE) };
         let due = new > 0.0 && new >= least && waited >= every * pace.min(PACE_SHARE);
         if !(first || due) {
