--- a/crates/callboard/src/council.rs
+++ b/crates/callboard/src/council.rs
@@ -52,14 +52,17 @@
     /// # Errors
     /// Why it is not taken; with [`Kind::Unsure`] it may have been.
     pub async fn order(&self, order: &Order) -> Result<u64, Refusal> {
-        let change = |bytes: Option<&[u8]>, _: u64| settle(&read(bytes)?, order).map(|next| next.encode_to_vec());
+        let change =
+            |bytes: Option<&[u8]>, _: u64| settle(&read(bytes)?, order).map(|next| next.encode_to_vec());
         match self.caller.change(change, AGREE_WITHIN).await {
             Ok((edition, bytes)) => {
                 self.take(edition, &bytes);
                 Ok(edition)
             }
             Err(ChangeError::Refused(refusal)) => Err(refusal),
-            Err(_) => Err(Refusal { kind: Kind::Unsure, problem: "no majority of the store agreed in time".into() }),
+            Err(_) => {
+                Err(Refusal { kind: Kind::Unsure, problem: "no majority of the store agreed in time".into() })
+            }
         }
     }
 
--- a/crates/callboard/src/directory.rs
+++ b/crates/callboard/src/directory.rs
@@ -37,12 +37,19 @@
 
     fn member(zone: &str, region: &str, front: &str) -> MemberRow {
         let state = member_state::READY;
-        MemberRow { zone: zone.into(), region: region.into(), front: front.into(), state, ..MemberRow::default() }
+        MemberRow {
+            zone: zone.into(),
+            region: region.into(),
+            front: front.into(),
+            state,
+            ..MemberRow::default()
+        }
     }
 
     #[test]
     fn near_ones_are_named_and_others_where_these_are_too_few() {
-        let rows = [member("a1", "a", "1"), member("a1", "a", "2"), member("a2", "a", "3"), member("b1", "b", "4")];
+        let rows =
+            [member("a1", "a", "1"), member("a1", "a", "2"), member("a2", "a", "3"), member("b1", "b", "4")];
         let ask = |zone: &str, region: &str| fronts(rows.iter().map(|r| (r, 10.0)), zone, region);
         assert_eq!(ask("a1", "a"), ["1", "2"]);
         assert_eq!(ask("a2", "a"), ["1", "2", "3"]);
--- a/crates/callboard/src/main.rs
+++ b/crates/callboard/src/main.rs
@@ -43,7 +43,9 @@
 
 async fn serve(told: Rc<Told>, mut signals: Signals) -> Result<(), String> {
     let settings = told.settings();
-    let control = settings.listen_on("control").ok_or("listenOn.control: is missing; allowed: an address with a port")?;
+    let control = settings
+        .listen_on("control")
+        .ok_or("listenOn.control: is missing; allowed: an address with a port")?;
     let known = Knowledge::new(Steady::start(), settings.beat_every);
 
     // Other processes of the system.
--- a/crates/callboard/src/orders.rs
+++ b/crates/callboard/src/orders.rs
@@ -44,8 +44,9 @@
             }
             let current = match decided.config.as_str() {
                 "" => None,
-                text => Some(Playbill::read(text).map_err(|e| {
-                    Refusal { kind: Kind::Invalid, problem: format!("what is in force cannot be read: {e}") }
+                text => Some(Playbill::read(text).map_err(|e| Refusal {
+                    kind: Kind::Invalid,
+                    problem: format!("what is in force cannot be read: {e}"),
                 })?),
             };
             let bill = proposal.onto(current.as_ref()).map_err(|refused| match refused {
--- a/crates/callboard/src/outside.rs
+++ b/crates/callboard/src/outside.rs
@@ -1,10 +1,10 @@
 //! The outside calls of the core: servers, operators, and clients that ask where to go. `docs/api/control.yaml` comes
 //! first; this follows it.
 
+use crate::beat;
 use crate::council::Council;
 use crate::directory;
 use crate::orders::{Order, Refusal};
-use crate::beat;
 use bytes::Bytes;
 use greenroom::follow::{Knowledge, Seen};
 use greenroom::kinds::Kind;
@@ -18,8 +18,8 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use miniserde::json::{Array, Number, Object, Value};
-use playbill::{parse, Call};
 use playbill::Proposal;
+use playbill::{parse, Call};
 use std::cell::Cell;
 use std::collections::HashMap;
 use std::convert::Infallible;
@@ -82,7 +82,8 @@
 }
 
 fn refuse(kind: Kind, problem: impl Into<String>) -> Answer {
-    let body = object(vec![("problem", Value::String(problem.into())), ("kind", Value::String(kind.word().into()))]);
+    let body =
+        object(vec![("problem", Value::String(problem.into())), ("kind", Value::String(kind.word().into()))]);
     answer(kind.status(), miniserde::json::to_string(&body))
 }
 
@@ -97,7 +98,13 @@
 
 impl Outside {
     /// Answers by this knowledge; `alone`: there is no other core machine.
-    pub fn new(known: Rc<Knowledge>, council: Rc<Council>, alone: bool, zones: Vec<String>, ttl_max_s: f64) -> Rc<Self> {
+    pub fn new(
+        known: Rc<Knowledge>,
+        council: Rc<Council>,
+        alone: bool,
+        zones: Vec<String>,
+        ttl_max_s: f64,
+    ) -> Rc<Self> {
         let (open, stopping, stops, few) = (Cell::new(0), Cell::new(false), Notify::new(), Few::default());
         let valid = if ttl_max_s > 0.0 { VALID.min(ttl_max_s) } else { VALID };
         Rc::new(Outside { known, council, alone, zones, valid, open, stopping, stops, few })
@@ -112,7 +119,11 @@
                 }
                 Ok(_) => {
                     if let Some(left_out) = self.few.may() {
-                        log::warn!("calls: {} connections are open, one more closed ({} lines left out)", MOST_CALLERS, left_out);
+                        log::warn!(
+                            "calls: {} connections are open, one more closed ({} lines left out)",
+                            MOST_CALLERS,
+                            left_out
+                        );
                     }
                 }
                 Err(e) => {
@@ -226,7 +237,11 @@
 
     // ---- Operators ----------------------------------------------------------------------------
 
-    async fn settings(&self, body: Incoming, read: fn(&[u8]) -> Result<Proposal, playbill::Invalid>) -> Answer {
+    async fn settings(
+        &self,
+        body: Incoming,
+        read: fn(&[u8]) -> Result<Proposal, playbill::Invalid>,
+    ) -> Answer {
         let body = match collect(body, LONGEST_ORDER).await {
             Ok(body) => body,
             Err(e) => return e,
@@ -242,7 +257,10 @@
 
     async fn empty(&self, zone: String, begin: bool) -> Answer {
         if !self.zones.contains(&zone) {
-            return refuse(Kind::Unknown, format!("no such zone: {zone}; there are {}", self.zones.join(", ")));
+            return refuse(
+                Kind::Unknown,
+                format!("no such zone: {zone}; there are {}", self.zones.join(", ")),
+            );
         }
         self.order(Order::Empty { zone, begin }).await
     }
@@ -250,12 +268,19 @@
     async fn order(&self, order: Order) -> Answer {
         let what = match &order {
             Order::Settings(proposal) => format!("r{}", proposal.version()),
-            Order::Empty { zone, begin } => format!("zone {zone} {}", if *begin { "empty" } else { "taken back" }),
+            Order::Empty { zone, begin } => {
+                format!("zone {zone} {}", if *begin { "empty" } else { "taken back" })
+            }
         };
         match self.council.order(&order).await {
             Ok(edition) => {
                 let acts = self.acts(edition).await;
-                log::info!("order: {} in force, edition {}{}", what, edition, if acts { "" } else { ", not yet everywhere" });
+                log::info!(
+                    "order: {} in force, edition {}{}",
+                    what,
+                    edition,
+                    if acts { "" } else { ", not yet everywhere" }
+                );
                 answer(200, "{}".into())
             }
             Err(Refusal { kind, problem }) => {
@@ -278,7 +303,9 @@
 
     async fn read(&self) -> Answer {
         match self.council.newest().await {
-            Ok(decided) if decided.config.is_empty() => refuse(Kind::Unknown, "there is no configuration yet"),
+            Ok(decided) if decided.config.is_empty() => {
+                refuse(Kind::Unknown, "there is no configuration yet")
+            }
             Ok(decided) => answer(200, decided.config.clone()),
             Err(Refusal { kind, problem }) => refuse(kind, problem),
         }
@@ -309,4 +336,3 @@
         Err(_) => Err(refuse(Kind::TooSlow, "the body does not get on")),
     }
 }
-
--- a/crates/engine/src/front/heads.rs
+++ b/crates/engine/src/front/heads.rs
@@ -2,7 +2,9 @@
 
 use crate::classify::Rejection;
 use bytes::{Buf, Bytes, BytesMut};
-use http::header::{HeaderMap, HeaderName, HeaderValue, CONNECTION, CONTENT_LENGTH, EXPECT, HOST, TRANSFER_ENCODING};
+use http::header::{
+    HeaderMap, HeaderName, HeaderValue, CONNECTION, CONTENT_LENGTH, EXPECT, HOST, TRANSFER_ENCODING,
+};
 use http::request::Parts;
 use http::{Method, Request, StatusCode, Uri, Version};
 
@@ -116,7 +118,10 @@
         (None, None) => Ok(Ends::Over),
         (Some(_), Some(_)) => Err(Rejection::bad(SMUGGLED)),
         (Some(coding), None) => {
-            if old || codings.next().is_some() || !coding.as_bytes().trim_ascii().eq_ignore_ascii_case(b"chunked") {
+            if old
+                || codings.next().is_some()
+                || !coding.as_bytes().trim_ascii().eq_ignore_ascii_case(b"chunked")
+            {
                 let status = StatusCode::NOT_IMPLEMENTED;
                 return Err(Rejection { status, why: "no other coding than chunked\n" });
             }
@@ -162,7 +167,8 @@
             Ends::Chunks(Chunk::Size) => {
                 let Some(line) = line(buffer, LONGEST_SIZE).ok_or(BAD)? else { return Ok(None) };
                 let digits = line.split(|b| *b == b';').next().unwrap_or_default().trim_ascii();
-                let size = std::str::from_utf8(digits).ok().filter(|d| d.bytes().all(|b| b.is_ascii_hexdigit()));
+                let size =
+                    std::str::from_utf8(digits).ok().filter(|d| d.bytes().all(|b| b.is_ascii_hexdigit()));
                 let size = size.and_then(|d| u64::from_str_radix(d, 16).ok()).ok_or(BAD)?;
                 *ends = Ends::Chunks(if size == 0 { Chunk::Trailers(0) } else { Chunk::Data(size) });
             }
@@ -240,7 +246,9 @@
     };
     for (name, value) in headers {
         // Where the answer ends is told below, and nowhere else.
-        let framing = *name == TRANSFER_ENCODING || *name == CONNECTION || *name == CONTENT_LENGTH && told != Told::None;
+        let framing = *name == TRANSFER_ENCODING
+            || *name == CONNECTION
+            || *name == CONTENT_LENGTH && told != Told::None;
         if !framing {
             line(name.as_str().as_bytes(), value.as_bytes());
         }
@@ -312,14 +320,19 @@
         assert!(head.last && !head.waits && head.parts.uri.path() == "/a");
         let long = format!("GET / HTTP/1.1\r\nX: {}", "x".repeat(17 * 1024));
         assert_eq!(read(&long).expect_err("too long").status, 431);
-        assert!(read("GET / HTTP/1.0\r\nConnection: keep-alive\r\n\r\n").is_ok_and(|h| h.is_some_and(|h| !h.last)));
+        assert!(read("GET / HTTP/1.0\r\nConnection: keep-alive\r\n\r\n")
+            .is_ok_and(|h| h.is_some_and(|h| !h.last)));
     }
 
     #[test]
     fn chunks_are_put_together_and_bad_ones_are_no_body() {
         let chunks = Ends::Chunks(Chunk::Size);
-        let (body, ends, rest) = bodies("3;x=y\r\nabc\r\nA\r\n0123456789\r\n0\r\nT: 1\r\n\r\nGET", chunks).expect("a body");
-        assert_eq!((body.as_slice(), ends, rest.as_slice()), (&b"abc0123456789"[..], Ends::Over, &b"GET"[..]));
+        let (body, ends, rest) =
+            bodies("3;x=y\r\nabc\r\nA\r\n0123456789\r\n0\r\nT: 1\r\n\r\nGET", chunks).expect("a body");
+        assert_eq!(
+            (body.as_slice(), ends, rest.as_slice()),
+            (&b"abc0123456789"[..], Ends::Over, &b"GET"[..])
+        );
         assert_eq!(bodies("3\r\nab", chunks).expect("part of one").1, Ends::Chunks(Chunk::Data(1)));
         for bad in ["x\r\n", "-1\r\n", "\r\n", "3\nabc", "3\r\nabcd\r\n", "11111111111111111\r\n"] {
             assert!(bodies(bad, chunks).is_err(), "{bad:?}");
--- a/crates/greenroom/src/follow.rs
+++ b/crates/greenroom/src/follow.rs
@@ -187,7 +187,9 @@
     pub async fn answer(&self, follow: Follow) -> News {
         let came = self.now();
         if let Some(member) = &follow.member {
-            self.change(|book, now| book.member(now, &MemberRow { heard_ago: 0, lapsed: false, ..member.clone() }));
+            self.change(|book, now| {
+                book.member(now, &MemberRow { heard_ago: 0, lapsed: false, ..member.clone() })
+            });
         }
         if follow.epoch == self.book.borrow().epoch() {
             let seen = Seen { seen: follow.seen, edition: follow.edition, at: came, each: follow.each };
@@ -198,7 +200,10 @@
         loop {
             let stirred = self.stirred.notified();
             let waited = self.now() - came;
-            if waited >= hold || self.wanted(&follow, false) || waited >= gather && self.wanted(&follow, follow.each) {
+            if waited >= hold
+                || self.wanted(&follow, false)
+                || waited >= gather && self.wanted(&follow, follow.each)
+            {
                 break;
             }
             let until = if waited < gather && follow.each { gather } else { hold };
--- a/crates/greenroom/src/news.rs
+++ b/crates/greenroom/src/news.rs
@@ -68,7 +68,8 @@
     fn take(&mut self, other: &Self, _: bool) -> Option<bool> {
         let state = self.state.max(other.state);
         let rises = other.calls > self.calls;
-        let silent = if rises { other.silent } else { self.silent || other.silent && other.calls == self.calls };
+        let silent =
+            if rises { other.silent } else { self.silent || other.silent && other.calls == self.calls };
         if !rises && state == self.state && silent == self.silent {
             return None;
         }
@@ -103,7 +104,8 @@
             });
         }
         let rises = other.beat > self.beat;
-        let lapsed = if rises { other.lapsed } else { self.lapsed || other.lapsed && other.beat == self.beat };
+        let lapsed =
+            if rises { other.lapsed } else { self.lapsed || other.lapsed && other.beat == self.beat };
         let state = if rises { other.state } else { self.state };
         if !rises && lapsed == self.lapsed {
             return None;
@@ -369,7 +371,11 @@
             let mut rng = Pcg64Mcg::seed_from_u64(seed);
             let mut rows = Vec::new();
             for _ in 0..12 {
-                let row = server(["a", "bb"][rng.next_u32() as usize % 2], 1 + rng.next_u64() % 5, rng.next_u32() % 3);
+                let row = server(
+                    ["a", "bb"][rng.next_u32() as usize % 2],
+                    1 + rng.next_u64() % 5,
+                    rng.next_u32() % 3,
+                );
                 // One life's words of one number are one word; only the silence is added by others.
                 let row = ServerRow { state: if row.calls < 4 { 0 } else { row.state }, ..row };
                 rows.push(ServerRow { silent: rng.next_u32() % 4 == 0, ..row });
--- a/crates/greenroom/src/run.rs
+++ b/crates/greenroom/src/run.rs
@@ -73,9 +73,8 @@
 /// When it cannot be read or something in it is wrong.
 pub fn load(path: &str) -> Result<Settings, String> {
     let text = std::fs::read_to_string(path).map_err(|e| format!("{path}: {e}"))?;
-    Settings::parse(&text).map_err(|mistakes| {
-        mistakes.iter().map(|m| format!("{path}: {m}")).collect::<Vec<_>>().join("\n")
-    })
+    Settings::parse(&text)
+        .map_err(|mistakes| mistakes.iter().map(|m| format!("{path}: {m}")).collect::<Vec<_>>().join("\n"))
 }
 
 /// The settings of the moment, and word of new ones.
--- a/crates/greenroom/src/settings.rs
+++ b/crates/greenroom/src/settings.rs
@@ -105,12 +105,20 @@
 impl Reader<'_> {
     fn wrong(&mut self, key: &str, what: impl Into<String>) {
         let last = key.rsplit('.').next().unwrap_or(key);
-        let is_key = |line: &str| line.trim_start().strip_prefix(last).is_some_and(|r| r.trim_start().starts_with('='));
+        let is_key = |line: &str| {
+            line.trim_start().strip_prefix(last).is_some_and(|r| r.trim_start().starts_with('='))
+        };
         let line = self.text.lines().position(is_key).map_or(0, |at| at + 1);
         self.mistakes.push(Mistake { line, key: key.into(), what: what.into() });
     }
 
-    fn get<'v, T>(&mut self, table: &'v Table, key: &str, allowed: &str, read: impl Fn(&'v Value) -> Option<T>) -> Option<T> {
+    fn get<'v, T>(
+        &mut self,
+        table: &'v Table,
+        key: &str,
+        allowed: &str,
+        read: impl Fn(&'v Value) -> Option<T>,
+    ) -> Option<T> {
         let last = key.rsplit('.').next().unwrap_or(key);
         match table.get(last) {
             None => {
@@ -132,7 +140,9 @@
     }
 
     fn text(&mut self, table: &Table, key: &str) -> String {
-        self.get(table, key, "a text", |v| v.as_str().filter(|s| !s.is_empty())).unwrap_or_default().to_owned()
+        self.get(table, key, "a text", |v| v.as_str().filter(|s| !s.is_empty()))
+            .unwrap_or_default()
+            .to_owned()
     }
 
     fn flag(&mut self, table: &Table, key: &str) -> bool {
@@ -179,7 +189,8 @@
             v.as_array()?.iter().map(|s| s.as_str()?.parse().ok()).collect()
         };
         let ports = |v: &Value| {
-            let list: Option<Vec<u16>> = v.as_array()?.iter().map(|p| u16::try_from(p.as_integer()?).ok()).collect();
+            let list: Option<Vec<u16>> =
+                v.as_array()?.iter().map(|p| u16::try_from(p.as_integer()?).ok()).collect();
             match list?.as_slice() {
                 [first, last] if *first > 0 && *last >= first.saturating_add(3) => Some((*first, *last)),
                 _ => None,
@@ -191,10 +202,14 @@
             serves: root.get("serves").and_then(Value::as_array).map_or_else(Vec::new, |list| {
                 list.iter().filter_map(|v| v.as_str().map(str::to_owned)).collect()
             }),
-            ip: r.get(&root, "ip", "an IPv4 address", |v| v.as_str()?.parse().ok()).unwrap_or(Ipv4Addr::UNSPECIFIED),
+            ip: r
+                .get(&root, "ip", "an IPv4 address", |v| v.as_str()?.parse().ok())
+                .unwrap_or(Ipv4Addr::UNSPECIFIED),
             zone: r.text(&root, "zone"),
             region: r.text(&root, "region"),
-            inner: r.get(&root, "innerPorts", "the first and the last of four ports or more", ports).unwrap_or((1, 4)),
+            inner: r
+                .get(&root, "innerPorts", "the first and the last of four ports or more", ports)
+                .unwrap_or((1, 4)),
             seeds: r.get(&root, "seeds", "a list of IPv4 addresses with ports", seeds).unwrap_or_default(),
             first_start: r.flag(&root, "firstStart"),
             counted: root.get("counted").and_then(Value::as_bool).unwrap_or(false),
--- a/crates/promptbook/src/caller.rs
+++ b/crates/promptbook/src/caller.rs
@@ -1,10 +1,10 @@
 //! The register as other programs use it: rounds over links to the voters, on one thread, in a `LocalSet`.
 
 use crate::acceptor::Quorum;
-use greenroom::link::{Link, LinkError};
 use crate::proposer::{sight, Action, Known, Operation, Outcome, Token};
 use crate::wire::{kind, Answer, Ballot, Fetch, Here, Peek, Who};
 use bytes::Bytes;
+use greenroom::link::{Link, LinkError};
 use prost::Message;
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
--- a/crates/promptbook/src/voter.rs
+++ b/crates/promptbook/src/voter.rs
@@ -3,11 +3,11 @@
 use crate::acceptor::{Acceptor, Rejoining, Write};
 use crate::caller::{chance, who};
 use crate::disk::{Disk, DiskError};
-use greenroom::link::{Answering, Link};
 use crate::wire::{kind, Accept, Answer, Fetch, Here, Prepare, Rejoin, Standing, Verdict};
 use bytes::Bytes;
-use prost::Message;
+use greenroom::link::{Answering, Link};
 use greenroom::log::{error, info};
+use prost::Message;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
--- a/crates/promptbook/tests/program.rs
+++ b/crates/promptbook/tests/program.rs
@@ -1,7 +1,7 @@
 //! Three programs and a caller: founding, changes, a machine less, a lost disk, all killed at once.
 
-use promptbook::caller::{voters, who, Caller, ChangeError};
 use greenroom::link::Link;
+use promptbook::caller::{voters, who, Caller, ChangeError};
 use promptbook::wire::Standing;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
--- a/crates/proscenium/src/counts.rs
+++ b/crates/proscenium/src/counts.rs
@@ -17,7 +17,9 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use topazwind::interface::{Action, CountName, CustomerId, Draw, Millis, Outcome, Plan, PlanId, QuotaSettings, Verdict};
+use topazwind::interface::{
+    Action, CountName, CustomerId, Draw, Millis, Outcome, Plan, PlanId, QuotaSettings, Verdict,
+};
 use topazwind::logic::Quotas;
 
 /// Adds are gathered for so long.
@@ -91,7 +93,8 @@
         self.known.with(|book, now| {
             let acts = |row: &greenroom::wire::MemberRow, ago: Millis| !row.lapsed || ago < STILL_KEEPS;
             let members = || book.members(now).filter(move |(row, ago)| acts(row, *ago));
-            let names = members().map(|(row, _)| row.name.as_str()).chain(std::iter::once(self.name.as_str()));
+            let names =
+                members().map(|(row, _)| row.name.as_str()).chain(std::iter::once(self.name.as_str()));
             let drawn = keeper(name.0, names)?;
             let row = members().find(|(row, _)| row.name == drawn && row.name != self.name)?.0;
             row.inner.parse().ok()
@@ -173,7 +176,14 @@
 
 fn settings(plans: Vec<Plan>) -> QuotaSettings {
     let counter_timeout = WITHIN.as_secs_f64() * 1000.0;
-    QuotaSettings { plans, max_units: 1.0, counter: true, counter_timeout, sync_every: SYNC_EVERY, flush_after: FLUSH_AFTER }
+    QuotaSettings {
+        plans,
+        max_units: 1.0,
+        counter: true,
+        counter_timeout,
+        sync_every: SYNC_EVERY,
+        flush_after: FLUSH_AFTER,
+    }
 }
 
 /// Between two syncs of a tenant, ms: a tenth of a window of one second. What a tenant that begins to press sends through all
--- a/crates/proscenium/src/house.rs
+++ b/crates/proscenium/src/house.rs
@@ -4,6 +4,7 @@
 use crate::counts::Counter;
 use crate::lease::Lease;
 use crate::scene::{class, plan, share, Scene};
+use crate::terms::{self, LONGEST_WAIT};
 use greenroom::follow::{chance, Knowledge};
 use greenroom::kinds::Kind;
 use greenroom::log::{self, Few};
@@ -39,27 +40,8 @@
 const CONNECT: Millis = 400.0;
 /// Where a limiter may not act yet, clients come back after this, ms.
 const SOON: Millis = 300.0;
-/// Cost of a server in another zone of the region, and in another region, beside the near one.
-const SAME_REGION: f64 = 1.5;
-const OTHER_REGION: f64 = 9.0;
-/// Answers that take this share of the aim on the mean say that servers are full: the work alone may take a third, and the
-/// way to another region a tenth.
-const SLOW_MARK: f64 = 0.7;
-/// Requests of a service that a limiter has out at once at least. Servers turn away what is too much for them, and that
-/// costs less than a request that is held back for a limit that has not grown yet.
-const LEAST_LIMIT: f64 = 12.0;
-/// A limiter compares all servers of a service up to this number: the near ones are among them.
-const SUBSET_LEAST: f64 = 40.0;
-/// Share of the rule's further tries that is spent: what others see a little later is in the rest.
-const TRIES_SHARE: f64 = 0.75;
-/// Share of a cold server's rate that all limiters together send it.
-const COLD_SHARE: f64 = 1.2;
-/// What a server bears while it is cold, beside what it bears.
-const COLD_START: f64 = 0.3;
 /// A cold spell that is told anew and ends within this of the one before, ms, is the same one.
 const SAME_SPELL: Millis = 700.0;
-/// Longest wait that a refusal tells, ms.
-const LONGEST_WAIT: Millis = 2000.0;
 /// Descriptors kept for links to other processes.
 const LINKS: usize = 400;
 /// How many services share what this process may hold.
@@ -117,7 +99,8 @@
 
 /// What this process may hold, by purpose.
 pub fn budget(node: &Node) -> Budget {
-    let limits = Limits { sockets: node.files.saturating_sub(200) as usize, memory_mb: node.memory_mb as f64 };
+    let limits =
+        Limits { sockets: node.files.saturating_sub(200) as usize, memory_mb: node.memory_mb as f64 };
     Budget::divide(limits, LINKS, 1.0)
 }
 
@@ -200,7 +183,9 @@
                         self.set_plans(&scene);
                         *self.scene.borrow_mut() = Some(scene);
                     }
-                    Err(e) => log::error!("proxy: edition {} cannot be read, the old one holds: {}", edition, e),
+                    Err(e) => {
+                        log::error!("proxy: edition {} cannot be read, the old one holds: {}", edition, e)
+                    }
                 }
             }
         }
@@ -243,7 +228,7 @@
         for (name, service) in services {
             let of = bill.services.iter().find(|s| s.name == name);
             let (cold_s, cold_rate) = of.map_or((0.0, 0.0), |s| (s.cold_s, s.cold_rate));
-            let mut settings = self.settings(node, cold_s, cold_rate);
+            let mut settings = terms::settings(node, self.limiters(), cold_s, cold_rate);
             let mut classes = service.classes.borrow_mut();
             for route in &bill.routes {
                 if route.shares.iter().any(|(s, _)| *s == name) && !classes.contains(&route.name) {
@@ -252,7 +237,9 @@
             }
             settings.classes = classes
                 .iter()
-                .map(|n| bill.routes.iter().find(|r| r.name == *n).map(|r| class(r, r.rank)).unwrap_or_default())
+                .map(|n| {
+                    bill.routes.iter().find(|r| r.name == *n).map(|r| class(r, r.rank)).unwrap_or_default()
+                })
                 .collect();
             let zones = node.zones.iter().map(|(zone, _)| zone.clone()).collect();
             let names = Names { classes: classes.clone(), zones, ..Names::default() };
@@ -269,35 +256,6 @@
         }
     }
 
-    fn settings(&self, node: &Node, cold_s: f64, cold_rate: f64) -> Settings {
-        let limiters = self.limiters();
-        let own = node.zones.iter().position(|(zone, _)| *zone == node.zone).unwrap_or(0);
-        let cost = |(zone, region): &(String, String)| match () {
-            () if *zone == node.zone => 1.0,
-            () if *region == node.region => SAME_REGION,
-            () => OTHER_REGION,
-        };
-        Settings {
-            gateways: limiters,
-            zone: own as u16,
-            max_units: 1.0,
-            parallel_tries: true,
-            retry_after: true,
-            max_retry_after: LONGEST_WAIT,
-            cold_start: COLD_START,
-            warm_after: cold_s * 1000.0,
-            zone_cost: node.zones.iter().map(cost).collect(),
-            retry_saved: TRIES_SHARE * node.bounds.extra_tries / limiters,
-            retry_earn: TRIES_SHARE * node.bounds.retry_ratio,
-            cold_rate: COLD_SHARE * cold_rate / limiters,
-            slow_mark: SLOW_MARK,
-            hedge_after: 3.0,
-            least_limit: LEAST_LIMIT,
-            subset_least: SUBSET_LEAST,
-            ..Settings::default()
-        }
-    }
-
     fn open(&self, name: &str) -> Service {
         let connections = Connections {
             idle: SERVER_IDLE,
@@ -362,23 +320,26 @@
     // ---- Requests -----------------------------------------------------------------------------
 
     /// Which route and tenant a request belongs to.
-    fn ticket(&self, head: &Parts) -> Result<Ticket, Response<Body>> {
+    fn ticket(&self, head: &Parts) -> Result<Ticket, (Kind, Millis)> {
         let scene = self.scene.borrow().clone();
-        let Some(scene) = scene.filter(|_| self.is_ready()) else { return Err(refuse(Kind::Starting, SOON)) };
+        let Some(scene) = scene.filter(|_| self.is_ready()) else { return Err((Kind::Starting, SOON)) };
         let text = |name: &HeaderName| head.headers.get(name).and_then(|v| v.to_str().ok());
         let host = head.uri.host().or_else(|| text(&HOST)).unwrap_or_default();
-        let Some(at) = scene.table.route(host, head.uri.path()) else { return Err(refuse(Kind::Unknown, 0.0)) };
+        let Some(at) = scene.table.route(host, head.uri.path()) else {
+            return Err((Kind::Unknown, 0.0));
+        };
         let route = &scene.table.bill().routes[at];
         let mut customer = None;
         if scene.table.has_customers() {
             let key = text(&AUTHORIZATION).and_then(|v| v.strip_prefix("Bearer ")).map(str::trim);
             customer = key.and_then(|key| scene.table.customer(key));
             if customer.is_none() && !route.keyless {
-                return Err(refuse(Kind::NoKey, 0.0));
+                return Err((Kind::NoKey, 0.0));
             }
         }
-        let Some(within) = scene.within(at, customer) else { return Err(refuse(Kind::Busy, SOON)) };
-        let left = text(&TIME_LEFT).and_then(|v| v.trim().parse::<f64>().ok()).filter(|v| v.is_finite() && *v > 0.0);
+        let Some(within) = scene.within(at, customer) else { return Err((Kind::Busy, SOON)) };
+        let left =
+            text(&TIME_LEFT).and_then(|v| v.trim().parse::<f64>().ok()).filter(|v| v.is_finite() && *v > 0.0);
         let time_left = left.unwrap_or(route.give_up_ms).min(route.give_up_ms);
         Ok(Ticket { scene, route: at, customer, within, time_left })
     }
@@ -391,7 +352,8 @@
         if let Some(tenant) = tenant {
             let number = self.tenants.borrow().get(&tenant.name).copied().unwrap_or(0);
             if tenant.rate > 0.0 {
-                let admitted = self.counter.admit(CustomerId(number), PlanId(number as usize), self.limiters());
+                let admitted =
+                    self.counter.admit(CustomerId(number), PlanId(number as usize), self.limiters());
                 if let Err(wait) = admitted {
                     return refuse(Kind::Quota, wait.max(SOON));
                 }
@@ -441,7 +403,10 @@
 /// Of one engine's settings all that is set here.
 fn same(a: &Settings, b: &Settings) -> bool {
     let class = |s: &Settings| -> Vec<[f64; 4]> {
-        s.classes.iter().map(|c| [c.aim, c.deadline, c.worth, f64::from(c.repeat == topazwind::interface::Repeat::Safe)]).collect()
+        s.classes
+            .iter()
+            .map(|c| [c.aim, c.deadline, c.worth, f64::from(c.repeat == topazwind::interface::Repeat::Safe)])
+            .collect()
     };
     a.gateways == b.gateways
         && a.zone == b.zone
@@ -487,7 +452,7 @@
         }
         Ok(match self.0.ticket(head) {
             Ok(ticket) => Judged::Taken(ticket),
-            Err(answer) => Judged::Answer(answer),
+            Err((kind, wait)) => Judged::Answer(refuse(kind, wait)),
         })
     }
 
--- a/crates/proscenium/src/keepers.rs
+++ b/crates/proscenium/src/keepers.rs
@@ -20,7 +20,8 @@
     #[test]
     fn numbers_are_spread_and_only_a_leavers_change_hands() {
         let names: Vec<String> = (0..9).map(|i| format!("edge-{i}")).collect();
-        let of = |names: &[String], number| keeper(number, names.iter().map(String::as_str)).map(str::to_owned);
+        let of =
+            |names: &[String], number| keeper(number, names.iter().map(String::as_str)).map(str::to_owned);
         let mut kept: HashMap<String, u32> = HashMap::new();
         for number in 0..9000u64 {
             let number = number.wrapping_mul(0x1234_5678_9abc_def1);
--- a/crates/proscenium/src/lease.rs
+++ b/crates/proscenium/src/lease.rs
@@ -60,6 +60,10 @@
     fn without_the_rule_it_goes_on_for_ever_but_begins_confirmed_if_it_can() {
         let lease = lease(false);
         assert!(lease.stands(None));
-        assert!(!lease.may_begin(1000.0, None) && lease.may_begin(1000.0, Some(900.0)) && lease.may_begin(2500.0, None));
+        assert!(
+            !lease.may_begin(1000.0, None)
+                && lease.may_begin(1000.0, Some(900.0))
+                && lease.may_begin(2500.0, None)
+        );
     }
 }
--- a/crates/proscenium/src/lib.rs
+++ b/crates/proscenium/src/lib.rs
@@ -1,5 +1,5 @@
 //! The proxy. Pure: [`scene`] (what an edition says), [`lease`] (how long it may be acted by), [`keepers`] (who keeps a
-//! number). Shells: [`house`] (the desk, and an engine for each service), [`counts`] (quotas over all limiters), [`session`]
+//! number), [`terms`] (what a decision module is told). Shells: [`house`] (the desk, and an engine for each service), [`counts`] (quotas over all limiters), [`session`]
 //! (with a control limiter, and a few others), [`ready`].
 
 pub mod counts;
@@ -9,3 +9,4 @@
 pub mod ready;
 pub mod scene;
 pub mod session;
+pub mod terms;
--- a/crates/proscenium/src/scene.rs
+++ b/crates/proscenium/src/scene.rs
@@ -83,7 +83,14 @@
     }
     // A quota without a burst still lets one second through at once.
     let burst = if burst > 0.0 { burst } else { rate };
-    Plan { rate: rate * RATE_PART, burst: (burst * BURST_PART).max(1.0), price: 1.0, over_cost: 1.0, debt: DEBT, ..Plan::default() }
+    Plan {
+        rate: rate * RATE_PART,
+        burst: (burst * BURST_PART).max(1.0),
+        price: 1.0,
+        over_cost: 1.0,
+        debt: DEBT,
+        ..Plan::default()
+    }
 }
 
 /// The service of a route that a roll in 0 to 1 falls on.
@@ -97,7 +104,7 @@
         }
         at -= weight;
     }
-    with_weight().last().map(|(service, _)| service.as_str())
+    with_weight().next_back().map(|(service, _)| service.as_str())
 }
 
 #[cfg(test)]
@@ -130,7 +137,10 @@
     fn weights_cut_the_roll() {
         let scene = Scene::new(3, &decided(), &settings()).expect("a scene");
         let route = &scene.table.bill().routes[0];
-        assert_eq!((share(route, 0.0), share(route, 0.89), share(route, 0.91)), (Some("s"), Some("s"), Some("t")));
+        assert_eq!(
+            (share(route, 0.0), share(route, 0.89), share(route, 0.91)),
+            (Some("s"), Some("s"), Some("t"))
+        );
         assert_eq!(share(route, 1.0), Some("t"));
     }
 }
--- a/crates/proscenium/src/session.rs
+++ b/crates/proscenium/src/session.rs
@@ -57,7 +57,16 @@
     /// No session yet.
     pub fn new(known: Rc<Knowledge>, told: Rc<Told>, links: Rc<Links>) -> Rc<Self> {
         let (life, beat, state) = (chance().max(1), Cell::new(0), Cell::new(member_state::STARTING));
-        Rc::new(Session { known, told, links, life, beat, state, turned: Notify::new(), with: Cell::new(None) })
+        Rc::new(Session {
+            known,
+            told,
+            links,
+            life,
+            beat,
+            state,
+            turned: Notify::new(),
+            with: Cell::new(None),
+        })
     }
 
     /// It is about to end.
@@ -150,7 +159,9 @@
             self.turned.notified().await;
             for _ in 0..2 {
                 if let Some(ip) = self.with.get() {
-                    let _ = self.ask(ip, &mut Place { epoch: self.known.with(|b, _| b.epoch()), seen: 0 }, 0).await;
+                    let _ = self
+                        .ask(ip, &mut Place { epoch: self.known.with(|b, _| b.epoch()), seen: 0 }, 0)
+                        .await;
                 }
             }
         }
@@ -172,12 +183,14 @@
             let (name, region) = (self.told.settings().node, self.told.settings().region);
             let partner = self.known.with(|book, now| {
                 // News comes in from afar by one; the way between regions is dear.
-                let near = nth == 0 && book.members(now).any(|(row, _)| row.region == region && row.name != name);
+                let near =
+                    nth == 0 && book.members(now).any(|(row, _)| row.region == region && row.name != name);
                 let others = book.members(now).filter(|(row, _)| !row.lapsed && row.name != name);
                 let others = others.filter(|(row, _)| !near || row.region == region);
                 let others: Vec<(String, SocketAddr)> =
                     others.filter_map(|(row, _)| Some((row.name.clone(), row.inner.parse().ok()?))).collect();
-                let drawn = keeper(round.wrapping_mul(2 * nth + 1), others.iter().map(|(name, _)| name.as_str()))?;
+                let drawn =
+                    keeper(round.wrapping_mul(2 * nth + 1), others.iter().map(|(name, _)| name.as_str()))?;
                 others.iter().find(|(name, _)| name == drawn).map(|(_, at)| *at)
             });
             let Some(partner) = partner else {
@@ -189,7 +202,8 @@
             }
             let link = self.links.to(partner);
             for _ in 0..FEW_CALLS {
-                if ask(&self.known, &link, &mut place.1, &name, false, FEW_HOLD, None).await == Heard::Nothing {
+                if ask(&self.known, &link, &mut place.1, &name, false, FEW_HOLD, None).await == Heard::Nothing
+                {
                     tokio::time::sleep(FEW_AGAIN).await;
                     break;
                 }
--- a/crates/topazwind/tests/quotas.rs
+++ b/crates/topazwind/tests/quotas.rs
@@ -9,7 +9,16 @@
         Plan::default(),
         Plan { max_open: 2.0, ..Plan::default() },
     ];
-    Quotas::new(QuotaSettings { plans, max_units: 1.0, counter: true, counter_timeout: 50.0, ..QuotaSettings::default() }, 11)
+    Quotas::new(
+        QuotaSettings {
+            plans,
+            max_units: 1.0,
+            counter: true,
+            counter_timeout: 50.0,
+            ..QuotaSettings::default()
+        },
+        11,
+    )
 }
 
 fn draw(customer: u64, plan: usize) -> Draw {
