--- a/crates/promptbook/tests/program.rs
+++ b/crates/promptbook/tests/program.rs
@@ -25,10 +25,10 @@
         let port = self.address.port();
         let seeds: Vec<String> = seeds.iter().map(|seed| format!("\"{}:8688\"", seed.ip())).collect();
         let text = include_str!("../../greenroom/tests/node.toml")
-            .replace("ip = \"10.1.0.35\"", &format!("ip = \"{}\"", self.address.ip()))
+            .replace("ip = \"10.1.0.35\"", &format!("ip = \"{}\"\ndataFolder = {data:?}", self.address.ip()))
             .replace("[7740,7755]", &format!("[{port},{}]", port + 15))
             .replace("\"10.1.0.38:8688\",\"10.3.0.33:8688\",\"10.1.0.39:8688\"", &seeds.join(","))
-            .replace("firstStart = true", &format!("firstStart = {first_start}\ndataFolder = {data:?}"));
+            .replace("firstStart = true", &format!("firstStart = {first_start}"));
         std::fs::write(&settings, text).unwrap();
         let program = Command::new(env!("CARGO_BIN_EXE_promptbook"))
             .env("OATBANK_SETTINGS", settings)
