Quotas: a tenant has one number at all limiters, whichever versions each has seen

Found by reading: tenants were numbered in the order in which a limiter had met them, so one that started after a tenant had come and gone shared counts with another's.

--- a/crates/proscenium/src/house.rs
+++ b/crates/proscenium/src/house.rs
@@ -3,7 +3,7 @@
 
 use crate::counts::Counter;
 use crate::lease::Lease;
-use crate::scene::{class, plan, share, Scene};
+use crate::scene::{class, plan, share, tenant_number, Scene};
 use crate::terms::{self, LONGEST_WAIT};
 use greenroom::follow::{chance, Knowledge};
 use greenroom::kinds::Kind;
@@ -27,7 +27,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 use std::sync::Arc;
-use topazwind::interface::{ClassId, CustomerId, PlanId, Request, Rules, ServerState, Settings};
+use topazwind::interface::{ClassId, PlanId, Request, Rules, ServerState, Settings};
 
 /// Names a try of a client.
 pub const TRY_ID: HeaderName = HeaderName::from_static("try-id");
@@ -78,8 +78,9 @@
     budget: Budget,
     scene: RefCell<Option<Rc<Scene>>>,
     services: RefCell<BTreeMap<String, Rc<Service>>>,
-    /// Tenants by name, in the order of the module's numbers.
-    tenants: RefCell<HashMap<String, u64>>,
+    /// Places of tenants' plans, by name. Each limiter has its own: what stands for a tenant between limiters is
+    /// [`tenant_number`].
+    tenants: RefCell<HashMap<String, usize>>,
     began: Cell<bool>,
     few: Few,
     rolls: Cell<u64>,
@@ -203,14 +204,14 @@
         let mut tenants = self.tenants.borrow_mut();
         let customers = scene.table.bill().customers.as_deref().unwrap_or_default();
         for customer in customers {
-            let next = tenants.len() as u64;
+            let next = tenants.len();
             tenants.entry(customer.name.clone()).or_insert(next);
         }
         // Plans stand by tenant: one that is gone keeps its place.
         let mut plans = vec![plan(0.0, 0.0); tenants.len()];
         for customer in customers {
             if let Some(at) = tenants.get(&customer.name) {
-                plans[*at as usize] = plan(customer.rate, customer.burst);
+                plans[*at] = plan(customer.rate, customer.burst);
             }
         }
         self.counter.settle(plans);
@@ -350,10 +351,10 @@
         let route = &bill.routes[ticket.route];
         let tenant = ticket.customer.and_then(|at| bill.customers.as_ref()?.get(at));
         if let Some(tenant) = tenant {
-            let number = self.tenants.borrow().get(&tenant.name).copied().unwrap_or(0);
+            let place = self.tenants.borrow().get(&tenant.name).copied().unwrap_or(0);
             if tenant.rate > 0.0 {
-                let admitted =
-                    self.counter.admit(CustomerId(number), PlanId(number as usize), self.limiters());
+                let number = tenant_number(&tenant.name);
+                let admitted = self.counter.admit(number, PlanId(place), self.limiters());
                 if let Err(wait) = admitted {
                     return refuse(Kind::Quota, wait.max(SOON));
                 }
--- a/crates/proscenium/src/scene.rs
+++ b/crates/proscenium/src/scene.rs
@@ -4,7 +4,7 @@
 use greenroom::wire::Decided;
 use playbill::{Invalid, Kind, Playbill, Route, Table};
 use std::collections::BTreeSet;
-use topazwind::interface::{Class, Plan, Repeat};
+use topazwind::interface::{Class, CustomerId, Plan, Repeat};
 
 /// A zone has a bit in the mask of zones that a request's servers may stand in.
 const MOST_ZONES: usize = 63;
@@ -93,6 +93,14 @@
     }
 }
 
+/// What stands for a tenant in the numbers that limiters keep for each other: the same at each, whichever versions of the
+/// configuration it has seen.
+pub fn tenant_number(name: &str) -> CustomerId {
+    let mix = |x: u64, b: u8| (x ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3);
+    let x = name.bytes().fold(0xcbf2_9ce4_8422_2325, mix);
+    CustomerId((x ^ (x >> 29)).wrapping_mul(0xd6e8_feb8_6659_fd93))
+}
+
 /// The service of a route that a roll in 0 to 1 falls on.
 pub fn share(route: &Route, roll: f64) -> Option<&str> {
     let all: f64 = route.shares.iter().map(|(_, weight)| weight.max(0.0)).sum();
@@ -133,6 +141,14 @@
         assert_eq!(scene.within(1, Some(1)), None, "akl and chc leave none");
     }
 
+    #[test]
+    fn a_tenant_has_one_number_at_all_limiters_and_no_other_has_it() {
+        // A limiter that started after a tenant had come and gone counted the rest one place further on.
+        let numbers: BTreeSet<u64> = (0..5000).map(|i| tenant_number(&format!("t{i}")).0).collect();
+        assert_eq!(numbers.len(), 5000);
+        assert_eq!(tenant_number("yefi830"), tenant_number("yefi830"));
+    }
+
     #[test]
     fn weights_cut_the_roll() {
         let scene = Scene::new(3, &decided(), &settings()).expect("a scene");
