--- a/crates/proscenium/src/scene.rs
+++ b/crates/proscenium/src/scene.rs
@@ -74,7 +74,7 @@
 const RATE_PART: f64 = 0.97;
 const BURST_PART: f64 = 0.75;
 /// That much beyond it, in bursts, is paid back before anything else passes.
-const DEBT: f64 = 0.6;
+const DEBT: f64 = 4.0;
 
 /// How the decision module sees a tenant's quota.
 pub fn plan(rate: f64, burst: f64) -> Plan {
