--- a/crates/proscenium/src/house.rs
+++ b/crates/proscenium/src/house.rs
@@ -361,6 +361,7 @@
     // ---- Requests -----------------------------------------------------------------------------
 
     /// Which route and tenant a request belongs to.
+    #[allow(clippy::result_large_err)] // The answer goes out as it is.
     fn ticket(&self, head: &Parts) -> Result<Ticket, Response<Body>> {
         let scene = self.scene.borrow().clone();
         let Some(scene) = scene.filter(|_| self.is_ready()) else { return Err(refuse(Kind::Starting, SOON)) };
--- a/crates/proscenium/src/scene.rs
+++ b/crates/proscenium/src/scene.rs
@@ -95,7 +95,7 @@
         }
         at -= weight;
     }
-    with_weight().last().map(|(service, _)| service.as_str())
+    with_weight().next_back().map(|(service, _)| service.as_str())
 }
 
 #[cfg(test)]
