--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -6,7 +6,7 @@
 use crate::upgrade::{self, Upgrade};
 use oatbank_engine::counters::text::TextCounter;
 use oatbank_engine::engine::{Engine, Names, Setup};
-use oatbank_engine::members::agent::{self, ServerList};
+use oatbank_engine::members::agent::{self, Agent, ServerList};
 use oatbank_engine::ports::clock::{Clock, SystemClock};
 use oatbank_engine::ports::membership::{News, Told};
 use oatbank_engine::respond::ComeBack;
@@ -125,6 +125,10 @@
         let File { discovery, counter, known, control, .. } = file;
         Ok(Config { plan, discovery, counter, known, control, form })
     }
+
+    fn agent(&self) -> Agent {
+        Agent { address: self.discovery, on_request: self.plan.setup.settings.list_on_request }
+    }
 }
 
 /// Serves on the platform until a signal ends it.
@@ -151,7 +155,7 @@
     let counter = TextCounter::start(config.counter, clock, engine.ends());
     engine.use_counter(Some(counter.clone()));
     let known = config.known.as_ref().map_or(0, |k| k.revision);
-    let mut following = Following::start(told, config.discovery, Some(known), config.plan.setup.seed);
+    let mut following = Following::start(told, config.agent(), Some(known), config.plan.setup.seed);
     let waiting = engine.clone();
     tokio::task::spawn_local(async move {
         tokio::time::sleep(LIST_WAIT).await;
@@ -174,14 +178,14 @@
 /// Follows the discovery agent that the configuration names, and moves to another when that changes.
 struct Following {
     told: Told,
-    agent: SocketAddr,
+    agent: Agent,
     /// Of its pauses.
     seed: u64,
     task: AbortHandle,
 }
 
 impl Following {
-    fn start(told: Told, agent: SocketAddr, known: Option<u64>, seed: u64) -> Self {
+    fn start(told: Told, agent: Agent, known: Option<u64>, seed: u64) -> Self {
         let telling = told.clone();
         let task = keep_running("discovery", move || agent::follow(telling.clone(), agent, known, seed));
         Following { told, agent, seed, task }
@@ -189,7 +193,7 @@
 
     /// The old list holds until the new agent has told its own. Versions of two agents need not count
     /// alike, so the whole of it is asked for.
-    fn move_to(&mut self, agent: SocketAddr) {
+    fn move_to(&mut self, agent: Agent) {
         if self.agent != agent {
             self.task.abort();
             *self = Following::start(self.told.clone(), agent, None, self.seed);
@@ -268,7 +272,7 @@
     for key in reload::only_at_a_start(taken, &config.form) {
         tracing::warn!(key, "configuration: {key} has changed, which counts after a restart only");
     }
-    following.move_to(config.discovery);
+    following.move_to(config.agent());
     counter.move_to(config.counter);
     *taken = config.form;
 }
--- a/crates/engine/tests/ports.rs
+++ b/crates/engine/tests/ports.rs
@@ -99,8 +99,8 @@
     let agent = Discovery::start(whole);
     on_local_set(async move {
         let seen = membership::Seen::default();
-        let (told, address) = (seen.told(), agent.address);
-        keep_running("discovery", move || agent::follow(told.clone(), address, None, 1));
+        let (told, at) = (seen.told(), agent::Agent { address: agent.address, on_request: false });
+        keep_running("discovery", move || agent::follow(told.clone(), at, None, 1));
         seen.ready(&["a", "b"]).await;
         while agent.watching() == 0 {
             tokio::task::yield_now().await;
