--- a/crates/engine/src/members/agent.rs
+++ b/crates/engine/src/members/agent.rs
@@ -259,7 +259,9 @@
     }
 
     fn over(&mut self) {
-        self.failures = 0;
+        if std::mem::take(&mut self.failures) > 0 {
+            tracing::info!("discovery: answers again");
+        }
     }
 }
 
