--- a/crates/callboard/src/main.rs
+++ b/crates/callboard/src/main.rs
@@ -5,7 +5,7 @@
 use greenroom::follow::{ask, Heard, Knowledge, Place, Steady};
 use greenroom::link::{self, Link};
 use greenroom::log;
-use greenroom::run::{self, Program, Signals, Told, Word};
+use greenroom::run::{self, listen, Program, Signals, Told, Word};
 use greenroom::settings::Settings;
 use greenroom::wire::call;
 use promptbook::caller::Caller;
@@ -14,7 +14,6 @@
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpListener;
 
 /// Places of programs among a machine's inner ports.
 const STORE: u16 = 0;
@@ -37,10 +36,6 @@
     run::main(&Program { name: "callboard", about }, serve)
 }
 
-async fn listen(address: std::net::SocketAddr) -> Result<TcpListener, String> {
-    TcpListener::bind(address).await.map_err(|e| format!("{address}: {e}"))
-}
-
 async fn serve(told: Rc<Told>, mut signals: Signals) -> Result<(), String> {
     let settings = told.settings();
     let control = settings
@@ -49,7 +44,7 @@
     let known = Knowledge::new(Steady::start(), settings.beat_every);
 
     // Other processes of the system.
-    let inner = listen(settings.inner_address(REGISTRY)).await?;
+    let inner = listen(settings.inner_address(REGISTRY))?;
     let telling = known.clone();
     let handler: Rc<dyn Fn(u8, bytes::Bytes) -> link::Answering> = Rc::new(move |kind, body| {
         let known = telling.clone();
@@ -80,9 +75,9 @@
     // Callers from outside.
     let zones = settings.zones.iter().map(|(zone, _)| zone.clone()).collect();
     let outside = Outside::new(known.clone(), council, alone, zones, settings.bounds.ttl_max_s);
-    tokio::task::spawn_local(outside.clone().serve(listen(control).await?));
+    tokio::task::spawn_local(outside.clone().serve(listen(control)?));
     if let Some(directory) = settings.listen_on("directory") {
-        tokio::task::spawn_local(outside.clone().serve(listen(directory).await?));
+        tokio::task::spawn_local(outside.clone().serve(listen(directory)?));
     }
     log::info!("registry: {} answers at {}", settings.node, control);
 
--- a/crates/greenroom/src/run.rs
+++ b/crates/greenroom/src/run.rs
@@ -4,8 +4,10 @@
 use crate::settings::{Settings, VARIABLE};
 use std::cell::RefCell;
 use std::future::Future;
+use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::time::Duration;
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{signal, Signal, SignalKind};
 
 /// What a program is and says of itself.
@@ -141,6 +143,23 @@
     })
 }
 
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 1024;
+
+/// Listens at once also where the process before left connections behind.
+///
+/// # Errors
+/// When the address cannot be had; the text names it.
+pub fn listen(address: SocketAddr) -> Result<TcpListener, String> {
+    let bound = || {
+        let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+        socket.set_reuseaddr(true)?;
+        socket.bind(address)?;
+        socket.listen(BACKLOG)
+    };
+    bound().map_err(|e: std::io::Error| format!("{address}: {e}"))
+}
+
 /// What the platform tells a process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Word {
--- a/crates/promptbook/src/main.rs
+++ b/crates/promptbook/src/main.rs
@@ -1,21 +1,18 @@
 //! The program `promptbook`: runs on every core machine and votes on what is agreed.
 
-use greenroom::run::{self, Program, Signals, Told, Word};
+use greenroom::run::{self, listen, Program, Signals, Told, Word};
 use greenroom::settings::Settings;
 use greenroom::{link, log};
 use promptbook::voter::{Terms, Voter};
-use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpSocket};
 
 /// The store's place among a machine's inner ports.
 const STORE: u16 = 0;
 /// The wait before the disk is tried again at the start.
 const DISK_AGAIN: Duration = Duration::from_millis(250);
-const BACKLOG: u32 = 1024;
 
 fn main() -> ExitCode {
     let about = "the store of configuration: keeps what a majority of the core machines agrees on";
@@ -32,16 +29,6 @@
     })
 }
 
-fn listen(address: SocketAddr) -> Result<TcpListener, String> {
-    let bound = || {
-        let socket = TcpSocket::new_v4()?;
-        socket.set_reuseaddr(true)?;
-        socket.bind(address)?;
-        socket.listen(BACKLOG)
-    };
-    bound().map_err(|e| format!("{address}: {e}"))
-}
-
 /// Opens the disk, again and again if it refuses.
 async fn start(terms: Terms) -> Rc<Voter> {
     let mut said = false;
--- a/crates/proscenium/src/main.rs
+++ b/crates/proscenium/src/main.rs
@@ -4,23 +4,20 @@
 use greenroom::link;
 use greenroom::log;
 use greenroom::news::member_state;
-use greenroom::run::{self, Program, Signals, Told, Word};
+use greenroom::run::{self, listen, Program, Signals, Told, Word};
 use greenroom::wire::call;
 use oatbank_engine::front::{Front, FrontLimits};
 use proscenium::counts::Counter;
 use proscenium::house::{budget, House, HouseDesk};
 use proscenium::ready;
 use proscenium::session::{Links, Session};
-use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpSocket};
 use tokio::time::Instant;
 
 /// The proxy's place among a machine's inner ports.
 const PROXY: u16 = 2;
-const BACKLOG: u32 = 1024;
 /// How often it is looked at whether clients may be served, and what changes by time alone.
 const LOOK: Duration = Duration::from_millis(50);
 const REFRESH: Duration = Duration::from_millis(500);
@@ -34,16 +31,6 @@
     run::main(&Program { name: "proscenium", about }, serve)
 }
 
-fn listen(address: SocketAddr) -> Result<TcpListener, String> {
-    let bound = || {
-        let socket = TcpSocket::new_v4()?;
-        socket.set_reuseaddr(true)?;
-        socket.bind(address)?;
-        socket.listen(BACKLOG)
-    };
-    bound().map_err(|e| format!("{address}: {e}"))
-}
-
 async fn serve(told: Rc<Told>, mut signals: Signals) -> Result<(), String> {
     let node = told.settings();
     let missing = |key: &str| format!("listenOn.{key}: is missing; allowed: an address with a port");
