--- a/crates/callboard/src/main.rs
+++ b/crates/callboard/src/main.rs
@@ -6,6 +6,7 @@
 use greenroom::link::{self, Link};
 use greenroom::log;
 use greenroom::run::{self, listen, Program, Signals, Told, Word};
+use greenroom::settings::place::{REGISTRY, STORE};
 use greenroom::settings::Settings;
 use greenroom::wire::call;
 use promptbook::caller::Caller;
@@ -15,14 +16,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Places of programs among a machine's inner ports.
-const STORE: u16 = 0;
-const REGISTRY: u16 = 1;
 /// Between two looks for silence, and what a look may be late for this process to have been awake.
 const LOOK: Duration = Duration::from_millis(200);
 const AWAKE: f64 = 800.0;
-/// A majority was asked no longer ago than this, ms; and for so long, ms, who judges others has listened.
-const IN_TOUCH: f64 = 1500.0;
+/// Who judges others has listened for so long, ms.
 const LISTENED: f64 = 6500.0;
 /// A peer is asked again so soon after a failure.
 const AGAIN: Duration = Duration::from_millis(100);
@@ -153,7 +150,7 @@
             awake_since = now;
         }
         last = now;
-        if known.fresh_ago().is_none_or(|ago| ago > IN_TOUCH) {
+        if !known.in_touch() {
             awake_since = now;
         }
         let may_judge = now - awake_since > LISTENED && known.with(|book, now| book.is_warm(now));
--- a/crates/callboard/src/outside.rs
+++ b/crates/callboard/src/outside.rs
@@ -39,8 +39,6 @@
 const SHARED_WITHIN: Duration = Duration::from_millis(650);
 /// Limiters are waited for so long before an order is acknowledged.
 const ACTS_WITHIN: Duration = Duration::from_millis(400);
-/// A core machine that asked a majority no longer ago than this, ms, is in touch with it.
-const IN_TOUCH: f64 = 1500.0;
 /// Connections at once.
 const MOST_CALLERS: usize = 1500;
 /// Clients keep an answer of the directory for so long, s.
@@ -209,7 +207,7 @@
         };
         let leaves = row.state != server_state::READY;
         self.known.server(&row);
-        if !self.alone && self.known.fresh_ago().is_none_or(|ago| ago > IN_TOUCH) {
+        if !self.alone && !self.known.in_touch() {
             // What is told here reaches nobody, and its silence elsewhere would be taken for its end.
             return refuse(Kind::Starting, "this core machine is in touch with no majority");
         }
--- a/crates/greenroom/src/follow.rs
+++ b/crates/greenroom/src/follow.rs
@@ -16,6 +16,8 @@
 
 /// Words that change nothing are gathered for so long, ms.
 const GATHER: Millis = 200.0;
+/// Who asked a majority longer ago than this, ms, is not in touch with it.
+pub const IN_TOUCH: Millis = 1500.0;
 /// A call is given up so long after it should have been answered at the latest.
 const PATIENCE: Duration = Duration::from_millis(700);
 
@@ -160,6 +162,11 @@
         self.fresh.get().map(|at| (self.now() - at).max(0.0))
     }
 
+    /// A majority was asked a short while ago.
+    pub fn in_touch(&self) -> bool {
+        self.fresh_ago().is_some_and(|ago| ago <= IN_TOUCH)
+    }
+
     /// What the follower of this name took in last.
     pub fn seen_by(&self, name: &str) -> Seen {
         self.followers.borrow().get(name).copied().unwrap_or_default()
--- a/crates/greenroom/src/settings.rs
+++ b/crates/greenroom/src/settings.rs
@@ -7,6 +7,16 @@
 /// The variable that names the settings file.
 pub const VARIABLE: &str = "OATBANK_SETTINGS";
 
+/// Places of the programs among a machine's inner ports.
+pub mod place {
+    /// The store.
+    pub const STORE: u16 = 0;
+    /// The registry.
+    pub const REGISTRY: u16 = 1;
+    /// The proxy.
+    pub const PROXY: u16 = 2;
+}
+
 /// One process's settings.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
@@ -247,7 +257,7 @@
         }
     }
 
-    /// Where this machine's program of this place (0 store, 1 registry, 2 proxy) listens for other limiters.
+    /// Where this machine's program of this [`place`] listens for other limiters.
     pub fn inner_address(&self, place: u16) -> SocketAddr {
         self.inner_of(self.ip, place)
     }
--- a/crates/promptbook/src/main.rs
+++ b/crates/promptbook/src/main.rs
@@ -1,6 +1,7 @@
 //! The program `promptbook`: runs on every core machine and votes on what is agreed.
 
 use greenroom::run::{self, listen, Program, Signals, Told, Word};
+use greenroom::settings::place::STORE;
 use greenroom::settings::Settings;
 use greenroom::{link, log};
 use promptbook::voter::{Terms, Voter};
@@ -9,8 +10,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// The store's place among a machine's inner ports.
-const STORE: u16 = 0;
 /// The wait before the disk is tried again at the start.
 const DISK_AGAIN: Duration = Duration::from_millis(250);
 
--- a/crates/proscenium/src/main.rs
+++ b/crates/proscenium/src/main.rs
@@ -5,6 +5,7 @@
 use greenroom::log;
 use greenroom::news::member_state;
 use greenroom::run::{self, listen, Program, Signals, Told, Word};
+use greenroom::settings::place::PROXY;
 use greenroom::wire::call;
 use oatbank_engine::front::{Front, FrontLimits};
 use proscenium::counts::Counter;
@@ -16,8 +17,6 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// The proxy's place among a machine's inner ports.
-const PROXY: u16 = 2;
 /// How often it is looked at whether clients may be served, and what changes by time alone.
 const LOOK: Duration = Duration::from_millis(50);
 const REFRESH: Duration = Duration::from_millis(500);
--- a/crates/proscenium/src/session.rs
+++ b/crates/proscenium/src/session.rs
@@ -1,11 +1,12 @@
 //! This limiter's session with a control limiter, and the few other limiters whose news it follows.
 
 use crate::keepers::keeper;
-use greenroom::follow::{ask, chance, Heard, Knowledge, Place};
+use greenroom::follow::{ask, chance, Heard, Knowledge, Place, IN_TOUCH};
 use greenroom::link::Link;
 use greenroom::log;
 use greenroom::news::member_state;
 use greenroom::run::Told;
+use greenroom::settings::place::{PROXY, REGISTRY};
 use greenroom::wire::MemberRow;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
@@ -14,12 +15,8 @@
 use std::time::Duration;
 use tokio::sync::Notify;
 
-/// Place of the registry among a machine's inner ports.
-const REGISTRY: u16 = 1;
 /// The control limiter's answer may be held so long, ms: well within a session.
 const HOLD: u32 = 600;
-/// A control limiter that asked a majority longer ago than this, ms, is left for another.
-const IN_TOUCH: u32 = 1500;
 /// Another is asked so soon after one has failed.
 const AGAIN: Duration = Duration::from_millis(60);
 /// How many other limiters are followed, the first of them in the own region where there is one, how long their answers may be held, ms, and when one that failed is replaced.
@@ -90,7 +87,7 @@
             life: self.life,
             beat: self.beat.get(),
             front,
-            inner: settings.inner_address(2).to_string(),
+            inner: settings.inner_address(PROXY).to_string(),
             zone: settings.zone.clone(),
             region: settings.region.clone(),
             state: self.state.get(),
@@ -130,7 +127,7 @@
                 // The first answer is not waited for: it says whether this one is worth staying with.
                 let heard = self.ask(ip, place, if first { 0 } else { HOLD }).await;
                 let Heard::Told { fresh_ago, .. } = heard else { break };
-                let behind = fresh_ago.is_none_or(|ago| ago > IN_TOUCH);
+                let behind = fresh_ago.is_none_or(|ago| f64::from(ago) > IN_TOUCH);
                 if first && !behind {
                     log::info!("session: with {}, edition {}", ip, self.known.edition());
                 }
