Steering: what proxies see of ill servers is shared, judged alike and heeded by all

Cause: each proxy found out by itself which server is slow or failing, and sent it reads until it had. Change: crate critic (evidence as log likelihood ratios that add up, verdict, return), notice rows in the book and on the wire, a standing in the servers' list that the choice of server heeds, a hook for ends of attempts.

--- /dev/null
+++ b/crates/critic/src/lib.rs
@@ -0,0 +1,92 @@
+//! Which servers are ill, by what all proxies have seen together. Pure: what has happened goes in with its time.
+//!
+//! An [`eye::Eye`] is one proxy's own evidence: how attempts at a server ended, as the logarithm of how much likelier
+//! that is of an ill server than of a well one. Such numbers of several proxies add up, so a [`Notice`] carries nothing
+//! else, and a [`judge::Judge`] adds those that it knows. All proxies run the same judge, over rows that merge.
+
+pub mod eye;
+pub mod judge;
+
+/// A point in time or a span on the caller's steady clock, ms.
+pub type Millis = f64;
+
+/// Evidence fades by these, ms. The quick one sees a server that was well until now, the long one a server that is met
+/// rarely.
+pub const FADES: [Millis; 2] = [2000.0, 8000.0];
+/// What is told at all: two failures next to each other. One is an accident.
+pub const TELL: f64 = 4.0;
+/// From here on a server is doubtful: three failures next to each other. A server that is well gets here by less than
+/// one attempt in e^7, 1,100, by Wald's bound.
+pub const DOUBT: f64 = 7.0;
+/// From here on it is shunned: less than one in 160,000.
+pub const SHUN: f64 = 12.0;
+/// Below this there is nothing against it.
+pub const CALM: f64 = 3.0;
+/// A notice older than this, ms, says nothing: its evidence is a hundredth.
+pub const STALE: Millis = 40_000.0;
+/// So many servers one proxy tells of at most, the worst first.
+pub const MOST: usize = 16;
+
+/// How an attempt ended, as far as it says something of its server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// Served.
+    Well,
+    /// Answered with an error, not at all in time, or with something broken.
+    Ill,
+    /// No connection: the server, or the way there.
+    Unreached,
+    /// Called off: says something only if it took too long.
+    CalledOff,
+    /// Turned away as full, or never sent: busy is not ill.
+    Nothing,
+}
+
+/// Evidence that adds up: natural logarithms of likelihood ratios, by [`FADES`].
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Weight(pub [f64; 2]);
+
+impl Weight {
+    /// As it is after so long.
+    pub fn faded(self, span: Millis) -> Weight {
+        let keep = |at: usize| self.0[at] * (-span.max(0.0) / FADES[at]).exp();
+        Weight([keep(0), keep(1)])
+    }
+
+    /// What speaks most for illness.
+    pub fn most(self) -> f64 {
+        self.0[0].max(self.0[1])
+    }
+
+    /// What speaks most against it.
+    pub fn least(self) -> f64 {
+        self.0[0].min(self.0[1])
+    }
+
+    fn add(&mut self, more: f64) {
+        self.0 = self.0.map(|w| (w + more).clamp(-30.0, 30.0));
+    }
+
+    fn far_from(self, other: Weight) -> bool {
+        (0..2).any(|at| (self.0[at] - other.0[at]).abs() >= eye::MATERIAL)
+    }
+}
+
+/// What one proxy says of one server.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Notice {
+    /// The server's id: a life of its own.
+    pub server: String,
+    /// Who says so.
+    pub observer: String,
+    /// Failing, as of `at`.
+    pub failing: Weight,
+    /// Slow, as of `at`.
+    pub slow: Weight,
+    /// Attempts that found no connection, fading by the long span.
+    pub unreached: f64,
+    /// Good answers in a row since the server stopped being well, by this proxy.
+    pub goods: u32,
+    /// When, on the reader's clock.
+    pub at: Millis,
+}
--- a/crates/engine/src/engine/book.rs
+++ b/crates/engine/src/engine/book.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
-use topazwind::interface::{Millis, RequestId, ServerId};
+use topazwind::interface::{ClassId, Millis, RequestId, ServerId};
 
 /// The one final answer to a request.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -49,6 +49,7 @@
     pub(super) said: Option<A>,
     /// Attempts it may have; 0: no limit.
     pub(super) most: u32,
+    pub(super) class: ClassId,
     attempts: Vec<Attempt>,
 }
 
@@ -81,6 +82,7 @@
     pub(super) took: Millis,
     /// Its request had its answer before.
     pub(super) over: bool,
+    pub(super) class: ClassId,
 }
 
 /// All requests in hand.
@@ -110,6 +112,7 @@
             left: None,
             said: None,
             most,
+            class: ClassId::default(),
             attempts: Vec::new(),
         };
         self.entries.insert(id, entry);
@@ -152,7 +155,7 @@
         let over = entry.over();
         let a = entry.attempts.get_mut(usize::from(attempt)).filter(|a| a.live)?;
         a.live = false;
-        let ended = Ended { server: a.server, took: now - a.sent, over };
+        let ended = Ended { server: a.server, took: now - a.sent, over, class: entry.class };
         self.forget(id);
         Some(ended)
     }
--- a/crates/engine/src/engine/core.rs
+++ b/crates/engine/src/engine/core.rs
@@ -59,6 +59,26 @@
     Call(CallId),
 }
 
+/// An attempt that has ended, for who watches servers.
+#[derive(Clone, Debug)]
+pub struct Finished {
+    /// Its server's id.
+    pub server: Arc<str>,
+    /// Its request's class.
+    pub class: ClassId,
+    /// How it ended.
+    pub outcome: Outcome,
+    /// When.
+    pub at: Millis,
+    /// How long it took.
+    pub took: Millis,
+    /// Its server was warm.
+    pub warm: bool,
+}
+
+/// Ends that nobody has taken: the newest are left out beyond this.
+const MOST_ENDS: usize = 4096;
+
 /// One decision module with the requests, servers, calls and timers round it.
 pub(crate) struct Core<Q, A> {
     gateway: Gateway,
@@ -76,6 +96,8 @@
     next_call: u64,
     /// How attempts ended, by zone, where that is counted.
     tally: Option<HashMap<u16, Counts>>,
+    /// How attempts ended since they were last taken, where somebody takes them.
+    ends: Option<Vec<Finished>>,
 }
 
 impl<Q, A> Core<Q, A> {
@@ -94,6 +116,7 @@
             calls: HashMap::new(),
             next_call: 0,
             tally: None,
+            ends: None,
         }
     }
 
@@ -191,6 +214,9 @@
         if let Some(entry) = self.book.get_mut(id).filter(|_| request.uploading) {
             entry.left = Some(request.time_left);
         }
+        if let Some(entry) = self.book.get_mut(id) {
+            entry.class = request.class;
+        }
         request.id = id;
         request.time_left = (request.time_left - WAY_BACK).max(1.0);
         self.feed(now, Event::Request(request));
@@ -327,6 +353,12 @@
         if let (Some(tally), Some(zone)) = (&mut self.tally, self.fleet.zone(server)) {
             count(tally.entry(zone).or_default(), outcome);
         }
+        if let (Some(ends), Some((name, started))) = (&mut self.ends, self.fleet.started(server)) {
+            if ends.len() < MOST_ENDS {
+                let warm = started <= 0.0 || now - took - started >= self.settings.warm_after;
+                ends.push(Finished { server: name, class: ended.class, outcome, at: now, took, warm });
+            }
+        }
         self.events.push_back(Event::Ended { id, attempt, server, outcome, complete, took, settled, load });
         true
     }
@@ -396,6 +428,11 @@
         self.tally.get_or_insert_default();
     }
 
+    /// How attempts have ended since this was last asked; watched from the first time on.
+    pub(crate) fn ends(&mut self) -> Vec<Finished> {
+        self.ends.replace(Vec::new()).unwrap_or_default()
+    }
+
     /// What was counted so far, by the zone's name; with it how many of its servers may be used.
     pub(crate) fn zones(&self) -> Vec<Row> {
         let row = |(place, name): (usize, &String)| {
--- a/crates/engine/src/engine/fleet.rs
+++ b/crates/engine/src/engine/fleet.rs
@@ -71,6 +71,11 @@
         self.known.get(&server).map(|s| (s.id.clone(), s.address))
     }
 
+    /// A server's name and when it last started.
+    pub(super) fn started(&self, server: ServerId) -> Option<(Arc<str>, Millis)> {
+        self.known.get(&server).map(|s| (s.id.clone(), s.entry.started))
+    }
+
     pub(super) fn is_ready(&self, server: ServerId) -> bool {
         let listed = self.known.get(&server).filter(|s| s.entry.state == ServerState::Ready);
         listed.is_some_and(|s| !self.is_out(&s.id, &s.entry))
@@ -183,6 +188,7 @@
             cell: member.cell,
             started: member.started,
             state: member.state,
+            standing: member.standing,
         };
         if member.state == ServerState::Gone {
             self.known.remove(&server);
--- a/crates/engine/src/engine/mod.rs
+++ b/crates/engine/src/engine/mod.rs
@@ -10,6 +10,7 @@
 mod timers;
 
 pub use book::{Answer, Reply};
+pub use core::Finished;
 pub use fleet::Shares;
 pub use revision::Revision;
 
@@ -187,6 +188,11 @@
         self.core.borrow_mut().count_zones();
     }
 
+    /// How attempts have ended since this was last asked; watched from the first time on.
+    pub fn ends_of_attempts(&self) -> Vec<Finished> {
+        self.core.borrow_mut().ends()
+    }
+
     /// What was counted so far of each zone.
     pub fn zones(&self) -> Vec<Row> {
         self.core.borrow().zones()
--- a/crates/engine/src/members/agent.rs
+++ b/crates/engine/src/members/agent.rs
@@ -20,7 +20,7 @@
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
-use topazwind::interface::ServerState;
+use topazwind::interface::{ServerState, Standing};
 
 /// Longest line or list that is read; more is taken for nonsense.
 const MOST_BYTES: usize = 1 << 20;
@@ -99,6 +99,7 @@
             weight: self.size,
             started: self.up_since_ms,
             state,
+            standing: Standing::Well,
         })
     }
 }
--- a/crates/engine/src/ports/membership.rs
+++ b/crates/engine/src/ports/membership.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
-use topazwind::interface::{Millis, ServerState};
+use topazwind::interface::{Millis, ServerState, Standing};
 
 /// One server as a source tells it.
 #[derive(Clone, Debug, PartialEq)]
@@ -21,6 +21,8 @@
     pub started: Millis,
     /// Whether it takes requests.
     pub state: ServerState,
+    /// How it fares, where limiters tell each other.
+    pub standing: Standing,
 }
 
 impl Member {
@@ -34,6 +36,7 @@
             weight: 1.0,
             started: 0.0,
             state: ServerState::Ready,
+            standing: Standing::Well,
         }
     }
 }
--- a/crates/greenroom/src/follow.rs
+++ b/crates/greenroom/src/follow.rs
@@ -3,7 +3,7 @@
 
 use crate::link::Link;
 use crate::news::{Book, Millis};
-use crate::wire::{call, Decided, Follow, MemberRow, News, ServerRow};
+use crate::wire::{call, Decided, Follow, MemberRow, News, NoticeRow, ServerRow};
 use bytes::Bytes;
 use prost::Message;
 use std::cell::{Cell, RefCell};
@@ -198,6 +198,9 @@
                 book.member(now, &MemberRow { heard_ago: 0, lapsed: false, ..member.clone() })
             });
         }
+        if !follow.notices.is_empty() {
+            self.change(|book, now| follow.notices.iter().for_each(|row| _ = book.notice(now, row)));
+        }
         if follow.epoch == self.book.borrow().epoch() {
             let seen = Seen { seen: follow.seen, edition: follow.edition, at: came, each: follow.each };
             self.followers.borrow_mut().insert(follow.name.clone(), seen);
@@ -291,10 +294,25 @@
     each: bool,
     hold: u32,
     member: Option<MemberRow>,
+) -> Heard {
+    ask_telling(known, link, place, name, each, hold, member, Vec::new()).await
+}
+
+/// The same, and tells what the follower has seen of servers.
+#[allow(clippy::too_many_arguments)]
+pub async fn ask_telling(
+    known: &Knowledge,
+    link: &Link,
+    place: &mut Place,
+    name: &str,
+    each: bool,
+    hold: u32,
+    member: Option<MemberRow>,
+    notices: Vec<NoticeRow>,
 ) -> Heard {
     let asked = known.now();
     let (epoch, seen, edition) = (place.epoch, place.seen, known.edition());
-    let follow = Follow { name: name.to_owned(), epoch, seen, edition, each, hold, member };
+    let follow = Follow { name: name.to_owned(), epoch, seen, edition, each, hold, member, notices };
     let within = Duration::from_millis(u64::from(hold)) + PATIENCE;
     let answer = link.call(call::FOLLOW, follow.encode_to_vec(), within).await;
     let Some(news) = answer.ok().filter(|b| !b.is_empty()).and_then(|b| News::decode(b).ok()) else {
--- a/crates/greenroom/src/news.rs
+++ b/crates/greenroom/src/news.rs
@@ -4,7 +4,7 @@
 //! Every process of the system holds one [`Book`]. Core machines write what servers and limiters say to them; all others
 //! only merge. A row says how long ago its subject was heard, never when: no two machines need agree on the time.
 
-use crate::wire::{MemberRow, News, ServerRow};
+use crate::wire::{MemberRow, News, NoticeRow, ServerRow};
 use std::collections::BTreeMap;
 
 /// A span or a point on this process's steady clock, ms.
@@ -42,6 +42,12 @@
 /// A session ends after so long without a word, ms.
 pub const SESSION: Millis = 1700.0;
 
+/// What a limiter has seen of a server says nothing any more after this, ms, and is remembered for so long after, so
+/// that late words of it find something newer.
+const NOTICE: Millis = 40_000.0;
+/// The most of these that are held.
+const MOST_NOTICES: usize = 4096;
+
 /// A row with what is known of it here.
 #[derive(Clone, Debug)]
 struct Held<R> {
@@ -127,6 +133,24 @@
     }
 }
 
+impl Row for NoticeRow {
+    fn take(&mut self, other: &Self, _: bool) -> Option<bool> {
+        // Each has one writer, who counts its words.
+        (other.seq > self.seq).then(|| {
+            *self = other.clone();
+            true
+        })
+    }
+
+    fn heard_ago(&self) -> u32 {
+        self.ago
+    }
+
+    fn ended(&self) -> bool {
+        false
+    }
+}
+
 type Rows<R> = BTreeMap<String, Held<R>>;
 
 /// Servers and limiters as known here.
@@ -139,6 +163,8 @@
     changes: u64,
     servers: Rows<ServerRow>,
     members: Rows<MemberRow>,
+    /// By server, limiter and its life.
+    notices: Rows<NoticeRow>,
 }
 
 /// What a server said, or why it is not taken.
@@ -172,8 +198,8 @@
 impl Book {
     /// An empty book of a process that begins now; `epoch` is drawn by chance and not 0.
     pub fn new(epoch: u64, beat_every: Millis, now: Millis) -> Self {
-        let (servers, members) = (BTreeMap::new(), BTreeMap::new());
-        Book { epoch: epoch.max(1), began: now, beat_every, count: 1, changes: 1, servers, members }
+        let (servers, members, notices) = Default::default();
+        Book { epoch: epoch.max(1), began: now, beat_every, count: 1, changes: 1, servers, members, notices }
     }
 
     /// This life.
@@ -234,6 +260,26 @@
         self.noted(next, taken)
     }
 
+    /// Takes in what a limiter has seen of a server. One that is too old says nothing.
+    pub fn notice(&mut self, now: Millis, row: &NoticeRow) -> Word {
+        if f64::from(row.ago) >= NOTICE {
+            return Word::Same;
+        }
+        self.notices.retain(|_, h| now - h.heard < 2.0 * NOTICE);
+        let name = format!("{}/{}/{:x}", row.server, row.observer, row.life);
+        if self.notices.len() >= MOST_NOTICES && !self.notices.contains_key(&name) {
+            return Word::Same;
+        }
+        let next = self.count + 1;
+        let taken = merge_row(&mut self.notices, &name, row, now, next);
+        self.noted(next, taken)
+    }
+
+    /// What limiters have seen of servers, with how long ago, ms.
+    pub fn notices(&self, now: Millis) -> impl Iterator<Item = (&NoticeRow, Millis)> + '_ {
+        self.notices.values().map(move |h| (&h.row, now - h.heard)).filter(|(_, ago)| *ago < NOTICE)
+    }
+
     /// Takes in another's news; whether it changes what is used.
     pub fn merge(&mut self, now: Millis, news: &News) -> bool {
         let before = self.changes;
@@ -243,6 +289,9 @@
         for row in &news.members {
             self.member(now, row);
         }
+        for row in &news.notices {
+            self.notice(now, row);
+        }
         if news.whole && news.warm {
             // What a teller that knows all has not, and what was not heard here of late either, is no more.
             let old = now - 4.0 * self.beat_every - SILENT_MORE;
@@ -298,6 +347,8 @@
         });
         let members = self.members.values().filter(|h| (if each { h.touched } else { h.changed }) > from);
         let members = members.map(|h| MemberRow { heard_ago: ago(h.heard), ..h.row.clone() });
+        let notices = self.notices.values().filter(|h| h.changed > from && now - h.heard < NOTICE);
+        let notices = notices.map(|h| NoticeRow { ago: ago(h.heard), ..h.row.clone() });
         News {
             epoch: self.epoch,
             seen: self.count,
@@ -305,6 +356,7 @@
             warm: self.is_warm(now),
             servers: servers.collect(),
             members: members.collect(),
+            notices: notices.collect(),
             ..News::default()
         }
     }
@@ -395,6 +447,45 @@
         }
     }
 
+    #[test]
+    fn what_was_seen_of_servers_merges_alike_in_any_order_and_old_words_change_nothing() {
+        let seen = |book: &Book| -> Vec<(String, u64, u32)> {
+            book.notices(0.0).map(|(r, _)| (format!("{}{}", r.server, r.observer), r.life, r.seq)).collect()
+        };
+        for seed in 0..200 {
+            let mut rng = Pcg64Mcg::seed_from_u64(seed);
+            let mut pick = |of: u32| rng.next_u32() % of;
+            let rows: Vec<NoticeRow> = (0..16)
+                .map(|_| NoticeRow {
+                    server: ["a", "bb"][pick(2) as usize].into(),
+                    observer: ["x", "y"][pick(2) as usize].into(),
+                    life: u64::from(pick(2)),
+                    seq: 1 + pick(6),
+                    ..NoticeRow::default()
+                })
+                .collect();
+            let mut again: Vec<usize> = (0..16).chain(0..16).collect();
+            for i in (1..again.len()).rev() {
+                again.swap(i, pick(1 + i as u32) as usize);
+            }
+            let (mut once, mut mixed, mut passed) = (book(1), book(2), book(3));
+            rows.iter().for_each(|row| _ = once.notice(1.0, row));
+            again.iter().for_each(|i| _ = mixed.notice(1.0, &rows[*i]));
+            passed.merge(1.0, &mixed.since(1.0, 0, 0, false));
+            assert_eq!(seen(&once), seen(&mixed), "seed {seed}");
+            assert_eq!(seen(&once), seen(&passed), "seed {seed}");
+            let before = once.changes();
+            rows.iter().for_each(|row| _ = once.notice(20_000.0, row));
+            assert_eq!(once.changes(), before, "seed {seed}: repeated later, they are as old as they were");
+        }
+        let mut book = book(1);
+        let row = NoticeRow { server: "a".into(), observer: "x".into(), seq: 1, ..NoticeRow::default() };
+        book.notice(0.0, &row);
+        assert!(book.notices(NOTICE + 1.0).next().is_none(), "it has faded");
+        let late = NoticeRow { seq: 2, ago: NOTICE as u32, ..row };
+        assert_eq!(book.notice(NOTICE + 2.0, &late), Word::Same);
+    }
+
     #[test]
     fn a_late_word_never_brings_back_what_drains_or_has_left() {
         let mut book = book(1);
--- a/crates/greenroom/src/wire.rs
+++ b/crates/greenroom/src/wire.rs
@@ -86,6 +86,38 @@
     pub edition: u64,
 }
 
+/// What one limiter has seen of one server. Weights are hundredths of natural logarithms, as of `ago`.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct NoticeRow {
+    /// The server's id.
+    #[prost(string, tag = "1")]
+    pub server: String,
+    /// The limiter's name.
+    #[prost(string, tag = "2")]
+    pub observer: String,
+    /// The limiter's life.
+    #[prost(fixed64, tag = "3")]
+    pub life: u64,
+    /// Rises with each word of this life on this server.
+    #[prost(uint32, tag = "4")]
+    pub seq: u32,
+    /// Failing, by the quick and the long fading.
+    #[prost(sint32, repeated, tag = "5")]
+    pub failing: Vec<i32>,
+    /// Slow, by the quick and the long fading.
+    #[prost(sint32, repeated, tag = "6")]
+    pub slow: Vec<i32>,
+    /// Attempts without a connection, in hundredths.
+    #[prost(uint32, tag = "7")]
+    pub unreached: u32,
+    /// Good answers since it stopped being well.
+    #[prost(uint32, tag = "8")]
+    pub goods: u32,
+    /// How long ago that was, ms, as of the sending of this row.
+    #[prost(uint32, tag = "9")]
+    pub ago: u32,
+}
+
 /// A version that was taken, and what was sent under its number.
 #[derive(Clone, PartialEq, Eq, Message)]
 pub struct Taken {
@@ -135,6 +167,9 @@
     /// The follower, where this is a session.
     #[prost(message, optional, tag = "7")]
     pub member: Option<MemberRow>,
+    /// What the follower has seen of servers, where it is to be told at once.
+    #[prost(message, repeated, tag = "8")]
+    pub notices: Vec<NoticeRow>,
 }
 
 /// What is new.
@@ -176,6 +211,9 @@
     /// The system's time as known to the teller, ms: it only runs forward, and is nobody's time of day.
     #[prost(double, tag = "12")]
     pub time: f64,
+    /// What limiters have seen of servers.
+    #[prost(message, repeated, tag = "13")]
+    pub notices: Vec<NoticeRow>,
 }
 
 /// One add to a number.
--- a/crates/proscenium/src/house.rs
+++ b/crates/proscenium/src/house.rs
@@ -4,6 +4,7 @@
 use crate::counts::Counter;
 use crate::lease::Lease;
 use crate::scene::{class, plan, share, tenant_number, Scene};
+use crate::steering::Steering;
 use crate::terms::{self, LONGEST_WAIT};
 use greenroom::follow::{chance, Knowledge};
 use greenroom::kinds::Kind;
@@ -11,6 +12,7 @@
 use greenroom::news::{server_state, Millis};
 use greenroom::run::Told;
 use greenroom::settings::Settings as Node;
+use greenroom::wire::NoticeRow;
 use http::header::{HeaderMap, HeaderName, HeaderValue, AUTHORIZATION, CONTENT_LENGTH, HOST, RETRY_AFTER};
 use http::request::Parts;
 use http::{Response, StatusCode};
@@ -82,6 +84,7 @@
     /// [`tenant_number`].
     tenants: RefCell<HashMap<String, usize>>,
     began: Cell<bool>,
+    steering: Steering,
     few: Few,
     rolls: Cell<u64>,
 }
@@ -122,6 +125,7 @@
             services: RefCell::default(),
             tenants: RefCell::default(),
             began: Cell::new(false),
+            steering: Steering::default(),
             few: Few::default(),
             rolls: Cell::new(chance()),
         })
@@ -196,6 +200,30 @@
         }
     }
 
+    /// Looks at how attempts have ended since, and at what others say of servers; what is to be told by the limiter of this
+    /// life.
+    pub fn watch(&self, life: u64) -> Vec<NoticeRow> {
+        let node = self.told.settings();
+        let services: Vec<_> = self.services.borrow().iter().map(|(n, s)| (n.clone(), s.clone())).collect();
+        for (name, service) in services {
+            let ends = service.engine.ends_of_attempts();
+            if !ends.is_empty() {
+                self.steering.saw(self.known.now(), &name, &service.classes.borrow(), &ends);
+            }
+        }
+        if !self.steering.is_time(&self.known) {
+            return Vec::new();
+        }
+        let rows = self.steering.tell(&self.known, &node.node, life);
+        if !rows.is_empty() {
+            self.known.change(|book, now| rows.iter().for_each(|row| _ = book.notice(now, row)));
+        }
+        if self.steering.judge(&self.known, &node) {
+            self.refresh();
+        }
+        rows
+    }
+
     fn limiters(&self) -> f64 {
         f64::from(self.known.with(|book, now| book.limiters(now))).max(1.0)
     }
@@ -310,6 +338,7 @@
                     weight: 1.0,
                     started,
                     state: ServerState::Ready,
+                    standing: self.steering.standing(&row.id),
                 })
             };
             able.filter_map(member).collect()
--- a/crates/proscenium/src/lib.rs
+++ b/crates/proscenium/src/lib.rs
@@ -1,6 +1,6 @@
 //! The proxy. Pure: [`scene`] (what an edition says), [`lease`] (how long it may be acted by), [`keepers`] (who keeps a
 //! number), [`terms`] (what a decision module is told). Shells: [`house`] (the desk, and an engine for each service), [`counts`] (quotas over all limiters), [`session`]
-//! (with a control limiter, and a few others), [`ready`].
+//! (with a control limiter, and a few others), [`steering`] (away from ill servers), [`ready`].
 
 pub mod counts;
 pub mod house;
@@ -9,4 +9,5 @@
 pub mod ready;
 pub mod scene;
 pub mod session;
+pub mod steering;
 pub mod terms;
--- a/crates/proscenium/src/main.rs
+++ b/crates/proscenium/src/main.rs
@@ -85,6 +85,7 @@
         loop {
             let state = if looking.is_ready() { member_state::READY } else { member_state::STARTING };
             telling.turn(state);
+            telling.notice(looking.watch(telling.life()));
             tokio::time::sleep(LOOK).await;
         }
     });
--- a/crates/proscenium/src/session.rs
+++ b/crates/proscenium/src/session.rs
@@ -1,13 +1,13 @@
 //! This limiter's session with a control limiter, and the few other limiters whose news it follows.
 
 use crate::keepers::keeper;
-use greenroom::follow::{ask, chance, Heard, Knowledge, Place, IN_TOUCH};
+use greenroom::follow::{ask, ask_telling, chance, Heard, Knowledge, Place, IN_TOUCH};
 use greenroom::link::Link;
 use greenroom::log;
 use greenroom::news::member_state;
 use greenroom::run::Told;
 use greenroom::settings::place::{PROXY, REGISTRY};
-use greenroom::wire::MemberRow;
+use greenroom::wire::{MemberRow, NoticeRow};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
 use std::net::{Ipv4Addr, SocketAddr};
@@ -46,8 +46,12 @@
     beat: Cell<u64>,
     state: Cell<u32>,
     turned: Notify,
-    /// With whom the session stands.
+    /// With whom the session stands, and what was taken in there.
     with: Cell<Option<Ipv4Addr>>,
+    place: Cell<Place>,
+    /// What is to be told of servers.
+    notices: RefCell<Vec<NoticeRow>>,
+    noticed: Notify,
 }
 
 impl Session {
@@ -63,6 +67,9 @@
             state,
             turned: Notify::new(),
             with: Cell::new(None),
+            place: Cell::default(),
+            notices: RefCell::default(),
+            noticed: Notify::new(),
         })
     }
 
@@ -78,6 +85,19 @@
         }
     }
 
+    /// Drawn at the start.
+    pub fn life(&self) -> u64 {
+        self.life
+    }
+
+    /// Tells this of servers, at once.
+    pub fn notice(&self, rows: Vec<NoticeRow>) {
+        if !rows.is_empty() {
+            self.notices.borrow_mut().extend(rows);
+            self.noticed.notify_one();
+        }
+    }
+
     fn row(&self) -> MemberRow {
         let settings = self.told.settings();
         self.beat.set(self.beat.get() + 1);
@@ -105,7 +125,8 @@
 
     /// Holds a session, for the life of the process.
     pub async fn hold(self: Rc<Self>) {
-        let turning = self.clone();
+        let (turning, noticing) = (self.clone(), self.clone());
+        tokio::task::spawn_local(async move { noticing.tell_notices().await });
         tokio::task::spawn_local(async move { turning.tell_turns().await });
         let mut next: VecDeque<Ipv4Addr> = VecDeque::new();
         let mut places: HashMap<Ipv4Addr, Place> = HashMap::new();
@@ -132,6 +153,7 @@
                     log::info!("session: with {}, edition {}", ip, self.known.edition());
                 }
                 self.with.set(Some(ip));
+                self.place.set(*place);
                 if behind && !next.is_empty() || !self.told.settings().seeds.iter().any(|s| *s.ip() == ip) {
                     break;
                 }
@@ -164,6 +186,35 @@
         }
     }
 
+    /// What was seen of servers is told beside the call that may be held just now, and again where that fails.
+    async fn tell_notices(&self) {
+        loop {
+            if self.notices.borrow().is_empty() {
+                self.noticed.notified().await;
+            }
+            let Some(ip) = self.with.get() else {
+                tokio::time::sleep(AGAIN).await;
+                continue;
+            };
+            let mut rows = self.notices.take();
+            // Of one server only the newest word counts.
+            rows.reverse();
+            rows.sort_by(|a, b| a.server.cmp(&b.server));
+            rows.dedup_by(|a, b| a.server == b.server);
+            let settings = self.told.settings();
+            let link = self.links.to(settings.inner_of(ip, REGISTRY));
+            let (mut place, row) = (self.place.get(), Some(self.row()));
+            let told = rows.clone();
+            let heard =
+                ask_telling(&self.known, &link, &mut place, &settings.node, false, 0, row, told).await;
+            if heard == Heard::Nothing {
+                rows.append(&mut self.notices.borrow_mut());
+                *self.notices.borrow_mut() = rows;
+                tokio::time::sleep(FEW_AGAIN).await;
+            }
+        }
+    }
+
     /// Follows a few other limiters, for the life of the process.
     pub fn follow_few(self: &Rc<Self>) {
         for nth in 0..FEW {
--- /dev/null
+++ b/crates/proscenium/src/steering.rs
@@ -0,0 +1,218 @@
+//! Steering away from ill servers, with all other proxies: what this one sees goes to `critic`'s eye, what is worth
+//! telling into the book and to the control limiter, and what the judge makes of all rows into the servers' list.
+
+use crate::keepers::keeper;
+use critic::eye::{Eye, Seen};
+use critic::judge::{Judge, State};
+use critic::{End, Notice, Weight};
+use greenroom::follow::Knowledge;
+use greenroom::log::{self, Few};
+use greenroom::news::{member_state, server_state, Millis};
+use greenroom::settings::Settings as Node;
+use greenroom::wire::NoticeRow;
+use oatbank_engine::engine::Finished;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use topazwind::interface::{Outcome, Standing};
+
+/// One limiter tries an ill server for so long, ms; then the lot falls anew, so that one that stands still holds nobody up.
+const TURN: Millis = 2000.0;
+
+/// Without news, servers are thought about this often, ms.
+const IDLE: Millis = 250.0;
+
+/// What this proxy sees, and what all say.
+#[derive(Default)]
+pub struct Steering {
+    eye: RefCell<Eye>,
+    judge: RefCell<Judge>,
+    /// Words told of each server.
+    seqs: RefCell<BTreeMap<String, u32>>,
+    /// Servers that are not simply well, as last asked for.
+    standings: RefCell<BTreeMap<String, Standing>>,
+    /// When it was last thought about, and by which count of the book; ends came in since.
+    last: Cell<(Millis, u64)>,
+    fresh: Cell<bool>,
+    few: Few,
+}
+
+/// What an attempt's end says of its server.
+fn end(outcome: Outcome) -> End {
+    match outcome {
+        Outcome::Ok => End::Well,
+        Outcome::Error | Outcome::TimedOut | Outcome::Reset => End::Ill,
+        Outcome::ConnectFailed => End::Unreached,
+        Outcome::Cancelled => End::CalledOff,
+        Outcome::Full | Outcome::Moot => End::Nothing,
+    }
+}
+
+fn hundredths(weight: Weight) -> Vec<i32> {
+    weight.0.iter().map(|w| (w * 100.0).round() as i32).collect()
+}
+
+fn weight(told: &[i32]) -> Weight {
+    Weight([0, 1].map(|at| f64::from(told.get(at).copied().unwrap_or(0).clamp(-3000, 3000)) / 100.0))
+}
+
+fn notice(row: &NoticeRow, at: Millis) -> Notice {
+    Notice {
+        server: row.server.clone(),
+        observer: row.observer.clone(),
+        failing: weight(&row.failing),
+        slow: weight(&row.slow),
+        unreached: f64::from(row.unreached) / 100.0,
+        goods: row.goods,
+        at,
+    }
+}
+
+impl Steering {
+    /// Takes in how attempts of a service have ended; `class`: the names of its classes.
+    pub fn saw(&self, now: Millis, service: &str, classes: &[String], ends: &[Finished]) {
+        let mut eye = self.eye.borrow_mut();
+        self.fresh.set(true);
+        for f in ends {
+            let class = classes.get(f.class.0).map_or("", String::as_str);
+            let (server, took, warm) = (&*f.server, f.took, f.warm);
+            eye.saw(now, &Seen { service, class, server, end: end(f.outcome), took, warm });
+        }
+    }
+
+    /// Whether there is something to think about: news, or time has gone on.
+    pub fn is_time(&self, known: &Knowledge) -> bool {
+        let (now, changes) = (known.now(), known.with(|book, _| book.changes()));
+        let (at, seen) = self.last.get();
+        let is = self.fresh.replace(false) || changes != seen || now - at >= IDLE;
+        if is {
+            self.last.set((now, changes));
+        }
+        is
+    }
+
+    /// What this limiter has to tell now, as rows of the book.
+    pub fn tell(&self, known: &Knowledge, name: &str, life: u64) -> Vec<NoticeRow> {
+        let now = known.now();
+        let contested: Vec<String> = known.with(|book, now| {
+            let ill = |row: &NoticeRow| {
+                row.failing.iter().chain(&row.slow).any(|w| *w >= 200) || row.unreached > 90
+            };
+            let others = book.notices(now).filter(|(row, _)| row.observer != name && ill(row));
+            others.map(|(row, _)| row.server.clone()).collect()
+        });
+        let notices = self.eye.borrow_mut().tell(now, |id| contested.iter().any(|c| c == id));
+        let mut seqs = self.seqs.borrow_mut();
+        if seqs.len() > 1024 {
+            // Servers come and go. Rows of a life count on: those told of lately are kept.
+            let told: Vec<String> =
+                known.with(|book, now| book.notices(now).map(|(row, _)| row.server.clone()).collect());
+            seqs.retain(|id, _| told.contains(id));
+        }
+        let row = |n: Notice| {
+            let seq = seqs.entry(n.server.clone()).or_default();
+            *seq += 1;
+            NoticeRow {
+                observer: name.to_owned(),
+                life,
+                seq: *seq,
+                failing: hundredths(n.failing),
+                slow: hundredths(n.slow),
+                unreached: (n.unreached * 100.0).round() as u32,
+                goods: n.goods,
+                ago: 0,
+                server: n.server,
+            }
+        };
+        notices.into_iter().map(row).collect()
+    }
+
+    /// Judges by all rows there are; whether that changes how servers are to be used.
+    pub fn judge(&self, known: &Knowledge, node: &Node) -> bool {
+        let mut judge = self.judge.borrow_mut();
+        let standings = known.with(|book, now| {
+            let notices: Vec<Notice> = book.notices(now).map(|(row, ago)| notice(row, now - ago)).collect();
+            if notices.is_empty() && judge.is_calm() {
+                return BTreeMap::new();
+            }
+            let members: Vec<_> = book.members(now).map(|(row, _)| row).filter(|row| !row.lapsed).collect();
+            let mut services: BTreeMap<String, Vec<String>> = BTreeMap::new();
+            let mut zones: BTreeMap<&str, &str> = BTreeMap::new();
+            for (row, _) in book.servers(now).filter(|(r, _)| r.state == server_state::READY && !r.silent) {
+                services.entry(row.service.clone()).or_default().push(row.id.clone());
+                zones.insert(&row.id, &row.zone);
+            }
+            let session = |name: &str| members.iter().any(|row| row.name == name);
+            for turn in judge.look(now, &notices, &services, &session) {
+                if self.few.may().is_some() {
+                    log::info!("steering: {} is {:?} ({:.1})", turn.server, turn.state, turn.score);
+                }
+            }
+            let ill = judge.ill();
+            self.eye.borrow_mut().judged(&ill);
+            // Who tries it stands as near to it as there are any.
+            let tries = |id: &str| {
+                let zone = zones.get(id).copied().unwrap_or_default();
+                let region = node.zones.iter().find(|(z, _)| z == zone).map_or("", |(_, region)| region);
+                let ready = || members.iter().filter(|row| row.state == member_state::READY);
+                let near: Vec<&str> = ready().filter(|r| r.zone == zone).map(|r| r.name.as_str()).collect();
+                let around: Vec<&str> =
+                    ready().filter(|r| r.region == region).map(|r| r.name.as_str()).collect();
+                let names = match (near.is_empty(), around.is_empty()) {
+                    (false, _) => near,
+                    (true, false) => around,
+                    _ => ready().map(|r| r.name.as_str()).collect(),
+                };
+                let turn = (known.time() / TURN) as u64;
+                let number = id.bytes().fold(turn.wrapping_mul(0x9e37_79b9_7f4a_7c15), |x, b| {
+                    (x ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3)
+                });
+                keeper(number, names.into_iter()) == Some(node.node.as_str())
+            };
+            let standing = |id: &String| match judge.state(id) {
+                State::Well => Standing::Well,
+                State::Returning => Standing::Returning,
+                _ if judge.is_due(now, id) && tries(id) => Standing::Tried,
+                State::Doubtful => Standing::Doubtful,
+                State::Shunned => Standing::Shunned,
+            };
+            ill.keys().map(|id| (id.clone(), standing(id))).filter(|(_, s)| *s != Standing::Well).collect()
+        });
+        let changed = *self.standings.borrow() != standings;
+        *self.standings.borrow_mut() = standings;
+        changed
+    }
+
+    /// How a server is to be used.
+    pub fn standing(&self, id: &str) -> Standing {
+        self.standings.borrow().get(id).copied().unwrap_or_default()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_is_told_is_read_back_alike() {
+        let told = Notice {
+            server: "i-1".into(),
+            observer: "edge-1".into(),
+            failing: Weight([9.0, -3.25]),
+            slow: Weight([0.0, 12.5]),
+            unreached: 1.5,
+            goods: 3,
+            at: 70.0,
+        };
+        let row = NoticeRow {
+            server: "i-1".into(),
+            observer: "edge-1".into(),
+            failing: hundredths(told.failing),
+            slow: hundredths(told.slow),
+            unreached: 150,
+            goods: 3,
+            ..NoticeRow::default()
+        };
+        assert_eq!(notice(&row, 70.0), told);
+        assert_eq!(weight(&[i32::MAX]), Weight([30.0, 0.0]), "nonsense is bounded");
+    }
+}
--- a/crates/topazwind/src/interface.rs
+++ b/crates/topazwind/src/interface.rs
@@ -228,6 +228,22 @@
     Gone,
 }
 
+/// How a server fares, as all gateways together have seen it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Standing {
+    /// Well, or nothing is known against it.
+    #[default]
+    Well,
+    /// It was ill and serves again: requests that may run again reach it now and then.
+    Returning,
+    /// Perhaps ill: nothing goes there while others can take it.
+    Doubtful,
+    /// Surely ill: the same, and for longer.
+    Shunned,
+    /// Ill, and this gateway is the one that tries it, with requests that may run again.
+    Tried,
+}
+
 /// One line of a server list.
 #[derive(Clone, Debug, Default)]
 pub struct ServerEntry {
@@ -243,6 +259,8 @@
     pub started: Millis,
     /// Its state.
     pub state: ServerState,
+    /// How it fares; what is not told is well.
+    pub standing: Standing,
 }
 
 /// How a server list is to be read.
--- a/crates/topazwind/src/logic/choice.rs
+++ b/crates/topazwind/src/logic/choice.rs
@@ -182,6 +182,7 @@
             }
             able.push(Able { id, warmth, roll });
         }
+        let mut able = self.heed(now, open, able);
         if subset && able.len() > 2 {
             // Cold ones are met as rarely as they are weak: so all gateways together send each its part.
             let first = self.draw(&able);
--- a/crates/topazwind/src/state.rs
+++ b/crates/topazwind/src/state.rs
@@ -7,6 +7,11 @@
 use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeMap, BTreeSet};
 
+/// One that tries an ill server sends it something this often, ms, at most.
+const TRY_EVERY: Millis = 400.0;
+/// What a returning server gets beside a well one.
+const TRICKLE: f64 = 0.25;
+
 /// The two counts kept for a customer: units sent on, and units declined for whatever reason. The
 /// design's observed count is their sum; kept apart, an answer to one alone is never inconsistent.
 pub(crate) const ACCEPTED: usize = 0;
@@ -287,6 +292,31 @@
         self.class_mean.get(open.request.class.0).copied().unwrap_or(0.0)
     }
 
+    /// Of the servers that a request may go to those that stand best: what may run but once goes to well ones only,
+    /// what may run again to returning ones too, more rarely. Where there are none of these, all stay: a request is
+    /// never left without a server. Who is to try one that is ill sends it a first attempt now and then.
+    pub(crate) fn heed(&self, now: Millis, open: &Open, mut able: Vec<Able>) -> Vec<Able> {
+        let of = |a: &Able| self.servers.get(&a.id).map_or(Standing::Well, |s| s.entry.standing);
+        if able.iter().all(|a| of(a) == Standing::Well) {
+            return able;
+        }
+        let again = open.class.repeat == Repeat::Safe;
+        let due = |a: &Able| self.servers.get(&a.id).is_some_and(|s| now - s.sent_at > TRY_EVERY);
+        if again && open.attempts.is_empty() {
+            if let Some(at) = able.iter().position(|a| of(a) == Standing::Tried && due(a)) {
+                return vec![able.swap_remove(at)];
+            }
+        }
+        let fits = |a: &Able| of(a) == Standing::Well || again && of(a) == Standing::Returning;
+        if able.iter().any(fits) {
+            able.retain(fits);
+        }
+        for a in &mut able {
+            a.warmth *= if of(a) == Standing::Returning { TRICKLE } else { 1.0 };
+        }
+        able
+    }
+
     /// How long the oldest attempt that is out at a server has been so.
     pub(crate) fn longest_out(&self, now: Millis, server: ServerId) -> Millis {
         let attempts = self.open.values().flat_map(|o| &o.attempts);
--- a/crates/topazwind/src/wire/host.rs
+++ b/crates/topazwind/src/wire/host.rs
@@ -178,6 +178,7 @@
             0 => ServerState::Gone,
             state => return Err(WireError(format!("server in unknown state {state}"))),
         },
+        ..ServerEntry::default()
     })
 }
 
