Critic: what fails at the other servers too is no server's illness; fewer rows told

Ruled out: leaving resets out (garbling and crashes are seen by them). Change: a failure weighs by how much rarer it is at the other servers of the service; words are taken back only where a verdict stands.

--- a/crates/critic/src/eye.rs
+++ b/crates/critic/src/eye.rs
@@ -3,9 +3,15 @@
 use crate::{End, Millis, Notice, Weight, CALM, FADES, MOST, TELL};
 use std::collections::BTreeMap;
 
-/// Of a well server at most this share of attempts fails, of one that has to be left at least that share.
+/// Of a well server at most this share of attempts fails, of one that has to be left at least that share, and so many
+/// times the share that fails at the other servers of the service: what fails everywhere is load, or the way there.
 const FAILS_WELL: f64 = 0.02;
 const FAILS_ILL: f64 = 0.4;
+const FAILS_TIMES: f64 = 2.5;
+/// The others' share counts up to this, from attempts of the last so many ms, and as if so many more had been served.
+const OTHERS_MOST: f64 = 0.34;
+const OTHERS_FADE: Millis = 5000.0;
+const OTHERS_PRIOR: f64 = 4.0;
 /// An answer is slow beyond so many medians of its class over all servers of the service, and so many ms.
 const SLOW_TIMES: f64 = 2.5;
 const SLOW_LEAST: Millis = 40.0;
@@ -36,10 +42,35 @@
     slow: f64,
 }
 
+/// Attempts and failures among them, fading.
+#[derive(Clone, Copy, Debug, Default)]
+struct Share {
+    tries: f64,
+    bad: f64,
+    at: Millis,
+}
+
+impl Share {
+    fn add(&mut self, now: Millis, bad: bool) {
+        let keep = (-(now - self.at).max(0.0) / OTHERS_FADE).exp();
+        let bad = f64::from(u8::from(bad));
+        *self = Share { tries: self.tries * keep + 1.0, bad: self.bad * keep + bad, at: now };
+    }
+
+    /// What of this is not of `one`, as a share.
+    fn without(&self, now: Millis, one: &Share) -> f64 {
+        let keep = |s: &Share| (-(now - s.at).max(0.0) / OTHERS_FADE).exp();
+        let bad = (self.bad * keep(self) - one.bad * keep(one)).max(0.0);
+        let tries = (self.tries * keep(self) - one.tries * keep(one)).max(0.0);
+        bad / (tries + OTHERS_PRIOR)
+    }
+}
+
 /// One server, as seen from here.
 #[derive(Clone, Debug, Default)]
 struct Own {
     service: String,
+    share: Share,
     failing: Weight,
     slow: Weight,
     unreached: f64,
@@ -88,6 +119,8 @@
 pub struct Eye {
     usual: BTreeMap<(String, String), Usual>,
     own: BTreeMap<String, Own>,
+    /// By service.
+    shares: BTreeMap<String, Share>,
 }
 
 /// What is seen of an attempt.
@@ -121,14 +154,23 @@
         let Some(own) = self.own.get_mut(seen.server) else { return };
         own.bring_to(now);
         own.met = now;
+        let ends_well = seen.end == End::Well;
+        let of_all = self.shares.entry(seen.service.to_owned()).or_default();
+        let others = of_all.without(now, &own.share).min(OTHERS_MOST);
+        if ends_well || seen.end == End::Ill {
+            own.share.add(now, !ends_well);
+            of_all.add(now, !ends_well);
+        }
+        let usual = FAILS_WELL.max(others);
+        let ill = FAILS_ILL.max(FAILS_TIMES * usual);
         match seen.end {
             End::Unreached => (own.unreached, own.goods) = (own.unreached + 1.0, 0),
             End::Ill => {
-                own.failing.add((FAILS_ILL / FAILS_WELL).ln());
+                own.failing.add((ill / usual).ln());
                 own.goods = 0;
             }
             End::Well => {
-                own.failing.add(((1.0 - FAILS_ILL) / (1.0 - FAILS_WELL)).ln());
+                own.failing.add(((1.0 - ill) / (1.0 - usual)).ln());
                 own.unreached = 0.0;
             }
             End::CalledOff | End::Nothing => {}
@@ -197,7 +239,7 @@
             let complains = own.against() >= TELL && !loaded(&own.service);
             let speaks_for =
                 (contested(id) || own.ill_since.is_some()) && (own.for_it() <= SPEAKS_FOR || own.goods > 0);
-            let takes_back = said && own.against() < TELL;
+            let takes_back = said && own.against() < TELL && own.ill_since.is_some();
             let rested = own.told.as_ref().is_none_or(|t| now - t.at >= AGAIN);
             if (complains || speaks_for || takes_back) && own.moved(now) && rested {
                 want.push((own.against(), id.clone()));
@@ -245,7 +287,7 @@
     }
 
     #[test]
-    fn one_failure_is_kept_and_two_are_told_at_once() {
+    fn one_failure_of_a_server_known_well_is_kept_and_two_are_told_at_once() {
         let mut eye = Eye::default();
         well(&mut eye, 20_000.0);
         see(&mut eye, 20_001.0, "i-1", End::Ill, 2.0);
--- a/crates/critic/src/judge.rs
+++ b/crates/critic/src/judge.rs
@@ -1,7 +1,7 @@
 //! The verdict, from all that proxies have told. Each proxy judges for itself by the same rules; their rows merge, so
 //! they come to the same within the way between them.
 
-use crate::{Millis, Notice, Weight, CALM, DOUBT, SHUN, STALE, TELL};
+use crate::{Millis, Notice, Weight, CALM, DOUBT, RELAPSE, SHUN, STALE};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// One observer's word counts so much at most: alone it makes a server doubtful and never shunned.
@@ -25,6 +25,9 @@
 /// At most one in so many of a service's servers is left.
 const ONE_IN: usize = 3;
 
+/// So much it counts that one observer does not reach a server.
+const UNREACHED: f64 = 4.0;
+
 /// How a server stands.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub enum State {
@@ -93,7 +96,7 @@
         n.failing.faded(span).most().max(n.slow.faded(span).most())
     };
     let mut complaints: BTreeMap<&str, f64> = BTreeMap::new();
-    for n in fresh().filter(|n| strength(n) >= TELL / 2.0 || n.unreached > 0.9) {
+    for n in fresh().filter(|n| strength(n) >= 2.0 || n.unreached > 0.9) {
         *complaints.entry(&n.observer).or_default() += 1.0;
     }
     let belief = |observer: &str| {
@@ -118,7 +121,7 @@
             let lost = n.unreached * (-span.max(0.0) / crate::FADES[1]).exp() * overcome;
             if lost > 0.5 {
                 deaf.insert(n.observer.as_str());
-                unreached += belief * TELL;
+                unreached += belief * UNREACHED;
             }
         }
         // One that cannot reach a server may be cut off itself: two have to say so, and what others praise speaks
@@ -155,7 +158,7 @@
                 State::Doubtful if score >= SHUN => State::Shunned,
                 State::Doubtful if score < CALM => State::Well,
                 State::Shunned if score < CALM && stood >= case.wait() => State::Returning,
-                State::Returning if score >= TELL => State::Shunned,
+                State::Returning if score >= RELAPSE => State::Shunned,
                 State::Returning if stood >= RETURNS => State::Well,
                 state => state,
             };
--- a/crates/critic/src/lib.rs
+++ b/crates/critic/src/lib.rs
@@ -20,6 +20,8 @@
 pub const DOUBT: f64 = 7.0;
 /// From here on it is shunned: less than one in 160,000.
 pub const SHUN: f64 = 12.0;
+/// One that returns and gets here is shunned again.
+pub const RELAPSE: f64 = 5.0;
 /// Below this there is nothing against it.
 pub const CALM: f64 = 3.0;
 /// A notice older than this, ms, says nothing: its evidence is a hundredth.
--- a/crates/proscenium/src/house.rs
+++ b/crates/proscenium/src/house.rs
@@ -211,14 +211,15 @@
                 self.steering.saw(self.known.now(), &name, &service.classes.borrow(), &ends);
             }
         }
-        if !self.steering.is_time(&self.known) {
+        if !self.known.with(|book, now| self.steering.is_time(now, book)) {
             return Vec::new();
         }
-        let rows = self.steering.tell(&self.known, &node.node, life);
+        let rows = self.known.with(|book, now| self.steering.tell(now, book, &node.node, life));
         if !rows.is_empty() {
             self.known.change(|book, now| rows.iter().for_each(|row| _ = book.notice(now, row)));
         }
-        if self.steering.judge(&self.known, &node) {
+        let time = self.known.time();
+        if self.known.with(|book, now| self.steering.judge(now, time, book, &node)) {
             self.refresh();
         }
         rows
--- a/crates/proscenium/src/steering.rs
+++ b/crates/proscenium/src/steering.rs
@@ -5,19 +5,22 @@
 use critic::eye::{Eye, Seen};
 use critic::judge::{Judge, State};
 use critic::{End, Notice, Weight};
-use greenroom::follow::Knowledge;
 use greenroom::log::{self, Few};
-use greenroom::news::{member_state, server_state, Millis};
+use greenroom::news::{member_state, server_state, Book, Millis};
 use greenroom::settings::Settings as Node;
 use greenroom::wire::NoticeRow;
 use oatbank_engine::engine::Finished;
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use topazwind::interface::{Outcome, Standing};
 
 /// One limiter tries an ill server for so long, ms; then the lot falls anew, so that one that stands still holds nobody up.
 const TURN: Millis = 2000.0;
 
+/// Hundredths that others say against a server, from which on it is contested.
+const CONTESTED: i32 = 400;
+/// Of the lots.
+const PRIME: u64 = 0x0100_0000_01b3;
 /// Without news, servers are thought about this often, ms.
 const IDLE: Millis = 250.0;
 
@@ -80,33 +83,31 @@
     }
 
     /// Whether there is something to think about: news, or time has gone on.
-    pub fn is_time(&self, known: &Knowledge) -> bool {
-        let (now, changes) = (known.now(), known.with(|book, _| book.changes()));
+    pub fn is_time(&self, now: Millis, book: &Book) -> bool {
         let (at, seen) = self.last.get();
-        let is = self.fresh.replace(false) || changes != seen || now - at >= IDLE;
+        let is = self.fresh.replace(false) || book.changes() != seen || now - at >= IDLE;
         if is {
-            self.last.set((now, changes));
+            self.last.set((now, book.changes()));
         }
         is
     }
 
     /// What this limiter has to tell now, as rows of the book.
-    pub fn tell(&self, known: &Knowledge, name: &str, life: u64) -> Vec<NoticeRow> {
-        let now = known.now();
-        let contested: Vec<String> = known.with(|book, now| {
-            let ill = |row: &NoticeRow| {
-                row.failing.iter().chain(&row.slow).any(|w| *w >= 200) || row.unreached > 90
-            };
-            let others = book.notices(now).filter(|(row, _)| row.observer != name && ill(row));
-            others.map(|(row, _)| row.server.clone()).collect()
-        });
-        let notices = self.eye.borrow_mut().tell(now, |id| contested.iter().any(|c| c == id));
+    pub fn tell(&self, now: Millis, book: &Book, name: &str, life: u64) -> Vec<NoticeRow> {
+        // Where others complain of a server by more than one failure, what is known in its favour is worth telling.
+        let mut against: BTreeMap<&str, i32> = BTreeMap::new();
+        for (row, _) in book.notices(now).filter(|(row, _)| row.observer != name) {
+            let most = row.failing.iter().chain(&row.slow).max().copied().unwrap_or(0).clamp(0, 3000);
+            let unreached = if row.unreached > 90 { CONTESTED } else { 0 };
+            *against.entry(&row.server).or_default() += most.max(unreached);
+        }
+        let contested = |id: &str| against.get(id).is_some_and(|w| *w >= CONTESTED);
+        let notices = self.eye.borrow_mut().tell(now, contested);
         let mut seqs = self.seqs.borrow_mut();
         if seqs.len() > 1024 {
-            // Servers come and go. Rows of a life count on: those told of lately are kept.
-            let told: Vec<String> =
-                known.with(|book, now| book.notices(now).map(|(row, _)| row.server.clone()).collect());
-            seqs.retain(|id, _| told.contains(id));
+            // Servers come and go. Those told of lately are kept, as their words count on.
+            let told: BTreeSet<&str> = book.notices(now).map(|(row, _)| row.server.as_str()).collect();
+            seqs.retain(|id, _| told.contains(id.as_str()));
         }
         let row = |n: Notice| {
             let seq = seqs.entry(n.server.clone()).or_default();
@@ -126,57 +127,55 @@
         notices.into_iter().map(row).collect()
     }
 
-    /// Judges by all rows there are; whether that changes how servers are to be used.
-    pub fn judge(&self, known: &Knowledge, node: &Node) -> bool {
+    /// Judges by all rows there are; `time` is the system's. Whether that changes how servers are to be used.
+    pub fn judge(&self, now: Millis, time: Millis, book: &Book, node: &Node) -> bool {
         let mut judge = self.judge.borrow_mut();
-        let standings = known.with(|book, now| {
-            let notices: Vec<Notice> = book.notices(now).map(|(row, ago)| notice(row, now - ago)).collect();
-            if notices.is_empty() && judge.is_calm() {
-                return BTreeMap::new();
-            }
-            let members: Vec<_> = book.members(now).map(|(row, _)| row).filter(|row| !row.lapsed).collect();
-            let mut services: BTreeMap<String, Vec<String>> = BTreeMap::new();
-            let mut zones: BTreeMap<&str, &str> = BTreeMap::new();
-            for (row, _) in book.servers(now).filter(|(r, _)| r.state == server_state::READY && !r.silent) {
-                services.entry(row.service.clone()).or_default().push(row.id.clone());
-                zones.insert(&row.id, &row.zone);
-            }
-            let session = |name: &str| members.iter().any(|row| row.name == name);
-            for turn in judge.look(now, &notices, &services, &session) {
-                if self.few.may().is_some() {
-                    log::info!("steering: {} is {:?} ({:.1})", turn.server, turn.state, turn.score);
-                }
+        let notices: Vec<Notice> = book.notices(now).map(|(row, ago)| notice(row, now - ago)).collect();
+        if notices.is_empty() && judge.is_calm() {
+            return !self.standings.take().is_empty();
+        }
+        let members: Vec<_> = book.members(now).map(|(row, _)| row).filter(|row| !row.lapsed).collect();
+        let mut services: BTreeMap<String, Vec<String>> = BTreeMap::new();
+        let mut zones: BTreeMap<&str, &str> = BTreeMap::new();
+        for (row, _) in book.servers(now).filter(|(r, _)| r.state == server_state::READY && !r.silent) {
+            services.entry(row.service.clone()).or_default().push(row.id.clone());
+            zones.insert(&row.id, &row.zone);
+        }
+        let session = |name: &str| members.iter().any(|row| row.name == name);
+        for turn in judge.look(now, &notices, &services, &session) {
+            if self.few.may().is_some() {
+                log::info!("steering: {} is {:?} ({:.1})", turn.server, turn.state, turn.score);
             }
-            let ill = judge.ill();
-            self.eye.borrow_mut().judged(&ill);
-            // Who tries it stands as near to it as there are any.
-            let tries = |id: &str| {
-                let zone = zones.get(id).copied().unwrap_or_default();
-                let region = node.zones.iter().find(|(z, _)| z == zone).map_or("", |(_, region)| region);
-                let ready = || members.iter().filter(|row| row.state == member_state::READY);
-                let near: Vec<&str> = ready().filter(|r| r.zone == zone).map(|r| r.name.as_str()).collect();
-                let around: Vec<&str> =
-                    ready().filter(|r| r.region == region).map(|r| r.name.as_str()).collect();
-                let names = match (near.is_empty(), around.is_empty()) {
-                    (false, _) => near,
-                    (true, false) => around,
-                    _ => ready().map(|r| r.name.as_str()).collect(),
-                };
-                let turn = (known.time() / TURN) as u64;
-                let number = id.bytes().fold(turn.wrapping_mul(0x9e37_79b9_7f4a_7c15), |x, b| {
-                    (x ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3)
-                });
-                keeper(number, names.into_iter()) == Some(node.node.as_str())
-            };
-            let standing = |id: &String| match judge.state(id) {
-                State::Well => Standing::Well,
-                State::Returning => Standing::Returning,
-                _ if judge.is_due(now, id) && tries(id) => Standing::Tried,
-                State::Doubtful => Standing::Doubtful,
-                State::Shunned => Standing::Shunned,
+        }
+        let ill = judge.ill();
+        self.eye.borrow_mut().judged(&ill);
+        let ready = || members.iter().filter(|row| row.state == member_state::READY);
+        // Who tries it stands as near to it as there are any.
+        let tries = |id: &str| {
+            let zone = zones.get(id).copied().unwrap_or_default();
+            let region = node.zones.iter().find(|(z, _)| z == zone).map_or("", |(_, region)| region);
+            let near: Vec<&str> = ready().filter(|r| r.zone == zone).map(|r| r.name.as_str()).collect();
+            let around: Vec<&str> = ready().filter(|r| r.region == region).map(|r| r.name.as_str()).collect();
+            let names = match (near.is_empty(), around.is_empty()) {
+                (false, _) => near,
+                (true, false) => around,
+                _ => ready().map(|r| r.name.as_str()).collect(),
             };
-            ill.keys().map(|id| (id.clone(), standing(id))).filter(|(_, s)| *s != Standing::Well).collect()
-        });
+            let turn = (time / TURN) as u64;
+            let number = id.bytes().fold(turn.wrapping_mul(0x9e37_79b9_7f4a_7c15), |x, b| {
+                (x ^ u64::from(b)).wrapping_mul(PRIME)
+            });
+            keeper(number, names.into_iter()) == Some(node.node.as_str())
+        };
+        let standing = |id: &String| match judge.state(id) {
+            State::Well => Standing::Well,
+            State::Returning => Standing::Returning,
+            _ if judge.is_due(now, id) && tries(id) => Standing::Tried,
+            State::Doubtful => Standing::Doubtful,
+            State::Shunned => Standing::Shunned,
+        };
+        let standings = ill.keys().map(|id| (id.clone(), standing(id)));
+        let standings: BTreeMap<String, Standing> = standings.filter(|(_, s)| *s != Standing::Well).collect();
         let changed = *self.standings.borrow() != standings;
         *self.standings.borrow_mut() = standings;
         changed
