Proxy: each sends to a slice of every zone's servers, evenly cut

Ruled out: rendezvous by proxy (a third of the servers in one slice or in nine); bounded loads (milliseconds of a tenth of a core for each change of the list).

Change: servers of a zone on a ring, proxies that stand alike to it take equal slices at equal distances. Small fleets take all, as before.

--- a/crates/proscenium/src/house.rs
+++ b/crates/proscenium/src/house.rs
@@ -1,6 +1,7 @@
 //! The desk of the system's dialect: what a request is checked against, whose quota it draws on, and which service's engine
 //! takes it. One engine a service: each has its own servers, concurrency limit, means and further tries.
 
+use crate::casting::{cast, Ground};
 use crate::counts::Counter;
 use crate::lease::Lease;
 use crate::scene::{class, plan, share, tenant_number, Scene};
@@ -8,7 +9,7 @@
 use greenroom::follow::{chance, Knowledge};
 use greenroom::kinds::Kind;
 use greenroom::log::{self, Few};
-use greenroom::news::{server_state, Millis};
+use greenroom::news::{member_state, server_state, Millis};
 use greenroom::run::Told;
 use greenroom::settings::Settings as Node;
 use http::header::{HeaderMap, HeaderName, HeaderValue, AUTHORIZATION, CONTENT_LENGTH, HOST, RETRY_AFTER};
@@ -249,7 +250,7 @@
                 service.engine.revise(&names, &settings);
                 *service.settings.borrow_mut() = settings;
             }
-            let members = self.members(&name, &service, scene, cold_s * 1000.0);
+            let members = self.members(&name, &service, scene, node, cold_s * 1000.0);
             if *service.members.borrow() != members {
                 (service.engine.told())(News::Complete(members.clone()));
                 *service.members.borrow_mut() = members;
@@ -280,8 +281,15 @@
         }
     }
 
-    /// The servers of a service that may be sent something.
-    fn members(&self, name: &str, service: &Service, scene: &Scene, cold: Millis) -> Vec<Member> {
+    /// The servers of a service that may be sent something, as far as this limiter casts them.
+    fn members(
+        &self,
+        name: &str,
+        service: &Service,
+        scene: &Scene,
+        node: &Node,
+        cold: Millis,
+    ) -> Vec<Member> {
         let now = self.clock.now();
         let mut spells = service.spells.borrow_mut();
         let members: Vec<Member> = self.known.with(|book, at| {
@@ -291,6 +299,15 @@
                     && !row.silent
                     && !scene.empty.contains(&row.zone)
             });
+            let able: Vec<_> = able.collect();
+            let places: Vec<(&str, &str)> =
+                able.iter().map(|(row, _)| (row.id.as_str(), row.zone.as_str())).collect();
+            let takes = book.members(at).filter(|(row, _)| !row.lapsed && row.state == member_state::READY);
+            let limiters: Vec<(&str, &str)> =
+                takes.map(|(row, _)| (row.name.as_str(), row.zone.as_str())).collect();
+            let ground =
+                Ground { zones: &node.zones, name: &node.node, zone: &node.zone, limiters: &limiters };
+            let able = able.into_iter().zip(cast(&ground, &places)).filter(|(_, cast)| *cast);
             let member = |(row, left): (&greenroom::wire::ServerRow, Millis)| {
                 let started = if left > 0.0 {
                     let began = now - (cold - left).max(0.0);
@@ -312,7 +329,7 @@
                     state: ServerState::Ready,
                 })
             };
-            able.filter_map(member).collect()
+            able.map(|(row, _)| row).filter_map(member).collect()
         });
         spells.retain(|id, _| members.iter().any(|m| m.id == *id));
         members
--- a/crates/proscenium/src/lib.rs
+++ b/crates/proscenium/src/lib.rs
@@ -1,7 +1,9 @@
 //! The proxy. Pure: [`scene`] (what an edition says), [`lease`] (how long it may be acted by), [`keepers`] (who keeps a
-//! number), [`terms`] (what a decision module is told). Shells: [`house`] (the desk, and an engine for each service), [`counts`] (quotas over all limiters), [`session`]
-//! (with a control limiter, and a few others), [`ready`].
+//! number), [`casting`] (which servers it sends to), [`terms`] (what a decision module is told). Shells: [`house`] (the desk,
+//! and an engine for each service), [`counts`] (quotas over all limiters), [`session`] (with a control limiter, and a few
+//! others), [`ready`].
 
+pub mod casting;
 pub mod counts;
 pub mod house;
 pub mod keepers;
