Choice: of a sparse list two are drawn, near ones more often, and compared

Cause: in a list of its own part each gateway took the one server that looked best; ninety of them went there together.

Change: Settings.sparse: the list counts as a subset. A zone's cost weighs in the draw where costs are set; the limit never falls below least_limit.

--- a/crates/proscenium/src/house.rs
+++ b/crates/proscenium/src/house.rs
@@ -246,11 +246,12 @@
             let zones = node.zones.iter().map(|(zone, _)| zone.clone()).collect();
             let names = Names { classes: classes.clone(), zones, ..Names::default() };
             drop(classes);
+            let (members, all) = self.members(&name, &service, scene, node, cold_s * 1000.0);
+            settings.sparse = members.len() < all;
             if !same(&service.settings.borrow(), &settings) {
                 service.engine.revise(&names, &settings);
                 *service.settings.borrow_mut() = settings;
             }
-            let members = self.members(&name, &service, scene, node, cold_s * 1000.0);
             if *service.members.borrow() != members {
                 (service.engine.told())(News::Complete(members.clone()));
                 *service.members.borrow_mut() = members;
@@ -281,7 +282,7 @@
         }
     }
 
-    /// The servers of a service that may be sent something, as far as this limiter casts them.
+    /// The servers of a service that may be sent something, as far as this limiter casts them, and how many there are.
     fn members(
         &self,
         name: &str,
@@ -289,10 +290,10 @@
         scene: &Scene,
         node: &Node,
         cold: Millis,
-    ) -> Vec<Member> {
+    ) -> (Vec<Member>, usize) {
         let now = self.clock.now();
         let mut spells = service.spells.borrow_mut();
-        let members: Vec<Member> = self.known.with(|book, at| {
+        let (members, all): (Vec<Member>, usize) = self.known.with(|book, at| {
             let able = book.servers(at).filter(|(row, _)| {
                 row.service == name
                     && row.state == server_state::READY
@@ -329,10 +330,10 @@
                     state: ServerState::Ready,
                 })
             };
-            able.map(|(row, _)| row).filter_map(member).collect()
+            (able.map(|(row, _)| row).filter_map(member).collect(), places.len())
         });
         spells.retain(|id, _| members.iter().any(|m| m.id == *id));
-        members
+        (members, all)
     }
 
     // ---- Requests -----------------------------------------------------------------------------
@@ -427,6 +428,7 @@
             .collect()
     };
     a.gateways == b.gateways
+        && a.sparse == b.sparse
         && a.zone == b.zone
         && a.zone_cost == b.zone_cost
         && a.warm_after == b.warm_after
--- a/crates/topazwind/src/interface.rs
+++ b/crates/topazwind/src/interface.rs
@@ -189,6 +189,9 @@
     pub least_limit: f64,
     /// A gateway keeps to no fewer servers than this; 0: 8.
     pub subset_least: f64,
+    /// The list is this gateway's part of a large service already, and it meets each server of it rarely: of all of them two
+    /// are drawn, near ones more often, and compared.
+    pub sparse: bool,
 }
 
 /// What a keeper of quotas is told at its start.
--- a/crates/topazwind/src/logic/choice.rs
+++ b/crates/topazwind/src/logic/choice.rs
@@ -123,8 +123,9 @@
         // Subsetting: danger is that evidence of each server comes too rarely to act on. Of a subset, in an
         // order of this gateway's own, two are compared: all compared would send many gateways to one server
         // at once. It covers every kind of slowness and hurts by uneven shares, which load reports even out.
-        let size = (self.flow.send_rate * SUBSET_SPAN).max(given(self.set.subset_least, SUBSET_LEAST));
-        let subset = size < ready as f64;
+        let most = (self.flow.send_rate * SUBSET_SPAN).max(given(self.set.subset_least, SUBSET_LEAST));
+        let size = if self.set.sparse { ready as f64 } else { most };
+        let subset = size < ready as f64 || self.set.sparse;
         self.flow.subset = subset;
         // Noise decides nothing: danger is that the server which was luckiest so far gets all, and is the
         // only one that is heard of. What lies beyond it counts from there.
@@ -180,7 +181,11 @@
                     continue;
                 }
             }
-            able.push(Able { id, warmth, roll });
+            // Another zone is dearer only where that is set: it is met the less.
+            let usual = if s.entry.zone == self.set.zone { 1.0 } else { CROSS_ZONE };
+            let set = self.set.zone_cost.get(usize::from(s.entry.zone)).copied();
+            let (zone, weight) = (set.unwrap_or(usual), warmth / set.unwrap_or(1.0));
+            able.push(Able { id, warmth, zone, weight, roll });
         }
         if subset && able.len() > 2 {
             // Cold ones are met as rarely as they are weak: so all gateways together send each its part.
@@ -197,8 +202,6 @@
             let mean = fleet + (told(s.mean) - fleet) * stale;
             let fade = (-(now - s.crowd_at).max(0.0) / (FAST_SPAN * slack * slack)).exp();
             let crowd = usual + (s.crowd - usual) * fade;
-            let usual_zone = if s.entry.zone == self.set.zone { 1.0 } else { CROSS_ZONE };
-            let zone = self.set.zone_cost.get(usize::from(s.entry.zone)).copied().unwrap_or(usual_zone);
             let turn = TURN * (-(now - s.sent_at).max(0.0) / round).exp() + CHANCE * able.roll;
             // An attempt that is out for longer says so before it ends; warmth the draw has weighed. A cold
             // one that may be sent something and has had nothing for long has its turn: its tokens are its
@@ -209,17 +212,17 @@
                 false => (mean, able.warmth),
             };
             let failing = 1.0 + (FAIL_COST * s.failing(now)).min(FAIL_MOST);
-            (mean * (1.0 + s.out + crowd) * zone * (1.0 + turn) * failing / warmth, able.id)
+            (mean * (1.0 + s.out + crowd) * able.zone * (1.0 + turn) * failing / warmth, able.id)
         };
         able.into_iter().map(cost).min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, id)| id)
     }
 
-    /// One of those that may be chosen, by chance, as often as it is warm.
+    /// One of those that may be chosen, by chance, as often as it is warm and near.
     pub(super) fn draw(&mut self, able: &[Able]) -> usize {
-        let mut left = self.chance() * able.iter().map(|a| a.warmth).sum::<f64>();
+        let mut left = self.chance() * able.iter().map(|a| a.weight).sum::<f64>();
         able.iter()
             .position(|a| {
-                left -= a.warmth;
+                left -= a.weight;
                 left < 0.0
             })
             .unwrap_or(0)
--- a/crates/topazwind/src/logic/retries.rs
+++ b/crates/topazwind/src/logic/retries.rs
@@ -89,7 +89,7 @@
                 self.flow.limit = (self.flow.limit * (1.0 - step)).max(floor);
             } else if self.flow.subset && self.flow.out + 1.0 > 0.6 * self.flow.limit {
                 let most = START_LIMIT * self.servers.len() as f64 / self.set.gateways.max(1.0);
-                self.flow.limit = (self.flow.limit * (1.0 + step)).min(most);
+                self.flow.limit = (self.flow.limit * (1.0 + step)).min(most.max(self.set.least_limit));
             } else if self.flow.out > 0.6 * self.flow.limit {
                 self.flow.limit += 1.0 / self.flow.limit.max(1.0);
             }
--- a/crates/topazwind/src/state.rs
+++ b/crates/topazwind/src/state.rs
@@ -175,6 +175,8 @@
 pub(crate) struct Able {
     pub(crate) id: ServerId,
     pub(crate) warmth: f64,
+    pub(crate) zone: f64,
+    pub(crate) weight: f64,
     pub(crate) roll: f64,
 }
 
