Quotas: what limiters leave untold is bounded over all of them

Change: the share that is left untold shrinks with the number of limiters; the part of a burst that is given out is what the rule leaves after what may pass unheard.

--- a/crates/greenroom/src/settings.rs
+++ b/crates/greenroom/src/settings.rs
@@ -77,6 +77,12 @@
     pub retry_window_s: f64,
     /// See `retry_ratio`.
     pub extra_tries: f64,
+    /// A tenant's quota may be exceeded by so much in each window of this, s: by a share and by so many requests.
+    pub quota_window_s: f64,
+    /// See `quota_window_s`.
+    pub quota_over: f64,
+    /// See `quota_window_s`.
+    pub quota_slack: f64,
     /// A cold server bears its rate times this and `cold_slack` in a second.
     pub cold_over: f64,
     /// See `cold_over`.
@@ -244,6 +250,9 @@
                 retry_ratio: b(&mut r, "retryRatio"),
                 retry_window_s: b(&mut r, "retryWindowS"),
                 extra_tries: b(&mut r, "extraTries"),
+                quota_window_s: b(&mut r, "quotaWindowS"),
+                quota_over: b(&mut r, "quotaOver"),
+                quota_slack: b(&mut r, "quotaSlack"),
                 cold_over: b(&mut r, "coldOver"),
                 cold_slack: b(&mut r, "coldSlack"),
                 empty_ms: b(&mut r, "emptyZoneMs"),
--- a/crates/proscenium/src/casting.rs
+++ b/crates/proscenium/src/casting.rs
@@ -107,6 +107,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use std::collections::BTreeSet;
 
     /// Zones `a1`, `a2`, `a3`, `b1`, ... of regions `a`, `b`, ...
     fn zones(regions: usize) -> Vec<(String, String)> {
@@ -180,23 +181,20 @@
         let zones = zones(2);
         let (limiters, servers) = (spread(&zones, "l", 87), spread(&zones, "s", 189));
         let (limiters, servers) = (borrowed(&limiters), borrowed(&servers));
-        let ground = |limiters| Ground { zones: &zones, name: "l-0", zone: "a1", limiters };
-        let ids = |cast: &[bool], servers: &[(&str, &str)]| -> std::collections::BTreeSet<String> {
-            cast.iter()
-                .zip(servers)
-                .filter(|(taken, _)| **taken)
-                .map(|(_, (id, _))| (*id).to_owned())
-                .collect()
+        let of = |limiters: &[(&str, &str)], servers: &[(&str, &str)]| -> BTreeSet<String> {
+            let taken = cast(&Ground { zones: &zones, name: "l-0", zone: "a1", limiters }, servers);
+            let taken = taken.iter().zip(servers).filter(|(taken, _)| **taken);
+            taken.map(|(_, (id, _))| (*id).to_owned()).collect()
         };
-        let before = ids(&cast(&ground(&limiters), &servers), &servers);
+        let before = of(&limiters, &servers);
         for gone in [1, 30, 60, 86] {
             let mut fewer = limiters.clone();
             fewer.remove(gone);
-            let after = ids(&cast(&ground(&fewer), &servers), &servers);
+            let after = of(&fewer, &servers);
             assert!(before.difference(&after).count() <= before.len() / 3, "limiter {gone}");
             let mut fewer = servers.clone();
             fewer.remove(gone);
-            let after = ids(&cast(&ground(&limiters), &fewer), &fewer);
+            let after = of(&limiters, &fewer);
             assert!(before.difference(&after).count() <= 3, "server {gone}");
         }
     }
--- a/crates/proscenium/src/counts.rs
+++ b/crates/proscenium/src/counts.rs
@@ -43,14 +43,14 @@
 impl Counter {
     /// No tenant yet.
     pub fn new(known: Rc<Knowledge>, links: Rc<Links>, name: String, seed: u64) -> Rc<Self> {
-        let quotas = RefCell::new(Quotas::new(settings(Vec::new()), seed));
+        let quotas = RefCell::new(Quotas::new(settings(Vec::new(), 1.0), seed));
         let (numbers, waiting, flushing) = (Numbers::default(), RefCell::default(), Cell::new(false));
         Rc::new(Counter { known, links, name, quotas, numbers, waiting, flushing })
     }
 
-    /// Plans from now on, by tenant.
-    pub fn settle(&self, plans: Vec<Plan>) {
-        self.quotas.borrow_mut().settle(settings(plans));
+    /// Plans from now on, by tenant, before so many limiters.
+    pub fn settle(&self, plans: Vec<Plan>, limiters: f64) {
+        self.quotas.borrow_mut().settle(settings(plans, limiters));
     }
 
     /// Whether a tenant's request goes on. What does not is told how long to stay away, ms.
@@ -174,7 +174,7 @@
     }
 }
 
-fn settings(plans: Vec<Plan>) -> QuotaSettings {
+fn settings(plans: Vec<Plan>, limiters: f64) -> QuotaSettings {
     let counter_timeout = WITHIN.as_secs_f64() * 1000.0;
     QuotaSettings {
         plans,
@@ -183,13 +183,17 @@
         counter_timeout,
         sync_every: SYNC_EVERY,
         flush_after: FLUSH_AFTER,
+        sync_share: UNTOLD.min(UNTOLD_BY_ALL / limiters),
     }
 }
 
 /// Between two syncs of a tenant, ms: a tenth of a window of one second. What a tenant that begins to press sends through all
 /// limiters between two syncs comes on top of its burst.
 const SYNC_EVERY: Millis = 100.0;
-/// A tenth of a burst at most is told so late, ms: the way to a keeper in another region is dear.
+/// Share of a burst that a limiter, and that all together, leave untold until then.
+const UNTOLD: f64 = 0.1;
+const UNTOLD_BY_ALL: f64 = 0.6;
+/// What is less than that share of a burst is told so late, ms: the way to a keeper in another region is dear.
 const FLUSH_AFTER: Millis = 3000.0;
 /// Longest that a number is kept, ms.
 const LONGEST: Millis = 120_000.0;
--- a/crates/proscenium/src/house.rs
+++ b/crates/proscenium/src/house.rs
@@ -4,7 +4,7 @@
 use crate::casting::{cast, Ground};
 use crate::counts::Counter;
 use crate::lease::Lease;
-use crate::scene::{class, plan, share, tenant_number, Scene};
+use crate::scene::{class, plan, share, tenant_number, Allowed, Scene};
 use crate::terms::{self, LONGEST_WAIT};
 use greenroom::follow::{chance, Knowledge};
 use greenroom::kinds::Kind;
@@ -82,6 +82,8 @@
     /// Places of tenants' plans, by name. Each limiter has its own: what stands for a tenant between limiters is
     /// [`tenant_number`].
     tenants: RefCell<HashMap<String, usize>>,
+    /// The limiters that plans were last told for.
+    planned_for: Cell<f64>,
     began: Cell<bool>,
     few: Few,
     rolls: Cell<u64>,
@@ -122,6 +124,7 @@
             scene: RefCell::default(),
             services: RefCell::default(),
             tenants: RefCell::default(),
+            planned_for: Cell::new(0.0),
             began: Cell::new(false),
             few: Few::default(),
             rolls: Cell::new(chance()),
@@ -193,6 +196,9 @@
         }
         let scene = self.scene.borrow().clone();
         if let Some(scene) = scene {
+            if self.planned_for.get() != self.limiters() {
+                self.set_plans(&scene);
+            }
             self.set_services(&scene, &node);
         }
     }
@@ -209,13 +215,17 @@
             tenants.entry(customer.name.clone()).or_insert(next);
         }
         // Plans stand by tenant: one that is gone keeps its place.
-        let mut plans = vec![plan(0.0, 0.0); tenants.len()];
+        let bounds = &self.told.settings().bounds;
+        let (window, over, slack) = (bounds.quota_window_s, bounds.quota_over, bounds.quota_slack);
+        let allowed = Allowed { window, over, slack, limiters: self.limiters() };
+        let mut plans = vec![plan(0.0, 0.0, allowed); tenants.len()];
         for customer in customers {
             if let Some(at) = tenants.get(&customer.name) {
-                plans[*at] = plan(customer.rate, customer.burst);
+                plans[*at] = plan(customer.rate, customer.burst, allowed);
             }
         }
-        self.counter.settle(plans);
+        self.counter.settle(plans, self.limiters());
+        self.planned_for.set(self.limiters());
     }
 
     fn set_services(&self, scene: &Scene, node: &Node) {
--- a/crates/proscenium/src/scene.rs
+++ b/crates/proscenium/src/scene.rs
@@ -70,22 +70,47 @@
 }
 
 /// Parts of a tenant's rate and burst that are given out. The rest is for what limiters let through before they hear of each
-/// other: at six times the quota some 0.2 s of it.
+/// other.
 const RATE_PART: f64 = 0.97;
 const BURST_PART: f64 = 0.75;
 /// That much beyond it, in bursts, is paid back before anything else passes.
 const DEBT: f64 = 4.0;
+/// Less of a burst than this would refuse what comes unevenly in calm times.
+const LEAST_BURST: f64 = 0.3;
+/// A tenant that presses asks for so many times its rate beyond it: what is let through unheard is sized by that.
+const PRESSES: f64 = 3.7;
+/// How long that goes on before limiters have heard of each other, s, and how much longer for each limiter: a limiter tells
+/// of each request, and has one the more rarely the more limiters there are.
+const UNHEARD: f64 = 0.2;
+const UNHEARD_EACH: f64 = 0.001;
+
+/// How much of a tenant's quota the rule lets run in its window, beyond what the quota gives, and over which window.
+#[derive(Clone, Copy, Debug)]
+pub struct Allowed {
+    /// The window, s.
+    pub window: f64,
+    /// A share of what the quota gives in the window.
+    pub over: f64,
+    /// Requests.
+    pub slack: f64,
+    /// Limiters that share the quota.
+    pub limiters: f64,
+}
 
 /// How the decision module sees a tenant's quota.
-pub fn plan(rate: f64, burst: f64) -> Plan {
+pub fn plan(rate: f64, burst: f64, allowed: Allowed) -> Plan {
     if rate <= 0.0 {
         return Plan { price: 1.0, ..Plan::default() };
     }
     // A quota without a burst still lets one second through at once.
     let burst = if burst > 0.0 { burst } else { rate };
+    let given = RATE_PART * rate * allowed.window;
+    let bound = (rate * allowed.window + burst) * (1.0 + allowed.over) + allowed.slack;
+    let unheard = PRESSES * rate * (UNHEARD + UNHEARD_EACH * allowed.limiters);
+    let room = if allowed.window > 0.0 { bound - given - unheard } else { burst };
     Plan {
         rate: rate * RATE_PART,
-        burst: (burst * BURST_PART).max(1.0),
+        burst: room.max(LEAST_BURST * burst).min(BURST_PART * burst).max(1.0),
         price: 1.0,
         over_cost: 1.0,
         debt: DEBT,
--- a/crates/topazwind/src/interface.rs
+++ b/crates/topazwind/src/interface.rs
@@ -209,6 +209,8 @@
     pub sync_every: Millis,
     /// Use that is too small for a sync is told after this; 0: 1000 ms.
     pub flush_after: Millis,
+    /// Share of the burst that must be new for a sync; 0: a tenth. What each gateway has not told adds up over all.
+    pub sync_share: f64,
 }
 
 impl From<&Settings> for QuotaSettings {
--- a/crates/topazwind/src/logic/counter.rs
+++ b/crates/topazwind/src/logic/counter.rs
@@ -90,7 +90,8 @@
             return;
         };
         let new = c.tallies[ACCEPTED].pending + c.tallies[DECLINED].pending;
-        let (pace, share) = (c.pace(now, self.calling.pace), SYNC_SHARE * c.plan.burst);
+        let (pace, share) =
+            (c.pace(now, self.calling.pace), given(self.set.sync_share, SYNC_SHARE) * c.plan.burst);
         let first = !c.known && c.tallies[ACCEPTED].in_flight.is_none() && new >= (pace - 1.0) * share;
         let waited = now - c.last_sync;
         let every = given(self.set.sync_every, SYNC_EVERY);
