Proxies hold sessions with all core machines that vote, not only the seeds

Cause: a proxy knew its three seeds and none of the other core machines. Ruled out: naming them on every call. A version tells who is behind (News 16, Follow 11).

--- a/crates/callboard/src/main.rs
+++ b/crates/callboard/src/main.rs
@@ -129,7 +129,17 @@
             IpAddr::V4(ip) => Some(ip),
             IpAddr::V6(_) => None,
         });
-        follow_peers(&known, &settings, settings.seeds.iter().map(|s| *s.ip()).chain(voters), &mut peers);
+        let voters: Vec<Ipv4Addr> = voters.collect();
+        follow_peers(
+            &known,
+            &settings,
+            settings.seeds.iter().map(|s| *s.ip()).chain(voters.clone()),
+            &mut peers,
+        );
+        let cast = caller.cast();
+        if !cast.is_changing() {
+            known.set_core(1 + cast.made.round, voters.into_iter());
+        }
         tokio::time::sleep(VOTERS_EVERY).await;
     }
 }
--- a/crates/greenroom/src/follow.rs
+++ b/crates/greenroom/src/follow.rs
@@ -3,12 +3,13 @@
 
 use crate::link::Link;
 use crate::news::{Book, Millis};
-use crate::wire::{call, Decided, Follow, MemberRow, News, ServerRow};
+use crate::wire::{call, Core, Decided, Follow, MemberRow, News, ServerRow};
 use bytes::Bytes;
 use prost::Message;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::hash::{BuildHasher, RandomState};
+use std::net::Ipv4Addr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Notify;
@@ -63,6 +64,7 @@
     clock: Steady,
     book: RefCell<Book>,
     decided: RefCell<(u64, Rc<Decided>)>,
+    core: RefCell<Core>,
     /// A majority was asked then, or later, and knew nothing newer than what is decided here.
     fresh: Cell<Option<Millis>>,
     /// What the system's time is ahead of this process's.
@@ -79,6 +81,7 @@
             clock,
             book: RefCell::new(Book::new(chance(), beat_every, clock.now())),
             decided: RefCell::default(),
+            core: RefCell::default(),
             fresh: Cell::default(),
             ahead: Cell::default(),
             followers: RefCell::default(),
@@ -150,6 +153,18 @@
         }
     }
 
+    /// The core machines that vote, as far as known here.
+    pub fn core(&self) -> Vec<Ipv4Addr> {
+        self.core.borrow().ips.iter().map(|ip| Ipv4Addr::from(*ip)).collect()
+    }
+
+    /// Takes the core machines of this version, unless they are older than those known. Who follows hears of them.
+    pub fn set_core(&self, version: u64, ips: impl Iterator<Item = Ipv4Addr>) {
+        if version > self.core.borrow().version {
+            *self.core.borrow_mut() = Core { version, ips: ips.map(u32::from).collect() };
+        }
+    }
+
     /// A majority was asked then and knew of nothing newer than `edition`.
     pub fn confirm(&self, at: Millis, edition: u64) {
         if self.edition() >= edition && self.fresh.get().is_none_or(|fresh| fresh < at) {
@@ -228,6 +243,7 @@
         news.fresh_ago = self.fresh_ago().map(|ago| ago.ceil() as u32);
         news.held = (now - came) as u32;
         news.time = self.time();
+        news.core = Some(self.core.borrow().clone()).filter(|core| core.version > follow.core);
         news
     }
 
@@ -246,6 +262,9 @@
         if let Some(decided) = &news.decided {
             self.decide(news.edition, decided.clone());
         }
+        if let Some(core) = &news.core {
+            self.set_core(core.version, core.ips.iter().map(|ip| Ipv4Addr::from(*ip)));
+        }
         if let Some(ago) = news.fresh_ago {
             // It was sent no sooner than it was held, and is no older then than it says.
             self.confirm(asked + f64::from(news.held) - f64::from(ago), news.edition);
@@ -294,7 +313,8 @@
 ) -> Heard {
     let asked = known.now();
     let (epoch, seen, edition) = (place.epoch, place.seen, known.edition());
-    let follow = Follow { name: name.to_owned(), epoch, seen, edition, each, hold, member };
+    let core = known.core.borrow().version;
+    let follow = Follow { name: name.to_owned(), epoch, seen, edition, each, hold, member, core };
     let within = Duration::from_millis(u64::from(hold)) + PATIENCE;
     let answer = link.call(call::FOLLOW, follow.encode_to_vec(), within).await;
     let Some(news) = answer.ok().filter(|b| !b.is_empty()).and_then(|b| News::decode(b).ok()) else {
@@ -305,3 +325,29 @@
     known.hear(asked, news);
     Heard::Told { fresh_ago, limiters }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn followers_hear_of_the_core_once_and_never_of_an_older_one() {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_time().build().unwrap();
+        let (one, two) = (Knowledge::new(Steady::start(), 1500.0), Knowledge::new(Steady::start(), 1500.0));
+        let ips = |last: u8| (1..=last).map(|n| Ipv4Addr::new(10, 0, 0, n));
+        let tell = |from: &Knowledge, to: &Knowledge| {
+            let follow = Follow { core: to.core.borrow().version, ..Follow::default() };
+            let news = runtime.block_on(from.answer(follow));
+            let told = news.core.is_some();
+            to.hear(to.now(), news);
+            told
+        };
+        assert!(!tell(&one, &two));
+        one.set_core(1, ips(3));
+        assert!(tell(&one, &two) && !tell(&one, &two));
+        one.set_core(7, ips(5));
+        assert!(!tell(&two, &one) && tell(&one, &two));
+        two.set_core(6, ips(2));
+        assert_eq!(two.core(), ips(5).collect::<Vec<_>>());
+    }
+}
--- a/crates/greenroom/src/wire.rs
+++ b/crates/greenroom/src/wire.rs
@@ -111,6 +111,17 @@
     pub empty: Vec<String>,
 }
 
+/// The core machines that vote.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct Core {
+    /// Rises with each change of them; 0 for none known.
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+    /// Their addresses.
+    #[prost(fixed32, repeated, tag = "2")]
+    pub ips: Vec<u32>,
+}
+
 /// Asks for what is new since.
 #[derive(Clone, PartialEq, Eq, Message)]
 pub struct Follow {
@@ -135,6 +146,9 @@
     /// The follower, where this is a session.
     #[prost(message, optional, tag = "7")]
     pub member: Option<MemberRow>,
+    /// [`Core::version`] as known to the follower.
+    #[prost(uint64, tag = "11")]
+    pub core: u64,
 }
 
 /// What is new.
@@ -176,6 +190,9 @@
     /// The system's time as known to the teller, ms: it only runs forward, and is nobody's time of day.
     #[prost(double, tag = "12")]
     pub time: f64,
+    /// The core machines, where the follower knows of an older version of them.
+    #[prost(message, optional, tag = "16")]
+    pub core: Option<Core>,
 }
 
 /// One add to a number.
--- a/crates/proscenium/src/session.rs
+++ b/crates/proscenium/src/session.rs
@@ -97,6 +97,17 @@
         }
     }
 
+    /// The core machines: the seeds, and those that vote as far as is known.
+    fn core(&self) -> Vec<Ipv4Addr> {
+        let mut core: Vec<Ipv4Addr> = self.told.settings().seeds.iter().map(|s| *s.ip()).collect();
+        for ip in self.known.core() {
+            if !core.contains(&ip) {
+                core.push(ip);
+            }
+        }
+        core
+    }
+
     async fn ask(&self, ip: Ipv4Addr, place: &mut Place, hold: u32) -> Heard {
         let settings = self.told.settings();
         let link = self.links.to(settings.inner_of(ip, REGISTRY));
@@ -112,7 +123,7 @@
         loop {
             if next.is_empty() {
                 let settings = self.told.settings();
-                next = settings.seeds.iter().map(|s| *s.ip()).collect();
+                next = self.core().into();
                 // Limiters begin with different ones; which, is drawn by name.
                 let name = settings.node.clone();
                 next.make_contiguous().sort_by_key(|ip| lot(&name, *ip));
@@ -132,7 +143,7 @@
                     log::info!("session: with {}, edition {}", ip, self.known.edition());
                 }
                 self.with.set(Some(ip));
-                if behind && !next.is_empty() || !self.told.settings().seeds.iter().any(|s| *s.ip() == ip) {
+                if behind && !next.is_empty() || !self.core().contains(&ip) {
                     break;
                 }
                 if behind {
