--- a/crates/promptbook/src/voter.rs
+++ b/crates/promptbook/src/voter.rs
@@ -256,13 +256,15 @@
         if cast.members.is_empty() || cast.is_changing() || self.0 == Some((cast.made, votes)) {
             return;
         }
-        let out = self.0.is_some_and(|(_, voted)| voted) && !votes;
-        self.0 = Some((cast.made, votes));
+        let before = self.0.replace((cast.made, votes)).map(|(_, votes)| votes);
         let voters: Vec<&str> = cast.members.iter().map(|member| &member.name[..]).collect();
-        match (votes, out) {
-            (true, _) => info!("store: Votes; the voters are {}.", voters.join(", ")),
-            (false, true) => warn!("store: Votes no more, and asks to be taken in again."),
-            (false, false) => info!("store: Does not vote yet; the voters are {}.", voters.join(", ")),
+        let voters = voters.join(", ");
+        match (before, votes) {
+            (None, true) => info!("store: Votes; the voters are {voters}."),
+            (Some(true), true) => info!("store: The voters are {voters} now."),
+            (Some(false), true) => info!("store: Is taken in and votes; the voters are {voters}."),
+            (Some(true), false) => warn!("store: Votes no more, and asks to be taken in again."),
+            (_, false) => info!("store: Does not vote yet; the voters are {voters}."),
         }
     }
 }
--- a/crates/rehearsal/tests/store.rs
+++ b/crates/rehearsal/tests/store.rs
@@ -36,7 +36,7 @@
     system.operator.must_put(&bill).unwrap();
     CORE.iter().for_each(|role| stage.run(lost, *role).unwrap());
     // A machine that is back counts as lost for 4 s more; only then another may go.
-    let votes = || stage.has_said(lost, Role::Store, "Has rejoined and votes");
+    let votes = || stage.has_said(lost, Role::Store, "Is taken in and votes");
     wait::holds(4000 * MS, "it votes again", votes).unwrap();
     // It is needed for a majority now, so it votes: by what it has learned.
     CORE.iter().for_each(|role| stage.kill(0, *role));
