--- a/crates/proscenium/src/house.rs
+++ b/crates/proscenium/src/house.rs
@@ -5,6 +5,7 @@
 use crate::counts::Counter;
 use crate::lease::Lease;
 use crate::scene::{class, plan, share, tenant_number, Allowed, Scene};
+use crate::steering::Steering;
 use crate::terms::{self, LONGEST_WAIT};
 use greenroom::follow::{chance, Knowledge};
 use greenroom::kinds::Kind;
@@ -12,6 +13,7 @@
 use greenroom::news::{member_state, server_state, Millis};
 use greenroom::run::Told;
 use greenroom::settings::Settings as Node;
+use greenroom::wire::{NoticeRow, ServerRow};
 use http::header::{HeaderMap, HeaderName, HeaderValue, AUTHORIZATION, CONTENT_LENGTH, HOST, RETRY_AFTER};
 use http::request::Parts;
 use http::{Response, StatusCode};
@@ -28,7 +30,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 use std::sync::Arc;
-use topazwind::interface::{ClassId, PlanId, Request, Rules, ServerState, Settings};
+use topazwind::interface::{ClassId, PlanId, Request, Rules, ServerState, Settings, Standing};
 
 /// Names a try of a client.
 pub const TRY_ID: HeaderName = HeaderName::from_static("try-id");
@@ -85,6 +87,7 @@
     /// The limiters that plans were last told for.
     planned_for: Cell<f64>,
     began: Cell<bool>,
+    steering: Steering,
     few: Few,
     rolls: Cell<u64>,
 }
@@ -126,6 +129,7 @@
             tenants: RefCell::default(),
             planned_for: Cell::new(0.0),
             began: Cell::new(false),
+            steering: Steering::default(),
             few: Few::default(),
             rolls: Cell::new(chance()),
         })
@@ -203,6 +207,31 @@
         }
     }
 
+    /// Looks at how attempts have ended since, and at what others say of servers; what is to be told by the limiter of this
+    /// life.
+    pub fn watch(&self, life: u64) -> Vec<NoticeRow> {
+        let node = self.told.settings();
+        let services: Vec<_> = self.services.borrow().iter().map(|(n, s)| (n.clone(), s.clone())).collect();
+        for (name, service) in services {
+            let ends = service.engine.ends_of_attempts();
+            if !ends.is_empty() {
+                self.steering.saw(self.known.now(), &name, &service.classes.borrow(), &ends);
+            }
+        }
+        if !self.known.with(|book, now| self.steering.is_time(now, book)) {
+            return Vec::new();
+        }
+        let rows = self.known.with(|book, now| self.steering.tell(now, book, &node.node, life));
+        if !rows.is_empty() {
+            self.known.change(|book, now| rows.iter().for_each(|row| _ = book.notice(now, row)));
+        }
+        let time = self.known.time();
+        if self.known.with(|book, now| self.steering.judge(now, time, book, &node)) {
+            self.refresh();
+        }
+        rows
+    }
+
     fn limiters(&self) -> f64 {
         f64::from(self.known.with(|book, now| book.limiters(now))).max(1.0)
     }
@@ -318,8 +347,11 @@
                 takes.map(|(row, _)| (row.name.as_str(), row.zone.as_str())).collect();
             let ground =
                 Ground { zones: &node.zones, name: &node.node, zone: &node.zone, limiters: &limiters };
-            let able = able.into_iter().zip(cast(&ground, &places)).filter(|(_, cast)| *cast);
-            let member = |(row, left): (&greenroom::wire::ServerRow, Millis)| {
+            // Who is to try an ill server is drawn over all limiters, whoever casts it.
+            let tries = |row: &ServerRow| self.steering.standing(&row.id) == Standing::Tried;
+            let able = able.into_iter().zip(cast(&ground, &places));
+            let able = able.filter(|((row, _), cast)| *cast || tries(row)).map(|(able, _)| able);
+            let member = |(row, left): (&ServerRow, Millis)| {
                 let started = if left > 0.0 {
                     let began = now - (cold - left).max(0.0);
                     let told = spells.entry(row.id.clone()).or_insert(began);
@@ -338,9 +370,10 @@
                     weight: 1.0,
                     started,
                     state: ServerState::Ready,
+                    standing: self.steering.standing(&row.id),
                 })
             };
-            (able.map(|(row, _)| row).filter_map(member).collect(), places.len())
+            (able.filter_map(member).collect(), places.len())
         });
         spells.retain(|id, _| members.iter().any(|m| m.id == *id));
         (members, all)
--- a/crates/topazwind/src/logic/choice.rs
+++ b/crates/topazwind/src/logic/choice.rs
@@ -187,6 +187,7 @@
             let (zone, weight) = (set.unwrap_or(usual), warmth / set.unwrap_or(1.0));
             able.push(Able { id, warmth, zone, weight, roll });
         }
+        let mut able = self.heed(now, open, able);
         if subset && able.len() > 2 {
             // Cold ones are met as rarely as they are weak: so all gateways together send each its part.
             let first = self.draw(&able);
