One state machine a try: what may have run meets no second server and no promise

Cause: that a try which may run once runs once was known in three places (the decision module, the engine's outcomes, the dialect), and each had to be right. Nothing kept a wrong decision of the module from being carried out, nothing was known of an attempt after its time was up, and what became of a try was forgotten with its answer.

Change: crate cue (pure). once: the states of a try; the engine asks it before each attempt and before each final answer. With a witness (the system's proxy only) an attempt's late answer is listened for after its time is up.

Ruled out: that the module errs by its own rules: 500 seeded schedules without an injected error keep it from nothing, so what is in service behaves as before. That a client's leaving stops what is out: it does not (nothing is called off).

--- a/crates/engine/src/direct.rs
+++ b/crates/engine/src/direct.rs
@@ -96,6 +96,8 @@
             }
             // Its request's final answer tells the application.
             Output::CallOff { .. } => {}
+            // Nobody has asked for it.
+            Output::Note { .. } => {}
             Output::Count(call) => {
                 if self.calls.send(call).is_err() {
                     core.call_ended(now, call.id, CallEnd::Unreachable);
--- a/crates/engine/src/engine/book.rs
+++ b/crates/engine/src/engine/book.rs
@@ -1,5 +1,6 @@
 //! The requests in hand and their attempts: who is owed an answer, and what is still out.
 
+use cue::once::Cue;
 use std::collections::HashMap;
 use std::sync::Arc;
 use topazwind::interface::{Millis, RequestId, ServerId};
@@ -34,6 +35,8 @@
 
 struct Attempt {
     server: ServerId,
+    /// Its server's name, once it was sent.
+    name: Option<Arc<str>>,
     sent: Millis,
     live: bool,
 }
@@ -49,6 +52,10 @@
     pub(super) said: Option<A>,
     /// Attempts it may have; 0: no limit.
     pub(super) most: u32,
+    /// Its body is coming as it goes on.
+    pub(super) uploading: bool,
+    /// What may still be done with it. Its attempts are numbered as these are.
+    pub(super) cue: Cue,
     attempts: Vec<Attempt>,
 }
 
@@ -70,9 +77,22 @@
 
     /// Books a new attempt and gives its number.
     pub(super) fn begin(&mut self, server: ServerId, sent: Millis) -> usize {
-        self.attempts.push(Attempt { server, sent, live: true });
+        self.attempts.push(Attempt { server, name: None, sent, live: true });
+        self.cue.begin();
         self.attempts.len() - 1
     }
+
+    /// An attempt goes out to the server of this name.
+    pub(super) fn sent_to(&mut self, attempt: usize, name: &Arc<str>) {
+        if let Some(a) = self.attempts.get_mut(attempt) {
+            a.name = Some(name.clone());
+        }
+    }
+
+    /// Its server's name.
+    pub(super) fn name(&self, attempt: u8) -> Option<&Arc<str>> {
+        self.attempts.get(usize::from(attempt))?.name.as_ref()
+    }
 }
 
 /// An attempt that has just ended.
@@ -97,7 +117,14 @@
     }
 
     /// Enters a request and gives it a number that no other has.
-    pub(super) fn open(&mut self, request: Q, ends: Millis, most: u32, reply: Reply<A>) -> RequestId {
+    pub(super) fn open(
+        &mut self,
+        request: Q,
+        ends: Millis,
+        most: u32,
+        cue: Cue,
+        reply: Reply<A>,
+    ) -> RequestId {
         while self.entries.contains_key(&RequestId(self.next)) {
             self.next = self.next.wrapping_add(1);
         }
@@ -110,6 +137,8 @@
             left: None,
             said: None,
             most,
+            uploading: false,
+            cue,
             attempts: Vec::new(),
         };
         self.entries.insert(id, entry);
@@ -126,6 +155,11 @@
         self.owing
     }
 
+    /// How many requests that run once at most are out at a server.
+    pub(super) fn out_once(&self) -> usize {
+        self.entries.values().filter(|e| e.cue.is_once() && e.cue.is_at_work()).count()
+    }
+
     /// Requests that are owed an answer.
     pub(super) fn owed(&self) -> Vec<RequestId> {
         self.entries.iter().filter(|(_, e)| !e.over()).map(|(id, _)| *id).collect()
@@ -180,7 +214,13 @@
         let mut book: Book<(), ()> = Book::new();
         let answers = Arc::new(AtomicUsize::new(0));
         let told = answers.clone();
-        let id = book.open((), 10.0, 0, Box::new(move |_| _ = told.fetch_add(1, Ordering::SeqCst)));
+        let id = book.open(
+            (),
+            10.0,
+            0,
+            Cue::default(),
+            Box::new(move |_| _ = told.fetch_add(1, Ordering::SeqCst)),
+        );
         let entry = book.get_mut(id).expect("an entry");
         assert_eq!((entry.begin(ServerId(1), 1.0), entry.begin(ServerId(2), 2.0)), (0, 1));
         book.reply(id).expect("the right")(Answer::Failed);
@@ -197,9 +237,9 @@
     #[test]
     fn numbers_in_use_are_passed_over_when_they_come_round() {
         let mut book: Book<(), ()> = Book::new();
-        let first = book.open((), 0.0, 0, Box::new(|_| ()));
+        let first = book.open((), 0.0, 0, Cue::default(), Box::new(|_| ()));
         book.next = u32::MAX;
-        assert_eq!(book.open((), 0.0, 0, Box::new(|_| ())), RequestId(u32::MAX));
-        assert_ne!(book.open((), 0.0, 0, Box::new(|_| ())), first);
+        assert_eq!(book.open((), 0.0, 0, Cue::default(), Box::new(|_| ())), RequestId(u32::MAX));
+        assert_ne!(book.open((), 0.0, 0, Cue::default(), Box::new(|_| ())), first);
     }
 }
--- a/crates/engine/src/engine/core.rs
+++ b/crates/engine/src/engine/core.rs
@@ -12,6 +12,8 @@
 use crate::ports::counter::{Call, CallEnd, CallId};
 use crate::ports::membership::News;
 use crate::ports::upstream::End;
+use cue::once::{Breach, Cue, How, Repeats, Word};
+use cue::outcomes::Fate;
 use oatbank_operations::suspension::{Marks, NeverListed};
 use oatbank_zones::evidence::{Counts, Row};
 use std::collections::{BTreeSet, HashMap, VecDeque};
@@ -49,16 +51,31 @@
     CallOff { id: RequestId, number: u8 },
     /// Begin a call to the counter, and report its end with [`Core::call_ended`].
     Count(Call),
+    /// Take down what is known of a request that runs once at most.
+    Note { request: Arc<Q>, server: Option<Arc<str>>, note: Note },
+}
+
+/// What is known of a request that runs once at most.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Note {
+    /// What became of it so far, and why that is known.
+    Fate(Fate, &'static str),
+    /// The module was about to break the rule, and was kept from it.
+    Kept(Breach),
 }
 
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
     Module(u64),
     Attempt(RequestId, u8),
+    Late(RequestId, u8),
     LastCall(RequestId),
     Call(CallId),
 }
 
+/// What an attempt was sent, and the name of its server.
+type Late<Q> = (Arc<Q>, Option<Arc<str>>);
+
 /// One decision module with the requests, servers, calls and timers round it.
 pub(crate) struct Core<Q, A> {
     gateway: Gateway,
@@ -76,6 +93,12 @@
     next_call: u64,
     /// How attempts ended, by zone, where that is counted.
     tally: Option<HashMap<u16, Counts>>,
+    /// Where requests that run once are told of: an answer is listened for so much longer, ms, than it is waited for.
+    witness: Option<Millis>,
+    /// Attempts that are listened for and no longer waited for.
+    late: HashMap<(RequestId, u8), Late<Q>>,
+    /// Decisions that were not carried out.
+    kept_from: u64,
 }
 
 impl<Q, A> Core<Q, A> {
@@ -94,9 +117,28 @@
             calls: HashMap::new(),
             next_call: 0,
             tally: None,
+            witness: None,
+            late: HashMap::new(),
+            kept_from: 0,
         }
     }
 
+    /// From now on what is known of requests that run once is told, their late answers are listened for so long, ms, and
+    /// what is repeatable and may have run is never told as refused.
+    pub(crate) fn bear_witness(&mut self, late: Millis) {
+        self.witness = Some(late);
+    }
+
+    /// How many requests that run once are out at a server.
+    pub(crate) fn out_once(&self) -> usize {
+        self.book.out_once() + self.late.len()
+    }
+
+    /// How many decisions of the module were not carried out, as they would have broken the rule.
+    pub(crate) fn kept_from(&self) -> u64 {
+        self.kept_from
+    }
+
     /// The next thing to do; to be asked until there is none, after every call that may bring up some.
     pub(crate) fn output(&mut self) -> Option<Output<Q>> {
         self.outputs.pop_front()
@@ -186,10 +228,12 @@
         let span = if request.uploading { LONGEST_UPLOAD } else { request.time_left };
         let ends = now + span;
         let most = request.rules.as_ref().map_or(self.settings.max_attempts, |r| r.max_attempts);
-        let id = self.book.open(forward, ends, most, reply);
+        let cue = Cue::new(self.repeats(&request));
+        let id = self.book.open(forward, ends, most, cue, reply);
         self.timers.arm(ends - LAST_CALL, Due::LastCall(id));
         if let Some(entry) = self.book.get_mut(id).filter(|_| request.uploading) {
             entry.left = Some(request.time_left);
+            entry.uploading = true;
         }
         request.id = id;
         request.time_left = (request.time_left - WAY_BACK).max(1.0);
@@ -197,6 +241,18 @@
         id
     }
 
+    fn repeats(&self, request: &Request) -> Repeats {
+        let class = match &request.rules {
+            Some(rules) => Some(&rules.class),
+            None => self.settings.classes.get(request.class.0),
+        };
+        match class.map(|class| class.repeat) {
+            Some(Repeat::Unsafe) => Repeats::Once,
+            _ => Repeats::Often,
+        }
+    }
+
+    /// The client has left: what is out runs on, and nothing more is sent.
     pub(crate) fn gone(&mut self, now: Millis, id: RequestId) {
         if self.book.reply(id).is_some() {
             self.feed(now, Event::Gone(id));
@@ -231,11 +287,50 @@
     /// Gives a request its final answer, once.
     fn answer(&mut self, id: RequestId, answer: Answer<A>) {
         if let Some(reply) = self.book.reply(id) {
-            reply(answer);
+            reply(self.true_word(id, answer));
         }
         self.book.forget(id);
     }
 
+    /// What a client may be told in place of this: a promise only of what certainly has not run.
+    fn true_word(&mut self, id: RequestId, answer: Answer<A>) -> Answer<A> {
+        let Some(entry) = self.book.get_mut(id) else { return answer };
+        let word = match &answer {
+            Answer::Served(_) => Word::Served,
+            Answer::Refused(_) => Word::Refused,
+            Answer::Failed | Answer::TimedOut => Word::Failed,
+        };
+        let certain = !entry.cue.may_have_run() && !entry.cue.is_out();
+        let (_, breach) = entry.cue.tell(word);
+        let (request, once) = (entry.request.clone(), entry.cue.is_once());
+        if let Some(breach) = breach {
+            self.keep_from(&request, breach);
+            return Answer::Failed;
+        }
+        if once && certain && word != Word::Served {
+            self.note(&request, None, Note::Fate(Fate::NotRun, "given up before a server had it"));
+        }
+        match answer {
+            Answer::Refused(_) if !once && !certain && self.witness.is_some() => Answer::Failed,
+            // It is over, so nothing of it is sent from here on: what is certain may be promised.
+            Answer::TimedOut if once && certain && self.witness.is_some() => Answer::Refused(0.0),
+            answer => answer,
+        }
+    }
+
+    fn keep_from(&mut self, request: &Arc<Q>, breach: Breach) {
+        self.kept_from += 1;
+        tracing::error!("{}", breach.text());
+        self.note(request, None, Note::Kept(breach));
+    }
+
+    fn note(&mut self, request: &Arc<Q>, server: Option<&Arc<str>>, note: Note) {
+        if self.witness.is_some() {
+            let (request, server) = (request.clone(), server.cloned());
+            self.outputs.push_back(Output::Note { request, server, note });
+        }
+    }
+
     // ---- Attempts -----------------------------------------------------------------------------
 
     fn send(&mut self, now: Millis, id: RequestId, server: ServerId, timeout: Millis) {
@@ -256,6 +351,21 @@
         let Some((name, address)) = self.fleet.place(server) else {
             return self.end(now, id, number, Outcome::ConnectFailed, Vec::new());
         };
+        let Some(entry) = self.book.get_mut(id) else { return };
+        let whole = !entry.uploading;
+        if let Err(breach) = entry.cue.send(attempt, whole) {
+            let out = entry.cue.is_out();
+            self.keep_from(&request, breach);
+            if !out {
+                // Nothing that is out can answer it any more.
+                self.answer(id, Answer::Failed);
+            }
+            return self.end(now, id, number, Outcome::Moot, Vec::new());
+        }
+        entry.sent_to(attempt, &name);
+        if whole && entry.cue.is_once() {
+            self.note(&request, Some(&name), Note::Fate(Fate::Running, "sent"));
+        }
         self.timers.arm(now + span, Due::Attempt(id, number));
         self.outputs.push_back(Output::Attempt { id, number, server, name, address, request, span });
     }
@@ -269,10 +379,20 @@
             return self.feed(now, Event::Spent(id));
         }
         let Some(entry) = self.book.get_mut(id) else { return };
+        entry.cue.whole(usize::from(attempt));
+        if entry.cue.is_once() {
+            let (request, name) = (entry.request.clone(), entry.name(attempt).cloned());
+            self.note(&request, name.as_ref(), Note::Fate(Fate::Running, "sent"));
+        }
+        let Some(entry) = self.book.get_mut(id) else { return };
         entry.begin_anew(attempt, now);
         if let Some(left) = entry.left.take() {
             entry.ends = now + left;
             self.timers.arm(now + left - LAST_CALL, Due::LastCall(id));
+            if self.witness.is_some() {
+                // The module says nothing more of one whose client has left.
+                self.timers.arm(now + left - WAY_BACK, Due::Attempt(id, attempt));
+            }
         }
         self.feed(now, Event::Uploaded { id, attempt });
     }
@@ -285,15 +405,21 @@
         }
     }
 
-    /// An attempt has ended by itself; late results of ended ones are dropped.
+    /// An attempt has ended by itself; late results of ended ones tell nobody anything but what became of the request.
     pub(crate) fn attempt_ended(&mut self, now: Millis, id: RequestId, attempt: u8, end: End<A>) {
+        let how = how(end.outcome, end.answer.is_some());
         if !self.book.is_live(id, attempt) {
+            if let Some((request, name)) = self.late.remove(&(id, attempt)) {
+                let (fate, why) = fate(how, true);
+                self.note(&request, name.as_ref(), Note::Fate(fate, why));
+            }
             return;
         }
+        self.take_down(id, attempt, how);
         match (end.outcome, end.answer) {
             (Outcome::Ok, Some(answer)) => {
                 if let Some(reply) = self.book.reply(id) {
-                    reply(Answer::Served(answer));
+                    reply(self.true_word(id, Answer::Served(answer)));
                 }
             }
             (Outcome::Error, Some(answer)) => {
@@ -309,11 +435,47 @@
 
     /// Ends an attempt that is still out, and lets the module know.
     fn end(&mut self, now: Millis, id: RequestId, number: u8, outcome: Outcome, load: Vec<f64>) {
+        if self.book.is_live(id, number) {
+            self.take_down(id, number, how(outcome, false));
+        }
         if self.tell_end(now, id, number, outcome, load) {
             self.outputs.push_back(Output::CallOff { id, number });
         }
     }
 
+    /// An attempt's time is up: it is waited for no longer. Where somebody may still ask what became of it, its answer is
+    /// listened for as long as its server may take to say so.
+    fn time_out(&mut self, now: Millis, id: RequestId, attempt: u8) {
+        let listens = self.witness.filter(|_| {
+            self.book.is_live(id, attempt)
+                && self
+                    .book
+                    .get_mut(id)
+                    .is_some_and(|e| e.cue.is_once() && e.cue.is_whole(usize::from(attempt)))
+        });
+        let (Some(more), Some(entry)) = (listens, self.book.get_mut(id)) else {
+            return self.end(now, id, attempt, Outcome::TimedOut, Vec::new());
+        };
+        let told = (entry.request.clone(), entry.name(attempt).cloned());
+        entry.cue.ends(usize::from(attempt), How::Lost);
+        self.late.insert((id, attempt), told);
+        self.timers.arm(now + more, Due::Late(id, attempt));
+        self.tell_end(now, id, attempt, Outcome::TimedOut, Vec::new());
+    }
+
+    /// Takes down how an attempt has ended.
+    fn take_down(&mut self, id: RequestId, attempt: u8, how: How) {
+        let Some(entry) = self.book.get_mut(id) else { return };
+        entry.cue.ends(usize::from(attempt), how);
+        if !entry.cue.is_once() {
+            return;
+        }
+        let Some(name) = entry.name(attempt).cloned() else { return };
+        let (request, ran) = (entry.request.clone(), entry.cue.may_have_run());
+        let (fate, why) = fate(how, ran);
+        self.note(&request, Some(&name), Note::Fate(fate, why));
+    }
+
     fn tell_end(
         &mut self,
         now: Millis,
@@ -441,9 +603,16 @@
         match due {
             Due::Module(name) => self.feed(now, Event::Timer(name)),
             Due::Attempt(id, attempt) => {
-                self.end(now, id, attempt, Outcome::TimedOut, Vec::new());
+                self.time_out(now, id, attempt);
                 self.drain(now);
             }
+            Due::Late(id, attempt) => {
+                if let Some((request, name)) = self.late.remove(&(id, attempt)) {
+                    let note = Note::Fate(Fate::Unknown, "no answer within the server's own time");
+                    self.note(&request, name.as_ref(), note);
+                    self.outputs.push_back(Output::CallOff { id, number: attempt });
+                }
+            }
             Due::LastCall(id) => self.last_call(now, id),
             Due::Call(id) => {
                 if let Some((name, at)) = self.calls.remove(&id) {
@@ -466,6 +635,29 @@
     }
 }
 
+/// What an attempt's end says of whether it ran.
+fn how(outcome: Outcome, answered: bool) -> How {
+    match outcome {
+        Outcome::Ok => How::Done,
+        Outcome::Error if answered => How::Failed,
+        Outcome::Full | Outcome::ConnectFailed | Outcome::Moot => How::TurnedAway,
+        Outcome::TimedOut | Outcome::Cancelled => How::CalledOff,
+        Outcome::Error | Outcome::Reset => How::Lost,
+    }
+}
+
+/// What that makes of a request that runs once; `ran`: nothing proves that it did not.
+fn fate(how: How, ran: bool) -> (Fate, &'static str) {
+    match how {
+        How::Done => (Fate::Done, "answered"),
+        How::Failed => (Fate::Failed, "answered"),
+        How::TurnedAway if !ran => (Fate::NotRun, "turned away by the server"),
+        How::CalledOff if !ran => (Fate::NotRun, "given up before it was whole"),
+        How::CalledOff => (Fate::Unknown, "no answer in time"),
+        How::TurnedAway | How::Lost => (Fate::Unknown, "the answer was lost or spoilt"),
+    }
+}
+
 /// Which of a zone's counts an attempt's end belongs to. One that was called off or never sent tells nothing.
 fn count(counts: &mut Counts, outcome: Outcome) {
     let which = match outcome {
@@ -480,6 +672,22 @@
     *which += 1;
 }
 
+#[cfg(test)]
+impl<Q, A> Core<Q, A> {
+    /// Carries out a decision that the module has not made.
+    pub(super) fn err(&mut self, now: Millis, action: Action) {
+        self.carry_out(now, action);
+        self.drain(now);
+    }
+
+    /// From now on another guard looks after a request.
+    pub(super) fn forget_once(&mut self, id: RequestId, cue: Cue) {
+        if let Some(entry) = self.book.get_mut(id) {
+            entry.cue = cue;
+        }
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/engine/src/engine/mod.rs
+++ b/crates/engine/src/engine/mod.rs
@@ -7,9 +7,12 @@
 pub(crate) mod core;
 mod fleet;
 mod revision;
+#[cfg(test)]
+mod schedules;
 mod timers;
 
 pub use book::{Answer, Reply};
+pub use core::Note;
 pub use fleet::Shares;
 pub use revision::Revision;
 
@@ -26,6 +29,7 @@
 use std::collections::{BTreeSet, HashMap};
 use std::future::Future;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{oneshot, Notify};
 use tokio::task::AbortHandle;
@@ -51,6 +55,9 @@
 /// this limiter may act by none, says how long (ms) to stay away.
 pub type Guard = Rc<dyn Fn() -> Option<Millis>>;
 
+/// Hears what is known of a request that runs once at most, and which server (by its name) that is about.
+pub type Witness<Q> = Rc<dyn Fn(&Q, Option<&Arc<str>>, Note)>;
+
 /// What an engine is started with.
 #[derive(Clone, Debug, Default)]
 pub struct Setup {
@@ -90,6 +97,7 @@
     ready: Cell<bool>,
     held: Cell<bool>,
     guard: RefCell<Option<Guard>>,
+    witness: RefCell<Option<Witness<U::Request>>>,
     upstream: U,
     counter: RefCell<Option<Rc<dyn Counter>>>,
 }
@@ -107,6 +115,7 @@
             ready: Cell::new(false),
             held: Cell::new(false),
             guard: RefCell::default(),
+            witness: RefCell::default(),
             upstream,
             counter: RefCell::default(),
         })
@@ -228,6 +237,23 @@
         *self.guard.borrow_mut() = Some(guard);
     }
 
+    /// From now on this hears what becomes of requests that run once at most. Their late answers are listened for so much
+    /// longer, ms, than they are waited for; and what is repeatable and may have run is told as failed, not as refused.
+    pub fn witness_by(&self, late: Millis, witness: Witness<U::Request>) {
+        self.core.borrow_mut().bear_witness(late);
+        *self.witness.borrow_mut() = Some(witness);
+    }
+
+    /// How many requests that run once at most are out at a server, those of clients that have left included.
+    pub fn out_once(&self) -> usize {
+        self.core.borrow().out_once()
+    }
+
+    /// How many decisions of the module were not carried out, as something would have run twice or been denied by them.
+    pub fn kept_from(&self) -> u64 {
+        self.core.borrow().kept_from()
+    }
+
     /// Whether this limiter may act by no rules now, and how long (ms) to stay away then. After it, the rules are those
     /// of the moment.
     pub fn closed(&self) -> Option<Millis> {
@@ -327,6 +353,12 @@
                 }
             }
             Output::Count(call) => self.count(call),
+            Output::Note { request, server, note } => {
+                let witness = self.witness.borrow().clone();
+                if let Some(witness) = witness {
+                    witness(&request, server.as_ref(), note);
+                }
+            }
         }
     }
 
--- /dev/null
+++ b/crates/engine/src/engine/schedules.rs
@@ -0,0 +1,375 @@
+//! Seeded schedules in virtual time: servers that lose, spoil, delay and double what they say, clients that leave, lists
+//! that change, a process that stands still, and a module that now and then decides what it must not. What has run is
+//! counted at the servers and held against what clients were told.
+
+use super::core::{Core, Note, Output};
+use super::{Answer, Names, Setup};
+use crate::body::Progress;
+use crate::ports::membership::{Member, News};
+use crate::ports::upstream::End;
+use cue::once::Cue;
+use cue::outcomes::{Bounds, Fate, Outcomes};
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap, HashSet};
+use std::sync::{Arc, Mutex};
+use topazwind::interface::*;
+
+const SERVERS: u64 = 4;
+const ONCE: ClassId = ClassId(1);
+
+/// What comes to pass at some time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    /// A server runs a try, if all of it has been written.
+    Run(RequestId, u8, u32),
+    /// The last byte of a body is written.
+    Whole(RequestId, u8),
+    /// An attempt's end is seen: 0 success, 1 failure, 2 spoilt, 3 reset, 4 full, 5 no connection.
+    End(RequestId, u8, u32, u8),
+    Arrive(u32),
+    Gone(RequestId),
+    List,
+    /// The module decides wrongly: 0 a second server, 1 a refusal.
+    Err(RequestId, u8),
+}
+
+type Told = Arc<Mutex<HashMap<u32, Vec<Answer<(u32, u8)>>>>>;
+
+struct World {
+    rng: Pcg64Mcg,
+    now: u64,
+    due: BinaryHeap<Reverse<(u64, u64, Due)>>,
+    count: u64,
+    core: Core<u32, (u32, u8)>,
+    told: Told,
+    runs: HashMap<u32, u32>,
+    once: HashSet<u32>,
+    uploads: HashSet<u32>,
+    gone: HashSet<u32>,
+    off: HashSet<(RequestId, u8)>,
+    whole: HashSet<(RequestId, u8)>,
+    outcomes: Outcomes,
+    guarded: bool,
+    /// The module decides wrongly now and then.
+    errs: bool,
+    /// Servers that were sent something.
+    met: Vec<ServerId>,
+}
+
+impl World {
+    fn new(seed: u64, guarded: bool) -> World {
+        let class = |repeat| Class { aim: 500.0, deadline: 1500.0, late_worth: 0.3, worth: 1.0, repeat };
+        let settings = Settings {
+            gateways: 1.0,
+            classes: vec![class(Repeat::Safe), class(Repeat::Unsafe)],
+            max_units: 1.0,
+            parallel_tries: true,
+            retry_after: true,
+            max_retry_after: 1000.0,
+            ..Settings::default()
+        };
+        let names = Names { zones: vec!["z".into()], ..Names::default() };
+        let mut core = Core::new(&Setup { settings, names, seed });
+        core.bear_witness(300.0);
+        World {
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            now: 1000,
+            due: BinaryHeap::new(),
+            count: 0,
+            core,
+            told: Told::default(),
+            runs: HashMap::new(),
+            once: HashSet::new(),
+            uploads: HashSet::new(),
+            gone: HashSet::new(),
+            off: HashSet::new(),
+            whole: HashSet::new(),
+            outcomes: Outcomes::new(Bounds { keep: 1e9, ..Bounds::default() }),
+            guarded,
+            errs: true,
+            met: Vec::new(),
+        }
+    }
+
+    fn roll(&mut self, below: u64) -> u64 {
+        self.rng.next_u64() % below
+    }
+
+    fn after(&mut self, wait: u64, due: Due) {
+        self.count += 1;
+        self.due.push(Reverse((self.now + wait, self.count, due)));
+    }
+
+    fn list(&mut self) {
+        let out = self.roll(SERVERS + 2);
+        let member = |n: u64| Member {
+            id: format!("s-{n}"),
+            address: Some(([127, 0, 0, 1], 1000 + n as u16).into()),
+            zone: "z".into(),
+            cell: 0,
+            weight: 1.0,
+            started: 0.0,
+            state: ServerState::Ready,
+        };
+        let members = (0..SERVERS).filter(|n| *n != out).map(member).collect();
+        self.core.members(self.now as f64, &News::Complete(members));
+    }
+
+    fn arrive(&mut self, n: u32) {
+        let (once, uploading) = (self.roll(3) > 0, self.roll(4) == 0);
+        let class = if once { ONCE } else { ClassId(0) };
+        let request =
+            Request { class, units: 1.0, time_left: 1500.0, spread: 1.0, uploading, ..Request::default() };
+        let told = self.told.clone();
+        let reply = Box::new(move |answer| told.lock().unwrap().entry(n).or_default().push(answer));
+        let id = self.core.arrive(self.now as f64, request, n, reply);
+        if once {
+            self.once.insert(n);
+        }
+        if uploading {
+            self.uploads.insert(n);
+        }
+        if !self.guarded {
+            // Without the guard: as if all were repeatable.
+            self.core.forget_once(id, Cue::default());
+        }
+        let wait = self.roll(600);
+        match self.roll(6) {
+            0 => {
+                self.gone.insert(n);
+                self.after(wait, Due::Gone(id));
+            }
+            // The module would have counted that attempt; only the clock ends what it has lost count of.
+            1 if self.errs && !uploading => self.after(wait, Due::Err(id, 0)),
+            2 if self.errs => self.after(wait, Due::Err(id, 1)),
+            _ => {}
+        }
+    }
+
+    /// A server meets an attempt.
+    fn attempt(&mut self, id: RequestId, number: u8, n: u32) {
+        let mut at = 1 + self.roll(30);
+        if self.uploads.contains(&n) {
+            at += self.roll(200);
+            match self.roll(8) {
+                // It breaks off before it is whole.
+                0 => return self.after(at, Due::End(id, number, n, 5)),
+                // Nothing more comes of it, and at last it is given up.
+                1 => return self.after(at + 400, Due::End(id, number, n, 3)),
+                _ => self.after(at, Due::Whole(id, number)),
+            }
+        }
+        let took = if self.roll(5) == 0 { 1000 + self.roll(1500) } else { 5 + self.roll(300) };
+        let end = match self.roll(16) {
+            end @ 1..=3 => end as u8,
+            4 | 5 => 4,
+            6 => 5,
+            7 => 6,
+            8 => 7,
+            _ => 0,
+        };
+        if !matches!(end, 4 | 5 | 7) {
+            let begins = at + 1 + self.roll(took);
+            self.after(begins, Due::Run(id, number, n));
+        }
+        let end = match end {
+            // Never a word, and a connection lost before it was read.
+            6 => return,
+            7 => 3,
+            end => end,
+        };
+        self.after(at + 1 + took, Due::End(id, number, n, end));
+        if self.roll(10) == 0 {
+            // Twice, and then otherwise: a surplus answer.
+            let other = self.roll(4) as u8;
+            let later = 2 + self.roll(500);
+            self.after(at + took + later, Due::End(id, number, n, other));
+        }
+    }
+
+    fn take_outputs(&mut self) {
+        while let Some(output) = self.core.output() {
+            match output {
+                Output::Attempt { id, number, server, request, .. } => {
+                    self.met.push(server);
+                    self.attempt(id, number, *request);
+                }
+                Output::CallOff { id, number } => _ = self.off.insert((id, number)),
+                Output::Note { request, server, note: Note::Fate(fate, why) } => {
+                    let server = server.unwrap_or_else(|| "".into());
+                    self.outcomes.note(self.now as f64, &request.to_string(), fate, why, &server);
+                }
+                Output::Note { .. } | Output::Count(_) => {}
+            }
+        }
+    }
+
+    fn pass(&mut self, due: Due) {
+        let now = self.now as f64;
+        match due {
+            Due::Run(id, number, n) => {
+                if !self.uploads.contains(&n) || self.whole.contains(&(id, number)) {
+                    *self.runs.entry(n).or_default() += 1;
+                }
+            }
+            Due::Whole(id, number) if !self.off.contains(&(id, number)) => {
+                self.whole.insert((id, number));
+                self.core.progress(now, id, number, Progress::Sent);
+            }
+            Due::End(id, number, n, end) if !self.off.contains(&(id, number)) => {
+                let (outcome, answer) = match end {
+                    0 => (Outcome::Ok, Some((n, end))),
+                    1 => (Outcome::Error, Some((n, end))),
+                    2 => (Outcome::Error, None),
+                    3 => (Outcome::Reset, None),
+                    4 => (Outcome::Full, None),
+                    _ => (Outcome::ConnectFailed, None),
+                };
+                self.core.attempt_ended(now, id, number, End { outcome, answer, load: Vec::new() });
+            }
+            Due::Whole(..) | Due::End(..) => {}
+            Due::Arrive(n) => self.arrive(n),
+            Due::Gone(id) => self.core.gone(now, id),
+            Due::List => self.list(),
+            Due::Err(id, 0) => {
+                let at = self.roll(self.met.len() as u64 + 1) as usize;
+                let server = self.met.get(at).copied().unwrap_or_default();
+                self.core.err(now, Action::Send { id, server, timeout: 0.0 });
+            }
+            Due::Err(id, _) => self.core.err(now, Action::Refuse { id, retry_after: 1.0 }),
+        }
+    }
+
+    /// Plays until nothing more can come.
+    fn play(&mut self) {
+        self.list();
+        for n in 0..20 {
+            let at = self.roll(1500);
+            self.after(at, Due::Arrive(n));
+        }
+        for _ in 0..3 {
+            let at = self.roll(2000);
+            self.after(at, Due::List);
+        }
+        let end = self.now + 9000;
+        while self.now < end {
+            self.take_outputs();
+            let timer = self.core.next_due().map_or(end, |at| at.ceil() as u64);
+            let event = self.due.peek().map_or(end, |Reverse((at, _, _))| *at);
+            self.now = self.now.max(timer.min(event).min(end));
+            if self.roll(400) == 0 {
+                // The process stands still; all that is due then comes at once.
+                self.now += 200 + self.roll(2500);
+            }
+            let mut ready = Vec::new();
+            while self.due.peek().is_some_and(|Reverse((at, _, _))| *at <= self.now) {
+                ready.extend(self.due.pop().map(|Reverse((_, _, due))| due));
+            }
+            // Timers or what came from outside: either is seen first.
+            let timers_first = self.roll(2) == 0;
+            if timers_first {
+                while self.core.come_due(self.now as f64) {}
+                self.take_outputs();
+            }
+            for due in ready {
+                self.pass(due);
+                self.take_outputs();
+            }
+            while self.core.come_due(self.now as f64) {}
+        }
+        self.take_outputs();
+    }
+
+    /// What is wrong: the checker, which knows nothing of the engine.
+    fn wrongs(&mut self) -> Vec<String> {
+        let mut wrongs = Vec::new();
+        let told = self.told.lock().unwrap().clone();
+        for n in 0..20 {
+            let runs = self.runs.get(&n).copied().unwrap_or(0);
+            let answers = told.get(&n).cloned().unwrap_or_default();
+            let mut wrong = |what: &str| wrongs.push(format!("{n}: {what}: {runs} runs, {answers:?}"));
+            if answers.len() > 1 || answers.is_empty() && !self.gone.contains(&n) {
+                wrong("not one answer");
+            }
+            match answers.first() {
+                Some(Answer::Served((of, _))) if *of != n => wrong("another's answer"),
+                Some(Answer::Served(_)) if runs == 0 => wrong("served, and nothing has run"),
+                _ => {}
+            }
+            if !self.once.contains(&n) {
+                continue;
+            }
+            if runs > 1 {
+                wrong("ran twice");
+            }
+            if matches!(answers.first(), Some(Answer::Refused(_))) && runs > 0 {
+                wrong("a broken promise");
+            }
+            let fate = self.outcomes.get(self.now as f64, &n.to_string()).map(|k| k.fate);
+            let true_fate = match fate {
+                None => runs == 0,
+                Some(Fate::NotRun) => runs == 0,
+                Some(Fate::Done | Fate::Failed) => runs == 1,
+                Some(Fate::Unknown) => true,
+                Some(Fate::Running) => false,
+            };
+            if self.guarded && !true_fate {
+                wrong(&format!("taken down as {fate:?}"));
+            }
+        }
+        wrongs
+    }
+}
+
+fn played(seed: u64, guarded: bool) -> (Vec<String>, World) {
+    let mut world = World::new(seed, guarded);
+    world.play();
+    (world.wrongs(), world)
+}
+
+#[test]
+fn what_runs_once_runs_once_and_what_is_said_of_it_is_true() {
+    let (mut kept, mut told, mut fates) = (0, [0; 3], HashMap::<Fate, u32>::new());
+    for seed in 0..2000 {
+        let (wrongs, mut world) = played(seed, true);
+        assert!(wrongs.is_empty(), "seed {seed}: {wrongs:#?}");
+        assert_eq!(world.core.out_once(), 0, "seed {seed}: nothing is listened for for ever");
+        kept += world.core.kept_from();
+        for answers in world.told.lock().unwrap().values() {
+            match answers.first() {
+                Some(Answer::Served(_)) => told[0] += 1,
+                Some(Answer::Refused(_)) => told[1] += 1,
+                _ => told[2] += 1,
+            }
+        }
+        for n in 0..20u32 {
+            if let Some(known) = world.outcomes.get(world.now as f64, &n.to_string()) {
+                *fates.entry(known.fate).or_default() += 1;
+            }
+        }
+    }
+    // All of it was met often enough to be worth something.
+    assert!(kept > 500 && told.iter().all(|n| *n > 500), "{kept} kept from, told {told:?}");
+    assert!(fates.len() == 4 && fates.values().all(|n| *n > 500), "{fates:?}");
+}
+
+#[test]
+fn without_the_guard_the_checker_finds_both_breaches() {
+    let found: Vec<String> = (0..200).flat_map(|seed| played(seed, false).0).collect();
+    for what in ["ran twice", "a broken promise"] {
+        assert!(found.iter().filter(|w| w.contains(what)).count() > 10, "{what}: {}", found.len());
+    }
+}
+
+/// The guard is a second look: what is in service by the module's own rules behaves as without it.
+#[test]
+fn a_module_that_decides_by_its_rules_is_never_kept_from_anything() {
+    for seed in 0..500 {
+        let mut world = World::new(seed, true);
+        world.errs = false;
+        world.play();
+        assert_eq!((world.wrongs(), world.core.kept_from()), (Vec::new(), 0), "seed {seed}");
+    }
+}
