A shell that asks the programs what they know, and what became of a try

Cause: a client that was told 502 or 504 could not learn whether its order took, and nothing but logs told what the fleet knows.

Change: the proxy takes down what becomes of tries that run once. call::QUERY (a question in words, a table back) and call::OUTCOME (one try, one proxy) are answered at the inner ports of registry and proxy through one list of commands (greenroom::query): outcome, servers, limiters, core, version. `outcome` is asked for, not pushed: a core machine or proxy asks all limiters it remembers, lapsed ones too, and merges what they say; one that does not answer is named. Own answers to tries that run once say in words what is certain (has not run and never will; may have run, with server and try). A proxy that ends waits, within graceS, for what a server is at work on although its client has left.

Verified: the packages' tests; rehearsal's answers and leaving with real processes.

--- a/crates/callboard/src/main.rs
+++ b/crates/callboard/src/main.rs
@@ -5,6 +5,7 @@
 use greenroom::follow::{ask, Heard, Knowledge, Place, Steady};
 use greenroom::link::{self, Link};
 use greenroom::log;
+use greenroom::query::{add_outcome, Commands, Desk};
 use greenroom::run::{self, listen, Program, Signals, Told, Word};
 use greenroom::settings::place::{REGISTRY, STORE};
 use greenroom::settings::Settings;
@@ -42,12 +43,16 @@
 
     // Other processes of the system.
     let inner = listen(settings.inner_address(REGISTRY))?;
+    let mut commands = Commands::of(&known, "callboard", &settings.node);
+    add_outcome(&mut commands, &Desk::new(known.clone(), settings.node.clone(), None));
+    let commands = Rc::new(commands);
     let telling = known.clone();
     let handler: Rc<dyn Fn(u8, bytes::Bytes) -> link::Answering> = Rc::new(move |kind, body| {
-        let known = telling.clone();
+        let (known, commands) = (telling.clone(), commands.clone());
         Box::pin(async move {
             match kind {
                 call::FOLLOW => known.answer_bytes(body).await,
+                call::QUERY => commands.answer_bytes(body).await,
                 _ => Vec::new(),
             }
         })
--- a/crates/greenroom/src/follow.rs
+++ b/crates/greenroom/src/follow.rs
@@ -172,6 +172,14 @@
         self.followers.borrow().get(name).copied().unwrap_or_default()
     }
 
+    /// Who follows this process, with what each took in last.
+    pub fn followers(&self) -> Vec<(String, Seen)> {
+        let mut all: Vec<_> =
+            self.followers.borrow().iter().map(|(name, seen)| (name.clone(), *seen)).collect();
+        all.sort_by(|a, b| a.0.cmp(&b.0));
+        all
+    }
+
     /// Waits until this holds of what followers took in, or the time is up; whether it holds.
     pub async fn wait_for(&self, within: Duration, holds: impl Fn(&HashMap<String, Seen>) -> bool) -> bool {
         let until = Instant::now() + within;
--- a/crates/greenroom/src/lib.rs
+++ b/crates/greenroom/src/lib.rs
@@ -10,6 +10,7 @@
 //! | [`link`] | calls between processes over TCP |
 //! | [`follow`] | following another process's news, and being followed |
 //! | [`log`] | short lines with each part's prefix |
+//! | [`query`] | the shell's commands, for every program that answers them |
 //! | [`run`] | command line, signals and the thread that all else runs on |
 
 pub mod follow;
@@ -17,6 +18,7 @@
 pub mod link;
 pub mod log;
 pub mod news;
+pub mod query;
 pub mod run;
 pub mod settings;
 pub mod wire;
--- a/crates/greenroom/src/news.rs
+++ b/crates/greenroom/src/news.rs
@@ -319,6 +319,12 @@
         self.servers.values().map(move |h| (&h.row, (f64::from(h.row.cold_ms) - (now - h.at)).max(0.0)))
     }
 
+    /// All servers that are remembered, with how long ago each was heard and how long it is still cold, ms.
+    pub fn heard(&self, now: Millis) -> impl Iterator<Item = (&ServerRow, Millis, Millis)> + '_ {
+        let cold = move |h: &Held<ServerRow>| (f64::from(h.row.cold_ms) - (now - h.at)).max(0.0);
+        self.servers.values().map(move |h| (&h.row, now - h.heard, cold(h)))
+    }
+
     /// Limiters, with how long ago each was heard, ms.
     pub fn members(&self, now: Millis) -> impl Iterator<Item = (&MemberRow, Millis)> + '_ {
         self.members.values().map(move |h| (&h.row, now - h.heard))
--- a/crates/greenroom/src/wire.rs
+++ b/crates/greenroom/src/wire.rs
@@ -8,6 +8,10 @@
     pub const FOLLOW: u8 = 40;
     /// [`super::Counts`] is answered with [`super::Totals`].
     pub const COUNT: u8 = 41;
+    /// [`super::Query`] is answered with [`super::Table`].
+    pub const QUERY: u8 = 42;
+    /// [`super::OutcomeAsk`] is answered with [`super::OutcomeTold`].
+    pub const OUTCOME: u8 = 43;
 }
 
 /// A server as it was last told.
@@ -207,3 +211,67 @@
     #[prost(double, repeated, tag = "1")]
     pub totals: Vec<f64>,
 }
+
+/// A question of the shell.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct Query {
+    /// The command and what follows it.
+    #[prost(string, repeated, tag = "1")]
+    pub words: Vec<String>,
+    /// By what this process knows alone: no other is asked.
+    #[prost(bool, tag = "2")]
+    pub near: bool,
+}
+
+/// What a question is answered with.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct Table {
+    /// What it is of.
+    #[prost(string, tag = "1")]
+    pub title: String,
+    /// Names of the columns.
+    #[prost(string, repeated, tag = "2")]
+    pub columns: Vec<String>,
+    /// The rows.
+    #[prost(message, repeated, tag = "3")]
+    pub rows: Vec<Row>,
+    /// What is wrong with the question, and what is allowed; empty: nothing.
+    #[prost(string, tag = "4")]
+    pub error: String,
+}
+
+/// A row of a table.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct Row {
+    /// A cell for each column.
+    #[prost(string, repeated, tag = "1")]
+    pub cells: Vec<String>,
+}
+
+/// Asks a proxy what became of a try.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct OutcomeAsk {
+    /// Its id.
+    #[prost(string, tag = "1")]
+    pub try_id: String,
+}
+
+/// What a proxy knows of a try.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct OutcomeTold {
+    /// The proxy.
+    #[prost(string, tag = "1")]
+    pub proxy: String,
+    /// [`cue::outcomes::Fate`] by its number; 0: it knows nothing of the try.
+    #[prost(uint32, tag = "2")]
+    pub fate: u32,
+    /// Why.
+    #[prost(string, tag = "3")]
+    pub why: String,
+    /// The server's life.
+    #[prost(string, tag = "4")]
+    pub server: String,
+    /// How long ago that was known, ms.
+    #[prost(uint32, tag = "5")]
+    pub age: u32,
+}
--- a/crates/proscenium/src/house.rs
+++ b/crates/proscenium/src/house.rs
@@ -5,18 +5,21 @@
 use crate::lease::Lease;
 use crate::scene::{class, plan, share, tenant_number, Scene};
 use crate::terms::{self, LONGEST_WAIT};
+use cue::outcomes::{Bounds, Fate, Outcomes};
 use greenroom::follow::{chance, Knowledge};
 use greenroom::kinds::Kind;
 use greenroom::log::{self, Few};
 use greenroom::news::{server_state, Millis};
 use greenroom::run::Told;
 use greenroom::settings::Settings as Node;
-use http::header::{HeaderMap, HeaderName, HeaderValue, AUTHORIZATION, CONTENT_LENGTH, HOST, RETRY_AFTER};
+use http::header::{
+    HeaderMap, HeaderName, HeaderValue, AUTHORIZATION, CONTENT_LENGTH, CONTENT_TYPE, HOST, RETRY_AFTER,
+};
 use http::request::Parts;
 use http::{Response, StatusCode};
 use oatbank_engine::body::{Body, Room, Upload};
 use oatbank_engine::classify::{self, Rejection};
-use oatbank_engine::engine::{Answer, Engine, Names, Setup};
+use oatbank_engine::engine::{Answer, Engine, Names, Note, Setup};
 use oatbank_engine::front::{Desk, Judged};
 use oatbank_engine::ports::clock::{Clock, SystemClock};
 use oatbank_engine::ports::membership::{Member, News};
@@ -27,7 +30,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 use std::sync::Arc;
-use topazwind::interface::{ClassId, PlanId, Request, Rules, ServerState, Settings};
+use topazwind::interface::{ClassId, PlanId, Repeat, Request, Rules, ServerState, Settings};
 
 /// Names a try of a client.
 pub const TRY_ID: HeaderName = HeaderName::from_static("try-id");
@@ -42,6 +45,9 @@
 const SOON: Millis = 300.0;
 /// A cold spell that is told anew and ends within this of the one before, ms, is the same one.
 const SAME_SPELL: Millis = 700.0;
+/// A server stops at the time that it was handed; its answer to that is listened for so much longer, ms: the way there and
+/// back between regions, several times.
+const LATE: Millis = 400.0;
 /// Descriptors kept for links to other processes.
 const LINKS: usize = 400;
 /// How many services share what this process may hold.
@@ -84,6 +90,19 @@
     began: Cell<bool>,
     few: Few,
     rolls: Cell<u64>,
+    outcomes: Rc<RefCell<Outcomes>>,
+}
+
+/// An answer to a try that runs once says in words what is certain of it.
+fn say_so(response: &mut Response<Body>, kind: Kind, try_id: &str, server: Option<&str>) {
+    let what = match (kind.is_promise(), server) {
+        (true, _) => "has not run and never will".to_owned(),
+        (false, Some(server)) => format!("may have run; server {server}"),
+        (false, None) => "may have run".to_owned(),
+    };
+    let text = format!("{}: {what}; try {try_id}\n", kind.word());
+    *response.body_mut() = Body::from(bytes::Bytes::from(text));
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
 }
 
 fn refuse(kind: Kind, wait: Millis) -> Response<Body> {
@@ -124,9 +143,47 @@
             began: Cell::new(false),
             few: Few::default(),
             rolls: Cell::new(chance()),
+            outcomes: Rc::new(RefCell::new(Outcomes::new(Bounds::default()))),
         })
     }
 
+    /// What became of tries that run once, as far as it was seen here.
+    pub fn outcomes(&self) -> Rc<RefCell<Outcomes>> {
+        self.outcomes.clone()
+    }
+
+    /// How many tries that run once are out at a server.
+    pub fn out_once(&self) -> usize {
+        self.services.borrow().values().map(|s| s.engine.out_once()).sum()
+    }
+
+    /// Takes down what becomes of the tries of a service that run once.
+    fn witness(&self, engine: &ServiceEngine) {
+        let (outcomes, known) = (self.outcomes.clone(), self.known.clone());
+        let none: Arc<str> = Arc::from("");
+        engine.witness_by(
+            LATE,
+            Rc::new(move |forward: &Forward, server, note| {
+                let Some(try_id) = forward.headers.get(&TRY_ID).and_then(|v| v.to_str().ok()) else { return };
+                match note {
+                    Note::Fate(fate, why) => {
+                        let server = server.unwrap_or(&none);
+                        outcomes.borrow_mut().note(known.now(), try_id, fate, why, server);
+                    }
+                    Note::Kept(breach) => log::error!("proxy: {} (try {})", breach.text(), try_id),
+                }
+            }),
+        );
+    }
+
+    /// The server that a try may have run at.
+    fn ran_at(&self, try_id: &str) -> Option<Arc<str>> {
+        let now = self.known.now();
+        let mut outcomes = self.outcomes.borrow_mut();
+        let known = outcomes.get(now, try_id).filter(|known| known.fate != Fate::NotRun)?;
+        Some(known.server.clone()).filter(|server| !server.is_empty())
+    }
+
     /// Now, on the engines' clock.
     pub fn now(&self) -> Millis {
         self.clock.now()
@@ -268,6 +325,7 @@
         let setup = Setup { seed: chance(), ..Setup::default() };
         let engine = Engine::new(&setup, self.clock.clone(), upstream);
         engine.start();
+        self.witness(&engine);
         let (known, lease) = (self.known.clone(), self.lease);
         engine.guard_by(Rc::new(move || (!lease.stands(known.fresh_ago())).then_some(SOON)));
         log::info!("proxy: service {}", name);
@@ -345,8 +403,32 @@
         Ok(Ticket { scene, route: at, customer, within, time_left })
     }
 
-    /// Gives a request its one answer.
+    /// Gives a request its one answer. Where it runs once, an answer of the proxy's own says what is certain of it.
     async fn take(&self, ticket: Ticket, head: Parts, body: Upload, room: Option<Room>) -> Response<Body> {
+        let route = &ticket.scene.table.bill().routes[ticket.route];
+        let once = class(route, route.rank).repeat == Repeat::Unsafe;
+        let named = head.headers.get(&TRY_ID).filter(|_| once).cloned();
+        match self.ask(ticket, head, body, room).await {
+            Ok(response) => response,
+            Err((kind, wait)) => {
+                let mut response = refuse(kind, wait);
+                if let Some(try_id) = named.as_ref().and_then(|id| id.to_str().ok()) {
+                    let server = self.ran_at(try_id);
+                    say_so(&mut response, kind, try_id, server.as_deref());
+                }
+                response
+            }
+        }
+    }
+
+    /// A server's answer, or what is said in its place, and when to come back.
+    async fn ask(
+        &self,
+        ticket: Ticket,
+        head: Parts,
+        body: Upload,
+        room: Option<Room>,
+    ) -> Result<Response<Body>, (Kind, Millis)> {
         let bill = ticket.scene.table.bill();
         let route = &bill.routes[ticket.route];
         let tenant = ticket.customer.and_then(|at| bill.customers.as_ref()?.get(at));
@@ -356,12 +438,12 @@
                 let number = tenant_number(&tenant.name);
                 let admitted = self.counter.admit(number, PlanId(place), self.limiters());
                 if let Err(wait) = admitted {
-                    return refuse(Kind::Quota, wait.max(SOON));
+                    return Err((Kind::Quota, wait.max(SOON)));
                 }
             }
         }
         let service = share(route, self.roll()).and_then(|name| self.services.borrow().get(name).cloned());
-        let Some(service) = service else { return refuse(Kind::Busy, SOON) };
+        let Some(service) = service else { return Err((Kind::Busy, SOON)) };
         let headers = headers_on(&head.headers, tenant.map(|t| t.name.as_str()));
         let at = service.classes.borrow().iter().position(|n| *n == route.name).unwrap_or(0);
         let rank = tenant.and_then(|t| t.rank).unwrap_or(route.rank);
@@ -378,18 +460,18 @@
         };
         let forward = Forward { method: head.method, uri: head.uri, headers, body, room };
         match service.engine.ask(request, forward).await {
-            Answer::Served(response) => response,
+            Answer::Served(response) => Ok(response),
             Answer::Refused(wait) => {
                 self.note("refused");
-                refuse(Kind::Busy, wait.max(1.0))
+                Err((Kind::Busy, wait.max(1.0)))
             }
             Answer::Failed => {
                 self.note("failed");
-                refuse(Kind::Failed, 0.0)
+                Err((Kind::Failed, 0.0))
             }
             Answer::TimedOut => {
                 self.note("too late");
-                refuse(Kind::Late, 0.0)
+                Err((Kind::Late, 0.0))
             }
         }
     }
--- a/crates/proscenium/src/main.rs
+++ b/crates/proscenium/src/main.rs
@@ -4,6 +4,7 @@
 use greenroom::link;
 use greenroom::log;
 use greenroom::news::member_state;
+use greenroom::query::{add_outcome, Commands, Desk};
 use greenroom::run::{self, listen, Program, Signals, Told, Word};
 use greenroom::settings::place::PROXY;
 use greenroom::wire::call;
@@ -41,13 +42,20 @@
     let house = House::new(known.clone(), told.clone(), counter.clone());
 
     // Other processes of the system.
+    let desk = Desk::new(known.clone(), node.node.clone(), Some(house.outcomes()));
+    let mut commands = Commands::of(&known, "proscenium", &node.node);
+    add_outcome(&mut commands, &desk);
+    let commands = Rc::new(commands);
     let (telling, counting) = (known.clone(), counter.clone());
     let handler: Rc<dyn Fn(u8, bytes::Bytes) -> link::Answering> = Rc::new(move |kind, body| {
         let (known, counter) = (telling.clone(), counting.clone());
+        let (commands, desk) = (commands.clone(), desk.clone());
         Box::pin(async move {
             match kind {
                 call::FOLLOW => known.answer_bytes(body).await,
                 call::COUNT => counter.answer(body),
+                call::QUERY => commands.answer_bytes(body).await,
+                call::OUTCOME => desk.answer_bytes(body),
                 _ => Vec::new(),
             }
         })
@@ -110,7 +118,8 @@
     accepting.abort();
     front.close_idle();
     let end = begun + grace.saturating_sub(LAST);
-    while front.open() > 0 && Instant::now() < end {
+    // What a server is at work on runs on, whether or not its client still waits.
+    while (front.open() > 0 || house.out_once() > 0) && Instant::now() < end {
         tokio::time::sleep(Duration::from_millis(20)).await;
         front.close_idle();
     }
