A demonstration: a backend fails and recovers; a checker says whether all ran once

Cause: nobody could watch what the system promises. What clients could not know is asked for at the core by the shell.

With the fault: exit 1, each of the doubles named, and the shell says ALARM for them.

--- a/crates/rehearsal/src/client.rs
+++ b/crates/rehearsal/src/client.rs
@@ -117,7 +117,12 @@
 
 /// One try at this proxy, on a connection of its own.
 pub fn try_at(to: SocketAddr, ask: &Ask) -> Try {
-    let (id, sent) = (try_id(), Instant::now());
+    again_at(to, ask, &try_id())
+}
+
+/// A try under this name. Under one that was used before it is what no client may send: a test of whoever looks for that.
+pub fn again_at(to: SocketAddr, ask: &Ask, id: &str) -> Try {
+    let (id, sent) = (id.to_owned(), Instant::now());
     let got = match Wire::connect(to, SECOND) {
         Ok(mut wire) => exchange(&mut wire, ask, &id, sent + ask.within),
         Err(_) => Err(Broken::Unreachable),
--- /dev/null
+++ b/crates/rehearsal/src/failing.rs
@@ -0,0 +1,283 @@
+//! A backend that turns slow, then fails, then recovers, under bookings that must land once: live figures, and the checker's
+//! word at the end.
+
+use crate::checker::{self, Found, Ran, Told};
+use crate::client::{again_at, Ask, Try};
+use crate::fault::Fault;
+use crate::operator::{Bill, Operator};
+use crate::server::{Manner, Server};
+use crate::shell;
+use crate::stage::{Plan, Stage, INNER_PROXY, INNER_REGISTRY};
+use crate::traffic::Traffic;
+use crate::wait;
+use miniserde::Serialize;
+use std::collections::{BTreeMap, HashMap};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+const HOST: &str = "halls.example";
+const BOOK: &str = "booking";
+const READ: &str = "calendar";
+/// Servers of each.
+const BOOKERS: usize = 4;
+const READERS: usize = 2;
+const SLOTS: usize = 8;
+const WORK: Duration = Duration::from_millis(16);
+/// A booking's client waits so long: less than a slow server takes.
+const WITHIN: Duration = Duration::from_millis(350);
+/// After the last request, so long until nothing is under way any more.
+const CALM: Duration = Duration::from_millis(1200);
+/// Of so many bookings one is sent twice, where that fault is wanted.
+const EACH: usize = 40;
+
+/// What the one backend does, from which share of the time on.
+const PHASES: [(f64, &str, Manner); 4] = [
+    (0.0, "calm", Manner::Serve),
+    (0.2, "slow", Manner::Slow),
+    (0.45, "failing", Manner::Fails),
+    (0.7, "recovered", Manner::Serve),
+];
+
+/// What is wanted.
+#[derive(Clone, Copy, Debug)]
+pub struct Wanted {
+    /// How long traffic runs.
+    pub span: Duration,
+    /// Between two rows of the table.
+    pub step: Duration,
+    /// Bookings a second.
+    pub rate: f64,
+    /// Now and then a booking is sent to two proxies under one id, as no client may: the checker must find it.
+    pub duplicate: bool,
+}
+
+/// One row of the table.
+#[derive(Clone, Debug, Serialize)]
+pub struct Moment {
+    /// Its end, s.
+    pub at: f64,
+    /// What the backend does.
+    pub phase: String,
+    /// Each server's share of what was run of bookings.
+    pub shares: Vec<f64>,
+    /// Bookings that ended in this time, those told what a server said, those promised that nothing ran, and the others.
+    pub asked: u64,
+    /// Bookings that servers began.
+    pub run: u64,
+    /// Told what a server said.
+    pub answered: u64,
+    /// Promised that nothing ran.
+    pub refused: u64,
+    /// Told that it may have run, or nothing.
+    pub unknown: u64,
+    /// What each proxy thinks of the backend, where proxies answer that.
+    pub verdicts: Vec<String>,
+}
+
+/// The run.
+#[derive(Clone, Debug, Serialize)]
+pub struct Played {
+    /// The bookings' servers, the backend in trouble first.
+    pub servers: Vec<String>,
+    /// The rows.
+    pub moments: Vec<Moment>,
+    /// Bookings asked, run, answered, refused, unknown, and of the unknown tries those that the shell could settle.
+    pub totals: Vec<u64>,
+    /// What must not be.
+    pub wrongs: Vec<String>,
+    /// Reads that were served, and all.
+    pub reads: Vec<u64>,
+}
+
+fn told(one: &Try) -> Told {
+    Told { id: one.id.clone(), status: one.status(), by: one.served_by() }
+}
+
+fn phase(share: f64) -> (&'static str, Manner) {
+    let phase = PHASES.iter().rev().find(|(from, _, _)| share >= *from).unwrap_or(&PHASES[0]);
+    (phase.1, phase.2)
+}
+
+/// What a proxy thinks of a server, if it answers that.
+fn verdict(stage: &Stage, proxy: usize, id: &str) -> Option<String> {
+    let table = shell::ask(stage.inner(proxy, INNER_PROXY), &["verdicts"])?;
+    let cell = table.cell(id, "verdict").or_else(|| table.cell(id, "state"));
+    Some(cell.unwrap_or("no word").to_owned())
+}
+
+/// The line over the table.
+pub fn heading(servers: &[String]) -> String {
+    let names: Vec<String> = servers.iter().map(|s| format!("{s:>10}")).collect();
+    format!(
+        "   s  phase      {}   asked    run answered refused unknown  verdicts on {}",
+        names.join(" "),
+        servers.first().map_or("", String::as_str)
+    )
+}
+
+/// A row of it.
+pub fn line(m: &Moment) -> String {
+    let shares: Vec<String> = m.shares.iter().map(|s| format!("{:>9.0}%", 100.0 * s)).collect();
+    format!(
+        "{:>4.0}  {:<9}  {}  {:>6} {:>6} {:>8} {:>7} {:>7}  {}",
+        m.at,
+        m.phase,
+        shares.join(" "),
+        m.asked,
+        m.run,
+        m.answered,
+        m.refused,
+        m.unknown,
+        if m.verdicts.is_empty() { "-".to_owned() } else { m.verdicts.join(", ") }
+    )
+}
+
+/// Plays it, and tells each row as it comes.
+///
+/// # Errors
+/// When the system does not come about, or one of its programs ends by itself.
+pub fn play(wanted: &Wanted, end: &AtomicBool, mut tell: impl FnMut(&str)) -> Result<Played, Fault> {
+    let stage = Stage::start(Plan::default().bound("graceS", 2))?;
+    let operator = Operator::new(stage.controls());
+    operator.must_put(&Bill::new(HOST).route("/book/", "unsafe", BOOK).route("/read/", "safe", READ))?;
+    let start = |nth: usize| {
+        let service = if nth < BOOKERS { BOOK } else { READ };
+        Server::with(&stage, nth, service, SLOTS, WORK)
+    };
+    let servers: Vec<Server> = (0..BOOKERS + READERS).map(start).collect::<Result<_, _>>()?;
+    for server in &servers {
+        server.enlist()?;
+    }
+    stage.until_ready()?;
+    let (bookers, _) = servers.split_at(BOOKERS);
+    let names: Vec<String> = bookers.iter().map(|s| s.id().to_owned()).collect();
+    tell(&heading(&names));
+    let booking = Ask { within: WITHIN, ..Ask::post(HOST, "/book/1", "a hall") };
+    let bookings = Traffic::start(&stage.directories(), std::slice::from_ref(&booking), wanted.rate, true);
+    let reads = Traffic::start(&stage.directories(), &[Ask::get(HOST, "/read/1")], wanted.rate / 2.0, false);
+
+    let begun = Instant::now();
+    let mut seen = checker::Seen::default();
+    let mut moments: Vec<Moment> = Vec::new();
+    let mut counted = vec![0; BOOKERS];
+    let mut doubled: Vec<String> = Vec::new();
+    let mut asks_verdicts = true;
+    while begun.elapsed() < wanted.span && !end.load(Ordering::SeqCst) {
+        let (name, manner) = phase(begun.elapsed().as_secs_f64() / wanted.span.as_secs_f64());
+        bookers[0].turn(manner);
+        wait::moment(begun + wanted.step * (moments.len() as u32 + 1));
+        let count = bookings.take();
+        let now: Vec<usize> =
+            bookers.iter().map(|s| s.seen().iter().filter(|seen| seen.ran).count()).collect();
+        let run: Vec<u64> = now.iter().zip(&counted).map(|(now, before)| (now - before) as u64).collect();
+        counted = now;
+        let all: u64 = run.iter().sum();
+        let requests: Vec<Vec<Told>> =
+            count.tries.iter().map(|(_, tries)| tries.iter().map(told).collect()).collect();
+        let part = checker::check(&checker::Seen { requests: requests.clone(), ..Default::default() });
+        let mut verdicts = Vec::new();
+        if asks_verdicts {
+            verdicts = stage.proxies().filter_map(|p| verdict(&stage, p, &names[0])).collect();
+            asks_verdicts = !verdicts.is_empty();
+        }
+        let moment = Moment {
+            at: begun.elapsed().as_secs_f64(),
+            phase: name.to_owned(),
+            shares: run.iter().map(|n| *n as f64 / all.max(1) as f64).collect(),
+            asked: part.asked as u64,
+            run: all,
+            answered: part.answered as u64,
+            refused: part.refused as u64,
+            unknown: part.unknown as u64,
+            verdicts,
+        };
+        tell(&line(&moment));
+        moments.push(moment);
+        seen.requests.extend(requests);
+        if wanted.duplicate && seen.requests.len() / EACH > doubled.len() {
+            let fronts = stage.fronts();
+            let first = crate::client::try_at(fronts[0], &booking);
+            let second = again_at(fronts[1], &booking, &first.id);
+            seen.requests.push(vec![told(&first)]);
+            doubled.push(second.id);
+        }
+    }
+    let more = bookings.stop();
+    seen.requests.extend(more.tries.iter().map(|(_, tries)| tries.iter().map(told).collect()));
+    let reads = reads.stop();
+    std::thread::sleep(CALM);
+
+    // What clients could not know is asked for at the core, as a planner would.
+    let unsure = |t: &&Told| t.by.is_none() && t.status != 500 && !checker::is_promise(t.status);
+    let unsure: Vec<String> =
+        seen.requests.iter().flatten().filter(unsure).map(|t| format!("outcome {}", t.id)).collect();
+    let core = stage.inner(stage.cores().start, INNER_REGISTRY);
+    for table in shell::ask_all(core, &unsure) {
+        if let Some((id, said)) = table.title.split_once(": ") {
+            let said = said.split([';', '(']).next().unwrap_or_default().trim().to_owned();
+            seen.said.insert(id.to_owned(), said);
+        }
+    }
+    // The system's own word on what was sent twice.
+    let doubled: Vec<String> = doubled.iter().map(|id| format!("outcome {id}")).collect();
+    shell::ask_all(core, &doubled).iter().for_each(|table| tell(&table.title));
+    for server in bookers {
+        let ran = server.seen().into_iter().filter(|s| s.ran);
+        seen.runs.extend(ran.map(|s| Ran { id: s.try_id, server: server.id().to_owned() }));
+    }
+    let lost = stage.lost();
+    let mut found = checker::check(&seen);
+    found.wrongs.extend(lost.iter().map(|program| format!("has ended by itself: {program}")));
+    for said in words(&seen.said) {
+        tell(&said);
+    }
+    tell(&closing(&found));
+    stage.end();
+    let totals = [found.asked, found.run, found.answered, found.refused, found.unknown, found.settled];
+    Ok(Played {
+        servers: names,
+        moments,
+        totals: totals.iter().map(|n| *n as u64).collect(),
+        wrongs: found.wrongs,
+        reads: vec![reads.ends[0], reads.all()],
+    })
+}
+
+/// How often the shell gave each answer.
+fn words(said: &BTreeMap<String, String>) -> Vec<String> {
+    let mut counts: HashMap<&str, usize> = HashMap::new();
+    said.values().for_each(|word| *counts.entry(word).or_default() += 1);
+    let mut counts: Vec<_> = counts.into_iter().collect();
+    counts.sort();
+    counts.into_iter().map(|(word, n)| format!("asked afterwards, the system says of {n}: {word}")).collect()
+}
+
+/// The checker's word.
+fn closing(found: &Found) -> String {
+    let mut text = format!(
+        "{} bookings: {} run, {} answered, {} refused, {} unknown to their clients, {} of these settled afterwards",
+        found.asked, found.run, found.answered, found.refused, found.unknown, found.settled
+    );
+    for wrong in &found.wrongs {
+        text += &format!("\nWRONG {wrong}");
+    }
+    text + match found.wrongs.is_empty() {
+        true => "\nchecker: each ran once at most, no promise was broken, no answer was another's",
+        false => "\nchecker: FAILED",
+    }
+}
+
+impl Played {
+    /// The backend's share of what was run in a phase.
+    pub fn share(&self, phase: &str) -> f64 {
+        let of = || self.moments.iter().filter(|m| m.phase == phase);
+        let run: u64 = of().map(|m| m.run).sum();
+        let own: f64 = of().filter_map(|m| Some(m.shares.first()? * m.run as f64)).sum();
+        own / run.max(1) as f64
+    }
+
+    /// As JSON.
+    pub fn json(&self) -> String {
+        miniserde::json::to_string(self) + "\n"
+    }
+}
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -9,15 +9,22 @@
 //! | [`server`] | stand-in servers, each with a manner in which it answers |
 //! | [`client`] | clients: one try at one proxy, and requests by way of the directory |
 //! | [`operator`] | configurations and orders |
+//! | [`failing`], [`picture`] | a backend that fails and recovers, live and as a picture |
+//! | [`checker`] | what servers ran against what clients were told |
+//! | [`shell`] | asking the system by its own shell |
 //! | [`traffic`] | requests at a rate, counted |
 //! | [`http`], [`wait`], [`fault`] | messages on a socket, waiting for conditions, what goes wrong |
 
+pub mod checker;
 pub mod client;
+pub mod failing;
 pub mod fault;
 pub mod http;
 pub mod operator;
+pub mod picture;
 pub mod programs;
 pub mod server;
+pub mod shell;
 pub mod stage;
 pub mod traffic;
 pub mod wait;
--- a/crates/rehearsal/src/main.rs
+++ b/crates/rehearsal/src/main.rs
@@ -1,8 +1,10 @@
 //! The program: the whole system on one's own machine, with traffic, until ctrl-C or for some seconds.
 
 use rehearsal::client::Ask;
+use rehearsal::failing::{self, Wanted};
 use rehearsal::fault::Fault;
 use rehearsal::operator::{Bill, Operator};
+use rehearsal::picture;
 use rehearsal::server::Server;
 use rehearsal::stage::{Plan, Stage};
 use rehearsal::traffic::{Count, Traffic};
@@ -15,15 +17,24 @@
     "rehearsal: the whole system on one's own machine, with servers, clients and a line a second
 
 Usage: rehearsal [--proxies N] [--servers N] [--rate N] [--seconds N] [--keep]
+       rehearsal failing-backend [--rate N] [--seconds N] [--json FILE] [--picture FILE] [--fault duplicate]
+
+failing-backend: three proxies, three core machines, and bookings that must land once at four servers, of which one turns
+slow, then fails, then recovers. A row a second; at the end an independent checker holds what servers ran against what
+clients were told.
 
   --proxies N  proxies (3); the core has three machines
   --servers N  stand-in servers (6)
   --rate N     requests a second (100)
-  --seconds N  ends after so many seconds of traffic (0: at ctrl-C)
+  --seconds N  ends after so many seconds of traffic (0: at ctrl-C; failing-backend: 30)
+  --json FILE     failing-backend: the run, for programs
+  --picture FILE  failing-backend: the run as a picture (SVG)
+  --fault NAME    failing-backend: duplicate: some bookings are sent twice under one id, and the checker is to find them
   --keep       keeps the folder with settings, logs and data, and names it
   --help, --version
 
-Ends with 0 if requests were served, none failed and all programs ran; else with 1.
+Ends with 0 if requests were served, none failed and all programs ran (failing-backend: if the checker finds nothing wrong);
+else with 1.
 ";
 const HOST: &str = "shop.example";
 
@@ -33,11 +44,25 @@
     rate: f64,
     seconds: u64,
     keep: bool,
+    failing: bool,
+    json: Option<String>,
+    picture: Option<String>,
+    duplicate: bool,
 }
 
 fn asked() -> Result<Option<Asked>, lexopt::Error> {
     use lexopt::prelude::*;
-    let mut asked = Asked { proxies: 3, servers: 6, rate: 100.0, seconds: 0, keep: false };
+    let mut asked = Asked {
+        proxies: 3,
+        servers: 6,
+        rate: 100.0,
+        seconds: 0,
+        keep: false,
+        failing: false,
+        json: None,
+        picture: None,
+        duplicate: false,
+    };
     let mut parser = lexopt::Parser::from_env();
     while let Some(arg) = parser.next()? {
         match arg {
@@ -46,6 +71,15 @@
             Long("rate") => asked.rate = parser.value()?.parse()?,
             Long("seconds") => asked.seconds = parser.value()?.parse()?,
             Long("keep") => asked.keep = true,
+            Value(word) if word == "failing-backend" && !asked.failing => {
+                (asked.failing, asked.rate, asked.seconds) = (true, 80.0, 30);
+            }
+            Long("json") if asked.failing => asked.json = Some(parser.value()?.string()?),
+            Long("picture") if asked.failing => asked.picture = Some(parser.value()?.string()?),
+            Long("fault") if asked.failing => match parser.value()?.string()?.as_str() {
+                "duplicate" => asked.duplicate = true,
+                other => return Err(lexopt::Error::from(format!("--fault: {other:?}; allowed: duplicate"))),
+            },
             Short('h') | Long("help") => {
                 print!("{HELP}");
                 return Ok(None);
@@ -61,9 +95,23 @@
     within("--proxies: 1 to 80", (1..=80).contains(&asked.proxies))?;
     within("--servers: 1 to 150", (1..=150).contains(&asked.servers))?;
     within("--rate: 1 to 5000", (1.0..=5000.0).contains(&asked.rate))?;
+    within("--seconds: 4 to 600 for failing-backend", !asked.failing || (4..=600).contains(&asked.seconds))?;
     Ok(Some(asked))
 }
 
+/// A backend fails and recovers; whether the checker finds nothing wrong.
+fn fail_a_backend(asked: &Asked, end: &AtomicBool) -> Result<bool, Fault> {
+    let (span, step) = (Duration::from_secs(asked.seconds), Duration::from_secs(1));
+    let wanted = Wanted { span, step, rate: asked.rate, duplicate: asked.duplicate };
+    let played = failing::play(&wanted, end, |line| println!("{line}"))?;
+    for (path, text) in [(&asked.json, played.json()), (&asked.picture, picture::draw(&played))] {
+        if let Some(path) = path {
+            std::fs::write(path, text).map_err(Fault::io(path.clone()))?;
+        }
+    }
+    Ok(played.wrongs.is_empty())
+}
+
 /// Set once somebody wants this to end.
 fn told_to_end() -> Arc<AtomicBool> {
     let end = Arc::new(AtomicBool::new(false));
@@ -146,7 +194,8 @@
             return ExitCode::FAILURE;
         }
     };
-    match rehearse(&asked, &told_to_end()) {
+    let play = if asked.failing { fail_a_backend } else { rehearse };
+    match play(&asked, &told_to_end()) {
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::FAILURE,
         Err(e) => {
--- a/crates/rehearsal/src/programs.rs
+++ b/crates/rehearsal/src/programs.rs
@@ -6,8 +6,8 @@
 use std::sync::OnceLock;
 use std::time::SystemTime;
 
-/// The programs.
-pub const NAMES: [&str; 3] = ["promptbook", "callboard", "proscenium"];
+/// The programs, and the shell.
+pub const NAMES: [&str; 4] = ["promptbook", "callboard", "proscenium", "usher"];
 
 /// The folder with the programs: the one that this process's own program was built to. Where they are missing, or older
 /// than their sources, and cargo runs this process, they are built.
--- a/crates/rehearsal/src/server.rs
+++ b/crates/rehearsal/src/server.rs
@@ -12,6 +12,8 @@
 
 /// Pieces of the body that a path under `/…/large` is answered with: more than a proxy holds back.
 const LARGE: usize = 3 * 1024 * 1024;
+/// How many times longer a slow server works.
+const SLOWER: u32 = 8;
 /// Requests that wait for a slot.
 const QUEUE: usize = 8;
 const IDLE: Duration = Duration::from_secs(8);
@@ -44,6 +46,10 @@
     Coded,
     /// Runs it; what comes back is no answer.
     Garbled,
+    /// In order, and takes many times as long as usual.
+    Slow,
+    /// Runs it, and says by a 500 that it failed; of one in three the connection is reset instead.
+    Fails,
 }
 
 /// A request that reached a server.
@@ -379,7 +385,7 @@
     if let Some(refusal) = refusal {
         return wire.send(&refusal).is_ok();
     }
-    std::thread::sleep(shared.work);
+    std::thread::sleep(if manner == Manner::Slow { shared.work * SLOWER } else { shared.work });
     drop(held);
     let body = if request.path.ends_with("/large") {
         try_id.bytes().cycle().take(LARGE).collect()
@@ -394,6 +400,11 @@
             return false;
         }
         Manner::RunThenClose => return false,
+        Manner::Fails if crate::chance() % 3 == 0 => {
+            wire.linger_none();
+            return false;
+        }
+        Manner::Fails => text("500 Internal Server Error", &try_id, "", b"failed"),
         Manner::Cut => {
             let _ = wire.send(&whole[..whole.len() - body.len() / 2]);
             return false;
--- a/crates/rehearsal/src/stage.rs
+++ b/crates/rehearsal/src/stage.rs
@@ -15,6 +15,10 @@
 pub const ZONES: [(&str, &str); 3] = [("east-1", "east"), ("east-2", "east"), ("east-3", "east")];
 /// Ports that a machine needs: four inner ones, and four for callers from outside.
 const PORTS: u16 = 8;
+/// The place of the registry's inner port.
+pub const INNER_REGISTRY: u16 = 1;
+/// The place of the proxy's inner port.
+pub const INNER_PROXY: u16 = 2;
 const SECOND: Duration = Duration::from_secs(1);
 
 /// The programs.
@@ -195,6 +199,11 @@
         SocketAddr::from((Ipv4Addr::new(127, 0, self.net, machine as u8 + 1), self.first_port + port))
     }
 
+    /// Where a machine's programs answer each other, and the shell.
+    pub fn inner(&self, machine: usize, place: u16) -> SocketAddr {
+        self.at(machine, place)
+    }
+
     /// Where a proxy takes clients.
     pub fn front(&self, machine: usize) -> SocketAddr {
         self.at(machine, 4)
--- /dev/null
+++ b/crates/rehearsal/tests/failing.rs
@@ -0,0 +1,108 @@
+//! A backend that turns slow, fails and recovers, and what becomes of orders whose clients cannot know.
+
+mod common;
+
+use common::{System, HOST, MS};
+use rehearsal::client::{try_at, Ask, Try};
+use rehearsal::failing::{play, Played, Wanted};
+use rehearsal::http::Wire;
+use rehearsal::operator::Bill;
+use rehearsal::picture;
+use rehearsal::server::Manner;
+use rehearsal::shell::{self, Table};
+use rehearsal::stage::{Plan, INNER_PROXY, INNER_REGISTRY};
+use rehearsal::wait::{holds, until, LONG};
+use std::process::Command;
+use std::sync::atomic::AtomicBool;
+
+fn played(duplicate: bool) -> (Played, Vec<String>) {
+    let wanted = Wanted { span: 5000 * MS, step: 500 * MS, rate: 80.0, duplicate };
+    let mut lines = Vec::new();
+    let played = play(&wanted, &AtomicBool::new(false), |line| lines.push(line.to_owned())).unwrap();
+    (played, lines)
+}
+
+#[test]
+fn a_backend_fails_and_recovers_and_each_booking_runs_once_at_most() {
+    let (played, lines) = played(false);
+    assert!(played.wrongs.is_empty(), "{:#?}", played.wrongs);
+    assert!(played.totals[0] > 300 && played.totals[2] > 250, "{:?}", played.totals);
+    assert!(played.share("calm") > 0.1, "{}", lines.join("\n"));
+    assert!(played.share("failing") < played.share("calm") / 2.0, "{}", lines.join("\n"));
+    let (text, svg) = (played.json(), picture::draw(&played));
+    assert!(text.contains("\"moments\":[{") && svg.starts_with("<svg") && svg.ends_with("</svg>\n"));
+}
+
+#[test]
+fn a_booking_that_is_sent_twice_is_found() {
+    let (played, lines) = played(true);
+    assert!(played.wrongs.iter().any(|w| w.contains("ran more than once")), "{:#?}", played.wrongs);
+    assert!(lines.iter().any(|l| l.contains("ALARM")), "{}", lines.join("\n"));
+}
+
+fn outcome(system: &System, machine: usize, place: u16, id: &str) -> Table {
+    shell::ask(system.stage.inner(machine, place), &["outcome", id]).unwrap()
+}
+
+fn says(table: &Table, what: &str) -> bool {
+    table.title.contains(&format!(": {what} ("))
+}
+
+#[test]
+fn a_client_learns_what_became_of_its_order_and_one_that_leaves_stops_nothing() {
+    let bill = Bill::new(HOST).route("/slow/", "unsafe", "slow").route("/full/", "unsafe", "full");
+    let system = System::with(Plan::default(), bill, &["slow", "full"], 500 * MS);
+    system.of("full")[0].turn(Manner::Full);
+    let (front, core, proxy) = (system.stage.fronts()[0], 0, system.stage.proxies().start);
+    let text = |one: &Try| String::from_utf8_lossy(&one.got.as_ref().unwrap().body).into_owned();
+    let server = system.of("slow")[0].id().to_owned();
+
+    // Told that it may have run, while it runs.
+    let asked = Ask { within: 300 * MS, ..Ask::post(HOST, "/slow/1", "a job") };
+    let late = try_at(front, &asked);
+    assert!(matches!(late.status(), 502 | 504), "{late:?}");
+    assert!(text(&late).contains(&format!("may have run; server {server}; try {}", late.id)), "{late:?}");
+    assert!(says(&outcome(&system, core, INNER_REGISTRY, &late.id), "running"));
+    holds(LONG, "it is done", || says(&outcome(&system, core, INNER_REGISTRY, &late.id), "done")).unwrap();
+
+    // A client that leaves.
+    let id = rehearsal::client::try_id();
+    let mut wire = Wire::connect(front, LONG).unwrap();
+    let head = format!(
+        "POST /slow/2 HTTP/1.1\r\nHost: {HOST}\r\nTry-Id: {id}\r\nTime-Left-Ms: 2000\r\nContent-Length: 1\r\n\r\nx"
+    );
+    wire.send(head.as_bytes()).unwrap();
+    let began = || system.seen().iter().any(|s| s.try_id == id);
+    holds(LONG, "it runs", began).unwrap();
+    drop(wire);
+    let other = system.stage.proxies().start + 1;
+    let done = until(LONG, "it is done", || {
+        Some(outcome(&system, other, INNER_PROXY, &id)).filter(|table| says(table, "done"))
+    });
+    assert_eq!(done.unwrap().cell(&server, "outcome"), Some("done"));
+    assert_eq!(system.seen().iter().filter(|s| s.ran && s.try_id == id).count(), 1);
+
+    // A promise.
+    let refused = try_at(front, &Ask { within: 600 * MS, ..Ask::post(HOST, "/full/1", "a job") });
+    assert!(refused.is_promise() && text(&refused).contains("has not run and never will"), "{refused:?}");
+    assert!(says(&outcome(&system, proxy, INNER_PROXY, &refused.id), "did not run"));
+
+    // The shell's other words.
+    let at = system.stage.inner(core, INNER_REGISTRY);
+    let rows = |words: &[&str]| shell::ask(at, words).map(|t| t.rows.len());
+    assert_eq!((rows(&["servers"]), rows(&["servers", "slow"])), (Some(2), Some(1)));
+    assert_eq!((rows(&["limiters"]), rows(&["core"]), rows(&["version"])), (Some(3), Some(3), Some(1)));
+    let usher = rehearsal::programs::folder().unwrap().join("usher");
+    let run = |at: String, words: &[&str]| {
+        let run = Command::new(&usher).args(["--at", &at]).args(words).output().unwrap();
+        (run.status.code(), String::from_utf8_lossy(&run.stderr).into_owned())
+    };
+    let (code, error) = run(at.to_string(), &["server"]);
+    assert!(
+        code == Some(2) && error.contains("\"server\"") && error.contains("servers [SERVICE]"),
+        "{error}"
+    );
+    let nobody = system.stage.inner(core, 3).to_string();
+    assert_eq!(run(nobody, &["core"]).0, Some(1));
+    assert_eq!(run("here".into(), &["core"]).0, Some(2));
+}
