--- a/crates/proscenium/src/house.rs
+++ b/crates/proscenium/src/house.rs
@@ -10,8 +10,10 @@
 use greenroom::kinds::Kind;
 use greenroom::log::{self, Few};
 use greenroom::news::{server_state, Millis};
+use greenroom::query::table;
 use greenroom::run::Told;
 use greenroom::settings::Settings as Node;
+use greenroom::wire::Table;
 use http::header::{
     HeaderMap, HeaderName, HeaderValue, AUTHORIZATION, CONTENT_LENGTH, CONTENT_TYPE, HOST, RETRY_AFTER,
 };
@@ -157,6 +159,18 @@
         self.services.borrow().values().map(|s| s.engine.out_once()).sum()
     }
 
+    /// For the shell: what of the tries that run once is kept, and how often a decision was not carried out for them.
+    pub fn guard(&self) -> Table {
+        let services: Vec<_> = self.services.borrow().iter().map(|(n, s)| (n.clone(), s.clone())).collect();
+        let row = |(name, s): &(String, Rc<Service>)| {
+            vec![name.clone(), s.engine.out_once().to_string(), s.engine.kept_from().to_string()]
+        };
+        let outcomes = self.outcomes.borrow();
+        let title =
+            format!("{} tries kept, {} left out for want of room", outcomes.len(), outcomes.left_out());
+        table(title, &["service", "out", "kept from"], services.iter().map(row).collect())
+    }
+
     /// Takes down what becomes of the tries of a service that run once.
     fn witness(&self, engine: &ServiceEngine) {
         let (outcomes, known) = (self.outcomes.clone(), self.known.clone());
--- a/crates/proscenium/src/main.rs
+++ b/crates/proscenium/src/main.rs
@@ -45,6 +45,8 @@
     let desk = Desk::new(known.clone(), node.node.clone(), Some(house.outcomes()));
     let mut commands = Commands::of(&known, "proscenium", &node.node);
     add_outcome(&mut commands, &desk);
+    let guarding = house.clone();
+    commands.add("guard", "guard", 0, move |_| guarding.guard());
     let commands = Rc::new(commands);
     let (telling, counting) = (known.clone(), counter.clone());
     let handler: Rc<dyn Fn(u8, bytes::Bytes) -> link::Answering> = Rc::new(move |kind, body| {
--- a/crates/rehearsal/tests/failing.rs
+++ b/crates/rehearsal/tests/failing.rs
@@ -88,6 +88,8 @@
     assert!(says(&outcome(&system, proxy, INNER_PROXY, &refused.id), "did not run"));
 
     // The shell's other words.
+    let guard = shell::ask(system.stage.inner(proxy, INNER_PROXY), &["guard"]).unwrap();
+    assert_eq!((guard.cell("slow", "out"), guard.cell("slow", "kept from")), (Some("0"), Some("0")));
     let at = system.stage.inner(core, INNER_REGISTRY);
     let rows = |words: &[&str]| shell::ask(at, words).map(|t| t.rows.len());
     assert_eq!((rows(&["servers"]), rows(&["servers", "slow"])), (Some(2), Some(1)));
--- a/crates/usher/src/main.rs
+++ b/crates/usher/src/main.rs
@@ -24,6 +24,7 @@
   limiters            name, zone, state, edition, last word
   core                who is in touch, by which edition, as of when
   version             of the program that answers
+  guard               at a proxy: tries kept, and decisions not carried out
 
 A program may answer more; what it answers is told with any word that it does not know.
 Ends with 0, with 1 if there is no answer, with 2 if the question is wrong.
