--- a/crates/cue/src/once.rs
+++ b/crates/cue/src/once.rs
@@ -193,8 +193,8 @@
         };
     }
 
-    /// Asks to tell the client this; what it may be told, and whether that differs. Asked once: with the answer the try
-    /// has ended.
+    /// Asks to tell the client this; what it may be told, and whether that differs. Asked once: with the
+    /// answer the try has ended.
     pub fn tell(&mut self, word: Word) -> (Word, Option<Breach>) {
         self.told = true;
         let busy = self.may_have_run() || self.is_out();
--- a/crates/cue/src/outcomes.rs
+++ b/crates/cue/src/outcomes.rs
@@ -1,4 +1,5 @@
-//! What became of tries that may run once: kept where they were handled, for a while, and merged when somebody asks.
+//! What became of tries that may run once: kept where they were handled, for a while, and merged when
+//! somebody asks.
 
 use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
@@ -51,8 +52,8 @@
         self >= Fate::Failed
     }
 
-    /// Whether a keeper's own later word takes this one's place. That it ran is never taken back; neither is that nobody
-    /// can tell, unless by an answer that came late.
+    /// Whether a keeper's own later word takes this one's place. That it ran is never taken back; neither is
+    /// that nobody can tell, unless by an answer that came late.
     fn gives_way_to(self, later: Fate) -> bool {
         match self {
             Fate::Done | Fate::Failed => false,
--- a/crates/engine/src/engine/core.rs
+++ b/crates/engine/src/engine/core.rs
@@ -93,7 +93,8 @@
     next_call: u64,
     /// How attempts ended, by zone, where that is counted.
     tally: Option<HashMap<u16, Counts>>,
-    /// Where requests that run once are told of: an answer is listened for so much longer, ms, than it is waited for.
+    /// Where requests that run once are told of: an answer is listened for so much longer, ms, than it is
+    /// waited for.
     witness: Option<Millis>,
     /// Attempts that are listened for and no longer waited for.
     late: HashMap<(RequestId, u8), Late<Q>>,
@@ -123,8 +124,8 @@
         }
     }
 
-    /// From now on what is known of requests that run once is told, their late answers are listened for so long, ms, and
-    /// what is repeatable and may have run is never told as refused.
+    /// From now on what is known of requests that run once is told, their late answers are listened for so
+    /// long, ms, and what is repeatable and may have run is never told as refused.
     pub(crate) fn bear_witness(&mut self, late: Millis) {
         self.witness = Some(late);
     }
@@ -405,7 +406,8 @@
         }
     }
 
-    /// An attempt has ended by itself; late results of ended ones tell nobody anything but what became of the request.
+    /// An attempt has ended by itself; late results of ended ones tell nobody anything but what became of the
+    /// request.
     pub(crate) fn attempt_ended(&mut self, now: Millis, id: RequestId, attempt: u8, end: End<A>) {
         let how = how(end.outcome, end.answer.is_some());
         if !self.book.is_live(id, attempt) {
@@ -443,8 +445,8 @@
         }
     }
 
-    /// An attempt's time is up: it is waited for no longer. Where somebody may still ask what became of it, its answer is
-    /// listened for as long as its server may take to say so.
+    /// An attempt's time is up: it is waited for no longer. Where somebody may still ask what became of it,
+    /// its answer is listened for as long as its server may take to say so.
     fn time_out(&mut self, now: Millis, id: RequestId, attempt: u8) {
         let listens = self.witness.filter(|_| {
             self.book.is_live(id, attempt)
--- a/crates/engine/src/engine/mod.rs
+++ b/crates/engine/src/engine/mod.rs
@@ -237,8 +237,9 @@
         *self.guard.borrow_mut() = Some(guard);
     }
 
-    /// From now on this hears what becomes of requests that run once at most. Their late answers are listened for so much
-    /// longer, ms, than they are waited for; and what is repeatable and may have run is told as failed, not as refused.
+    /// From now on this hears what becomes of requests that run once at most. Their late answers are listened
+    /// for so much longer, ms, than they are waited for; and what is repeatable and may have run is told as
+    /// failed, not as refused.
     pub fn witness_by(&self, late: Millis, witness: Witness<U::Request>) {
         self.core.borrow_mut().bear_witness(late);
         *self.witness.borrow_mut() = Some(witness);
@@ -249,7 +250,8 @@
         self.core.borrow().out_once()
     }
 
-    /// How many decisions of the module were not carried out, as something would have run twice or been denied by them.
+    /// How many decisions of the module were not carried out, as something would have run twice or been
+    /// denied by them.
     pub fn kept_from(&self) -> u64 {
         self.core.borrow().kept_from()
     }
--- a/crates/engine/src/engine/schedules.rs
+++ b/crates/engine/src/engine/schedules.rs
@@ -1,6 +1,6 @@
-//! Seeded schedules in virtual time: servers that lose, spoil, delay and double what they say, clients that leave, lists
-//! that change, a process that stands still, and a module that now and then decides what it must not. What has run is
-//! counted at the servers and held against what clients were told.
+//! Seeded schedules in virtual time: servers that lose, spoil, delay and double what they say, clients that
+//! leave, lists that change, a process that stands still, and a module that now and then decides what it must
+//! not. What has run is counted at the servers and held against what clients were told.
 
 use super::core::{Core, Note, Output};
 use super::{Answer, Names, Setup};
--- a/crates/greenroom/src/query.rs
+++ b/crates/greenroom/src/query.rs
@@ -1,5 +1,5 @@
-//! The shell's commands: a list of words, each with what answers it. Every program that answers [`call::QUERY`] holds one
-//! list; a part of a program adds its own commands to it.
+//! The shell's commands: a list of words, each with what answers it. Every program that answers
+//! [`call::QUERY`] holds one list; a part of a program adds its own commands to it.
 //!
 //! [`call::QUERY`]: crate::wire::call::QUERY
 
--- a/crates/proscenium/src/house.rs
+++ b/crates/proscenium/src/house.rs
@@ -47,8 +47,8 @@
 const SOON: Millis = 300.0;
 /// A cold spell that is told anew and ends within this of the one before, ms, is the same one.
 const SAME_SPELL: Millis = 700.0;
-/// A server stops at the time that it was handed; its answer to that is listened for so much longer, ms: the way there and
-/// back between regions, several times.
+/// A server stops at the time that it was handed; its answer to that is listened for so much longer, ms: the
+/// way there and back between regions, several times.
 const LATE: Millis = 400.0;
 /// Descriptors kept for links to other processes.
 const LINKS: usize = 400;
@@ -159,7 +159,8 @@
         self.services.borrow().values().map(|s| s.engine.out_once()).sum()
     }
 
-    /// For the shell: what of the tries that run once is kept, and how often a decision was not carried out for them.
+    /// For the shell: what of the tries that run once is kept, and how often a decision was not carried out
+    /// for them.
     pub fn guard(&self) -> Table {
         let services: Vec<_> = self.services.borrow().iter().map(|(n, s)| (n.clone(), s.clone())).collect();
         let row = |(name, s): &(String, Rc<Service>)| {
@@ -417,7 +418,8 @@
         Ok(Ticket { scene, route: at, customer, within, time_left })
     }
 
-    /// Gives a request its one answer. Where it runs once, an answer of the proxy's own says what is certain of it.
+    /// Gives a request its one answer. Where it runs once, an answer of the proxy's own says what is certain
+    /// of it.
     async fn take(&self, ticket: Ticket, head: Parts, body: Upload, room: Option<Room>) -> Response<Body> {
         let route = &ticket.scene.table.bill().routes[ticket.route];
         let once = class(route, route.rank).repeat == Repeat::Unsafe;
--- a/crates/rehearsal/src/checker.rs
+++ b/crates/rehearsal/src/checker.rs
@@ -1,5 +1,5 @@
-//! The independent checker: what servers ran, by `Try-Id`, held against what clients were told. It knows nothing of the
-//! programs, and takes no figure from them but what they say of a try when they are asked.
+//! The independent checker: what servers ran, by `Try-Id`, held against what clients were told. It knows
+//! nothing of the programs, and takes no figure from them but what they say of a try when they are asked.
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 
--- a/crates/rehearsal/src/client.rs
+++ b/crates/rehearsal/src/client.rs
@@ -120,7 +120,8 @@
     again_at(to, ask, &try_id())
 }
 
-/// A try under this name. Under one that was used before it is what no client may send: a test of whoever looks for that.
+/// A try under this name. Under one that was used before it is what no client may send: a test of whoever
+/// looks for that.
 pub fn again_at(to: SocketAddr, ask: &Ask, id: &str) -> Try {
     let (id, sent) = (id.to_owned(), Instant::now());
     let got = match Wire::connect(to, SECOND) {
--- a/crates/rehearsal/src/failing.rs
+++ b/crates/rehearsal/src/failing.rs
@@ -1,5 +1,5 @@
-//! A backend that turns slow, then fails, then recovers, under bookings that must land once: live figures, and the checker's
-//! word at the end.
+//! A backend that turns slow, then fails, then recovers, under bookings that must land once: live figures,
+//! and the checker's word at the end.
 
 use crate::checker::{self, Found, Ran, Told};
 use crate::client::{again_at, Ask, Try};
@@ -47,7 +47,8 @@
     pub step: Duration,
     /// Bookings a second.
     pub rate: f64,
-    /// Now and then a booking is sent to two proxies under one id, as no client may: the checker must find it.
+    /// Now and then a booking is sent to two proxies under one id, as no client may: the checker must find
+    /// it.
     pub duplicate: bool,
 }
 
@@ -60,7 +61,8 @@
     pub phase: String,
     /// Each server's share of what was run of bookings.
     pub shares: Vec<f64>,
-    /// Bookings that ended in this time, those told what a server said, those promised that nothing ran, and the others.
+    /// Bookings that ended in this time, those told what a server said, those promised that nothing ran, and
+    /// the others.
     pub asked: u64,
     /// Bookings that servers began.
     pub run: u64,
@@ -81,7 +83,8 @@
     pub servers: Vec<String>,
     /// The rows.
     pub moments: Vec<Moment>,
-    /// Bookings asked, run, answered, refused, unknown, and of the unknown tries those that the shell could settle.
+    /// Bookings asked, run, answered, refused, unknown, and of the unknown tries those that the shell could
+    /// settle.
     pub totals: Vec<u64>,
     /// What must not be.
     pub wrongs: Vec<String>,
@@ -255,7 +258,7 @@
 /// The checker's word.
 fn closing(found: &Found) -> String {
     let mut text = format!(
-        "{} bookings: {} run, {} answered, {} refused, {} unknown to their clients, {} of these settled afterwards",
+        "{} bookings: {} run, {} answered, {} refused, {} unknown to clients, {} settled afterwards",
         found.asked, found.run, found.answered, found.refused, found.unknown, found.settled
     );
     for wrong in &found.wrongs {
--- a/crates/rehearsal/src/main.rs
+++ b/crates/rehearsal/src/main.rs
@@ -19,9 +19,9 @@
 Usage: rehearsal [--proxies N] [--servers N] [--rate N] [--seconds N] [--keep]
        rehearsal failing-backend [--rate N] [--seconds N] [--json FILE] [--picture FILE] [--fault duplicate]
 
-failing-backend: three proxies, three core machines, and bookings that must land once at four servers, of which one turns
-slow, then fails, then recovers. A row a second; at the end an independent checker holds what servers ran against what
-clients were told.
+failing-backend: three proxies, three core machines, and bookings that must land once at four servers, of which
+one turns slow, then fails, then recovers. A row a second; at the end an independent checker holds what servers
+ran against what clients were told.
 
   --proxies N  proxies (3); the core has three machines
   --servers N  stand-in servers (6)
@@ -29,12 +29,12 @@
   --seconds N  ends after so many seconds of traffic (0: at ctrl-C; failing-backend: 30)
   --json FILE     failing-backend: the run, for programs
   --picture FILE  failing-backend: the run as a picture (SVG)
-  --fault NAME    failing-backend: duplicate: some bookings are sent twice under one id, and the checker is to find them
+  --fault NAME    failing-backend: duplicate: some bookings are sent twice under one id, for the checker to find
   --keep       keeps the folder with settings, logs and data, and names it
   --help, --version
 
-Ends with 0 if requests were served, none failed and all programs ran (failing-backend: if the checker finds nothing wrong);
-else with 1.
+Ends with 0 if requests were served, none failed and all programs ran (failing-backend: if the checker finds
+nothing wrong); else with 1.
 ";
 const HOST: &str = "shop.example";
 
@@ -66,11 +66,11 @@
     let mut parser = lexopt::Parser::from_env();
     while let Some(arg) = parser.next()? {
         match arg {
-            Long("proxies") => asked.proxies = parser.value()?.parse()?,
-            Long("servers") => asked.servers = parser.value()?.parse()?,
+            Long("proxies") if !asked.failing => asked.proxies = parser.value()?.parse()?,
+            Long("servers") if !asked.failing => asked.servers = parser.value()?.parse()?,
             Long("rate") => asked.rate = parser.value()?.parse()?,
             Long("seconds") => asked.seconds = parser.value()?.parse()?,
-            Long("keep") => asked.keep = true,
+            Long("keep") if !asked.failing => asked.keep = true,
             Value(word) if word == "failing-backend" && !asked.failing => {
                 (asked.failing, asked.rate, asked.seconds) = (true, 80.0, 30);
             }
--- a/crates/rehearsal/src/shell.rs
+++ b/crates/rehearsal/src/shell.rs
@@ -30,7 +30,8 @@
     ask_all(at, &[words.join(" ")]).pop()
 }
 
-/// Asks one question after the other by one shell. Answers come in their order; what is not answered is left out.
+/// Asks one question after the other by one shell. Answers come in their order; what is not answered is left
+/// out.
 pub fn ask_all(at: SocketAddr, lines: &[String]) -> Vec<Table> {
     let Ok(folder) = programs::folder() else { return Vec::new() };
     let shell = Command::new(folder.join("usher"))
