Meshes: a service's name may say its mesh, routes and beats may name one

Cause: across meshes one name points to several services, and a configuration had no way to say which is meant. Ruled out: a column mesh on services (items are told apart, put and removed by name, so two services of one name need two names anyway); a field of its own in rows between processes (one text is safe with a process that knows no meshes: it takes north/hall for another service).

Change: services are named mesh/name; a route's services may be named within the route's column mesh, or bare where one mesh has the name. Refused, with both owners and the way out: a bare name that two meshes have, a name with and without a mesh, two routes into different meshes for one host and path. A beat may name its mesh. What names no mesh reads, checks and reads back as before.

--- a/crates/callboard/src/beat.rs
+++ b/crates/callboard/src/beat.rs
@@ -11,6 +11,7 @@
 
 #[derive(Deserialize)]
 struct Beat {
+    mesh: Option<String>,
     service: String,
     address: String,
     zone: String,
@@ -44,12 +45,22 @@
     if id.is_empty() || [id, &beat.service, &beat.zone].iter().any(|t| t.len() > LONGEST) {
         return Err(format!("id, service and zone have 1 to {LONGEST} bytes"));
     }
+    let mesh = beat.mesh.unwrap_or_default();
+    let said = playbill::mesh::parts(&beat.service).0;
+    if mesh.len() > LONGEST || mesh.contains('/') || !mesh.is_empty() && !said.is_empty() && said != mesh {
+        return Err(format!(
+            "mesh is {mesh:?} for the service {:?}; allowed: up to {LONGEST} bytes without a slash, and the \
+             mesh that the service's name says, if it says one",
+            beat.service
+        ));
+    }
     if !(0.0..=9e15).contains(&beat.calls) {
         return Err(format!("callCount is {}; allowed: a number from 0 on", beat.calls));
     }
     Ok(ServerRow {
         id: id.to_owned(),
-        service: beat.service,
+        // One text says both: no two servers are taken for each other by who knows no meshes.
+        service: playbill::mesh::whole(&mesh, &beat.service),
         address: beat.address,
         zone: beat.zone,
         version: beat.version.unwrap_or_default(),
@@ -68,6 +79,21 @@
 
     const GOOD: &str = r#"{"service":"huvo11a","address":"10.128.0.9:8080","zone":"z","version":"v1","slots":3,"serverState":"draining","coldLeftMs":12.5,"callCount":4,"new":[1]}"#;
 
+    #[test]
+    fn a_mesh_that_is_named_stands_before_the_service() {
+        let service = |mesh: &str, service: &str| {
+            let beat =
+                GOOD.replace("{\"service\":\"huvo11a\"", &format!("{{{mesh}\"service\":\"{service}\""));
+            read("i-1", beat.as_bytes()).map(|row| row.service)
+        };
+        assert_eq!(service("\"mesh\":\"north\",", "hall").as_deref(), Ok("north/hall"));
+        assert_eq!(service("\"mesh\":\"north\",", "north/hall").as_deref(), Ok("north/hall"));
+        assert_eq!(service("\"mesh\":null,", "hall").as_deref(), Ok("hall"));
+        assert_eq!(service("", "north/hall").as_deref(), Ok("north/hall"));
+        assert!(service("\"mesh\":\"south\",", "north/hall").is_err());
+        assert!(service("\"mesh\":\"a/b\",", "hall").is_err());
+    }
+
     #[test]
     fn a_beat_is_read_and_a_bad_one_is_told_by_field() {
         let row = read("i-1", GOOD.as_bytes()).expect("a beat");
--- a/crates/playbill/src/bill.rs
+++ b/crates/playbill/src/bill.rs
@@ -1,9 +1,10 @@
 //! The configuration, its checks, reading and writing it.
 
 use crate::json::{self, Raw};
+use crate::mesh;
 use crate::refused::Invalid;
 use crate::sheet::{self, Item, Sheet};
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
 /// No route may hold a request longer, ms.
@@ -53,7 +54,10 @@
     pub target_ms: f64,
     /// 0 goes before all others, and is what a route has that does not say.
     pub rank: u32,
-    /// The services and their weights, which add up to more than 0. A `service` is one share of weight 1.
+    /// The mesh in which its services stand that say none; empty if it is left out.
+    pub mesh: String,
+    /// The services by their whole names and their weights, which add up to more than 0. A `service` is one
+    /// share of weight 1.
     pub shares: Vec<(String, f64)>,
     /// The most servers that one request may be sent to. 1 if it is left out.
     pub tries: u32,
@@ -66,7 +70,7 @@
 /// A kind of servers.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Service {
-    /// Its name.
+    /// Its name, with its mesh before a slash if it has one.
     pub name: String,
     /// Where a server says how it is; empty if nowhere.
     pub health_path: String,
@@ -82,6 +86,13 @@
     pub cold_rate: f64,
 }
 
+impl Service {
+    /// Its mesh, empty for none, and its name within it.
+    pub fn parts(&self) -> (&str, &str) {
+        mesh::parts(&self.name)
+    }
+}
+
 /// What a client may send, and how long it may take.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Limits {
@@ -182,16 +193,13 @@
     /// Reads the values and checks what they must keep to.
     pub(crate) fn from_kept(kept: Kept) -> Result<Playbill, Invalid> {
         let services = read_services(&kept.services)?;
-        let routes = read_routes(&kept.routes)?;
-        let known: HashSet<&str> = services.iter().map(|service| service.name.as_str()).collect();
-        for (item, route) in kept.routes.items("routes").zip(&routes) {
-            if let Some((service, _)) =
-                route.shares.iter().find(|(service, _)| !known.contains(service.as_str()))
-            {
-                let field = if item.get("shares").is_some() { "shares" } else { "service" };
-                return Err(item.invalid(field, format!("{service:?}"), "the name of a service in services"));
-            }
+        mesh::check_services(&kept.services, &services)?;
+        let mut routes = read_routes(&kept.routes)?;
+        let named = mesh::Named::new(&services);
+        for (item, route) in kept.routes.items("routes").zip(&mut routes) {
+            mesh::settle_shares(&item, route, &services, &named)?;
         }
+        mesh::check_routes(&kept.routes, &routes)?;
         let customers = kept.customers.as_ref().map(read_customers).transpose()?;
         let mut holders: HashMap<&str, usize> = HashMap::new();
         if let (Some(sheet), Some(customers)) = (&kept.customers, &customers) {
@@ -273,6 +281,7 @@
         give_up_ms,
         target_ms: item.read("targetMs", "a number from 0 up", sheet::amount)?.unwrap_or(give_up_ms),
         rank: item.read("rank", "a whole number from 0 up", sheet::small)?.unwrap_or(0),
+        mesh: item.read("mesh", "a mesh's name, without a slash", mesh_name)?.unwrap_or("").to_owned(),
         shares: read_shares(item)?,
         tries: item
             .read("tries", "a whole number from 1 up", |value| {
@@ -284,6 +293,10 @@
     })
 }
 
+fn mesh_name(value: &Raw) -> Option<&str> {
+    sheet::text(value).filter(|name| !name.contains('/'))
+}
+
 fn read_shares(item: &Item<'_>) -> Result<Vec<(String, f64)>, Invalid> {
     let service = item.read("service", "the name of a service", sheet::filled)?;
     let allowed = "a list of objects with a service and a weight from 0 up";
--- a/crates/playbill/src/lib.rs
+++ b/crates/playbill/src/lib.rs
@@ -9,6 +9,7 @@
 //! | `json` | JSON text to values and back, each number kept in the digits it came in |
 //! | `sheet` | lists as they travel, in `columns` and `rows`, and reading one row's fields |
 //! | `bill` | the configuration, its checks, reading and writing it |
+//! | [`mesh`] | names of services that say their mesh |
 //! | `proposal` | what an operator asks for, and building it on the configuration in place |
 //! | `table` | look-up of routes by host and path, and of tenants by key |
 //! | `calls` | the calls of servers, operators and clients, as `docs/api/control.yaml` has them |
@@ -16,6 +17,7 @@
 mod bill;
 mod calls;
 mod json;
+pub mod mesh;
 mod proposal;
 mod refused;
 mod sheet;
--- a/crates/playbill/src/table.rs
+++ b/crates/playbill/src/table.rs
@@ -82,7 +82,7 @@
 }
 
 /// The host in lower case and without its port.
-fn plain_host(host: &str) -> Cow<'_, str> {
+pub(crate) fn plain_host(host: &str) -> Cow<'_, str> {
     let end = match host.find(']') {
         Some(bracket) if host.starts_with('[') => bracket + 1,
         _ => host.find(':').unwrap_or(host.len()),
--- a/crates/playbill/tests/written.rs
+++ b/crates/playbill/tests/written.rs
@@ -97,3 +97,59 @@
     }
     assert_eq!(Playbill::read(&escaped).unwrap().text(), escaped);
 }
+
+/// Two meshes with a service of one name, and routes that say which is meant in each of the ways there are.
+fn meshes(routes: &str, services: &str) -> String {
+    format!(
+        r#"{{"version":"r3","routes":{{"columns":["name","hostName","pathStart","mesh","service","shares"],"rows":[{routes}]}},"services":{{"columns":["name"],"rows":[{services}]}}}}"#
+    )
+}
+
+const NORTH_AND_SOUTH: &str = r#"["north/hall"],["south/hall"],["south/choir"]"#;
+
+#[test]
+fn services_of_one_name_stand_in_different_meshes_and_come_back_as_they_came() {
+    let routes = r#"["a","h","/a/","north","hall",null],["b","h","/b/",null,"south/hall",null],["c","h","/c/",null,"choir",null],["d","h","/d/","south",null,[{"service":"hall","weight":9},{"service":"south/choir","weight":1}]]"#;
+    let text = meshes(routes, NORTH_AND_SOUTH);
+    let bill = Playbill::read(&text).unwrap();
+    assert_eq!(bill.text(), text);
+    let named: Vec<Vec<&str>> =
+        bill.routes.iter().map(|r| r.shares.iter().map(|(name, _)| name.as_str()).collect()).collect();
+    assert_eq!(
+        named,
+        [vec!["north/hall"], vec!["south/hall"], vec!["south/choir"], vec!["south/hall", "south/choir"]]
+    );
+    assert_eq!(bill.services[0].parts(), ("north", "hall"));
+    // Without meshes a slash says nothing.
+    let alone = meshes(r#"["a","h","/a/",null,"/hall",null]"#, r#"["/hall"],["hall/"]"#);
+    assert_eq!(Playbill::read(&alone).unwrap().services[0].parts(), ("", "/hall"));
+}
+
+#[test]
+fn what_could_be_either_of_two_is_refused_with_both_and_the_way_out() {
+    for (routes, services, told) in [
+        (
+            r#"["a","h","/a/",null,"hall",null]"#,
+            NORTH_AND_SOUTH,
+            r#"routes, row 1 ("a"), service: found "hall", which may be north/hall or south/hall, allowed is one of these in full, or a mesh in the route's column mesh"#,
+        ),
+        (
+            r#"["a","h","/a/","north","choir",null]"#,
+            NORTH_AND_SOUTH,
+            r#"routes, row 1 ("a"), service: found "choir", allowed is the name of a service in services"#,
+        ),
+        (
+            "",
+            r#"["hall"],["north/hall"]"#,
+            r#"services, row 2 ("north/hall"), name: found "north/hall" beside "hall" without a mesh in row 1, allowed is a mesh before that one's name too, as "mesh/hall""#,
+        ),
+        (
+            r#"["a","h","/a/","north","hall",null],["b","H","/a/","south","hall",null]"#,
+            NORTH_AND_SOUTH,
+            r#"routes, row 2 ("b"), pathStart: found "/a/" of "H" for south/hall, which route "a" has for north/hall, allowed is a path or a host of its own for each of the two"#,
+        ),
+    ] {
+        let problem = Playbill::read(&meshes(routes, services)).unwrap_err().to_string();
+        assert_eq!(problem, told);
+    }
+}
