Requests go by the catalogue's owner, and confirmations keep off contested servers

Cause: the proxy took servers by their service's bare name. Change: the proxy and the registry make the catalogue anew where the configuration or the use of a server changed; a service's servers are those of its owner. Servers whose address is contested stand in a second copy of their zone, where only what may be repeated may go (the life meant proves the answer). A service that the newest configuration drops keeps what it has in hand.

--- a/crates/callboard/src/lib.rs
+++ b/crates/callboard/src/lib.rs
@@ -1,8 +1,10 @@
-//! The registry. Pure: [`orders`] (what an operator's order makes of what is decided), [`directory`] (which limiters a
-//! client is sent to), [`beat`] (what a server says). Shells: [`council`] (agreeing with the store), [`outside`] (calls).
+//! The registry. Pure: [`orders`] (what an operator's order makes of what is decided), [`directory`] (which
+//! limiters a client is sent to), [`beat`] (what a server says). Shells: [`council`] (agreeing with the
+//! store), [`names`] (the catalogue), [`outside`] (calls).
 
 pub mod beat;
 pub mod council;
 pub mod directory;
+pub mod names;
 pub mod orders;
 pub mod outside;
--- a/crates/callboard/src/main.rs
+++ b/crates/callboard/src/main.rs
@@ -1,6 +1,7 @@
 //! The registry's program.
 
 use callboard::council::Council;
+use callboard::names::Names;
 use callboard::outside::Outside;
 use greenroom::follow::{ask, Heard, Knowledge, Place, Steady};
 use greenroom::link::{self, Link};
@@ -55,7 +56,8 @@
     tokio::task::spawn_local(link::serve(inner, handler));
     let mut peers = BTreeSet::new();
     follow_peers(&known, &settings, settings.seeds.iter().map(|s| *s.ip()), &mut peers);
-    tokio::task::spawn_local(look(known.clone()));
+    let names = Names::new(known.clone());
+    tokio::task::spawn_local(look(known.clone(), names));
 
     // What is agreed.
     let voters = voters(&settings).await;
@@ -139,7 +141,7 @@
 
 /// Looks for silence. Who stood still, has just begun, or was not in touch with a majority has heard nothing, and says
 /// nothing of others until it has listened for longer than a silence takes.
-async fn look(known: Rc<Knowledge>) {
+async fn look(known: Rc<Knowledge>, names: Rc<Names>) {
     let mut last = known.now();
     let mut awake_since = last;
     loop {
@@ -155,5 +157,6 @@
         }
         let may_judge = now - awake_since > LISTENED && known.with(|book, now| book.is_warm(now));
         known.change(|book, now| book.look(now, may_judge));
+        names.look();
     }
 }
--- a/crates/proscenium/src/house.rs
+++ b/crates/proscenium/src/house.rs
@@ -3,8 +3,9 @@
 
 use crate::counts::Counter;
 use crate::lease::Lease;
-use crate::scene::{class, plan, share, tenant_number, Scene};
+use crate::scene::{class, everywhere, plan, proven, share, tenant_number, Scene};
 use crate::terms::{self, LONGEST_WAIT};
+use dramatis::{Cast, Catalogue, Tally, Use};
 use greenroom::follow::{chance, Knowledge};
 use greenroom::kinds::Kind;
 use greenroom::log::{self, Few};
@@ -40,6 +41,9 @@
 const CONNECT: Millis = 400.0;
 /// Where a limiter may not act yet, clients come back after this, ms.
 const SOON: Millis = 300.0;
+/// Where a service's servers are contested, clients come back after this, ms: most of it is a silence's
+/// length.
+const CONTESTED: Millis = 1000.0;
 /// A cold spell that is told anew and ends within this of the one before, ms, is the same one.
 const SAME_SPELL: Millis = 700.0;
 /// Descriptors kept for links to other processes.
@@ -77,6 +81,8 @@
     lease: Lease,
     budget: Budget,
     scene: RefCell<Option<Rc<Scene>>>,
+    /// Whose each server is, as of this count of what changes their use.
+    catalogue: RefCell<(u64, Rc<Catalogue>)>,
     services: RefCell<BTreeMap<String, Rc<Service>>>,
     /// Places of tenants' plans, by name. Each limiter has its own: what stands for a tenant between limiters is
     /// [`tenant_number`].
@@ -119,6 +125,7 @@
             lease: Lease::new(&node.bounds),
             budget: budget(&node),
             scene: RefCell::default(),
+            catalogue: RefCell::default(),
             services: RefCell::default(),
             tenants: RefCell::default(),
             began: Cell::new(false),
@@ -192,10 +199,35 @@
         }
         let scene = self.scene.borrow().clone();
         if let Some(scene) = scene {
+            self.set_catalogue(&scene);
             self.set_services(&scene, &node);
         }
     }
 
+    /// The catalogue is made anew where the configuration or the use of a server has changed, and swapped
+    /// whole.
+    fn set_catalogue(&self, scene: &Scene) {
+        let (at, before) = self.catalogue.borrow().clone();
+        let changes = self.known.with(|book, _| book.changes());
+        let cast = match before.cast() {
+            cast if cast.edition() == scene.edition && at == changes => return,
+            cast if cast.edition() == scene.edition => cast.clone(),
+            _ => Arc::new(Cast::new(scene.edition, scene.table.bill())),
+        };
+        let next = self.known.with(|book, now| Catalogue::new(cast, book.servers(now).map(|(row, _)| row)));
+        let (was, is) = (dramatis::tables::summary(&before), dramatis::tables::summary(&next));
+        if was != is {
+            log::debug!("catalogue: contested servers: {}", if is.is_empty() { "none" } else { &is });
+        }
+        *self.catalogue.borrow_mut() = (changes, Rc::new(next));
+    }
+
+    /// The servers of an owner, by what they may get.
+    fn tally(&self, name: &str) -> Tally {
+        let catalogue = &self.catalogue.borrow().1;
+        catalogue.cast().owner(name).map(|owner| catalogue.tally(owner)).unwrap_or_default()
+    }
+
     fn limiters(&self) -> f64 {
         f64::from(self.known.with(|book, now| book.limiters(now))).max(1.0)
     }
@@ -242,7 +274,7 @@
                     bill.routes.iter().find(|r| r.name == *n).map(|r| class(r, r.rank)).unwrap_or_default()
                 })
                 .collect();
-            let zones = node.zones.iter().map(|(zone, _)| zone.clone()).collect();
+            let zones = everywhere(node);
             let names = Names { classes: classes.clone(), zones, ..Names::default() };
             drop(classes);
             if !same(&service.settings.borrow(), &settings) {
@@ -284,12 +316,25 @@
     fn members(&self, name: &str, service: &Service, scene: &Scene, cold: Millis) -> Vec<Member> {
         let now = self.clock.now();
         let mut spells = service.spells.borrow_mut();
+        let catalogue = self.catalogue.borrow().1.clone();
+        let Some(owner) = catalogue.cast().owner(name) else {
+            // The newest configuration has dropped it: what is in hand may end at the servers that it had.
+            let stands = |m: &&Member| {
+                let mut claims = catalogue.of_id(&m.id).iter();
+                claims.any(|entry| entry.ready && !scene.empty.contains(&entry.zone))
+            };
+            return service.members.borrow().iter().filter(stands).cloned().collect();
+        };
+        let whose = |row: &greenroom::wire::ServerRow| match name.ends_with(row.service.as_str()) {
+            true => catalogue.use_of(row, owner),
+            false => Use::Nothing,
+        };
         let members: Vec<Member> = self.known.with(|book, at| {
             let able = book.servers(at).filter(|(row, _)| {
-                row.service == name
-                    && row.state == server_state::READY
+                row.state == server_state::READY
                     && !row.silent
                     && !scene.empty.contains(&row.zone)
+                    && whose(row) != Use::Nothing
             });
             let member = |(row, left): (&greenroom::wire::ServerRow, Millis)| {
                 let started = if left > 0.0 {
@@ -305,7 +350,7 @@
                 Some(Member {
                     id: row.id.clone(),
                     address: Some(row.address.parse().ok()?),
-                    zone: row.zone.clone(),
+                    zone: if whose(row) == Use::Reads { proven(&row.zone) } else { row.zone.clone() },
                     cell: 0,
                     weight: 1.0,
                     started,
@@ -360,8 +405,22 @@
                 }
             }
         }
-        let service = share(route, self.roll()).and_then(|name| self.services.borrow().get(name).cloned());
+        let owner = share(route, self.roll()).unwrap_or_default();
+        let service = self.services.borrow().get(owner).cloned();
         let Some(service) = service else { return refuse(Kind::Busy, SOON) };
+        let tally = self.tally(owner);
+        let mut within = ticket.within;
+        if tally.is_contested() {
+            // Nothing but its life proves an answer of a server whose owner is contested: what may run once
+            // goes to others, and where there are none, or it is not sure that these are known here, nowhere.
+            let repeatable = route.kind != playbill::Kind::Unsafe;
+            let able = if repeatable { tally.all + tally.reads } else { tally.all };
+            if able == 0 || !repeatable && !self.known.agrees() {
+                self.note("contested");
+                return refuse(Kind::Busy, CONTESTED);
+            }
+            within = ticket.scene.among(within, repeatable);
+        }
         let headers = headers_on(&head.headers, tenant.map(|t| t.name.as_str()));
         let at = service.classes.borrow().iter().position(|n| *n == route.name).unwrap_or(0);
         let rank = tenant.and_then(|t| t.rank).unwrap_or(route.rank);
@@ -373,7 +432,7 @@
             spread: 1.0,
             uploading: body.is_stream(),
             rules: Some(Arc::new(rules)),
-            within: ticket.within,
+            within,
             ..Request::default()
         };
         let forward = Forward { method: head.method, uri: head.uri, headers, body, room };
--- a/crates/proscenium/src/scene.rs
+++ b/crates/proscenium/src/scene.rs
@@ -9,6 +9,22 @@
 /// A zone has a bit in the mask of zones that a request's servers may stand in.
 const MOST_ZONES: usize = 63;
 
+/// What is put after a zone's name for those of its servers whose owner is contested and whose answers are
+/// proven by the life that a try names. The decision module knows servers apart by zone only, so each zone
+/// stands there twice.
+const PROVEN: &str = " (contested)";
+
+/// How the decision module calls the part of a zone with the servers whose owner is contested.
+pub fn proven(zone: &str) -> String {
+    format!("{zone}{PROVEN}")
+}
+
+/// All zones as the decision module knows them: first those with the servers that are surely their owner's.
+pub fn everywhere(settings: &Settings) -> Vec<String> {
+    let zones = settings.zones.iter().map(|(zone, _)| zone.clone());
+    zones.chain(settings.zones.iter().map(|(zone, _)| proven(zone))).collect()
+}
+
 /// What one edition says.
 #[derive(Debug)]
 pub struct Scene {
@@ -22,6 +38,8 @@
     within: Vec<u64>,
     /// By customer.
     customers_within: Vec<u64>,
+    /// How many zones there are.
+    zones: usize,
 }
 
 /// The bit of each zone that stands in one of these regions; 0 where none is named.
@@ -41,7 +59,23 @@
         let customers = bill.customers.as_deref().unwrap_or_default();
         let customers_within = customers.iter().map(|c| mask(settings, &c.homes)).collect();
         let empty = decided.empty.iter().cloned().collect();
-        Ok(Scene { edition, table: Table::new(&bill), empty, within, customers_within })
+        let zones = settings.zones.len();
+        Ok(Scene { edition, table: Table::new(&bill), empty, within, customers_within, zones })
+    }
+
+    /// The same zones where some of the servers are contested: with those, for what may be repeated, or
+    /// without.
+    pub fn among(&self, within: u64, repeatable: bool) -> u64 {
+        // A mask has no room for more than half of its zones twice: then nothing at all goes to the contested
+        // ones.
+        let zones = self.zones.min(MOST_ZONES);
+        let all = if zones >= MOST_ZONES { u64::MAX >> 1 } else { (1 << zones) - 1 };
+        match (within, repeatable && 2 * zones <= MOST_ZONES) {
+            (0, true) => 0,
+            (0, false) => all,
+            (within, true) => within | within << zones,
+            (within, false) => within,
+        }
     }
 
     /// The zones that a request's servers may stand in; 0: all. `None`: its homes leave none.
--- a/crates/proscenium/src/terms.rs
+++ b/crates/proscenium/src/terms.rs
@@ -45,7 +45,8 @@
         max_retry_after: LONGEST_WAIT,
         cold_start: COLD_START,
         warm_after: cold_s * 1000.0,
-        zone_cost: node.zones.iter().map(cost).collect(),
+        // Twice: for servers that are surely their owner's, and for those whose life alone proves it.
+        zone_cost: node.zones.iter().chain(&node.zones).map(cost).collect(),
         retry_saved: TRIES_SHARE * node.bounds.extra_tries / limiters,
         retry_earn: TRIES_SHARE * node.bounds.retry_ratio,
         cold_rate: COLD_SHARE * cold_rate / limiters,
