--- /dev/null
+++ b/crates/rehearsal/tests/names.rs
@@ -0,0 +1,67 @@
+//! One name, several owners: no confirmation runs at another's server, and none is left without an answer.
+
+mod common;
+
+use common::{Hammer, System, HOST, MS};
+use rehearsal::client::{try_at, Ask, Try};
+use rehearsal::operator::Bill;
+use rehearsal::stage::Plan;
+use rehearsal::wait::{holds, LONG};
+use std::time::{Duration, Instant};
+
+fn confirm(path: &str) -> Ask {
+    Ask { within: 1000 * MS, ..Ask::post(HOST, path, "the hall, the date") }
+}
+
+#[test]
+fn two_meshes_with_one_name_and_a_server_that_does_not_say_which() {
+    let bill =
+        Bill::new(HOST).route("/north/", "unsafe", "north/hall").route("/south/", "unsafe", "south/hall");
+    // The last one beats for a hall of neither, or of both.
+    let system = System::serving(Plan::default(), bill, &["north/hall", "south/hall", "south/hall", "hall"]);
+    let fronts: Vec<_> = system.stage.fronts();
+    for front in &fronts {
+        system.until_served(*front, &confirm("/north/1"));
+        system.until_served(*front, &confirm("/south/1"));
+    }
+    let hammer = Hammer::start(&fronts, &[confirm("/north/2"), confirm("/south/2")]);
+
+    // The only one of the north gets a rival: another address beats under its id, with a higher number.
+    let (victim, rival) = (system.of("north/hall")[0], system.of("hall")[0]);
+    let beat = |calls: u32| {
+        let body = format!(
+            r#"{{"mesh":"south","service":"hall","address":"{}","zone":"east-1","slots":8,"serverState":"ready","callCount":{calls}}}"#,
+            rival.address()
+        );
+        let path = format!("/servers/{}/beat", victim.id());
+        system.operator.send("POST", &path, &body, LONG).unwrap();
+    };
+    beat(1000);
+    let refused = |t: &Try| t.status() == 503;
+    let all = || fronts.iter().all(|front| refused(&try_at(*front, &confirm("/north/3"))));
+    holds(LONG, "nobody sends the contested one anything", all).unwrap();
+    let since = Instant::now();
+    hammer.until_after(since + 300 * MS);
+    beat(1001);
+    let until = Instant::now();
+    // The rival falls silent, and the one that goes on is used again.
+    for front in &fronts {
+        system.until_served(*front, &confirm("/north/4"));
+    }
+    assert!(until.elapsed() < Duration::from_secs(8), "{:?}", until.elapsed());
+
+    // By proxy, and for each the north's and the south's.
+    let tries = hammer.stop();
+    for (nth, one) in tries.iter().enumerate().flat_map(|(nth, tries)| tries.iter().map(move |t| (nth, t))) {
+        match system.served(one) {
+            Some(service) => assert_eq!(service, ["north/hall", "south/hall"][nth % 2], "{one:?}"),
+            None => assert!(one.is_promise() && system.runs(one) == 0, "{one:?}"),
+        }
+        assert!(nth % 2 == 0 || system.served(one).is_some(), "the south is not touched: {one:?}");
+    }
+    for north in tries.iter().step_by(2) {
+        let between: Vec<&Try> = north.iter().filter(|t| t.sent > since && t.sent < until).collect();
+        assert!(between.len() > 3 && between.iter().all(|t| refused(t)), "{between:?}");
+    }
+    assert!(rival.seen().iter().all(|seen| !seen.ran), "nobody's server runs nothing");
+}
