--- a/crates/callboard/src/names.rs
+++ b/crates/callboard/src/names.rs
@@ -55,9 +55,7 @@
                 routes = Some(Rc::new(playbill::Table::new(&bill)));
             }
         }
-        let rows =
-            |cast| self.known.with(|book, now| Catalogue::new(cast, book.servers(now).map(|(r, _)| r)));
-        let catalogue = Rc::new(rows(cast));
+        let catalogue = Rc::new(self.known.with(|book, _| Catalogue::new(cast, book.rows())));
         let (was, is) = (tables::summary(&before.catalogue), tables::summary(&catalogue));
         if was != is {
             log::info!("catalogue: contested servers: {}", if is.is_empty() { "none" } else { &is });
--- a/crates/dramatis/src/catalogue.rs
+++ b/crates/dramatis/src/catalogue.rs
@@ -80,27 +80,17 @@
 /// One server, or one of the claims under its id, that has not ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Entry {
-    /// Its life.
-    pub id: String,
-    /// Its service, as its beats say it.
-    pub said: String,
-    /// Where it listens.
-    pub address: String,
-    /// Its zone.
-    pub zone: String,
-    /// Of its software.
-    pub version: String,
-    /// It takes requests.
-    pub ready: bool,
-    /// The number of the word that said so, or of a later one.
-    pub calls: u64,
+    /// What it said last when the snapshot was made, or before that: its life, service, address, zone,
+    /// software and the number of that word.
+    pub row: Arc<ServerRow>,
     /// Whose it is.
     pub standing: Standing,
 }
 
 impl Entry {
-    fn is(&self, row: &ServerRow) -> bool {
-        self.said == row.service && self.address == row.address
+    /// It takes requests.
+    pub fn is_ready(&self) -> bool {
+        self.row.state == server_state::READY
     }
 }
 
@@ -147,20 +137,22 @@
 
 impl Catalogue {
     /// Of these rows under the owners of a configuration.
-    pub fn new<'a>(cast: Arc<Cast>, rows: impl Iterator<Item = &'a ServerRow>) -> Self {
+    pub fn new<'a>(cast: Arc<Cast>, rows: impl Iterator<Item = &'a Arc<ServerRow>>) -> Self {
         let lives = rows.filter(|row| row.state != server_state::LEFT && !row.silent);
         let mut entries: Vec<Entry> = lives.map(|row| entry(&cast, row)).collect();
-        let order = |e: &Entry, f: &Entry| (&e.id, &e.said, &e.address).cmp(&(&f.id, &f.said, &f.address));
-        if !entries.is_sorted_by(|e, f| order(e, f).is_lt()) {
-            entries.sort_by(order);
-            entries.dedup_by(|later, first| order(later, first).is_eq());
+        let key = |e: &Entry, f: &Entry| {
+            (&e.row.id, &e.row.service, &e.row.address).cmp(&(&f.row.id, &f.row.service, &f.row.address))
+        };
+        if !entries.is_sorted_by(|e, f| key(e, f).is_lt()) {
+            entries.sort_by(key);
+            entries.dedup_by(|later, first| key(later, first).is_eq());
         }
         let mut by_address: Vec<u32> = (0..entries.len() as u32).collect();
-        by_address.sort_by(|a, b| entries[*a as usize].address.cmp(&entries[*b as usize].address));
+        by_address.sort_by(|a, b| entries[*a as usize].row.address.cmp(&entries[*b as usize].row.address));
         contest_ids(&cast, &mut entries);
         contest_addresses(&cast, &mut entries, &by_address);
         let mut tallies = vec![Tally::default(); cast.owners.len()];
-        for entry in entries.iter().filter(|entry| entry.ready) {
+        for entry in entries.iter().filter(|entry| entry.is_ready()) {
             match &entry.standing {
                 Standing::Owned(at) => tallies[*at].all += 1,
                 Standing::Contested { why, own, owners } => {
@@ -187,22 +179,24 @@
 
     /// The claims under one id: none, one, or several that are contested.
     pub fn of_id(&self, id: &str) -> &[Entry] {
-        let from = self.entries.partition_point(|entry| entry.id.as_str() < id);
-        let len = self.entries[from..].iter().take_while(|entry| entry.id == id).count();
+        let from = self.entries.partition_point(|entry| entry.row.id.as_str() < id);
+        let len = self.entries[from..].iter().take_while(|entry| entry.row.id == id).count();
         &self.entries[from..from + len]
     }
 
     /// Who claims an address.
     pub fn at_address<'a>(&'a self, address: &'a str) -> impl Iterator<Item = &'a Entry> {
         let from =
-            self.by_address.partition_point(|at| self.entries[*at as usize].address.as_str() < address);
+            self.by_address.partition_point(|at| self.entries[*at as usize].row.address.as_str() < address);
         let entries = self.by_address[from..].iter().map(|at| &self.entries[*at as usize]);
-        entries.take_while(move |entry| entry.address == address)
+        entries.take_while(move |entry| entry.row.address == address)
     }
 
     /// What this server may get of this owner's requests.
     pub fn use_of(&self, row: &ServerRow, owner: usize) -> Use {
-        let Some(entry) = self.of_id(&row.id).iter().find(|entry| entry.is(row)) else { return Use::Nothing };
+        let Some(entry) = self.of_id(&row.id).iter().find(|entry| entry.row.same_claim(row)) else {
+            return Use::Nothing;
+        };
         match &entry.standing {
             Standing::Owned(at) if *at == owner => Use::All,
             Standing::Contested { why, own, .. } if *own == Some(owner) && why.rule().reads => Use::Reads,
@@ -221,28 +215,21 @@
     }
 }
 
-fn entry(cast: &Cast, row: &ServerRow) -> Entry {
-    let owners = cast.owners_of(&row.service);
-    let standing = match owners.as_slice() {
-        [] => Standing::Unknown,
-        [one] => Standing::Owned(*one),
-        _ => Standing::Contested { why: Collision::Mesh, own: None, owners },
+fn entry(cast: &Cast, row: &Arc<ServerRow>) -> Entry {
+    let standing = match cast.named.meant("", &row.service) {
+        Meant::One(at) => Standing::Owned(at),
+        Meant::Nobody => Standing::Unknown,
+        Meant::Several(owners) => {
+            Standing::Contested { why: Collision::Mesh, own: None, owners: owners.to_vec() }
+        }
     };
-    Entry {
-        id: row.id.clone(),
-        said: row.service.clone(),
-        address: row.address.clone(),
-        zone: row.zone.clone(),
-        version: row.version.clone(),
-        ready: row.state == server_state::READY,
-        calls: row.calls,
-        standing,
-    }
+    Entry { row: row.clone(), standing }
 }
 
 /// Contests some entries: each keeps the owner that its own word names, and all have the owners of all.
 fn contest(cast: &Cast, entries: &mut [Entry], places: impl Iterator<Item = usize> + Clone, why: Collision) {
-    let mut owners: Vec<usize> = places.clone().flat_map(|at| cast.owners_of(&entries[at].said)).collect();
+    let mut owners: Vec<usize> =
+        places.clone().flat_map(|at| cast.owners_of(&entries[at].row.service)).collect();
     owners.sort_unstable();
     owners.dedup();
     for at in places {
@@ -260,10 +247,11 @@
 fn contest_ids(cast: &Cast, entries: &mut [Entry]) {
     let mut from = 0;
     while from < entries.len() {
-        let id = &entries[from].id;
-        let len = entries[from..].iter().take_while(|entry| entry.id == *id).count();
+        let id = &entries[from].row.id;
+        let len = entries[from..].iter().take_while(|entry| entry.row.id == *id).count();
         if len > 1 {
-            let moves = entries[from..from + len].iter().any(|entry| entry.address != entries[from].address);
+            let moves =
+                entries[from..from + len].iter().any(|entry| entry.row.address != entries[from].row.address);
             let why = if moves { Collision::Id } else { Collision::Service };
             contest(cast, entries, from..from + len, why);
         }
@@ -275,14 +263,14 @@
     let mut from = 0;
     while from < by_address.len() {
         let at = |nth: usize| by_address[nth] as usize;
-        let address = &entries[at(from)].address;
+        let address = &entries[at(from)].row.address;
         let len =
-            by_address[from..].iter().take_while(|at| entries[**at as usize].address == *address).count();
+            by_address[from..].iter().take_while(|at| entries[**at as usize].row.address == *address).count();
         if len > 1 {
             // A name that may be several owners' is never the same as another: so is one that has none.
             let whose = |nth: usize| match &entries[at(nth)].standing {
                 Standing::Owned(own) => Ok(*own),
-                _ => Err(&entries[at(nth)].said),
+                _ => Err(&entries[at(nth)].row.service),
             };
             if (from + 1..from + len).any(|nth| whose(nth) != whose(from)) {
                 contest(cast, entries, (from..from + len).map(at), Collision::Address);
--- a/crates/dramatis/src/collision.rs
+++ b/crates/dramatis/src/collision.rs
@@ -54,7 +54,8 @@
         contested: true,
         reads: false,
         until: "all but one of the claims have fallen silent, or the id has left",
-        reason: "both take the id for theirs, so the life meant proves nothing, and a number orders one server's words",
+        reason:
+            "both take the id for theirs, so the life meant proves nothing; a number orders one's own words",
     },
     Rule {
         collision: Collision::Service,
--- a/crates/dramatis/src/tables.rs
+++ b/crates/dramatis/src/tables.rs
@@ -40,7 +40,7 @@
 
 fn state(entry: &Entry) -> String {
     match &entry.standing {
-        Standing::Owned(_) if entry.ready => "owned".to_owned(),
+        Standing::Owned(_) if entry.is_ready() => "owned".to_owned(),
         Standing::Owned(_) => "owned, draining".to_owned(),
         Standing::Contested { why, .. } => format!("contested: {}", why.rule().word),
         Standing::Unknown => "its service is in no configuration".to_owned(),
@@ -48,7 +48,7 @@
 }
 
 fn source(entry: &Entry) -> String {
-    format!("beat {} of {}, which says {:?}", entry.calls, entry.id, entry.said)
+    format!("beat {} of {}, which says {:?}", entry.row.calls, entry.row.id, entry.row.service)
 }
 
 /// Who owns a name: a service's, a host's, a server's id, or an address.
@@ -104,9 +104,9 @@
         let rule = why.rule();
         vec![
             rule.word.to_owned(),
-            entry.id.clone(),
-            entry.address.clone(),
-            entry.said.clone(),
+            entry.row.id.clone(),
+            entry.row.address.clone(),
+            entry.row.service.clone(),
             names(catalogue, owners),
             if rule.reads { "reads" } else { "nothing" }.to_owned(),
             rule.until.to_owned(),
@@ -159,15 +159,15 @@
 
 /// What differs between two snapshots.
 pub fn diff(before: &Catalogue, after: &Catalogue) -> Table {
-    let same = |a: &Entry, b: &Entry| a.id == b.id && a.said == b.said && a.address == b.address;
+    let same = |a: &Entry, b: &Entry| a.row.id == b.row.id && a.row.same_claim(&b.row);
     let mut rows = Vec::new();
     let mut row = |entry: &Entry, what: &str, was: String, is: String| {
-        rows.push(vec![what.to_owned(), entry.id.clone(), entry.address.clone(), was, is]);
+        rows.push(vec![what.to_owned(), entry.row.id.clone(), entry.row.address.clone(), was, is]);
     };
     let told =
         |catalogue: &Catalogue, entry: &Entry| format!("{}, {}", owner(catalogue, entry), state(entry));
     for entry in before.entries() {
-        let now = after.of_id(&entry.id).iter().find(|other| same(entry, other));
+        let now = after.of_id(&entry.row.id).iter().find(|other| same(entry, other));
         let is = now.map(|now| told(after, now));
         let was = told(before, entry);
         match is {
@@ -177,7 +177,7 @@
         }
     }
     for entry in after.entries() {
-        if !before.of_id(&entry.id).iter().any(|other| same(entry, other)) {
+        if !before.of_id(&entry.row.id).iter().any(|other| same(entry, other)) {
             row(entry, "new", String::new(), told(after, entry));
         }
     }
--- a/crates/greenroom/src/news.rs
+++ b/crates/greenroom/src/news.rs
@@ -6,6 +6,7 @@
 
 use crate::wire::{MemberRow, News, ServerRow};
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use xxhash_rust::xxh3::xxh3_64;
 
 /// A span or a point on this process's steady clock, ms.
@@ -50,7 +51,8 @@
 /// A row with what is known of it here.
 #[derive(Clone, Debug)]
 struct Held<R> {
-    row: R,
+    /// Shared with whoever made a snapshot of it; a change makes it anew.
+    row: Arc<R>,
     /// Its part of the book's digest.
     part: u64,
     /// When its subject was last heard.
@@ -187,14 +189,14 @@
 impl<R: Row> Held<R> {
     fn new(row: &R, now: Millis, next: u64) -> Self {
         let heard = now - f64::from(row.heard_ago());
-        Held { row: row.clone(), part: row.part(), heard, at: now, changed: next, touched: next }
+        Held { row: Arc::new(row.clone()), part: row.part(), heard, at: now, changed: next, touched: next }
     }
 
     /// Takes in a row of the same subject; whether that changes what it is used for, `None` if it is not
     /// newer.
     fn take(&mut self, row: &R, now: Millis, next: u64) -> Option<bool> {
         let heard = now - f64::from(row.heard_ago());
-        let changes = self.row.take(row, heard > self.heard)?;
+        let changes = R::take(Arc::make_mut(&mut self.row), row, heard > self.heard)?;
         self.heard = self.heard.max(heard);
         self.at = now;
         self.touched = next;
@@ -224,7 +226,7 @@
     };
     if claims.len() > 1 && claims.iter().any(|held| held.row.state == server_state::LEFT) {
         for held in claims.iter_mut().filter(|held| held.row.state != server_state::LEFT) {
-            held.row.state = server_state::LEFT;
+            Arc::make_mut(&mut held.row).state = server_state::LEFT;
             (held.part, held.at, held.changed, held.touched) = (0, now, next, next);
             taken = Some(true);
         }
@@ -295,7 +297,7 @@
     pub fn leaves(&mut self, now: Millis, id: &str) -> Word {
         // One of its claims says it for all of them.
         let row = match self.servers.get(id).and_then(|claims| claims.first()) {
-            Some(held) => ServerRow { state: server_state::LEFT, ..held.row.clone() },
+            Some(held) => ServerRow { state: server_state::LEFT, ..(*held.row).clone() },
             // Never heard of here: late words of it must find that it has left.
             None => ServerRow { id: id.to_owned(), state: server_state::LEFT, ..ServerRow::default() },
         };
@@ -333,7 +335,7 @@
             let gone: Vec<ServerRow> = self
                 .claims()
                 .filter(|h| h.at < old && !h.row.silent && !told.contains(&claim(&h.row)))
-                .map(|h| ServerRow { silent: true, ..h.row.clone() })
+                .map(|h| ServerRow { silent: true, ..(*h.row).clone() })
                 .collect();
             gone.iter().for_each(|row| _ = self.server(now, row));
         }
@@ -349,14 +351,14 @@
             let rows: Vec<ServerRow> = self
                 .claims()
                 .filter(|h| h.heard < silent && !h.row.ended())
-                .map(|h| ServerRow { silent: true, ..h.row.clone() })
+                .map(|h| ServerRow { silent: true, ..(*h.row).clone() })
                 .collect();
             rows.iter().for_each(|row| _ = self.server(now, row));
             let rows: Vec<MemberRow> = self
                 .members
                 .values()
                 .filter(|h| h.heard < now - SESSION && !h.row.lapsed)
-                .map(|h| MemberRow { lapsed: true, ..h.row.clone() })
+                .map(|h| MemberRow { lapsed: true, ..(*h.row).clone() })
                 .collect();
             rows.iter().for_each(|row| _ = self.member(now, row));
         }
@@ -378,10 +380,10 @@
         let servers = servers.map(|h| ServerRow {
             heard_ago: ago(h.heard),
             cold_ms: f64::from(h.row.cold_ms).max(0.0).sub_to_zero(now - h.at),
-            ..h.row.clone()
+            ..(*h.row).clone()
         });
         let members = self.members.values().filter(|h| (if each { h.touched } else { h.changed }) > from);
-        let members = members.map(|h| MemberRow { heard_ago: ago(h.heard), ..h.row.clone() });
+        let members = members.map(|h| MemberRow { heard_ago: ago(h.heard), ..(*h.row).clone() });
         News {
             epoch: self.epoch,
             seen: self.count,
@@ -403,6 +405,11 @@
         self.servers.values().flatten()
     }
 
+    /// All rows of servers, in the order of id, service and address, for a snapshot to share.
+    pub fn rows(&self) -> impl Iterator<Item = &Arc<ServerRow>> + '_ {
+        self.claims().map(|held| &held.row)
+    }
+
     /// The same at each process that knows the same of the servers that have not ended, whatever it heard
     /// first.
     pub fn digest(&self) -> u64 {
@@ -412,12 +419,12 @@
     /// Servers that may be sent something, each claim of an id by itself, with how long they are still cold,
     /// ms.
     pub fn servers(&self, now: Millis) -> impl Iterator<Item = (&ServerRow, Millis)> + '_ {
-        self.claims().map(move |h| (&h.row, (f64::from(h.row.cold_ms) - (now - h.at)).max(0.0)))
+        self.claims().map(move |h| (&*h.row, (f64::from(h.row.cold_ms) - (now - h.at)).max(0.0)))
     }
 
     /// Limiters, with how long ago each was heard, ms.
     pub fn members(&self, now: Millis) -> impl Iterator<Item = (&MemberRow, Millis)> + '_ {
-        self.members.values().map(move |h| (&h.row, now - h.heard))
+        self.members.values().map(move |h| (&*h.row, now - h.heard))
     }
 
     /// The count at which a server last changed in what it is used for; 0 if it is not known.
--- a/crates/proscenium/src/house.rs
+++ b/crates/proscenium/src/house.rs
@@ -41,8 +41,7 @@
 const CONNECT: Millis = 400.0;
 /// Where a limiter may not act yet, clients come back after this, ms.
 const SOON: Millis = 300.0;
-/// Where a service's servers are contested, clients come back after this, ms: most of it is a silence's
-/// length.
+/// Where a service's servers are contested, clients come back after this, ms: a collision lasts for seconds.
 const CONTESTED: Millis = 1000.0;
 /// A cold spell that is told anew and ends within this of the one before, ms, is the same one.
 const SAME_SPELL: Millis = 700.0;
@@ -214,7 +213,7 @@
             cast if cast.edition() == scene.edition => cast.clone(),
             _ => Arc::new(Cast::new(scene.edition, scene.table.bill())),
         };
-        let next = self.known.with(|book, now| Catalogue::new(cast, book.servers(now).map(|(row, _)| row)));
+        let next = self.known.with(|book, _| Catalogue::new(cast, book.rows()));
         let (was, is) = (dramatis::tables::summary(&before), dramatis::tables::summary(&next));
         if was != is {
             log::debug!("catalogue: contested servers: {}", if is.is_empty() { "none" } else { &is });
@@ -321,7 +320,7 @@
             // The newest configuration has dropped it: what is in hand may end at the servers that it had.
             let stands = |m: &&Member| {
                 let mut claims = catalogue.of_id(&m.id).iter();
-                claims.any(|entry| entry.ready && !scene.empty.contains(&entry.zone))
+                claims.any(|entry| entry.is_ready() && !scene.empty.contains(&entry.row.zone))
             };
             return service.members.borrow().iter().filter(stands).cloned().collect();
         };
@@ -415,7 +414,7 @@
             // goes to others, and where there are none, or it is not sure that these are known here, nowhere.
             let repeatable = route.kind != playbill::Kind::Unsafe;
             let able = if repeatable { tally.all + tally.reads } else { tally.all };
-            if able == 0 || !repeatable && !self.known.agrees() {
+            if able == 0 || !repeatable && tally.nothing > 0 && !self.known.agrees() {
                 self.note("contested");
                 return refuse(Kind::Busy, CONTESTED);
             }
--- a/crates/proscenium/src/scene.rs
+++ b/crates/proscenium/src/scene.rs
@@ -175,6 +175,25 @@
         assert_eq!(scene.within(1, Some(1)), None, "akl and chc leave none");
     }
 
+    #[test]
+    fn what_may_run_once_keeps_to_the_zones_part_that_is_surely_the_owners() {
+        let settings = settings();
+        let scene = Scene::new(3, &decided(), &settings).expect("a scene");
+        let (all, places) = (everywhere(&settings), settings.zones.len());
+        let names = |mask: u64| -> Vec<&str> {
+            let zones = all.iter().enumerate().filter(|(at, _)| mask & 1 << at != 0);
+            zones.map(|(_, zone)| zone.as_str()).collect()
+        };
+        assert_eq!((scene.among(0, true), names(scene.among(0, false)).len()), (0, places));
+        let home = scene.within(1, None).expect("its homes' zones");
+        assert_eq!(scene.among(home, false), home);
+        let proven = ["akl-eastt (contested)", "akl-penrose (contested)"];
+        assert_eq!(names(scene.among(home, true)), [names(home), proven.to_vec()].concat());
+        // No room for all zones twice: nothing goes to the contested ones.
+        let wide = Scene { zones: 40, ..scene };
+        assert_eq!((wide.among(0, true), wide.among(5, true)), ((1 << 40) - 1, 5));
+    }
+
     #[test]
     fn a_tenant_has_one_number_at_all_limiters_and_no_other_has_it() {
         // A limiter that started after a tenant had come and gone counted the rest one place further on.
