Test: an inferred end of a server that lives is taken back within the bound

A teller that was warm and had not heard of a server lets its follower take it for gone; the teller then hears it, in the word that the follower knows, which is no news there.

--- a/benches/src/bin/catalogue.rs
+++ b/benches/src/bin/catalogue.rs
@@ -35,7 +35,8 @@
     let names: Vec<String> =
         (0..services).map(|n| format!("[\"mesh-{}/service-{}\"]", n % 2, n / 2)).collect();
     let text = format!(
-        r#"{{"version":"r1","routes":{{"columns":[],"rows":[]}},"services":{{"columns":["name"],"rows":[{}]}}}}"#,
+        r#"{{"version":"r1","routes":{{"columns":[],"rows":[]}},
+            "services":{{"columns":["name"],"rows":[{}]}}}}"#,
         names.join(",")
     );
     let cast = Arc::new(Cast::new(1, &Playbill::read(&text).expect("a configuration")));
@@ -66,8 +67,8 @@
     let owner = took(|n| assert!(cast.owner(&rows[n % servers].service).is_some()));
     let made = took(|_| assert_eq!(make().entries().len(), servers));
     println!(
-        "{servers} servers of {services} services: made in {:.3} ms, a server {looked:.0} ns, an owner {owner:.0} ns, \
-         {bytes} bytes each beside its row",
+        "{servers} servers of {services} services: made in {:.3} ms, a server {looked:.0} ns, \
+         an owner {owner:.0} ns, {bytes} bytes each beside its row",
         made / 1e6
     );
 }
--- a/crates/greenroom/src/agree.rs
+++ b/crates/greenroom/src/agree.rs
@@ -53,6 +53,41 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::news::Book;
+    use crate::wire::ServerRow;
+
+    #[test]
+    fn an_end_that_was_inferred_from_a_teller_that_lacked_a_server_is_taken_back() {
+        let row = |calls| ServerRow { id: "a".into(), calls, ..ServerRow::default() };
+        let other = ServerRow { id: "b".into(), calls: 1, ..ServerRow::default() };
+        for repairs in [true, false] {
+            let (mut teller, mut follower) = (Book::new(1, 1500.0, 0.0), Book::new(2, 1500.0, 0.0));
+            teller.server(0.0, &other);
+            follower.server(0.0, &row(7));
+            // Warm, and yet it has not heard of this one: the follower takes it for gone.
+            follower.merge(9000.0, &teller.since(9000.0, 0, 0, false));
+            let (mut place, mut at) = ((1, teller.count()), Agreement::new(9000.0));
+            let mut mended = None;
+            for tick in 0..100u32 {
+                let now = 9000.0 + f64::from(tick) * 300.0;
+                if tick % 5 == 0 {
+                    // The first word is the one that the follower knows: it says nothing new there.
+                    teller.server(now, &row(u64::from(7 + tick / 5)));
+                }
+                let news = teller.since(now, place.0, place.1, false);
+                place = (news.epoch, news.seen);
+                follower.merge(now, &news);
+                if at.heard(now, follower.digest() == news.digest) && repairs {
+                    place = (0, 0);
+                }
+                if follower.digest() == news.digest {
+                    mended = mended.or(Some(now - 9000.0));
+                }
+            }
+            let bound = mended.is_some_and(|after| after <= DIFFER_MOST);
+            assert_eq!(bound, repairs, "{mended:?}");
+        }
+    }
 
     #[test]
     fn who_differs_for_longer_than_news_travels_takes_everything_anew_and_then_more_rarely() {
