--- a/crates/greenroom/src/wire.rs
+++ b/crates/greenroom/src/wire.rs
@@ -188,6 +188,9 @@
     /// What the follower has seen of servers, where it is to be told at once.
     #[prost(message, repeated, tag = "8")]
     pub notices: Vec<NoticeRow>,
+    /// Of the servers that the follower knows; counts beside its edition.
+    #[prost(fixed64, tag = "10")]
+    pub digest: u64,
 }
 
 /// What is new.
@@ -235,6 +238,9 @@
     /// What limiters have seen of servers.
     #[prost(message, repeated, tag = "13")]
     pub notices: Vec<NoticeRow>,
+    /// Of the servers that the teller knows; counts beside its edition.
+    #[prost(fixed64, tag = "15")]
+    pub digest: u64,
 }
 
 /// One add to a number.
