What runs once and comes again under its name is answered 409 by the proxy that has it

Cause: something on the way may double a message. The proxy ran both: nothing looked whether a Try-Id was known.

Change: an unsafe try whose id is open here, or that may have run here within the time that outcomes are kept, is answered 409 (kind `repeated`) with the server that has it; one that certainly did not run may come again.

Verified: with real processes the same try again is answered 409 and runs once; one that was refused may come again.

--- a/crates/greenroom/src/kinds.rs
+++ b/crates/greenroom/src/kinds.rs
@@ -11,6 +11,8 @@
     Unknown,
     /// Its method is not the call's.
     Method,
+    /// It runs once at most, and has been taken under this name before.
+    Repeated,
     /// Another version is in place.
     Stale,
     /// It is too long.
@@ -37,6 +39,7 @@
     (Kind::NoKey, "no_key", 401),
     (Kind::Unknown, "unknown", 404),
     (Kind::Method, "method", 405),
+    (Kind::Repeated, "repeated", 409),
     (Kind::Stale, "stale", 412),
     (Kind::TooLong, "too_long", 413),
     (Kind::TooSlow, "too_slow", 408),
@@ -82,6 +85,7 @@
             Kind::NoKey,
             Kind::Unknown,
             Kind::Method,
+            Kind::Repeated,
             Kind::Stale,
             Kind::TooLong,
             Kind::TooSlow,
@@ -96,7 +100,7 @@
         for kind in all {
             assert_eq!(TABLE.iter().filter(|row| row.0 == kind).count(), 1, "{kind:?}");
         }
-        for kind in [Kind::Unsure, Kind::Failed, Kind::Late] {
+        for kind in [Kind::Repeated, Kind::Unsure, Kind::Failed, Kind::Late] {
             assert!(!kind.is_promise(), "{kind:?} may have been done");
         }
     }
--- a/crates/proscenium/src/house.rs
+++ b/crates/proscenium/src/house.rs
@@ -23,6 +23,7 @@
 use oatbank_engine::classify::{self, Rejection};
 use oatbank_engine::engine::{Answer, Engine, Names, Note, Setup};
 use oatbank_engine::front::{Desk, Judged};
+use oatbank_engine::open_ids::OpenIds;
 use oatbank_engine::ports::clock::{Clock, SystemClock};
 use oatbank_engine::ports::membership::{Member, News};
 use oatbank_engine::upstreams::house::{self, House as Words};
@@ -93,6 +94,8 @@
     few: Few,
     rolls: Cell<u64>,
     outcomes: Rc<RefCell<Outcomes>>,
+    /// Tries that run once and have no answer yet.
+    open: OpenIds,
 }
 
 /// An answer to a try that runs once says in words what is certain of it.
@@ -146,6 +149,7 @@
             few: Few::default(),
             rolls: Cell::new(chance()),
             outcomes: Rc::new(RefCell::new(Outcomes::new(Bounds::default()))),
+            open: OpenIds::default(),
         })
     }
 
@@ -191,6 +195,12 @@
         );
     }
 
+    /// A try has been sent to a server under this name, and nothing proves that it did not run.
+    fn may_have_run(&self, try_id: &str) -> bool {
+        let now = self.known.now();
+        self.outcomes.borrow_mut().get(now, try_id).is_some_and(|known| known.fate != Fate::NotRun)
+    }
+
     /// The server that a try may have run at.
     fn ran_at(&self, try_id: &str) -> Option<Arc<str>> {
         let now = self.known.now();
@@ -424,6 +434,18 @@
         let route = &ticket.scene.table.bill().routes[ticket.route];
         let once = class(route, route.rank).repeat == Repeat::Unsafe;
         let named = head.headers.get(&TRY_ID).filter(|_| once).cloned();
+        // Held until it is answered; what became of it stands in the outcomes by then.
+        let mut _held = None;
+        if let Some(try_id) = named.as_ref().and_then(|id| id.to_str().ok()) {
+            match self.open.hold(try_id).ok().filter(|_| !self.may_have_run(try_id)) {
+                Some(held) => _held = Some(held),
+                None => {
+                    let mut response = refuse(Kind::Repeated, 0.0);
+                    say_so(&mut response, Kind::Repeated, try_id, self.ran_at(try_id).as_deref());
+                    return response;
+                }
+            }
+        }
         match self.ask(ticket, head, body, room).await {
             Ok(response) => response,
             Err((kind, wait)) => {
--- a/crates/rehearsal/tests/failing.rs
+++ b/crates/rehearsal/tests/failing.rs
@@ -65,6 +65,11 @@
     assert!(says(&outcome(&system, core, INNER_REGISTRY, &late.id), "running"));
     holds(LONG, "it is done", || says(&outcome(&system, core, INNER_REGISTRY, &late.id), "done")).unwrap();
 
+    // The same once more, by whoever doubles it on the way: it has run.
+    let again = rehearsal::client::again_at(front, &asked, &late.id);
+    assert!(again.status() == 409 && text(&again).contains(&server), "{again:?}");
+    assert_eq!(system.seen().iter().filter(|s| s.try_id == late.id).count(), 1);
+
     // A client that leaves.
     let id = rehearsal::client::try_id();
     let mut wire = Wire::connect(front, LONG).unwrap();
@@ -83,9 +88,12 @@
     assert_eq!(system.seen().iter().filter(|s| s.ran && s.try_id == id).count(), 1);
 
     // A promise.
-    let refused = try_at(front, &Ask { within: 600 * MS, ..Ask::post(HOST, "/full/1", "a job") });
+    let asked = Ask { within: 600 * MS, ..Ask::post(HOST, "/full/1", "a job") };
+    let refused = try_at(front, &asked);
     assert!(refused.is_promise() && text(&refused).contains("has not run and never will"), "{refused:?}");
     assert!(says(&outcome(&system, proxy, INNER_PROXY, &refused.id), "did not run"));
+    let again = rehearsal::client::again_at(front, &asked, &refused.id);
+    assert!(again.is_promise(), "what has not run may come again: {again:?}");
 
     // The shell's other words.
     let guard = shell::ask(system.stage.inner(proxy, INNER_PROXY), &["guard"]).unwrap();
