--- a/crates/engine/src/engine/schedules.rs
+++ b/crates/engine/src/engine/schedules.rs
@@ -112,6 +112,7 @@
             weight: 1.0,
             started: 0.0,
             state: ServerState::Ready,
+            standing: Standing::Well,
         };
         let members = (0..SERVERS).filter(|n| *n != out).map(member).collect();
         self.core.members(self.now as f64, &News::Complete(members));
