--- a/crates/greenroom/src/follow.rs
+++ b/crates/greenroom/src/follow.rs
@@ -227,8 +227,9 @@
         }
     }
 
-    fn wanted(&self, follow: &Follow, each: bool) -> bool {
-        self.edition() > follow.edition || self.book.borrow().has_news(follow.epoch, follow.seen, each)
+    fn wanted(&self, follow: &Follow, each: bool, notices: bool) -> bool {
+        self.edition() > follow.edition
+            || self.book.borrow().has_news(follow.epoch, follow.seen, each, notices)
     }
 
     /// Answers a call, at once or when there is news.
@@ -253,18 +254,21 @@
             let stirred = self.stirred.notified();
             let waited = self.now() - came;
             if waited >= hold
-                || self.wanted(&follow, false)
-                || waited >= gather && self.wanted(&follow, follow.each)
+                || self.wanted(&follow, false, false)
+                || waited >= gather && self.wanted(&follow, follow.each, !follow.plain)
             {
                 break;
             }
-            let until = if waited < gather && follow.each { gather } else { hold };
+            let until = if waited < gather { gather } else { hold };
             let left = Duration::from_secs_f64((until - waited).max(0.5) / 1000.0);
             // Either it is woken, or looks again.
             let _ = tokio::time::timeout(left, stirred).await;
         }
         let now = self.now();
         let mut news = self.book.borrow().since(now, follow.epoch, follow.seen, follow.each);
+        if follow.plain {
+            news.notices.clear();
+        }
         news.limiters = self.book.borrow().limiters(now);
         news.edition = self.edition();
         if news.edition > follow.edition {
@@ -361,7 +365,9 @@
     let core = known.core.borrow().version;
     let (digest, session) = (known.with(|book, _| book.digest()), member.is_some());
     let name = name.to_owned();
-    let follow = Follow { name, epoch, seen, edition, each, hold, member, notices, core, digest };
+    // Who is in touch with the core hears there what limiters have seen of servers.
+    let plain = !each && !session && known.in_touch();
+    let follow = Follow { name, epoch, seen, edition, each, hold, member, notices, core, digest, plain };
     let within = Duration::from_millis(u64::from(hold)) + PATIENCE;
     let answer = link.call(call::FOLLOW, follow.encode_to_vec(), within).await;
     let Some(news) = answer.ok().filter(|b| !b.is_empty()).and_then(|b| News::decode(b).ok()) else {
--- a/crates/greenroom/src/news.rs
+++ b/crates/greenroom/src/news.rs
@@ -197,6 +197,7 @@
     beat_every: Millis,
     count: u64,
     changes: u64,
+    noticed: u64,
     /// By id; more than one row where servers that differ beat under it, in the order of service and address.
     servers: BTreeMap<String, Vec<Held<ServerRow>>>,
     /// Of all servers that have not ended.
@@ -283,7 +284,18 @@
     pub fn new(epoch: u64, beat_every: Millis, now: Millis) -> Self {
         let (servers, members, notices) = Default::default();
         let (epoch, began) = (epoch.max(1), now);
-        Book { epoch, began, beat_every, count: 1, changes: 1, servers, digest: 0, members, notices }
+        Book {
+            epoch,
+            began,
+            beat_every,
+            count: 1,
+            changes: 1,
+            noticed: 0,
+            servers,
+            digest: 0,
+            members,
+            notices,
+        }
     }
 
     /// This life.
@@ -363,7 +375,16 @@
         }
         let next = self.count + 1;
         let taken = take_row(&mut self.notices, &name, row, now, next);
-        self.noted(next, taken)
+        if taken.is_none() {
+            return Word::Same;
+        }
+        (self.count, self.noticed) = (next, next);
+        Word::Changes(next)
+    }
+
+    /// Rises with what limiters have seen of servers: that alone changes no list.
+    pub fn noticed(&self) -> u64 {
+        self.noticed
     }
 
     /// What limiters have seen of servers, with how long ago, ms.
@@ -456,9 +477,11 @@
         }
     }
 
-    /// Whether a follower lacks anything.
-    pub fn has_news(&self, epoch: u64, seen: u64, each: bool) -> bool {
-        epoch != self.epoch || seen > self.count || seen < if each { self.count } else { self.changes }
+    /// Whether a follower lacks anything of what changes use; with `each`, any word; with `notices`, what limiters have seen
+    /// of servers too.
+    pub fn has_news(&self, epoch: u64, seen: u64, each: bool, notices: bool) -> bool {
+        let changes = if notices { self.changes.max(self.noticed) } else { self.changes };
+        epoch != self.epoch || seen > self.count || seen < if each { self.count } else { changes }
     }
 
     fn claims(&self) -> impl Iterator<Item = &Held<ServerRow>> + '_ {
@@ -658,16 +681,16 @@
         let all = teller.since(10.0, 0, 0, false);
         assert!(all.whole);
         follower.merge(10.0, &all);
-        assert!(!teller.has_news(all.epoch, all.seen, false));
+        assert!(!teller.has_news(all.epoch, all.seen, false, true));
         teller.server(20.0, &server("a", 2, 0));
-        assert!(!teller.has_news(all.epoch, all.seen, false), "a word that changes nothing");
-        assert!(teller.has_news(all.epoch, all.seen, true));
+        assert!(!teller.has_news(all.epoch, all.seen, false, true), "a word that changes nothing");
+        assert!(teller.has_news(all.epoch, all.seen, true, true));
         teller.server(30.0, &server("a", 3, server_state::DRAINING));
         let news = teller.since(30.0, all.epoch, all.seen, false);
         assert!(!news.whole && news.servers.len() == 1);
         assert!(follower.merge(30.0, &news));
         assert_eq!(states(&follower)[0].1, server_state::DRAINING);
-        assert!(book(9).has_news(all.epoch, all.seen, false), "another life");
+        assert!(book(9).has_news(all.epoch, all.seen, false, true), "another life");
     }
 
     #[test]
--- a/crates/greenroom/src/wire.rs
+++ b/crates/greenroom/src/wire.rs
@@ -191,6 +191,9 @@
     /// Of the servers that the follower knows; counts beside its edition.
     #[prost(fixed64, tag = "10")]
     pub digest: u64,
+    /// What limiters have seen of servers is left out: the follower hears it elsewhere.
+    #[prost(bool, tag = "12")]
+    pub plain: bool,
 }
 
 /// What is new.
--- a/crates/proscenium/src/steering.rs
+++ b/crates/proscenium/src/steering.rs
@@ -85,9 +85,9 @@
     /// Whether there is something to think about: news, or time has gone on.
     pub fn is_time(&self, now: Millis, book: &Book) -> bool {
         let (at, seen) = self.last.get();
-        let is = self.fresh.replace(false) || book.changes() != seen || now - at >= IDLE;
+        let is = self.fresh.replace(false) || book.noticed() != seen || now - at >= IDLE;
         if is {
-            self.last.set((now, book.changes()));
+            self.last.set((now, book.noticed()));
         }
         is
     }
