--- a/crates/greenroom/src/wire.rs
+++ b/crates/greenroom/src/wire.rs
@@ -8,6 +8,10 @@
     pub const FOLLOW: u8 = 40;
     /// [`super::Counts`] is answered with [`super::Totals`].
     pub const COUNT: u8 = 41;
+    /// [`super::Query`] is answered with [`super::Table`].
+    pub const QUERY: u8 = 42;
+    /// [`super::OutcomeAsk`] is answered with [`super::OutcomeTold`].
+    pub const OUTCOME: u8 = 43;
 }
 
 /// A server as it was last told.
@@ -86,6 +90,38 @@
     pub edition: u64,
 }
 
+/// What one limiter has seen of one server. Weights are hundredths of natural logarithms, as of `ago`.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct NoticeRow {
+    /// The server's id.
+    #[prost(string, tag = "1")]
+    pub server: String,
+    /// The limiter's name.
+    #[prost(string, tag = "2")]
+    pub observer: String,
+    /// The limiter's life.
+    #[prost(fixed64, tag = "3")]
+    pub life: u64,
+    /// Rises with each word of this life on this server.
+    #[prost(uint32, tag = "4")]
+    pub seq: u32,
+    /// Failing, by the quick and the long fading.
+    #[prost(sint32, repeated, tag = "5")]
+    pub failing: Vec<i32>,
+    /// Slow, by the quick and the long fading.
+    #[prost(sint32, repeated, tag = "6")]
+    pub slow: Vec<i32>,
+    /// Attempts without a connection, in hundredths.
+    #[prost(uint32, tag = "7")]
+    pub unreached: u32,
+    /// Good answers since it stopped being well.
+    #[prost(uint32, tag = "8")]
+    pub goods: u32,
+    /// How long ago that was, ms, as of the sending of this row.
+    #[prost(uint32, tag = "9")]
+    pub ago: u32,
+}
+
 /// A version that was taken, and what was sent under its number.
 #[derive(Clone, PartialEq, Eq, Message)]
 pub struct Taken {
@@ -111,6 +147,17 @@
     pub empty: Vec<String>,
 }
 
+/// The core machines that vote.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct Core {
+    /// Rises with each change of them; 0 for none known.
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+    /// Their addresses.
+    #[prost(fixed32, repeated, tag = "2")]
+    pub ips: Vec<u32>,
+}
+
 /// Asks for what is new since.
 #[derive(Clone, PartialEq, Eq, Message)]
 pub struct Follow {
@@ -135,6 +182,18 @@
     /// The follower, where this is a session.
     #[prost(message, optional, tag = "7")]
     pub member: Option<MemberRow>,
+    /// [`Core::version`] as known to the follower.
+    #[prost(uint64, tag = "11")]
+    pub core: u64,
+    /// What the follower has seen of servers, where it is to be told at once.
+    #[prost(message, repeated, tag = "8")]
+    pub notices: Vec<NoticeRow>,
+    /// Of the servers that the follower knows; counts beside its edition.
+    #[prost(fixed64, tag = "10")]
+    pub digest: u64,
+    /// What limiters have seen of servers is left out: the follower hears it elsewhere.
+    #[prost(bool, tag = "12")]
+    pub plain: bool,
 }
 
 /// What is new.
@@ -176,6 +235,15 @@
     /// The system's time as known to the teller, ms: it only runs forward, and is nobody's time of day.
     #[prost(double, tag = "12")]
     pub time: f64,
+    /// The core machines, where the follower knows of an older version of them.
+    #[prost(message, optional, tag = "16")]
+    pub core: Option<Core>,
+    /// What limiters have seen of servers.
+    #[prost(message, repeated, tag = "13")]
+    pub notices: Vec<NoticeRow>,
+    /// Of the servers that the teller knows; counts beside its edition.
+    #[prost(fixed64, tag = "15")]
+    pub digest: u64,
 }
 
 /// One add to a number.
@@ -207,3 +275,67 @@
     #[prost(double, repeated, tag = "1")]
     pub totals: Vec<f64>,
 }
+
+/// A question of the shell.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct Query {
+    /// The command and what follows it.
+    #[prost(string, repeated, tag = "1")]
+    pub words: Vec<String>,
+    /// By what this process knows alone: no other is asked.
+    #[prost(bool, tag = "2")]
+    pub near: bool,
+}
+
+/// What a question is answered with.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct Table {
+    /// What it is of.
+    #[prost(string, tag = "1")]
+    pub title: String,
+    /// Names of the columns.
+    #[prost(string, repeated, tag = "2")]
+    pub columns: Vec<String>,
+    /// The rows.
+    #[prost(message, repeated, tag = "3")]
+    pub rows: Vec<Row>,
+    /// What is wrong with the question, and what is allowed; empty: nothing.
+    #[prost(string, tag = "4")]
+    pub error: String,
+}
+
+/// A row of a table.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct Row {
+    /// A cell for each column.
+    #[prost(string, repeated, tag = "1")]
+    pub cells: Vec<String>,
+}
+
+/// Asks a proxy what became of a try.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct OutcomeAsk {
+    /// Its id.
+    #[prost(string, tag = "1")]
+    pub try_id: String,
+}
+
+/// What a proxy knows of a try.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct OutcomeTold {
+    /// The proxy.
+    #[prost(string, tag = "1")]
+    pub proxy: String,
+    /// [`cue::outcomes::Fate`] by its number; 0: it knows nothing of the try.
+    #[prost(uint32, tag = "2")]
+    pub fate: u32,
+    /// Why.
+    #[prost(string, tag = "3")]
+    pub why: String,
+    /// The server's life.
+    #[prost(string, tag = "4")]
+    pub server: String,
+    /// How long ago that was known, ms.
+    #[prost(uint32, tag = "5")]
+    pub age: u32,
+}
--- a/crates/proscenium/src/house.rs
+++ b/crates/proscenium/src/house.rs
@@ -1,23 +1,32 @@
 //! The desk of the system's dialect: what a request is checked against, whose quota it draws on, and which service's engine
 //! takes it. One engine a service: each has its own servers, concurrency limit, means and further tries.
 
+use crate::casting::{cast, Ground};
 use crate::counts::Counter;
 use crate::lease::Lease;
-use crate::scene::{class, plan, share, tenant_number, Scene};
+use crate::scene::{class, everywhere, plan, proven, share, tenant_number, Allowed, Scene};
+use crate::steering::Steering;
 use crate::terms::{self, LONGEST_WAIT};
+use cue::outcomes::{Bounds, Fate, Outcomes};
+use dramatis::{Cast, Catalogue, Tally, Use};
 use greenroom::follow::{chance, Knowledge};
 use greenroom::kinds::Kind;
 use greenroom::log::{self, Few};
-use greenroom::news::{server_state, Millis};
+use greenroom::news::{member_state, server_state, Millis};
+use greenroom::query::table;
 use greenroom::run::Told;
 use greenroom::settings::Settings as Node;
-use http::header::{HeaderMap, HeaderName, HeaderValue, AUTHORIZATION, CONTENT_LENGTH, HOST, RETRY_AFTER};
+use greenroom::wire::{NoticeRow, ServerRow, Table};
+use http::header::{
+    HeaderMap, HeaderName, HeaderValue, AUTHORIZATION, CONTENT_LENGTH, CONTENT_TYPE, HOST, RETRY_AFTER,
+};
 use http::request::Parts;
 use http::{Response, StatusCode};
 use oatbank_engine::body::{Body, Room, Upload};
 use oatbank_engine::classify::{self, Rejection};
-use oatbank_engine::engine::{Answer, Engine, Names, Setup};
+use oatbank_engine::engine::{Answer, Engine, Names, Note, Setup};
 use oatbank_engine::front::{Desk, Judged};
+use oatbank_engine::open_ids::OpenIds;
 use oatbank_engine::ports::clock::{Clock, SystemClock};
 use oatbank_engine::ports::membership::{Member, News};
 use oatbank_engine::upstreams::house::{self, House as Words};
@@ -27,7 +36,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 use std::sync::Arc;
-use topazwind::interface::{ClassId, PlanId, Request, Rules, ServerState, Settings};
+use topazwind::interface::{ClassId, PlanId, Repeat, Request, Rules, ServerState, Settings, Standing};
 
 /// Names a try of a client.
 pub const TRY_ID: HeaderName = HeaderName::from_static("try-id");
@@ -40,8 +49,13 @@
 const CONNECT: Millis = 400.0;
 /// Where a limiter may not act yet, clients come back after this, ms.
 const SOON: Millis = 300.0;
+/// Where a service's servers are contested, clients come back after this, ms: a collision lasts for seconds.
+const CONTESTED: Millis = 1000.0;
 /// A cold spell that is told anew and ends within this of the one before, ms, is the same one.
 const SAME_SPELL: Millis = 700.0;
+/// A server stops at the time that it was handed; its answer to that is listened for so much longer, ms: the
+/// way there and back between regions, several times.
+const LATE: Millis = 400.0;
 /// Descriptors kept for links to other processes.
 const LINKS: usize = 400;
 /// How many services share what this process may hold.
@@ -77,13 +91,33 @@
     lease: Lease,
     budget: Budget,
     scene: RefCell<Option<Rc<Scene>>>,
+    /// Whose each server is, as of this count of what changes their use.
+    catalogue: RefCell<(u64, Rc<Catalogue>)>,
     services: RefCell<BTreeMap<String, Rc<Service>>>,
     /// Places of tenants' plans, by name. Each limiter has its own: what stands for a tenant between limiters is
     /// [`tenant_number`].
     tenants: RefCell<HashMap<String, usize>>,
+    /// The limiters that plans were last told for.
+    planned_for: Cell<f64>,
     began: Cell<bool>,
+    steering: Steering,
     few: Few,
     rolls: Cell<u64>,
+    outcomes: Rc<RefCell<Outcomes>>,
+    /// Tries that run once and have no answer yet.
+    open: OpenIds,
+}
+
+/// An answer to a try that runs once says in words what is certain of it.
+fn say_so(response: &mut Response<Body>, kind: Kind, try_id: &str, server: Option<&str>) {
+    let what = match (kind.is_promise(), server) {
+        (true, _) => "has not run and never will".to_owned(),
+        (false, Some(server)) => format!("may have run; server {server}"),
+        (false, None) => "may have run".to_owned(),
+    };
+    let text = format!("{}: {what}; try {try_id}\n", kind.word());
+    *response.body_mut() = Body::from(bytes::Bytes::from(text));
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
 }
 
 fn refuse(kind: Kind, wait: Millis) -> Response<Body> {
@@ -119,14 +153,75 @@
             lease: Lease::new(&node.bounds),
             budget: budget(&node),
             scene: RefCell::default(),
+            catalogue: RefCell::default(),
             services: RefCell::default(),
             tenants: RefCell::default(),
+            planned_for: Cell::new(0.0),
             began: Cell::new(false),
+            steering: Steering::default(),
             few: Few::default(),
             rolls: Cell::new(chance()),
+            outcomes: Rc::new(RefCell::new(Outcomes::new(Bounds::default()))),
+            open: OpenIds::default(),
         })
     }
 
+    /// What became of tries that run once, as far as it was seen here.
+    pub fn outcomes(&self) -> Rc<RefCell<Outcomes>> {
+        self.outcomes.clone()
+    }
+
+    /// How many tries that run once are out at a server.
+    pub fn out_once(&self) -> usize {
+        self.services.borrow().values().map(|s| s.engine.out_once()).sum()
+    }
+
+    /// For the shell: what of the tries that run once is kept, and how often a decision was not carried out
+    /// for them.
+    pub fn guard(&self) -> Table {
+        let services: Vec<_> = self.services.borrow().iter().map(|(n, s)| (n.clone(), s.clone())).collect();
+        let row = |(name, s): &(String, Rc<Service>)| {
+            vec![name.clone(), s.engine.out_once().to_string(), s.engine.kept_from().to_string()]
+        };
+        let outcomes = self.outcomes.borrow();
+        let title =
+            format!("{} tries kept, {} left out for want of room", outcomes.len(), outcomes.left_out());
+        table(title, &["service", "out", "kept from"], services.iter().map(row).collect())
+    }
+
+    /// Takes down what becomes of the tries of a service that run once.
+    fn witness(&self, engine: &ServiceEngine) {
+        let (outcomes, known) = (self.outcomes.clone(), self.known.clone());
+        let none: Arc<str> = Arc::from("");
+        engine.witness_by(
+            LATE,
+            Rc::new(move |forward: &Forward, server, note| {
+                let Some(try_id) = forward.headers.get(&TRY_ID).and_then(|v| v.to_str().ok()) else { return };
+                match note {
+                    Note::Fate(fate, why) => {
+                        let server = server.unwrap_or(&none);
+                        outcomes.borrow_mut().note(known.now(), try_id, fate, why, server);
+                    }
+                    Note::Kept(breach) => log::error!("proxy: {} (try {})", breach.text(), try_id),
+                }
+            }),
+        );
+    }
+
+    /// A try has been sent to a server under this name, and nothing proves that it did not run.
+    fn may_have_run(&self, try_id: &str) -> bool {
+        let now = self.known.now();
+        self.outcomes.borrow_mut().get(now, try_id).is_some_and(|known| known.fate != Fate::NotRun)
+    }
+
+    /// The server that a try may have run at.
+    fn ran_at(&self, try_id: &str) -> Option<Arc<str>> {
+        let now = self.known.now();
+        let mut outcomes = self.outcomes.borrow_mut();
+        let known = outcomes.get(now, try_id).filter(|known| known.fate != Fate::NotRun)?;
+        Some(known.server.clone()).filter(|server| !server.is_empty())
+    }
+
     /// Now, on the engines' clock.
     pub fn now(&self) -> Millis {
         self.clock.now()
@@ -192,10 +287,63 @@
         }
         let scene = self.scene.borrow().clone();
         if let Some(scene) = scene {
+            if self.planned_for.get() != self.limiters() {
+                self.set_plans(&scene);
+            }
+            self.set_catalogue(&scene);
             self.set_services(&scene, &node);
         }
     }
 
+    /// Looks at how attempts have ended since, and at what others say of servers; what is to be told by the limiter of this
+    /// life.
+    pub fn watch(&self, life: u64) -> Vec<NoticeRow> {
+        let node = self.told.settings();
+        let services: Vec<_> = self.services.borrow().iter().map(|(n, s)| (n.clone(), s.clone())).collect();
+        for (name, service) in services {
+            let ends = service.engine.ends_of_attempts();
+            if !ends.is_empty() {
+                self.steering.saw(self.known.now(), &name, &service.classes.borrow(), &ends);
+            }
+        }
+        if !self.known.with(|book, now| self.steering.is_time(now, book)) {
+            return Vec::new();
+        }
+        let rows = self.known.with(|book, now| self.steering.tell(now, book, &node.node, life));
+        if !rows.is_empty() {
+            self.known.change(|book, now| rows.iter().for_each(|row| _ = book.notice(now, row)));
+        }
+        let time = self.known.time();
+        if self.known.with(|book, now| self.steering.judge(now, time, book, &node)) {
+            self.refresh();
+        }
+        rows
+    }
+
+    /// The catalogue is made anew where the configuration or the use of a server has changed, and swapped
+    /// whole.
+    fn set_catalogue(&self, scene: &Scene) {
+        let (at, before) = self.catalogue.borrow().clone();
+        let changes = self.known.with(|book, _| book.changes());
+        let cast = match before.cast() {
+            cast if cast.edition() == scene.edition && at == changes => return,
+            cast if cast.edition() == scene.edition => cast.clone(),
+            _ => Arc::new(Cast::new(scene.edition, scene.table.bill())),
+        };
+        let next = self.known.with(|book, _| Catalogue::new(cast, book.rows()));
+        let (was, is) = (dramatis::tables::summary(&before), dramatis::tables::summary(&next));
+        if was != is {
+            log::debug!("catalogue: contested servers: {}", if is.is_empty() { "none" } else { &is });
+        }
+        *self.catalogue.borrow_mut() = (changes, Rc::new(next));
+    }
+
+    /// The servers of an owner, by what they may get.
+    fn tally(&self, name: &str) -> Tally {
+        let catalogue = &self.catalogue.borrow().1;
+        catalogue.cast().owner(name).map(|owner| catalogue.tally(owner)).unwrap_or_default()
+    }
+
     fn limiters(&self) -> f64 {
         f64::from(self.known.with(|book, now| book.limiters(now))).max(1.0)
     }
@@ -208,13 +356,17 @@
             tenants.entry(customer.name.clone()).or_insert(next);
         }
         // Plans stand by tenant: one that is gone keeps its place.
-        let mut plans = vec![plan(0.0, 0.0); tenants.len()];
+        let bounds = &self.told.settings().bounds;
+        let (window, over, slack) = (bounds.quota_window_s, bounds.quota_over, bounds.quota_slack);
+        let allowed = Allowed { window, over, slack, limiters: self.limiters() };
+        let mut plans = vec![plan(0.0, 0.0, allowed); tenants.len()];
         for customer in customers {
             if let Some(at) = tenants.get(&customer.name) {
-                plans[*at] = plan(customer.rate, customer.burst);
+                plans[*at] = plan(customer.rate, customer.burst, allowed);
             }
         }
-        self.counter.settle(plans);
+        self.counter.settle(plans, self.limiters());
+        self.planned_for.set(self.limiters());
     }
 
     fn set_services(&self, scene: &Scene, node: &Node) {
@@ -242,14 +394,15 @@
                     bill.routes.iter().find(|r| r.name == *n).map(|r| class(r, r.rank)).unwrap_or_default()
                 })
                 .collect();
-            let zones = node.zones.iter().map(|(zone, _)| zone.clone()).collect();
+            let zones = everywhere(node);
             let names = Names { classes: classes.clone(), zones, ..Names::default() };
             drop(classes);
+            let (members, all) = self.members(&name, &service, scene, node, cold_s * 1000.0);
+            settings.sparse = members.len() < all;
             if !same(&service.settings.borrow(), &settings) {
                 service.engine.revise(&names, &settings);
                 *service.settings.borrow_mut() = settings;
             }
-            let members = self.members(&name, &service, scene, cold_s * 1000.0);
             if *service.members.borrow() != members {
                 (service.engine.told())(News::Complete(members.clone()));
                 *service.members.borrow_mut() = members;
@@ -268,6 +421,7 @@
         let setup = Setup { seed: chance(), ..Setup::default() };
         let engine = Engine::new(&setup, self.clock.clone(), upstream);
         engine.start();
+        self.witness(&engine);
         let (known, lease) = (self.known.clone(), self.lease);
         engine.guard_by(Rc::new(move || (!lease.stands(known.fresh_ago())).then_some(SOON)));
         log::info!("proxy: service {}", name);
@@ -280,18 +434,52 @@
         }
     }
 
-    /// The servers of a service that may be sent something.
-    fn members(&self, name: &str, service: &Service, scene: &Scene, cold: Millis) -> Vec<Member> {
+    /// The servers of a service that may be sent something, as far as this limiter casts them, and how many there are.
+    fn members(
+        &self,
+        name: &str,
+        service: &Service,
+        scene: &Scene,
+        node: &Node,
+        cold: Millis,
+    ) -> (Vec<Member>, usize) {
         let now = self.clock.now();
         let mut spells = service.spells.borrow_mut();
-        let members: Vec<Member> = self.known.with(|book, at| {
+        let catalogue = self.catalogue.borrow().1.clone();
+        let Some(owner) = catalogue.cast().owner(name) else {
+            // The newest configuration has dropped it: what is in hand may end at the servers that it had.
+            let stands = |m: &&Member| {
+                let mut claims = catalogue.of_id(&m.id).iter();
+                claims.any(|entry| entry.is_ready() && !scene.empty.contains(&entry.row.zone))
+            };
+            let left: Vec<Member> = service.members.borrow().iter().filter(stands).cloned().collect();
+            let all = left.len();
+            return (left, all);
+        };
+        let whose = |row: &ServerRow| match name.ends_with(row.service.as_str()) {
+            true => catalogue.use_of(row, owner),
+            false => Use::Nothing,
+        };
+        let (members, all): (Vec<Member>, usize) = self.known.with(|book, at| {
             let able = book.servers(at).filter(|(row, _)| {
-                row.service == name
-                    && row.state == server_state::READY
+                row.state == server_state::READY
                     && !row.silent
                     && !scene.empty.contains(&row.zone)
+                    && whose(row) != Use::Nothing
             });
-            let member = |(row, left): (&greenroom::wire::ServerRow, Millis)| {
+            let able: Vec<_> = able.collect();
+            let places: Vec<(&str, &str)> =
+                able.iter().map(|(row, _)| (row.id.as_str(), row.zone.as_str())).collect();
+            let takes = book.members(at).filter(|(row, _)| !row.lapsed && row.state == member_state::READY);
+            let limiters: Vec<(&str, &str)> =
+                takes.map(|(row, _)| (row.name.as_str(), row.zone.as_str())).collect();
+            let ground =
+                Ground { zones: &node.zones, name: &node.node, zone: &node.zone, limiters: &limiters };
+            // Who is to try an ill server is drawn over all limiters, whoever casts it.
+            let tries = |row: &ServerRow| self.steering.standing(&row.id) == Standing::Tried;
+            let able = able.into_iter().zip(cast(&ground, &places));
+            let able = able.filter(|((row, _), cast)| *cast || tries(row)).map(|(able, _)| able);
+            let member = |(row, left): (&ServerRow, Millis)| {
                 let started = if left > 0.0 {
                     let began = now - (cold - left).max(0.0);
                     let told = spells.entry(row.id.clone()).or_insert(began);
@@ -305,17 +493,18 @@
                 Some(Member {
                     id: row.id.clone(),
                     address: Some(row.address.parse().ok()?),
-                    zone: row.zone.clone(),
+                    zone: if whose(row) == Use::Reads { proven(&row.zone) } else { row.zone.clone() },
                     cell: 0,
                     weight: 1.0,
                     started,
                     state: ServerState::Ready,
+                    standing: self.steering.standing(&row.id),
                 })
             };
-            able.filter_map(member).collect()
+            (able.filter_map(member).collect(), places.len())
         });
         spells.retain(|id, _| members.iter().any(|m| m.id == *id));
-        members
+        (members, all)
     }
 
     // ---- Requests -----------------------------------------------------------------------------
@@ -345,8 +534,45 @@
         Ok(Ticket { scene, route: at, customer, within, time_left })
     }
 
-    /// Gives a request its one answer.
+    /// Gives a request its one answer. Where it runs once, an answer of the proxy's own says what is certain
+    /// of it.
     async fn take(&self, ticket: Ticket, head: Parts, body: Upload, room: Option<Room>) -> Response<Body> {
+        let route = &ticket.scene.table.bill().routes[ticket.route];
+        let once = class(route, route.rank).repeat == Repeat::Unsafe;
+        let named = head.headers.get(&TRY_ID).filter(|_| once).cloned();
+        // Held until it is answered; what became of it stands in the outcomes by then.
+        let mut _held = None;
+        if let Some(try_id) = named.as_ref().and_then(|id| id.to_str().ok()) {
+            match self.open.hold(try_id).ok().filter(|_| !self.may_have_run(try_id)) {
+                Some(held) => _held = Some(held),
+                None => {
+                    let mut response = refuse(Kind::Repeated, 0.0);
+                    say_so(&mut response, Kind::Repeated, try_id, self.ran_at(try_id).as_deref());
+                    return response;
+                }
+            }
+        }
+        match self.ask(ticket, head, body, room).await {
+            Ok(response) => response,
+            Err((kind, wait)) => {
+                let mut response = refuse(kind, wait);
+                if let Some(try_id) = named.as_ref().and_then(|id| id.to_str().ok()) {
+                    let server = self.ran_at(try_id);
+                    say_so(&mut response, kind, try_id, server.as_deref());
+                }
+                response
+            }
+        }
+    }
+
+    /// A server's answer, or what is said in its place, and when to come back.
+    async fn ask(
+        &self,
+        ticket: Ticket,
+        head: Parts,
+        body: Upload,
+        room: Option<Room>,
+    ) -> Result<Response<Body>, (Kind, Millis)> {
         let bill = ticket.scene.table.bill();
         let route = &bill.routes[ticket.route];
         let tenant = ticket.customer.and_then(|at| bill.customers.as_ref()?.get(at));
@@ -356,12 +582,26 @@
                 let number = tenant_number(&tenant.name);
                 let admitted = self.counter.admit(number, PlanId(place), self.limiters());
                 if let Err(wait) = admitted {
-                    return refuse(Kind::Quota, wait.max(SOON));
+                    return Err((Kind::Quota, wait.max(SOON)));
                 }
             }
         }
-        let service = share(route, self.roll()).and_then(|name| self.services.borrow().get(name).cloned());
-        let Some(service) = service else { return refuse(Kind::Busy, SOON) };
+        let owner = share(route, self.roll()).unwrap_or_default();
+        let service = self.services.borrow().get(owner).cloned();
+        let Some(service) = service else { return Err((Kind::Busy, SOON)) };
+        let tally = self.tally(owner);
+        let mut within = ticket.within;
+        if tally.is_contested() {
+            // Nothing but its life proves an answer of a server whose owner is contested: what may run once
+            // goes to others, and where there are none, or it is not sure that these are known here, nowhere.
+            let repeatable = route.kind != playbill::Kind::Unsafe;
+            let able = if repeatable { tally.all + tally.reads } else { tally.all };
+            if able == 0 || !repeatable && tally.nothing > 0 && !self.known.agrees() {
+                self.note("contested");
+                return Err((Kind::Busy, CONTESTED));
+            }
+            within = ticket.scene.among(within, repeatable);
+        }
         let headers = headers_on(&head.headers, tenant.map(|t| t.name.as_str()));
         let at = service.classes.borrow().iter().position(|n| *n == route.name).unwrap_or(0);
         let rank = tenant.and_then(|t| t.rank).unwrap_or(route.rank);
@@ -373,23 +613,23 @@
             spread: 1.0,
             uploading: body.is_stream(),
             rules: Some(Arc::new(rules)),
-            within: ticket.within,
+            within,
             ..Request::default()
         };
         let forward = Forward { method: head.method, uri: head.uri, headers, body, room };
         match service.engine.ask(request, forward).await {
-            Answer::Served(response) => response,
+            Answer::Served(response) => Ok(response),
             Answer::Refused(wait) => {
                 self.note("refused");
-                refuse(Kind::Busy, wait.max(1.0))
+                Err((Kind::Busy, wait.max(1.0)))
             }
             Answer::Failed => {
                 self.note("failed");
-                refuse(Kind::Failed, 0.0)
+                Err((Kind::Failed, 0.0))
             }
             Answer::TimedOut => {
                 self.note("too late");
-                refuse(Kind::Late, 0.0)
+                Err((Kind::Late, 0.0))
             }
         }
     }
@@ -410,6 +650,7 @@
             .collect()
     };
     a.gateways == b.gateways
+        && a.sparse == b.sparse
         && a.zone == b.zone
         && a.zone_cost == b.zone_cost
         && a.warm_after == b.warm_after
