--- a/crates/callboard/src/main.rs
+++ b/crates/callboard/src/main.rs
@@ -1,10 +1,12 @@
 //! The registry's program.
 
 use callboard::council::Council;
+use callboard::names::Names;
 use callboard::outside::Outside;
 use greenroom::follow::{ask, Heard, Knowledge, Place, Steady};
 use greenroom::link::{self, Link};
 use greenroom::log;
+use greenroom::query::{add_outcome, Commands, Desk};
 use greenroom::run::{self, listen, Program, Signals, Told, Word};
 use greenroom::settings::place::{REGISTRY, STORE};
 use greenroom::settings::Settings;
@@ -25,6 +27,8 @@
 const AGAIN: Duration = Duration::from_millis(100);
 /// The stores are asked for their voters within this.
 const WHO_WITHIN: Duration = Duration::from_millis(800);
+/// Between two looks at who votes.
+const VOTERS_EVERY: Duration = Duration::from_millis(500);
 /// What a peer's answer may be held.
 const HOLD: u32 = 300;
 
@@ -42,12 +46,16 @@
 
     // Other processes of the system.
     let inner = listen(settings.inner_address(REGISTRY))?;
+    let mut commands = Commands::of(&known, "callboard", &settings.node);
+    add_outcome(&mut commands, &Desk::new(known.clone(), settings.node.clone(), None));
+    let commands = Rc::new(commands);
     let telling = known.clone();
     let handler: Rc<dyn Fn(u8, bytes::Bytes) -> link::Answering> = Rc::new(move |kind, body| {
-        let known = telling.clone();
+        let (known, commands) = (telling.clone(), commands.clone());
         Box::pin(async move {
             match kind {
                 call::FOLLOW => known.answer_bytes(body).await,
+                call::QUERY => commands.answer_bytes(body).await,
                 _ => Vec::new(),
             }
         })
@@ -55,23 +63,19 @@
     tokio::task::spawn_local(link::serve(inner, handler));
     let mut peers = BTreeSet::new();
     follow_peers(&known, &settings, settings.seeds.iter().map(|s| *s.ip()), &mut peers);
-    tokio::task::spawn_local(look(known.clone()));
+    let names = Names::new(known.clone());
+    tokio::task::spawn_local(look(known.clone(), names));
 
     // What is agreed.
-    let voters = voters(&settings).await;
-    let of_voters = voters.iter().filter_map(|v| match v.ip() {
-        IpAddr::V4(ip) => Some(ip),
-        IpAddr::V6(_) => None,
-    });
-    follow_peers(&known, &settings, of_voters, &mut peers);
-    let alone = voters.len() < 2;
-    let links = voters.iter().map(|at| Link::new(*at)).collect();
-    let council = Council::new(known.clone(), Rc::new(Caller::new(u64::from(u32::from(settings.ip)), links)));
+    let caller = Rc::new(Caller::new(u64::from(u32::from(settings.ip))));
+    find_voters(&caller, &settings).await;
+    let council = Council::new(known.clone(), caller.clone());
     tokio::task::spawn_local(council.clone().keep_up());
+    tokio::task::spawn_local(follow_voters(known.clone(), caller, told.clone(), peers));
 
     // Callers from outside.
     let zones = settings.zones.iter().map(|(zone, _)| zone.clone()).collect();
-    let outside = Outside::new(known.clone(), council, alone, zones, settings.bounds.ttl_max_s);
+    let outside = Outside::new(known.clone(), council, zones, settings.bounds.ttl_max_s);
     tokio::task::spawn_local(outside.clone().serve(listen(control)?));
     if let Some(directory) = settings.listen_on("directory") {
         tokio::task::spawn_local(outside.clone().serve(listen(directory)?));
@@ -83,8 +87,6 @@
             Word::End => break,
             Word::Settings => {
                 if told.reread() {
-                    let settings = told.settings();
-                    follow_peers(&known, &settings, settings.seeds.iter().map(|s| *s.ip()), &mut peers);
                     log::info!("settings: taken again");
                 }
             }
@@ -95,15 +97,19 @@
     Ok(())
 }
 
-/// The store's voters, as soon as one of it names them.
-async fn voters(settings: &Settings) -> Vec<SocketAddr> {
+/// The stores to ask who votes.
+fn stores(settings: &Settings) -> Vec<SocketAddr> {
     let own = std::iter::once(settings.ip);
-    let stores: Vec<SocketAddr> =
-        own.chain(settings.seeds.iter().map(|s| *s.ip())).map(|ip| settings.inner_of(ip, STORE)).collect();
+    own.chain(settings.seeds.iter().map(|s| *s.ip())).map(|ip| settings.inner_of(ip, STORE)).collect()
+}
+
+/// Waits until a store names the voters.
+async fn find_voters(caller: &Caller, settings: &Settings) {
     let mut told = false;
-    loop {
-        if let Some(voters) = promptbook::caller::voters(&stores, WHO_WITHIN).await {
-            return voters;
+    while caller.voters().is_empty() {
+        caller.look(&stores(settings), WHO_WITHIN).await;
+        if !caller.voters().is_empty() {
+            return;
         }
         if !told {
             log::warn!("registry: no store names its voters yet");
@@ -113,6 +119,38 @@
     }
 }
 
+/// Follows all core machines that are seeds or vote, as they come. The voters known here change with what is agreed;
+/// where none of them answers any more, the seeds of the moment are asked.
+async fn follow_voters(
+    known: Rc<Knowledge>,
+    caller: Rc<Caller>,
+    told: Rc<Told>,
+    mut peers: BTreeSet<Ipv4Addr>,
+) {
+    loop {
+        let settings = told.settings();
+        if !known.in_touch() {
+            caller.look(&stores(&settings), WHO_WITHIN).await;
+        }
+        let voters = caller.voters().into_iter().filter_map(|voter| match voter.ip() {
+            IpAddr::V4(ip) => Some(ip),
+            IpAddr::V6(_) => None,
+        });
+        let voters: Vec<Ipv4Addr> = voters.collect();
+        follow_peers(
+            &known,
+            &settings,
+            settings.seeds.iter().map(|s| *s.ip()).chain(voters.clone()),
+            &mut peers,
+        );
+        let cast = caller.cast();
+        if !cast.is_changing() {
+            known.set_core(1 + cast.made.round, voters.into_iter());
+        }
+        tokio::time::sleep(VOTERS_EVERY).await;
+    }
+}
+
 /// Follows the other core machines that are not followed yet.
 fn follow_peers(
     known: &Rc<Knowledge>,
@@ -139,7 +177,7 @@
 
 /// Looks for silence. Who stood still, has just begun, or was not in touch with a majority has heard nothing, and says
 /// nothing of others until it has listened for longer than a silence takes.
-async fn look(known: Rc<Knowledge>) {
+async fn look(known: Rc<Knowledge>, names: Rc<Names>) {
     let mut last = known.now();
     let mut awake_since = last;
     loop {
@@ -155,5 +193,6 @@
         }
         let may_judge = now - awake_since > LISTENED && known.with(|book, now| book.is_warm(now));
         known.change(|book, now| book.look(now, may_judge));
+        names.look();
     }
 }
--- a/crates/critic/src/lib.rs
+++ b/crates/critic/src/lib.rs
@@ -15,9 +15,9 @@
 /// Evidence fades by these, ms. The quick one sees a server that was well until now, the long one a server
 /// that is met rarely.
 pub const FADES: [Millis; 2] = [2000.0, 8000.0];
-/// What is told at all: two failures next to each other, or one of a server of which no good is known of
-/// late. With many proxies each meets a server rarely, and only together do they see enough.
-pub const TELL: f64 = 2.8;
+/// What is told at all: two failures next to each other. One is an accident, and to tell each costs more bytes between
+/// regions than it earns.
+pub const TELL: f64 = 4.0;
 /// From here on a server is doubtful: three failures next to each other. A server that is well gets here by
 /// less than one attempt in e^7, 1,100, by Wald's bound.
 pub const DOUBT: f64 = 7.0;
--- a/crates/greenroom/src/follow.rs
+++ b/crates/greenroom/src/follow.rs
@@ -1,14 +1,17 @@
 //! Following other processes' news, and telling them one's own. The rows' order is [`crate::news`]'s; here are the calls,
 //! the waiting and the clock.
 
+use crate::agree::Agreement;
 use crate::link::Link;
+use crate::log;
 use crate::news::{Book, Millis};
-use crate::wire::{call, Decided, Follow, MemberRow, News, NoticeRow, ServerRow};
+use crate::wire::{call, Core, Decided, Follow, MemberRow, News, NoticeRow, ServerRow};
 use bytes::Bytes;
 use prost::Message;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::hash::{BuildHasher, RandomState};
+use std::net::Ipv4Addr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Notify;
@@ -53,6 +56,8 @@
     pub at: Millis,
     /// It wants each word: a core machine.
     pub each: bool,
+    /// The digest of the servers that it knew.
+    pub digest: u64,
 }
 
 /// Called when servers or limiters changed in what they are used for, or an edition was taken.
@@ -63,10 +68,12 @@
     clock: Steady,
     book: RefCell<Book>,
     decided: RefCell<(u64, Rc<Decided>)>,
+    core: RefCell<Core>,
     /// A majority was asked then, or later, and knew nothing newer than what is decided here.
     fresh: Cell<Option<Millis>>,
     /// What the system's time is ahead of this process's.
     ahead: Cell<Millis>,
+    agreement: RefCell<Agreement>,
     followers: RefCell<HashMap<String, Seen>>,
     stirred: Notify,
     hears: RefCell<Vec<Hears>>,
@@ -79,8 +86,10 @@
             clock,
             book: RefCell::new(Book::new(chance(), beat_every, clock.now())),
             decided: RefCell::default(),
+            core: RefCell::default(),
             fresh: Cell::default(),
             ahead: Cell::default(),
+            agreement: RefCell::new(Agreement::new(clock.now())),
             followers: RefCell::default(),
             stirred: Notify::new(),
             hears: RefCell::default(),
@@ -150,6 +159,18 @@
         }
     }
 
+    /// The core machines that vote, as far as known here.
+    pub fn core(&self) -> Vec<Ipv4Addr> {
+        self.core.borrow().ips.iter().map(|ip| Ipv4Addr::from(*ip)).collect()
+    }
+
+    /// Takes the core machines of this version, unless they are older than those known. Who follows hears of them.
+    pub fn set_core(&self, version: u64, ips: impl Iterator<Item = Ipv4Addr>) {
+        if version > self.core.borrow().version {
+            *self.core.borrow_mut() = Core { version, ips: ips.map(u32::from).collect() };
+        }
+    }
+
     /// A majority was asked then and knew of nothing newer than `edition`.
     pub fn confirm(&self, at: Millis, edition: u64) {
         if self.edition() >= edition && self.fresh.get().is_none_or(|fresh| fresh < at) {
@@ -167,11 +188,31 @@
         self.fresh_ago().is_some_and(|ago| ago <= IN_TOUCH)
     }
 
+    /// The control limiter that this process follows was found to know the same servers a short while ago.
+    pub fn agrees(&self) -> bool {
+        !self.agreement.borrow().is_past(self.now())
+    }
+
+    /// Compares what is known here with what a teller knows whose news were all taken in; whether to take
+    /// everything anew.
+    fn compare(&self, edition: u64, digest: u64) -> bool {
+        let same = digest == self.book.borrow().digest();
+        edition == self.edition() && self.agreement.borrow_mut().heard(self.now(), same)
+    }
+
     /// What the follower of this name took in last.
     pub fn seen_by(&self, name: &str) -> Seen {
         self.followers.borrow().get(name).copied().unwrap_or_default()
     }
 
+    /// Who follows this process, with what each took in last.
+    pub fn followers(&self) -> Vec<(String, Seen)> {
+        let mut all: Vec<_> =
+            self.followers.borrow().iter().map(|(name, seen)| (name.clone(), *seen)).collect();
+        all.sort_by(|a, b| a.0.cmp(&b.0));
+        all
+    }
+
     /// Waits until this holds of what followers took in, or the time is up; whether it holds.
     pub async fn wait_for(&self, within: Duration, holds: impl Fn(&HashMap<String, Seen>) -> bool) -> bool {
         let until = Instant::now() + within;
@@ -186,8 +227,9 @@
         }
     }
 
-    fn wanted(&self, follow: &Follow, each: bool) -> bool {
-        self.edition() > follow.edition || self.book.borrow().has_news(follow.epoch, follow.seen, each)
+    fn wanted(&self, follow: &Follow, each: bool, notices: bool) -> bool {
+        self.edition() > follow.edition
+            || self.book.borrow().has_news(follow.epoch, follow.seen, each, notices)
     }
 
     /// Answers a call, at once or when there is news.
@@ -202,7 +244,8 @@
             self.change(|book, now| follow.notices.iter().for_each(|row| _ = book.notice(now, row)));
         }
         if follow.epoch == self.book.borrow().epoch() {
-            let seen = Seen { seen: follow.seen, edition: follow.edition, at: came, each: follow.each };
+            let (seen, edition, digest) = (follow.seen, follow.edition, follow.digest);
+            let seen = Seen { seen, edition, at: came, each: follow.each, digest };
             self.followers.borrow_mut().insert(follow.name.clone(), seen);
             self.stirred.notify_waiters();
         }
@@ -211,21 +254,19 @@
             let stirred = self.stirred.notified();
             let waited = self.now() - came;
             if waited >= hold
-                || self.wanted(&follow, false)
-                || waited >= gather && self.wanted(&follow, follow.each)
+                || self.wanted(&follow, false, false)
+                || waited >= gather && self.wanted(&follow, follow.each, !follow.plain)
             {
                 break;
             }
-            let until = if waited < gather && follow.each { gather } else { hold };
+            let until = if waited < gather { gather } else { hold };
             let left = Duration::from_secs_f64((until - waited).max(0.5) / 1000.0);
             // Either it is woken, or looks again.
             let _ = tokio::time::timeout(left, stirred).await;
         }
         let now = self.now();
         let mut news = self.book.borrow().since(now, follow.epoch, follow.seen, follow.each);
-        if !follow.each && follow.member.is_none() {
-            // All proxies have it from their control limiters. Between them it would cost three times as
-            // much.
+        if follow.plain {
             news.notices.clear();
         }
         news.limiters = self.book.borrow().limiters(now);
@@ -236,6 +277,7 @@
         news.fresh_ago = self.fresh_ago().map(|ago| ago.ceil() as u32);
         news.held = (now - came) as u32;
         news.time = self.time();
+        news.core = Some(self.core.borrow().clone()).filter(|core| core.version > follow.core);
         news
     }
 
@@ -254,6 +296,9 @@
         if let Some(decided) = &news.decided {
             self.decide(news.edition, decided.clone());
         }
+        if let Some(core) = &news.core {
+            self.set_core(core.version, core.ips.iter().map(|ip| Ipv4Addr::from(*ip)));
+        }
         if let Some(ago) = news.fresh_ago {
             // It was sent no sooner than it was held, and is no older then than it says.
             self.confirm(asked + f64::from(news.held) - f64::from(ago), news.edition);
@@ -317,7 +362,12 @@
 ) -> Heard {
     let asked = known.now();
     let (epoch, seen, edition) = (place.epoch, place.seen, known.edition());
-    let follow = Follow { name: name.to_owned(), epoch, seen, edition, each, hold, member, notices };
+    let core = known.core.borrow().version;
+    let (digest, session) = (known.with(|book, _| book.digest()), member.is_some());
+    let name = name.to_owned();
+    // Who is in touch with the core hears there what limiters have seen of servers.
+    let plain = !each && !session && known.in_touch();
+    let follow = Follow { name, epoch, seen, edition, each, hold, member, notices, core, digest, plain };
     let within = Duration::from_millis(u64::from(hold)) + PATIENCE;
     let answer = link.call(call::FOLLOW, follow.encode_to_vec(), within).await;
     let Some(news) = answer.ok().filter(|b| !b.is_empty()).and_then(|b| News::decode(b).ok()) else {
@@ -325,6 +375,40 @@
     };
     *place = Place { epoch: news.epoch, seen: news.seen };
     let (fresh_ago, limiters) = (news.fresh_ago, news.limiters);
+    // Of another version, or itself behind: there is nothing to compare with.
+    let comparable = session && news.digest != 0 && news.warm;
+    let comparable = comparable && fresh_ago.is_some_and(|ago| f64::from(ago) <= IN_TOUCH);
+    let (edition, digest) = (news.edition, news.digest);
     known.hear(asked, news);
+    if comparable && known.compare(edition, digest) {
+        log::info!("news: other servers are known here than at who is followed; all is taken in anew");
+        *place = Place::default();
+    }
     Heard::Told { fresh_ago, limiters }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn followers_hear_of_the_core_once_and_never_of_an_older_one() {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_time().build().unwrap();
+        let (one, two) = (Knowledge::new(Steady::start(), 1500.0), Knowledge::new(Steady::start(), 1500.0));
+        let ips = |last: u8| (1..=last).map(|n| Ipv4Addr::new(10, 0, 0, n));
+        let tell = |from: &Knowledge, to: &Knowledge| {
+            let follow = Follow { core: to.core.borrow().version, ..Follow::default() };
+            let news = runtime.block_on(from.answer(follow));
+            let told = news.core.is_some();
+            to.hear(to.now(), news);
+            told
+        };
+        assert!(!tell(&one, &two));
+        one.set_core(1, ips(3));
+        assert!(tell(&one, &two) && !tell(&one, &two));
+        one.set_core(7, ips(5));
+        assert!(!tell(&two, &one) && tell(&one, &two));
+        two.set_core(6, ips(2));
+        assert_eq!(two.core(), ips(5).collect::<Vec<_>>());
+    }
+}
--- a/crates/proscenium/src/scene.rs
+++ b/crates/proscenium/src/scene.rs
@@ -9,6 +9,22 @@
 /// A zone has a bit in the mask of zones that a request's servers may stand in.
 const MOST_ZONES: usize = 63;
 
+/// What is put after a zone's name for those of its servers whose owner is contested and whose answers are
+/// proven by the life that a try names. The decision module knows servers apart by zone only, so each zone
+/// stands there twice.
+const PROVEN: &str = " (contested)";
+
+/// How the decision module calls the part of a zone with the servers whose owner is contested.
+pub fn proven(zone: &str) -> String {
+    format!("{zone}{PROVEN}")
+}
+
+/// All zones as the decision module knows them: first those with the servers that are surely their owner's.
+pub fn everywhere(settings: &Settings) -> Vec<String> {
+    let zones = settings.zones.iter().map(|(zone, _)| zone.clone());
+    zones.chain(settings.zones.iter().map(|(zone, _)| proven(zone))).collect()
+}
+
 /// What one edition says.
 #[derive(Debug)]
 pub struct Scene {
@@ -22,6 +38,8 @@
     within: Vec<u64>,
     /// By customer.
     customers_within: Vec<u64>,
+    /// How many zones there are.
+    zones: usize,
 }
 
 /// The bit of each zone that stands in one of these regions; 0 where none is named.
@@ -41,7 +59,23 @@
         let customers = bill.customers.as_deref().unwrap_or_default();
         let customers_within = customers.iter().map(|c| mask(settings, &c.homes)).collect();
         let empty = decided.empty.iter().cloned().collect();
-        Ok(Scene { edition, table: Table::new(&bill), empty, within, customers_within })
+        let zones = settings.zones.len();
+        Ok(Scene { edition, table: Table::new(&bill), empty, within, customers_within, zones })
+    }
+
+    /// The same zones where some of the servers are contested: with those, for what may be repeated, or
+    /// without.
+    pub fn among(&self, within: u64, repeatable: bool) -> u64 {
+        // A mask has no room for more than half of its zones twice: then nothing at all goes to the contested
+        // ones.
+        let zones = self.zones.min(MOST_ZONES);
+        let all = if zones >= MOST_ZONES { u64::MAX >> 1 } else { (1 << zones) - 1 };
+        match (within, repeatable && 2 * zones <= MOST_ZONES) {
+            (0, true) => 0,
+            (0, false) => all,
+            (within, true) => within | within << zones,
+            (within, false) => within,
+        }
     }
 
     /// The zones that a request's servers may stand in; 0: all. `None`: its homes leave none.
@@ -70,22 +104,47 @@
 }
 
 /// Parts of a tenant's rate and burst that are given out. The rest is for what limiters let through before they hear of each
-/// other: at six times the quota some 0.2 s of it.
+/// other.
 const RATE_PART: f64 = 0.97;
 const BURST_PART: f64 = 0.75;
 /// That much beyond it, in bursts, is paid back before anything else passes.
 const DEBT: f64 = 4.0;
+/// Less of a burst than this would refuse what comes unevenly in calm times.
+const LEAST_BURST: f64 = 0.3;
+/// A tenant that presses asks for so many times its rate beyond it: what is let through unheard is sized by that.
+const PRESSES: f64 = 3.7;
+/// How long that goes on before limiters have heard of each other, s, and how much longer for each limiter: a limiter tells
+/// of each request, and has one the more rarely the more limiters there are.
+const UNHEARD: f64 = 0.2;
+const UNHEARD_EACH: f64 = 0.001;
+
+/// How much of a tenant's quota the rule lets run in its window, beyond what the quota gives, and over which window.
+#[derive(Clone, Copy, Debug)]
+pub struct Allowed {
+    /// The window, s.
+    pub window: f64,
+    /// A share of what the quota gives in the window.
+    pub over: f64,
+    /// Requests.
+    pub slack: f64,
+    /// Limiters that share the quota.
+    pub limiters: f64,
+}
 
 /// How the decision module sees a tenant's quota.
-pub fn plan(rate: f64, burst: f64) -> Plan {
+pub fn plan(rate: f64, burst: f64, allowed: Allowed) -> Plan {
     if rate <= 0.0 {
         return Plan { price: 1.0, ..Plan::default() };
     }
     // A quota without a burst still lets one second through at once.
     let burst = if burst > 0.0 { burst } else { rate };
+    let given = RATE_PART * rate * allowed.window;
+    let bound = (rate * allowed.window + burst) * (1.0 + allowed.over) + allowed.slack;
+    let unheard = PRESSES * rate * (UNHEARD + UNHEARD_EACH * allowed.limiters);
+    let room = if allowed.window > 0.0 { bound - given - unheard } else { burst };
     Plan {
         rate: rate * RATE_PART,
-        burst: (burst * BURST_PART).max(1.0),
+        burst: room.max(LEAST_BURST * burst).min(BURST_PART * burst).max(1.0),
         price: 1.0,
         over_cost: 1.0,
         debt: DEBT,
@@ -141,6 +200,25 @@
         assert_eq!(scene.within(1, Some(1)), None, "akl and chc leave none");
     }
 
+    #[test]
+    fn what_may_run_once_keeps_to_the_zones_part_that_is_surely_the_owners() {
+        let settings = settings();
+        let scene = Scene::new(3, &decided(), &settings).expect("a scene");
+        let (all, places) = (everywhere(&settings), settings.zones.len());
+        let names = |mask: u64| -> Vec<&str> {
+            let zones = all.iter().enumerate().filter(|(at, _)| mask & 1 << at != 0);
+            zones.map(|(_, zone)| zone.as_str()).collect()
+        };
+        assert_eq!((scene.among(0, true), names(scene.among(0, false)).len()), (0, places));
+        let home = scene.within(1, None).expect("its homes' zones");
+        assert_eq!(scene.among(home, false), home);
+        let proven = ["akl-eastt (contested)", "akl-penrose (contested)"];
+        assert_eq!(names(scene.among(home, true)), [names(home), proven.to_vec()].concat());
+        // No room for all zones twice: nothing goes to the contested ones.
+        let wide = Scene { zones: 40, ..scene };
+        assert_eq!((wide.among(0, true), wide.among(5, true)), ((1 << 40) - 1, 5));
+    }
+
     #[test]
     fn a_tenant_has_one_number_at_all_limiters_and_no_other_has_it() {
         // A limiter that started after a tenant had come and gone counted the rest one place further on.
--- a/crates/topazwind/src/interface.rs
+++ b/crates/topazwind/src/interface.rs
@@ -189,6 +189,9 @@
     pub least_limit: f64,
     /// A gateway keeps to no fewer servers than this; 0: 8.
     pub subset_least: f64,
+    /// The list is this gateway's part of a large service already, and it meets each server of it rarely: of all of them two
+    /// are drawn, near ones more often, and compared.
+    pub sparse: bool,
 }
 
 /// What a keeper of quotas is told at its start.
@@ -206,6 +209,8 @@
     pub sync_every: Millis,
     /// Use that is too small for a sync is told after this; 0: 1000 ms.
     pub flush_after: Millis,
+    /// Share of the burst that must be new for a sync; 0: a tenth. What each gateway has not told adds up over all.
+    pub sync_share: f64,
 }
 
 impl From<&Settings> for QuotaSettings {
