--- a/crates/callboard/src/main.rs
+++ b/crates/callboard/src/main.rs
@@ -48,6 +48,15 @@
     let inner = listen(settings.inner_address(REGISTRY))?;
     let mut commands = Commands::of(&known, "callboard", &settings.node);
     add_outcome(&mut commands, &Desk::new(known.clone(), settings.node.clone(), None));
+    let names = Names::new(known.clone());
+    let asked = names.clone();
+    dramatis::shell::add(
+        &mut commands,
+        Rc::new(move |show| {
+            let named = asked.now();
+            show(&named.catalogue, named.routes.as_deref());
+        }),
+    );
     let commands = Rc::new(commands);
     let telling = known.clone();
     let handler: Rc<dyn Fn(u8, bytes::Bytes) -> link::Answering> = Rc::new(move |kind, body| {
@@ -63,7 +72,6 @@
     tokio::task::spawn_local(link::serve(inner, handler));
     let mut peers = BTreeSet::new();
     follow_peers(&known, &settings, settings.seeds.iter().map(|s| *s.ip()), &mut peers);
-    let names = Names::new(known.clone());
     tokio::task::spawn_local(look(known.clone(), names));
 
     // What is agreed.
--- a/crates/dramatis/src/lib.rs
+++ b/crates/dramatis/src/lib.rs
@@ -5,10 +5,12 @@
 //! | --- | --- |
 //! | [`collision`] | the one table of collisions, with what holds in each and why |
 //! | [`catalogue`] | an immutable snapshot of who owns what, swapped whole |
+//! | [`shell`] | the commands of the shell that ask the catalogue |
 //! | [`tables`] | answers for the shell: who owns a name, collisions, where a request goes, what changed |
 
 pub mod catalogue;
 pub mod collision;
+pub mod shell;
 pub mod tables;
 
 pub use catalogue::{Cast, Catalogue, Entry, Standing, Tally, Use};
--- a/crates/proscenium/src/house.rs
+++ b/crates/proscenium/src/house.rs
@@ -189,6 +189,17 @@
         table(title, &["service", "out", "kept from"], services.iter().map(row).collect())
     }
 
+    /// For the shell: servers of which something is known against them, and what is made of it here.
+    pub fn verdicts(&self) -> Table {
+        self.steering.verdicts(self.known.now())
+    }
+
+    /// For the shell: the catalogue as requests go by it, and the routes in force.
+    pub fn show_names(&self, show: &mut dyn FnMut(&Catalogue, Option<&playbill::Table>)) {
+        let (catalogue, scene) = (self.catalogue.borrow().1.clone(), self.scene.borrow().clone());
+        show(&catalogue, scene.as_ref().map(|scene| &scene.table));
+    }
+
     /// Takes down what becomes of the tries of a service that run once.
     fn witness(&self, engine: &ServiceEngine) {
         let (outcomes, known) = (self.outcomes.clone(), self.known.clone());
--- a/crates/proscenium/src/main.rs
+++ b/crates/proscenium/src/main.rs
@@ -47,6 +47,10 @@
     add_outcome(&mut commands, &desk);
     let guarding = house.clone();
     commands.add("guard", "guard", 0, move |_| guarding.guard());
+    let judging = house.clone();
+    commands.add("verdicts", "verdicts", 0, move |_| judging.verdicts());
+    let named = house.clone();
+    dramatis::shell::add(&mut commands, Rc::new(move |show| named.show_names(show)));
     let commands = Rc::new(commands);
     let (telling, counting) = (known.clone(), counter.clone());
     let handler: Rc<dyn Fn(u8, bytes::Bytes) -> link::Answering> = Rc::new(move |kind, body| {
--- a/crates/proscenium/src/steering.rs
+++ b/crates/proscenium/src/steering.rs
@@ -8,8 +8,9 @@
 use critic::{End, Notice, Weight};
 use greenroom::log::{self, Few};
 use greenroom::news::{member_state, server_state, Book, Millis};
+use greenroom::query::table;
 use greenroom::settings::Settings as Node;
-use greenroom::wire::NoticeRow;
+use greenroom::wire::{NoticeRow, Table};
 use oatbank_engine::engine::Finished;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
@@ -192,6 +193,23 @@
         changed
     }
 
+    /// For the shell: what is made of each server that is not simply well.
+    pub fn verdicts(&self, now: Millis) -> Table {
+        let (judge, standings) = (self.judge.borrow(), self.standings.borrow());
+        let row = |(id, since): (String, Millis)| {
+            let here = standings.get(&id).copied().unwrap_or_default();
+            let (state, since) =
+                (format!("{:?}", judge.state(&id)), format!("{:.1} s", (now - since) / 1000.0));
+            vec![id, state.to_lowercase(), format!("{here:?}").to_lowercase(), since]
+        };
+        let rows: Vec<Vec<String>> = judge.ill().into_iter().map(row).collect();
+        table(
+            format!("{} servers are not simply well", rows.len()),
+            &["server", "verdict", "here", "for"],
+            rows,
+        )
+    }
+
     /// How a server of a service is to be used. Where servers have turned something away of late there is no room for
     /// what others would have to take.
     pub fn standing(&self, now: Millis, service: &str, id: &str) -> Standing {
