--- a/crates/rehearsal/tests/names.rs
+++ b/crates/rehearsal/tests/names.rs
@@ -5,7 +5,8 @@
 use common::{Hammer, System, HOST, MS};
 use rehearsal::client::{try_at, Ask, Try};
 use rehearsal::operator::Bill;
-use rehearsal::stage::Plan;
+use rehearsal::shell;
+use rehearsal::stage::{Plan, INNER_PROXY, INNER_REGISTRY};
 use rehearsal::wait::{holds, LONG};
 use std::time::{Duration, Instant};
 
@@ -40,6 +41,13 @@
     let refused = |t: &Try| t.status() == 503;
     let all = || fronts.iter().all(|front| refused(&try_at(*front, &confirm("/north/3"))));
     holds(LONG, "nobody sends the contested one anything", all).unwrap();
+    // A proxy and a core machine say why, when asked.
+    let (proxy, core) = (system.stage.proxies().start, system.stage.cores().start);
+    for at in [system.stage.inner(proxy, INNER_PROXY), system.stage.inner(core, INNER_REGISTRY)] {
+        let table = shell::ask(at, &["who-owns", &victim.id()]).expect("an answer");
+        let contested = |cell: &String| cell.starts_with("contested");
+        assert!(table.rows.iter().flatten().any(contested), "{table:?}");
+    }
     let since = Instant::now();
     hammer.until_after(since + 300 * MS);
     beat(1001);
