--- a/crates/greenroom/src/news.rs
+++ b/crates/greenroom/src/news.rs
@@ -689,6 +689,12 @@
         teller.server(20.0, &server("a", 2, 0));
         assert!(!teller.has_news(all.epoch, all.seen, false, true), "a word that changes nothing");
         assert!(teller.has_news(all.epoch, all.seen, true, true));
+        // What a limiter saw of a server changes no list: who hears of it elsewhere is not woken.
+        let before = teller.changes();
+        let notice =
+            NoticeRow { server: "a".into(), observer: "edge-1".into(), seq: 1, ..NoticeRow::default() };
+        assert!(matches!(teller.notice(25.0, &notice), Word::Changes(_)) && teller.changes() == before);
+        assert!(!teller.has_news(all.epoch, all.seen, false, false));
         teller.server(30.0, &server("a", 3, server_state::DRAINING));
         let news = teller.since(30.0, all.epoch, all.seen, false);
         assert!(!news.whole && news.servers.len() == 1);
--- a/crates/proscenium/src/counts.rs
+++ b/crates/proscenium/src/counts.rs
@@ -43,14 +43,14 @@
 impl Counter {
     /// No tenant yet.
     pub fn new(known: Rc<Knowledge>, links: Rc<Links>, name: String, seed: u64) -> Rc<Self> {
-        let quotas = RefCell::new(Quotas::new(settings(Vec::new(), 1.0), seed));
+        let quotas = RefCell::new(Quotas::new(quota_settings(Vec::new(), 1.0), seed));
         let (numbers, waiting, flushing) = (Numbers::default(), RefCell::default(), Cell::new(false));
         Rc::new(Counter { known, links, name, quotas, numbers, waiting, flushing })
     }
 
     /// Plans from now on, by tenant, before so many limiters.
     pub fn settle(&self, plans: Vec<Plan>, limiters: f64) {
-        self.quotas.borrow_mut().settle(settings(plans, limiters));
+        self.quotas.borrow_mut().settle(quota_settings(plans, limiters));
     }
 
     /// Whether a tenant's request goes on. What does not is told how long to stay away, ms.
@@ -174,7 +174,8 @@
     }
 }
 
-fn settings(plans: Vec<Plan>, limiters: f64) -> QuotaSettings {
+/// What the decision module's quotas are told before so many limiters.
+pub fn quota_settings(plans: Vec<Plan>, limiters: f64) -> QuotaSettings {
     let counter_timeout = WITHIN.as_secs_f64() * 1000.0;
     QuotaSettings {
         plans,
