--- a/crates/rehearsal/tests/names.rs
+++ b/crates/rehearsal/tests/names.rs
@@ -44,7 +44,7 @@
     // A proxy and a core machine say why, when asked.
     let (proxy, core) = (system.stage.proxies().start, system.stage.cores().start);
     for at in [system.stage.inner(proxy, INNER_PROXY), system.stage.inner(core, INNER_REGISTRY)] {
-        let table = shell::ask(at, &["who-owns", &victim.id()]).expect("an answer");
+        let table = shell::ask(at, &["who-owns", victim.id()]).expect("an answer");
         let contested = |cell: &String| cell.starts_with("contested");
         assert!(table.rows.iter().flatten().any(contested), "{table:?}");
     }
