--- a/crates/proscenium/tests/ninety.rs
+++ b/crates/proscenium/tests/ninety.rs
@@ -51,9 +51,9 @@
             push(&mut adds, acts, now, at);
         }
         if ms % TICK == 0 {
-            for at in 0..limiters {
+            for (at, quotas) in all.iter_mut().enumerate() {
                 let mut acts = Vec::new();
-                all[at].tick(now, &mut acts);
+                quotas.tick(now, &mut acts);
                 push(&mut adds, acts, now, at);
             }
         }
