--- a/crates/proscenium/src/scene.rs
+++ b/crates/proscenium/src/scene.rs
@@ -106,7 +106,7 @@
 /// Parts of a tenant's rate and burst that are given out. The rest is for what limiters let through before they hear of each
 /// other.
 const RATE_PART: f64 = 0.97;
-const BURST_PART: f64 = 0.75;
+const BURST_PART: f64 = 0.6;
 /// That much beyond it, in bursts, is paid back before anything else passes.
 const DEBT: f64 = 4.0;
 /// Less of a burst than this would refuse what comes unevenly in calm times.
