Choice: in a sparse list a returning server is drawn as rarely as it is meant to be

Found on reading again: the draw's weight was taken from warmth before a verdict lowered it, so a returning server was drawn like a well one wherever a list is sparse. The weight is no state any more; the draw takes warmth and what makes a zone rarer. Lists that are not sparse, and all in service, choose as before.

--- a/crates/topazwind/src/logic/choice.rs
+++ b/crates/topazwind/src/logic/choice.rs
@@ -184,8 +184,8 @@
             // Another zone is dearer only where that is set: it is met the less.
             let usual = if s.entry.zone == self.set.zone { 1.0 } else { CROSS_ZONE };
             let set = self.set.zone_cost.get(usize::from(s.entry.zone)).copied();
-            let (zone, weight) = (set.unwrap_or(usual), warmth / set.unwrap_or(1.0));
-            able.push(Able { id, warmth, zone, weight, roll });
+            let (zone, rarer) = (set.unwrap_or(usual), set.unwrap_or(1.0));
+            able.push(Able { id, warmth, zone, rarer, roll });
         }
         let mut able = self.heed(now, open, able);
         if subset && able.len() > 2 {
@@ -220,10 +220,10 @@
 
     /// One of those that may be chosen, by chance, as often as it is warm and near.
     pub(super) fn draw(&mut self, able: &[Able]) -> usize {
-        let mut left = self.chance() * able.iter().map(|a| a.weight).sum::<f64>();
+        let mut left = self.chance() * able.iter().map(|a| a.warmth / a.rarer).sum::<f64>();
         able.iter()
             .position(|a| {
-                left -= a.weight;
+                left -= a.warmth / a.rarer;
                 left < 0.0
             })
             .unwrap_or(0)
--- a/crates/topazwind/src/state.rs
+++ b/crates/topazwind/src/state.rs
@@ -180,8 +180,9 @@
 pub(crate) struct Able {
     pub(crate) id: ServerId,
     pub(crate) warmth: f64,
+    /// What its zone costs, and by how much it is met the less for that: only where costs are set.
     pub(crate) zone: f64,
-    pub(crate) weight: f64,
+    pub(crate) rarer: f64,
     pub(crate) roll: f64,
 }
 
--- a/crates/topazwind/tests/standing.rs
+++ b/crates/topazwind/tests/standing.rs
@@ -6,8 +6,19 @@
 
 /// Sends so many requests, 20 ms apart, each answered before the next: how many went to each server.
 fn shares(standings: &[Standing], repeat: Repeat, count: u32, out: Outcome) -> BTreeMap<u64, u32> {
+    shares_of(false, standings, repeat, count, out)
+}
+
+fn shares_of(
+    sparse: bool,
+    standings: &[Standing],
+    repeat: Repeat,
+    count: u32,
+    out: Outcome,
+) -> BTreeMap<u64, u32> {
     let class = Class { aim: 500.0, deadline: 1500.0, worth: 1.0, repeat, ..Class::default() };
-    let settings = Settings { gateways: 1.0, classes: vec![class], max_units: 1.0, ..Settings::default() };
+    let settings =
+        Settings { gateways: 1.0, classes: vec![class], max_units: 1.0, sparse, ..Settings::default() };
     let mut gateway = Gateway::new(settings, 5);
     let entry = |(at, standing): (usize, &Standing)| ServerEntry {
         server: ServerId(at as u64),
@@ -64,3 +75,14 @@
     let left = shares(&[Standing::Shunned, Standing::Well], Repeat::Safe, 60, Outcome::ConnectFailed);
     assert!(left[&0] > 30, "{left:?}");
 }
+
+#[test]
+fn in_a_sparse_list_too_a_returning_one_is_drawn_more_rarely() {
+    use Standing::{Returning, Well};
+    let drawn = |standing| {
+        let all = [Well, Well, Well, Well, Well, Well, standing];
+        shares_of(true, &all, Repeat::Safe, 1400, Outcome::Ok)[&6]
+    };
+    let (well, returning) = (drawn(Well), drawn(Returning));
+    assert!(2 * returning < well, "{returning} returning, {well} well");
+}
