Reading again: one renewal of the catalogue, one way to ask, limiters gathered once

- callboard and proxy each made the catalogue anew by the same steps: now dramatis::Current does, for both;
- ask and ask_telling took seven and eight arguments side by side: one ask with an Asking;
- each refresh gathered the limiters once a service and hashed each server's name at each comparison: once a refresh, once a server;
- whether a route runs once was asked in two ways in one file; three look-ups of one entry in the engine; a field of Finished that nobody read.
Behaviour as before; tests keep their assertions.

--- a/crates/callboard/src/main.rs
+++ b/crates/callboard/src/main.rs
@@ -3,7 +3,7 @@
 use callboard::council::Council;
 use callboard::names::Names;
 use callboard::outside::Outside;
-use greenroom::follow::{ask, Heard, Knowledge, Place, Steady};
+use greenroom::follow::{ask, Asking, Heard, Knowledge, Place, Steady};
 use greenroom::link::{self, Link};
 use greenroom::log;
 use greenroom::query::{add_outcome, Commands, Desk};
@@ -54,7 +54,7 @@
         &mut commands,
         Rc::new(move |show| {
             let named = asked.now();
-            show(&named.catalogue, named.routes.as_deref());
+            show(&named.names.catalogue, named.routes.as_deref());
         }),
     );
     let commands = Rc::new(commands);
@@ -177,7 +177,8 @@
 async fn follow(known: Rc<Knowledge>, link: Rc<Link>, name: String) {
     let mut place = Place::default();
     loop {
-        if ask(&known, &link, &mut place, &name, true, HOLD, None).await == Heard::Nothing {
+        let asking = Asking { name: name.clone(), each: true, hold: HOLD, ..Asking::default() };
+        if ask(&known, &link, &mut place, asking).await == Heard::Nothing {
             tokio::time::sleep(AGAIN).await;
         }
     }
--- a/crates/dramatis/src/catalogue.rs
+++ b/crates/dramatis/src/catalogue.rs
@@ -4,10 +4,12 @@
 //! has no part in it. Where a name has several owners that is a state of its own.
 
 use crate::collision::Collision;
-use greenroom::news::server_state;
+use crate::tables::summary;
+use greenroom::news::{server_state, Book};
 use greenroom::wire::ServerRow;
 use playbill::mesh::{Meant, Named};
 use playbill::Playbill;
+use std::rc::Rc;
 use std::sync::Arc;
 
 /// The owners that a configuration names: its services, each of one mesh.
@@ -135,6 +137,37 @@
     tallies: Vec<Tally>,
 }
 
+/// The catalogue of the moment: made anew where the configuration or the use of a server has changed, and swapped whole.
+#[derive(Clone, Debug, Default)]
+pub struct Current {
+    /// Who owns what.
+    pub catalogue: Rc<Catalogue>,
+    /// The edition and the count of changes that it was made of.
+    of: (u64, u64),
+}
+
+impl Current {
+    /// Looks whether anything has changed; where what is contested has, says what it is now, for a log's line. `cast` is asked
+    /// for the owners of a new edition; without an answer those before stay.
+    pub fn renew(
+        &mut self,
+        edition: u64,
+        book: &Book,
+        cast: impl FnOnce() -> Option<Cast>,
+    ) -> Option<String> {
+        let of = (edition, book.changes());
+        if self.of == of {
+            return None;
+        }
+        let new = if self.of.0 == edition { None } else { cast() };
+        let cast = new.map_or_else(|| self.catalogue.cast.clone(), Arc::new);
+        let before = std::mem::replace(&mut self.catalogue, Rc::new(Catalogue::new(cast, book.rows())));
+        self.of = of;
+        let (was, is) = (summary(&before), summary(&self.catalogue));
+        (was != is).then(|| if is.is_empty() { "none".to_owned() } else { is })
+    }
+}
+
 impl Catalogue {
     /// Of these rows under the owners of a configuration.
     pub fn new<'a>(cast: Arc<Cast>, rows: impl Iterator<Item = &'a Arc<ServerRow>>) -> Self {
--- a/crates/dramatis/src/lib.rs
+++ b/crates/dramatis/src/lib.rs
@@ -13,5 +13,5 @@
 pub mod shell;
 pub mod tables;
 
-pub use catalogue::{Cast, Catalogue, Entry, Standing, Tally, Use};
+pub use catalogue::{Cast, Catalogue, Current, Entry, Standing, Tally, Use};
 pub use collision::Collision;
--- a/crates/engine/src/engine/core.rs
+++ b/crates/engine/src/engine/core.rs
@@ -82,8 +82,6 @@
     pub class: ClassId,
     /// How it ended.
     pub outcome: Outcome,
-    /// When.
-    pub at: Millis,
     /// How long it took.
     pub took: Millis,
     /// Its server was warm.
@@ -254,12 +252,10 @@
         let cue = Cue::new(self.repeats(&request));
         let id = self.book.open(forward, ends, most, cue, reply);
         self.timers.arm(ends - LAST_CALL, Due::LastCall(id));
-        if let Some(entry) = self.book.get_mut(id).filter(|_| request.uploading) {
-            entry.left = Some(request.time_left);
-            entry.uploading = true;
-        }
         if let Some(entry) = self.book.get_mut(id) {
             entry.class = request.class;
+            entry.uploading = request.uploading;
+            entry.left = request.uploading.then_some(request.time_left);
         }
         request.id = id;
         request.time_left = (request.time_left - WAY_BACK).max(1.0);
@@ -519,7 +515,7 @@
         if let (Some(ends), Some((name, started))) = (&mut self.ends, self.fleet.started(server)) {
             if ends.len() < MOST_ENDS {
                 let warm = started <= 0.0 || now - took - started >= self.settings.warm_after;
-                ends.push(Finished { server: name, class: ended.class, outcome, at: now, took, warm });
+                ends.push(Finished { server: name, class: ended.class, outcome, took, warm });
             }
         }
         self.events.push_back(Event::Ended { id, attempt, server, outcome, complete, took, settled, load });
--- a/crates/greenroom/src/follow.rs
+++ b/crates/greenroom/src/follow.rs
@@ -335,36 +335,28 @@
     Nothing,
 }
 
-/// Asks once and takes in what comes.
-pub async fn ask(
-    known: &Knowledge,
-    link: &Link,
-    place: &mut Place,
-    name: &str,
-    each: bool,
-    hold: u32,
-    member: Option<MemberRow>,
-) -> Heard {
-    ask_telling(known, link, place, name, each, hold, member, Vec::new()).await
+/// What a follower says with a call.
+#[derive(Clone, Debug, Default)]
+pub struct Asking {
+    /// The follower.
+    pub name: String,
+    /// It wants each word: a core machine.
+    pub each: bool,
+    /// The answer may be held so long, ms.
+    pub hold: u32,
+    /// Itself, where this is a session.
+    pub member: Option<MemberRow>,
+    /// What it has seen of servers.
+    pub notices: Vec<NoticeRow>,
 }
 
-/// The same, and tells what the follower has seen of servers.
-#[allow(clippy::too_many_arguments)]
-pub async fn ask_telling(
-    known: &Knowledge,
-    link: &Link,
-    place: &mut Place,
-    name: &str,
-    each: bool,
-    hold: u32,
-    member: Option<MemberRow>,
-    notices: Vec<NoticeRow>,
-) -> Heard {
+/// Asks once and takes in what comes.
+pub async fn ask(known: &Knowledge, link: &Link, place: &mut Place, asking: Asking) -> Heard {
+    let Asking { name, each, hold, member, notices } = asking;
     let asked = known.now();
     let (epoch, seen, edition) = (place.epoch, place.seen, known.edition());
     let core = known.core.borrow().version;
     let (digest, session) = (known.with(|book, _| book.digest()), member.is_some());
-    let name = name.to_owned();
     // Who is in touch with the core hears there what limiters have seen of servers.
     let plain = !each && !session && known.in_touch();
     let follow = Follow { name, epoch, seen, edition, each, hold, member, notices, core, digest, plain };
--- a/crates/proscenium/src/casting.rs
+++ b/crates/proscenium/src/casting.rs
@@ -24,7 +24,7 @@
     /// Its zone.
     pub zone: &'a str,
     /// The limiters that take clients, with their zones.
-    pub limiters: &'a [(&'a str, &'a str)],
+    pub limiters: &'a [(String, String)],
 }
 
 /// How a limiter stands to a zone.
@@ -52,12 +52,12 @@
     fn place(&self, zone: &str) -> (usize, usize) {
         let way = self.way(self.zone, zone);
         let alike =
-            self.limiters.iter().filter(|(name, from)| *name != self.name && self.way(from, zone) == way);
+            self.limiters.iter().filter(|(name, from)| name != self.name && self.way(from, zone) == way);
         let own = (lot(self.name), self.name);
         let (mut before, mut all) = (0, 1);
         for (name, _) in alike {
             all += 1;
-            before += usize::from((lot(name), *name) < own);
+            before += usize::from((lot(name), name.as_str()) < own);
         }
         (before, all)
     }
@@ -96,7 +96,7 @@
             ring.iter().for_each(|at| taken[*at] = true);
             continue;
         }
-        ring.sort_by_key(|at| (lot(servers[*at].0), servers[*at].0));
+        ring.sort_by_cached_key(|at| (lot(servers[*at].0), servers[*at].0));
         let (place, of) = ground.place(zone);
         let first = place * ring.len() / of;
         (0..wanted).for_each(|i| taken[ring[(first + i) % ring.len()]] = true);
@@ -127,10 +127,10 @@
 
     fn all_casts(
         zones: &[(String, String)],
-        limiters: &[(&str, &str)],
+        limiters: &[(String, String)],
         servers: &[(&str, &str)],
     ) -> Vec<Vec<bool>> {
-        let each = |(name, zone): &(&str, &str)| cast(&Ground { zones, name, zone, limiters }, servers);
+        let each = |(name, zone): &(String, String)| cast(&Ground { zones, name, zone, limiters }, servers);
         limiters.iter().map(each).collect()
     }
 
@@ -138,7 +138,7 @@
     fn a_small_fleet_takes_all() {
         let zones = zones(2);
         let (limiters, servers) = (spread(&zones, "l", 9), spread(&zones, "s", 12));
-        let casts = all_casts(&zones, &borrowed(&limiters), &borrowed(&servers));
+        let casts = all_casts(&zones, &limiters, &borrowed(&servers));
         assert!(casts.iter().flatten().all(|taken| *taken));
     }
 
@@ -149,13 +149,13 @@
         {
             let zones = zones(regions);
             let (limiters, servers) = (spread(&zones, "l", limiters), spread(&zones, "s", servers));
-            let (limiters, servers) = (borrowed(&limiters), borrowed(&servers));
+            let servers = borrowed(&servers);
             let casts = all_casts(&zones, &limiters, &servers);
             let times = |at: usize, near: bool| {
                 let by = limiters
                     .iter()
                     .zip(&casts)
-                    .filter(|((_, zone), cast)| cast[at] && (*zone == servers[at].1) == near);
+                    .filter(|((_, zone), cast)| cast[at] && (zone == servers[at].1) == near);
                 by.count()
             };
             for zone in &zones {
@@ -180,8 +180,8 @@
     fn who_comes_or_goes_moves_little() {
         let zones = zones(2);
         let (limiters, servers) = (spread(&zones, "l", 87), spread(&zones, "s", 189));
-        let (limiters, servers) = (borrowed(&limiters), borrowed(&servers));
-        let of = |limiters: &[(&str, &str)], servers: &[(&str, &str)]| -> BTreeSet<String> {
+        let servers = borrowed(&servers);
+        let of = |limiters: &[(String, String)], servers: &[(&str, &str)]| -> BTreeSet<String> {
             let taken = cast(&Ground { zones: &zones, name: "l-0", zone: "a1", limiters }, servers);
             let taken = taken.iter().zip(servers).filter(|(taken, _)| **taken);
             taken.map(|(_, (id, _))| (*id).to_owned()).collect()
--- a/crates/proscenium/src/house.rs
+++ b/crates/proscenium/src/house.rs
@@ -8,7 +8,7 @@
 use crate::steering::Steering;
 use crate::terms::{self, LONGEST_WAIT};
 use cue::outcomes::{Bounds, Fate, Outcomes};
-use dramatis::{Cast, Catalogue, Tally, Use};
+use dramatis::{Cast, Catalogue, Current, Tally, Use};
 use greenroom::follow::{chance, Knowledge};
 use greenroom::kinds::Kind;
 use greenroom::log::{self, Few};
@@ -36,7 +36,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 use std::sync::Arc;
-use topazwind::interface::{ClassId, PlanId, Repeat, Request, Rules, ServerState, Settings, Standing};
+use topazwind::interface::{ClassId, PlanId, Request, Rules, ServerState, Settings, Standing};
 
 /// Names a try of a client.
 pub const TRY_ID: HeaderName = HeaderName::from_static("try-id");
@@ -92,7 +92,7 @@
     budget: Budget,
     scene: RefCell<Option<Rc<Scene>>>,
     /// Whose each server is, as of this count of what changes their use.
-    catalogue: RefCell<(u64, Rc<Catalogue>)>,
+    names: RefCell<Current>,
     services: RefCell<BTreeMap<String, Rc<Service>>>,
     /// Places of tenants' plans, by name. Each limiter has its own: what stands for a tenant between limiters is
     /// [`tenant_number`].
@@ -153,7 +153,7 @@
             lease: Lease::new(&node.bounds),
             budget: budget(&node),
             scene: RefCell::default(),
-            catalogue: RefCell::default(),
+            names: RefCell::default(),
             services: RefCell::default(),
             tenants: RefCell::default(),
             planned_for: Cell::new(0.0),
@@ -196,7 +196,7 @@
 
     /// For the shell: the catalogue as requests go by it, and the routes in force.
     pub fn show_names(&self, show: &mut dyn FnMut(&Catalogue, Option<&playbill::Table>)) {
-        let (catalogue, scene) = (self.catalogue.borrow().1.clone(), self.scene.borrow().clone());
+        let (catalogue, scene) = (self.names.borrow().catalogue.clone(), self.scene.borrow().clone());
         show(&catalogue, scene.as_ref().map(|scene| &scene.table));
     }
 
@@ -331,27 +331,17 @@
         rows
     }
 
-    /// The catalogue is made anew where the configuration or the use of a server has changed, and swapped
-    /// whole.
     fn set_catalogue(&self, scene: &Scene) {
-        let (at, before) = self.catalogue.borrow().clone();
-        let changes = self.known.with(|book, _| book.changes());
-        let cast = match before.cast() {
-            cast if cast.edition() == scene.edition && at == changes => return,
-            cast if cast.edition() == scene.edition => cast.clone(),
-            _ => Arc::new(Cast::new(scene.edition, scene.table.bill())),
-        };
-        let next = self.known.with(|book, _| Catalogue::new(cast, book.rows()));
-        let (was, is) = (dramatis::tables::summary(&before), dramatis::tables::summary(&next));
-        if was != is {
-            log::debug!("catalogue: contested servers: {}", if is.is_empty() { "none" } else { &is });
+        let cast = || Some(Cast::new(scene.edition, scene.table.bill()));
+        let mut names = self.names.borrow_mut();
+        if let Some(contested) = self.known.with(|book, _| names.renew(scene.edition, book, cast)) {
+            log::debug!("catalogue: contested servers: {}", contested);
         }
-        *self.catalogue.borrow_mut() = (changes, Rc::new(next));
     }
 
     /// The servers of an owner, by what they may get.
     fn tally(&self, name: &str) -> Tally {
-        let catalogue = &self.catalogue.borrow().1;
+        let catalogue = &self.names.borrow().catalogue;
         catalogue.cast().owner(name).map(|owner| catalogue.tally(owner)).unwrap_or_default()
     }
 
@@ -389,6 +379,11 @@
             }
         }
         let services: Vec<_> = self.services.borrow().iter().map(|(n, s)| (n.clone(), s.clone())).collect();
+        let limiters: Vec<(String, String)> = self.known.with(|book, now| {
+            let takes = book.members(now).filter(|(row, _)| !row.lapsed && row.state == member_state::READY);
+            takes.map(|(row, _)| (row.name.clone(), row.zone.clone())).collect()
+        });
+        let ground = Ground { zones: &node.zones, name: &node.node, zone: &node.zone, limiters: &limiters };
         for (name, service) in services {
             let of = bill.services.iter().find(|s| s.name == name);
             let (cold_s, cold_rate) = of.map_or((0.0, 0.0), |s| (s.cold_s, s.cold_rate));
@@ -408,7 +403,7 @@
             let zones = everywhere(node);
             let names = Names { classes: classes.clone(), zones, ..Names::default() };
             drop(classes);
-            let (members, all) = self.members(&name, &service, scene, node, cold_s * 1000.0);
+            let (members, all) = self.members(&name, &service, scene, &ground, cold_s * 1000.0);
             settings.sparse = members.len() < all;
             if !same(&service.settings.borrow(), &settings) {
                 service.engine.revise(&names, &settings);
@@ -451,12 +446,12 @@
         name: &str,
         service: &Service,
         scene: &Scene,
-        node: &Node,
+        ground: &Ground<'_>,
         cold: Millis,
     ) -> (Vec<Member>, usize) {
         let now = self.clock.now();
         let mut spells = service.spells.borrow_mut();
-        let catalogue = self.catalogue.borrow().1.clone();
+        let catalogue = self.names.borrow().catalogue.clone();
         let Some(owner) = catalogue.cast().owner(name) else {
             // The newest configuration has dropped it: what is in hand may end at the servers that it had.
             let stands = |m: &&Member| {
@@ -481,14 +476,9 @@
             let able: Vec<_> = able.collect();
             let places: Vec<(&str, &str)> =
                 able.iter().map(|(row, _)| (row.id.as_str(), row.zone.as_str())).collect();
-            let takes = book.members(at).filter(|(row, _)| !row.lapsed && row.state == member_state::READY);
-            let limiters: Vec<(&str, &str)> =
-                takes.map(|(row, _)| (row.name.as_str(), row.zone.as_str())).collect();
-            let ground =
-                Ground { zones: &node.zones, name: &node.node, zone: &node.zone, limiters: &limiters };
             // Who is to try an ill server is drawn over all limiters, whoever casts it.
             let tries = |row: &ServerRow| self.steering.standing(at, name, &row.id) == Standing::Tried;
-            let able = able.into_iter().zip(cast(&ground, &places));
+            let able = able.into_iter().zip(cast(ground, &places));
             let able = able.filter(|((row, _), cast)| *cast || tries(row)).map(|(able, _)| able);
             let member = |(row, left): (&ServerRow, Millis)| {
                 let started = if left > 0.0 {
@@ -549,7 +539,7 @@
     /// of it.
     async fn take(&self, ticket: Ticket, head: Parts, body: Upload, room: Option<Room>) -> Response<Body> {
         let route = &ticket.scene.table.bill().routes[ticket.route];
-        let once = class(route, route.rank).repeat == Repeat::Unsafe;
+        let once = route.kind == playbill::Kind::Unsafe;
         let named = head.headers.get(&TRY_ID).filter(|_| once).cloned();
         // Held until it is answered; what became of it stands in the outcomes by then.
         let mut _held = None;
--- a/crates/proscenium/src/session.rs
+++ b/crates/proscenium/src/session.rs
@@ -1,7 +1,7 @@
 //! This limiter's session with a control limiter, and the few other limiters whose news it follows.
 
 use crate::keepers::keeper;
-use greenroom::follow::{ask, ask_telling, chance, Heard, Knowledge, Place, IN_TOUCH};
+use greenroom::follow::{ask, chance, Asking, Heard, Knowledge, Place, IN_TOUCH};
 use greenroom::link::Link;
 use greenroom::log;
 use greenroom::news::member_state;
@@ -147,9 +147,10 @@
     async fn ask(&self, ip: Ipv4Addr, place: &mut Place, hold: u32) -> Heard {
         let settings = self.told.settings();
         let link = self.links.to(settings.inner_of(ip, REGISTRY));
-        let (rows, row) = (self.take_notices(), Some(self.row()));
-        let told = rows.clone();
-        let heard = ask_telling(&self.known, &link, place, &settings.node, false, hold, row, told).await;
+        let (rows, member) = (self.take_notices(), Some(self.row()));
+        let (name, notices) = (settings.node.clone(), rows.clone());
+        let asking = Asking { name, hold, member, notices, ..Asking::default() };
+        let heard = ask(&self.known, &link, place, asking).await;
         if heard == Heard::Nothing {
             self.put_back(rows);
         }
@@ -264,8 +265,8 @@
             }
             let link = self.links.to(partner);
             for _ in 0..FEW_CALLS {
-                if ask(&self.known, &link, &mut place.1, &name, false, FEW_HOLD, None).await == Heard::Nothing
-                {
+                let asking = Asking { name: name.clone(), hold: FEW_HOLD, ..Asking::default() };
+                if ask(&self.known, &link, &mut place.1, asking).await == Heard::Nothing {
                     tokio::time::sleep(FEW_AGAIN).await;
                     break;
                 }
--- a/crates/proscenium/tests/steering.rs
+++ b/crates/proscenium/tests/steering.rs
@@ -326,7 +326,7 @@
                 }
                 asked.over |= complete;
                 let (class, name) = (ClassId(usize::from(asked.once)), self::id(server).into());
-                p.ends.push(Finished { server: name, class, outcome, at: now, took, warm: true });
+                p.ends.push(Finished { server: name, class, outcome, took, warm: true });
                 let (server, load, settled) = (ServerId(server as u64), Vec::new(), 0.0);
                 (n, Event::Ended { id, attempt, server, outcome, complete, took, settled, load })
             }
