Proxy: counts how clients' connections end, departures and violated invariants

The front counts how each connection ends and how many begun requests had no answer then; the engine counts clients that leave, attempts cancelled for that, and attempts that went on for them. oatbankctl invariants and connections show them; a violation and a stall of the event loop are logged. No decision is changed.

--- a/crates/engine/src/engine/book.rs
+++ b/crates/engine/src/engine/book.rs
@@ -57,6 +57,8 @@
     pub(super) uploading: bool,
     /// What may still be done with it. Its attempts are numbered as these are.
     pub(super) execution: RequestAttempts,
+    /// When its client left without an answer.
+    pub(super) departed_at: Option<Millis>,
     attempts: Vec<Attempt>,
 }
 
@@ -103,6 +105,8 @@
     /// Its request had its answer before.
     pub(super) over: bool,
     pub(super) class: ClassId,
+    /// When the client of a request that may be repeated left without an answer.
+    pub(super) abandoned_at: Option<Millis>,
 }
 
 /// All requests in hand.
@@ -142,6 +146,7 @@
             class: ClassId::default(),
             uploading: false,
             execution,
+            departed_at: None,
             attempts: Vec::new(),
         };
         self.entries.insert(id, entry);
@@ -189,7 +194,9 @@
         let over = entry.over();
         let a = entry.attempts.get_mut(usize::from(attempt)).filter(|a| a.live)?;
         a.live = false;
-        let ended = Ended { server: a.server, took: now - a.sent, over, class: entry.class };
+        let (server, took) = (a.server, now - a.sent);
+        let abandoned_at = entry.departed_at.filter(|_| !entry.execution.is_at_most_once());
+        let ended = Ended { server, took, over, class: entry.class, abandoned_at };
         self.forget(id);
         Some(ended)
     }
--- a/crates/engine/src/engine/core.rs
+++ b/crates/engine/src/engine/core.rs
@@ -5,6 +5,7 @@
 //! event at once.
 
 use super::book::{Answer, Book, Reply};
+use super::departures::Departures;
 use super::fleet::{Fleet, Shares};
 use super::timers::Timers;
 use super::{Names, Setup};
@@ -121,6 +122,7 @@
     late: HashMap<(RequestId, u8), Late<Q>>,
     /// Decisions that were not carried out.
     kept_from: u64,
+    departures: Departures,
 }
 
 impl<Q, A> Core<Q, A> {
@@ -143,6 +145,7 @@
             witness: None,
             late: HashMap::new(),
             kept_from: 0,
+            departures: Departures::default(),
         }
     }
 
@@ -162,6 +165,11 @@
         self.kept_from
     }
 
+    /// What became of requests whose clients left.
+    pub(crate) fn departures(&self) -> Departures {
+        self.departures
+    }
+
     /// The next thing to do; to be asked until there is none, after every call that may bring up some.
     pub(crate) fn output(&mut self) -> Option<Output<Q>> {
         self.outputs.pop_front()
@@ -278,10 +286,15 @@
 
     /// The client has left: what is out runs on, and nothing more is sent.
     pub(crate) fn gone(&mut self, now: Millis, id: RequestId) {
-        if self.book.reply(id).is_some() {
-            self.feed(now, Event::Gone(id));
-            self.book.forget(id);
+        if self.book.reply(id).is_none() {
+            return;
+        }
+        self.departures.clients += 1;
+        if let Some(entry) = self.book.get_mut(id) {
+            entry.departed_at = Some(now);
         }
+        self.feed(now, Event::Gone(id));
+        self.book.forget(id);
     }
 
     /// Guards against a module that says nothing: the client is answered while it still waits.
@@ -513,6 +526,9 @@
         load: Vec<f64>,
     ) -> bool {
         let Some(ended) = self.book.end(id, attempt, now) else { return false };
+        if let Some(abandoned_at) = ended.abandoned_at {
+            self.departures.on_end(now, abandoned_at);
+        }
         let (server, complete, took, settled) = (ended.server, ended.over, ended.took, 0.0);
         if let (Some(tally), Some(zone)) = (&mut self.tally, self.fleet.zone(server)) {
             count(tally.entry(zone).or_default(), outcome);
--- a/crates/engine/src/engine/mod.rs
+++ b/crates/engine/src/engine/mod.rs
@@ -5,6 +5,7 @@
 
 mod book;
 pub(crate) mod core;
+mod departures;
 mod fleet;
 mod revision;
 #[cfg(test)]
@@ -13,6 +14,7 @@
 
 pub use book::{Answer, Reply};
 pub use core::{Finished, Note};
+pub use departures::Departures;
 pub use fleet::Shares;
 pub use revision::Revision;
 
@@ -261,6 +263,11 @@
         self.core.borrow().kept_from()
     }
 
+    /// What became of requests whose clients left before their answer.
+    pub fn departures(&self) -> Departures {
+        self.core.borrow().departures()
+    }
+
     /// Whether this limiter may act by no rules now, and how long (ms) to stay away then. After it, the rules are those
     /// of the moment.
     pub fn closed(&self) -> Option<Millis> {
--- a/crates/engine/src/front/lanes.rs
+++ b/crates/engine/src/front/lanes.rs
@@ -4,6 +4,7 @@
 //! Only what may run twice is begun before all that stands before it has its answer: an answer that ends the connection
 //! makes all behind it count as not read.
 
+use super::connection_ends::ConnectionEnd;
 use super::heads::{self, Ends, Head, Told};
 use super::{closing, unread, Desk, Front, Judged, Peer, Phase, NO_ROOM, NO_TUNNEL, ROOM_WITHIN};
 use crate::body::{self, Body, Feed, Room, Start, Upload};
@@ -74,15 +75,29 @@
 }
 
 /// Why nothing more is written.
+#[derive(Clone, Copy)]
 enum Parted {
     /// After an answer that says so.
     InOrder,
+    /// Asked to end between two requests.
+    Idle,
     /// An answer broke off: its end must not look like one.
     Cut,
     /// The client takes nothing more.
     Lost,
 }
 
+impl From<Parted> for ConnectionEnd {
+    fn from(parted: Parted) -> ConnectionEnd {
+        match parted {
+            Parted::InOrder => ConnectionEnd::LastAnswer,
+            Parted::Idle => ConnectionEnd::Idle,
+            Parted::Cut => ConnectionEnd::AnswerCut,
+            Parted::Lost => ConnectionEnd::WriteFailed,
+        }
+    }
+}
+
 /// Serves a connection to its end.
 pub(super) async fn serve<D: Desk>(front: Rc<Front<D>>, stream: Rc<TcpStream>, peer: Rc<Peer>) {
     let lanes = Lanes {
@@ -101,24 +116,25 @@
         loop {
             tokio::select! {
                 over = &mut reading, if reads => match over {
-                    Over::Left => return,
+                    Over::Left => return lanes.record_end(ConnectionEnd::ClientClosed),
                     Over::Last => reads = false,
                 },
                 parted = &mut writing => break parted,
                 () = lanes.peer.leave.notified() => {
                     if lanes.peer.over.get() {
-                        return;
+                        return lanes.record_end(ConnectionEnd::Dropped);
                     }
                     // A request that has arrived, or has begun to, is read and answered first.
                     if lanes.in_hand.get() == 0 && !lanes.begun.get() && !unread(&lanes.stream) {
-                        break Parted::InOrder;
+                        break Parted::Idle;
                     }
                 }
             }
         }
     };
+    lanes.record_end(parted.into());
     match parted {
-        Parted::InOrder => lanes.part().await,
+        Parted::InOrder | Parted::Idle => lanes.part().await,
         Parted::Cut => _ = SockRef::from(&*lanes.stream).set_linger(Some(Duration::ZERO)),
         Parted::Lost => {}
     }
@@ -129,6 +145,10 @@
         self.front.desk.now()
     }
 
+    fn record_end(&self, end: ConnectionEnd) {
+        self.front.ends.record(end, self.in_hand.get());
+    }
+
     // ---- Reading ------------------------------------------------------------------------------
 
     async fn read(&self, turns: mpsc::Sender<Turn>) -> Over {
@@ -335,10 +355,13 @@
                 || heads::says(answer.headers(), "close")
                 || self.front.stopping.get()
                 || self.front.crowded.get();
-            if let Some(parted) = self.give(answer, &turn, close).await {
+            let parted = self.give(answer, &turn, close).await;
+            if parted.is_none_or(|parted| !matches!(parted, Parted::Cut | Parted::Lost)) {
+                self.in_hand.set(self.in_hand.get().saturating_sub(1));
+            }
+            if let Some(parted) = parted {
                 return parted;
             }
-            self.in_hand.set(self.in_hand.get().saturating_sub(1));
             self.answered.notify_one();
             if close {
                 return Parted::InOrder;
--- a/crates/engine/src/front/mod.rs
+++ b/crates/engine/src/front/mod.rs
@@ -3,6 +3,7 @@
 //! What comes of a request is its [`Desk`]'s. Here it is seen to that what is read can be read in one way only, that who
 //! is slow or silent holds up nobody, and that an answer which breaks off ends its connection.
 
+pub mod connection_ends;
 mod heads;
 mod heard;
 mod lanes;
@@ -12,6 +13,7 @@
 use crate::classify::{self, Rejection};
 use crate::respond;
 use bytes::Bytes;
+use connection_ends::ConnectionEnds;
 use heard::Heard;
 use http::request::Parts;
 use hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
@@ -380,6 +382,7 @@
     /// All connections have a request in hand and another waits to be accepted.
     crowded: Cell<bool>,
     left: Notify,
+    ends: ConnectionEnds,
 }
 
 impl<D: Desk> Front<D> {
@@ -397,6 +400,7 @@
             turned: Notify::new(),
             crowded: Cell::new(false),
             left: Notify::new(),
+            ends: ConnectionEnds::default(),
         })
     }
 
@@ -490,6 +494,11 @@
         &self.desk
     }
 
+    /// How connections have ended on which several requests may be in hand at once.
+    pub fn ends(&self) -> &ConnectionEnds {
+        &self.ends
+    }
+
     /// Connections that are open.
     pub fn open(&self) -> usize {
         self.peers.borrow().len()
--- /dev/null
+++ b/crates/proxy/src/invariants.rs
@@ -0,0 +1,107 @@
+//! Invariants that a running proxy checks of itself: how often each was violated, for `oatbankctl invariants` and the log.
+
+use crate::front_desk::FrontDesk;
+use crate::request_handler::RequestHandler;
+use oatbank_cluster_state::admin_query::table;
+use oatbank_cluster_state::messages::Table;
+use oatbank_engine::front::connection_ends::ConnectionEnd;
+use oatbank_engine::front::Front;
+use oatbank_node_runtime::log;
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// What is due every so often may come this much later; beyond it requests have waited too.
+const STALL: Duration = Duration::from_millis(150);
+
+/// What must hold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Invariant {
+    /// No server works on for a client that has left, where the request may be repeated.
+    NoAbandonedAttempts,
+    /// A connection that this proxy ends of its own has no request that was begun and not answered.
+    NoUnansweredAtClose,
+}
+
+impl Invariant {
+    const ALL: [Invariant; 2] = [Invariant::NoAbandonedAttempts, Invariant::NoUnansweredAtClose];
+
+    fn name(self) -> &'static str {
+        match self {
+            Invariant::NoAbandonedAttempts => "no abandoned attempts",
+            Invariant::NoUnansweredAtClose => "no unanswered at close",
+        }
+    }
+}
+
+/// Checks the invariants of a proxy.
+pub struct InvariantMonitor {
+    handler: Rc<RequestHandler>,
+    front: Rc<Front<FrontDesk>>,
+    logged: RefCell<[u64; Invariant::ALL.len()]>,
+}
+
+impl InvariantMonitor {
+    /// Of the proxy that these belong to.
+    pub fn new(handler: Rc<RequestHandler>, front: Rc<Front<FrontDesk>>) -> Rc<Self> {
+        Rc::new(InvariantMonitor { handler, front, logged: RefCell::default() })
+    }
+
+    /// How often an invariant was violated since the process started.
+    pub fn violations(&self, invariant: Invariant) -> u64 {
+        let unanswered = |end| self.front.ends().count(end).unanswered;
+        match invariant {
+            Invariant::NoAbandonedAttempts => self.handler.departures().abandoned_attempts,
+            Invariant::NoUnansweredAtClose => {
+                [ConnectionEnd::LastAnswer, ConnectionEnd::Idle, ConnectionEnd::Dropped]
+                    .into_iter()
+                    .map(unanswered)
+                    .sum()
+            }
+        }
+    }
+
+    /// Logs violations that are new.
+    pub fn log_new(&self) {
+        let mut logged = self.logged.borrow_mut();
+        for (invariant, before) in Invariant::ALL.into_iter().zip(logged.iter_mut()) {
+            let violations = self.violations(invariant);
+            if violations > *before {
+                log::warn!("invariant violated: {}, {} times by now", invariant.name(), violations);
+                *before = violations;
+            }
+        }
+    }
+
+    /// Logs that what was due after `expected` came after `elapsed`: so long no request was looked at.
+    pub fn log_stall(&self, expected: Duration, elapsed: Duration) {
+        let late = elapsed.saturating_sub(expected);
+        if late > STALL {
+            log::warn!("stalled for {} ms: requests have waited", late.as_millis());
+        }
+    }
+
+    /// The table of invariants.
+    pub fn table(&self) -> Table {
+        let row =
+            |invariant: Invariant| vec![invariant.name().to_owned(), self.violations(invariant).to_string()];
+        let rows = Invariant::ALL.into_iter().map(row).collect();
+        table("violations since the start", &["invariant", "violations"], rows)
+    }
+
+    /// The table of how clients' connections ended.
+    pub fn connections_table(&self) -> Table {
+        let row = |end: ConnectionEnd| {
+            let count = self.front.ends().count(end);
+            vec![end.name().to_owned(), count.connections.to_string(), count.unanswered.to_string()]
+        };
+        let departures = self.handler.departures();
+        let title = format!(
+            "{} open; {} clients left before their answer, {} attempts were cancelled for that",
+            self.front.open(),
+            departures.clients,
+            departures.cancelled_attempts
+        );
+        table(title, &["end", "connections", "unanswered"], ConnectionEnd::ALL.into_iter().map(row).collect())
+    }
+}
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -15,10 +15,12 @@
 //! | [`session`] | the session with a core machine, and following other limiters |
 //! | [`lease`] | for how long a limiter may act by what it knows; pure |
 //! | [`readiness`] | `GET /ready` |
+//! | [`invariants`] | what a running proxy checks of itself |
 
 pub mod config_snapshot;
 pub mod counter_owner;
 pub mod front_desk;
+pub mod invariants;
 pub mod lease;
 pub mod limiter_settings;
 pub mod outcome_recorder;
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -17,6 +17,7 @@
 use oatbank_node_runtime::settings::port_offset::PROXY;
 use oatbank_node_runtime::settings::Settings;
 use oatbank_proxy::front_desk::FrontDesk;
+use oatbank_proxy::invariants::InvariantMonitor;
 use oatbank_proxy::quota_counter::QuotaCounter;
 use oatbank_proxy::readiness;
 use oatbank_proxy::request_handler::{budget, RequestHandler};
@@ -29,6 +30,8 @@
 
 /// Interval of checks whether clients may be served, and of observations of servers.
 const OBSERVE_INTERVAL: Duration = Duration::from_millis(50);
+/// Interval of checks of the invariants.
+const CHECK_INTERVAL: Duration = Duration::from_millis(200);
 /// Interval at which what changes by time alone is taken in.
 const REFRESH_INTERVAL: Duration = Duration::from_millis(500);
 /// After SIGTERM, new clients are taken for this share of the grace period: they may hold an old answer of the directory.
@@ -54,6 +57,7 @@
     counter: Rc<QuotaCounter>,
     session: Rc<Session>,
     front: Rc<Front<FrontDesk>>,
+    invariants: Rc<InvariantMonitor>,
 }
 
 async fn serve(settings: Rc<ReloadableSettings>, mut signals: Signals) -> Result<(), ProcessError> {
@@ -93,7 +97,8 @@
             ..FrontLimits::default()
         };
         let front = Front::new(FrontDesk(handler.clone()), budget(node), limits);
-        Proxy { view, handler, counter, session, front }
+        let invariants = InvariantMonitor::new(handler.clone(), front.clone());
+        Proxy { view, handler, counter, session, front, invariants }
     }
 
     /// Answers other processes of the system.
@@ -125,6 +130,10 @@
         commands.add("guard", "guard", 0, move |_| handler.attempts_table());
         let handler = self.handler.clone();
         commands.add("verdicts", "verdicts", 0, move |_| handler.verdicts_table());
+        let invariants = self.invariants.clone();
+        commands.add("invariants", "invariants", 0, move |_| invariants.table());
+        let invariants = self.invariants.clone();
+        commands.add("connections", "connections", 0, move |_| invariants.connections_table());
         let handler = self.handler.clone();
         let read_catalog = Rc::new(move |show: &mut dyn FnMut(&_, Option<&_>)| handler.show_catalog(show));
         oatbank_service_catalog::commands::add(&mut commands, read_catalog);
@@ -141,6 +150,7 @@
         self.view.on_change(Rc::new(move || handler.refresh()));
         tokio::task::spawn_local(refresh_forever(self.handler.clone()));
         tokio::task::spawn_local(observe_forever(self.handler.clone(), self.session.clone()));
+        tokio::task::spawn_local(check_forever(self.invariants.clone()));
     }
 
     fn readiness(&self) -> Rc<dyn Fn() -> bool> {
@@ -182,6 +192,15 @@
     }
 }
 
+async fn check_forever(invariants: Rc<InvariantMonitor>) {
+    loop {
+        let begun = Instant::now();
+        tokio::time::sleep(CHECK_INTERVAL).await;
+        invariants.log_stall(CHECK_INTERVAL, begun.elapsed());
+        invariants.log_new();
+    }
+}
+
 async fn observe_forever(handler: Rc<RequestHandler>, session: Rc<Session>) {
     loop {
         let state = if handler.is_ready() { member_state::READY } else { member_state::STARTING };
--- a/crates/proxy/src/request_handler.rs
+++ b/crates/proxy/src/request_handler.rs
@@ -20,7 +20,7 @@
 use oatbank_cluster_state::state::Millis;
 use oatbank_config_model::{Customer, Route, RouteKind, RouteTable};
 use oatbank_engine::body::{Body, Room, Upload};
-use oatbank_engine::engine::Answer;
+use oatbank_engine::engine::{Answer, Departures};
 use oatbank_engine::open_ids::OpenIds;
 use oatbank_engine::ports::clock::{Clock, SystemClock};
 use oatbank_engine::upstreams::house;
@@ -159,6 +159,13 @@
         self.pools.all().iter().map(|(_, pool)| pool.engine.owed()).sum()
     }
 
+    /// What became of requests whose clients left before their answer.
+    pub fn departures(&self) -> Departures {
+        let mut sum = Departures::default();
+        self.pools.all().iter().for_each(|(_, pool)| sum += pool.engine.departures());
+        sum
+    }
+
     /// Whether clients may be served.
     pub fn is_ready(&self) -> bool {
         if self.snapshot.borrow().is_none() {
