--- a/crates/engine/tests/common/mod.rs
+++ b/crates/engine/tests/common/mod.rs
@@ -1,5 +1,9 @@
 //! What the tests of the engine share.
 
+#![allow(dead_code, unreachable_pub)]
+
+pub mod pipelined;
+
 use oatbank_engine::engine::Setup;
 use oatbank_limiter_core::interface::{Class, Plan, Settings};
 
--- /dev/null
+++ b/crates/engine/tests/common/pipelined.rs
@@ -0,0 +1,183 @@
+//! A front on whose connections several requests may be in hand at once, before one server, on a thread of its own.
+
+use super::{class, setup};
+use http::request::Parts;
+use http::{HeaderName, Method, Response, StatusCode};
+use oatbank_engine::body::{Body, Room, Upload};
+use oatbank_engine::classify::Rejection;
+use oatbank_engine::engine::{Answer, Engine};
+use oatbank_engine::front::{Desk, Front, FrontLimits, Judged};
+use oatbank_engine::members::fixed;
+use oatbank_engine::ports::clock::SystemClock;
+use oatbank_engine::ports::membership::Member;
+use oatbank_engine::respond::{self, ComeBack};
+use oatbank_engine::upstreams::house::{headers_on, House};
+use oatbank_engine::upstreams::http1::{Connections, Forward, Http1};
+use oatbank_limiter_core::interface::{Class, Millis, Repeat, Request, Rules};
+use oatbank_operations::budget::{Budget, Limits};
+use oatbank_testkit::{Message, Server, PATIENCE};
+use std::cell::{Cell, RefCell};
+use std::io::BufReader;
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+use std::sync::mpsc;
+use std::sync::Arc;
+use tokio::sync::mpsc::{unbounded_channel, UnboundedSender};
+
+pub type HallEngine = Engine<Http1<House>>;
+
+/// Several at once; what goes to `/closed` is rejected; what lies under `/once` may not overtake, and it and what is posted runs at most once.
+pub struct Hall {
+    pub engine: Rc<HallEngine>,
+    /// The front's clock is ahead of the engine's by this, ms.
+    ahead: Cell<Millis>,
+    /// Called when a server has answered, before its answer is passed on.
+    pub on_answer: RefCell<Option<Box<dyn Fn()>>>,
+}
+
+fn is_at_most_once(head: &Parts) -> bool {
+    head.method == Method::POST || head.uri.path().starts_with("/once")
+}
+
+impl Desk for Hall {
+    type Ticket = Request;
+
+    fn now(&self) -> Millis {
+        self.engine.now() + self.ahead.get()
+    }
+
+    fn names_requests_by(&self) -> HeaderName {
+        HeaderName::from_static("try-id")
+    }
+
+    fn several_at_once(&self) -> bool {
+        true
+    }
+
+    fn may_overtake(&self, head: &Parts) -> bool {
+        !is_at_most_once(head)
+    }
+
+    fn judge(&self, head: &Parts) -> Result<Judged<Request>, Rejection> {
+        if head.uri.path() == "/closed" {
+            return Ok(Judged::Answer(respond::plain(StatusCode::SERVICE_UNAVAILABLE, "closed\n")));
+        }
+        let repeat = if is_at_most_once(head) { Repeat::Unsafe } else { Repeat::Safe };
+        let rules = Rules { class: Class { repeat, ..class() }, max_attempts: 1 };
+        let request = Request { units: 1.0, spread: 1.0, time_left: 3000.0, ..Request::default() };
+        Ok(Judged::Taken(Request { rules: Some(Arc::new(rules)), ..request }))
+    }
+
+    async fn serve(
+        &self,
+        mut request: Request,
+        head: Parts,
+        body: Upload,
+        room: Option<Room>,
+    ) -> Result<Response<Body>, Rejection> {
+        request.uploading = body.is_stream();
+        let headers = headers_on(&head.headers);
+        let forward = Forward { method: head.method, uri: head.uri, headers, body, room };
+        let answer: Answer<Response<Body>> = self.engine.ask(request, forward).await;
+        if let Some(on_answer) = &*self.on_answer.borrow() {
+            on_answer();
+        }
+        Ok(respond::answered(answer, ComeBack::Standard, |served| served))
+    }
+}
+
+type Action = Box<dyn FnOnce(&Rc<Front<Hall>>) + Send>;
+
+/// The front.
+pub struct Rig {
+    pub address: SocketAddr,
+    actions: UnboundedSender<Action>,
+}
+
+impl Rig {
+    /// Before this server.
+    pub fn start(server: &Server) -> Rig {
+        let (tell, told) = mpsc::channel();
+        let (actions, mut wanted) = unbounded_channel::<Action>();
+        let address = server.address;
+        std::thread::spawn(move || {
+            let runtime =
+                tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+            tokio::task::LocalSet::new().block_on(&runtime, async move {
+                let front = Front::new(hall(address), Budget::divide(Limits::default(), 0, 1.0), limits());
+                let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
+                tell.send(listener.local_addr().expect("an address")).expect("the test");
+                tokio::task::spawn_local(front.clone().look_round());
+                tokio::task::spawn_local(front.clone().accept(Rc::new(listener)));
+                while let Some(action) = wanted.recv().await {
+                    action(&front);
+                }
+            });
+        });
+        Rig { address: told.recv().expect("a front"), actions }
+    }
+
+    /// Does something on the front's thread, and waits for what comes of it.
+    pub fn with<T: Send + 'static>(&self, action: impl FnOnce(&Rc<Front<Hall>>) -> T + Send + 'static) -> T {
+        let (tell, told) = mpsc::channel();
+        let action: Action = Box::new(move |front| tell.send(action(front)).expect("the test"));
+        assert!(self.actions.send(action).is_ok(), "the front runs");
+        told.recv().expect("the front")
+    }
+
+    /// For connections, so much time passes at once.
+    pub fn advance(&self, by: Millis) {
+        self.with(move |front| {
+            let ahead = &front.desk().ahead;
+            ahead.set(ahead.get() + by);
+        });
+    }
+
+    /// A connection.
+    pub fn connect(&self) -> (TcpStream, BufReader<TcpStream>) {
+        let stream = TcpStream::connect(self.address).expect("a connection");
+        stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+        let reader = BufReader::new(stream.try_clone().expect("a clone"));
+        (stream, reader)
+    }
+}
+
+pub fn limits() -> FrontLimits {
+    FrontLimits::default()
+}
+
+fn hall(server: SocketAddr) -> Hall {
+    let budget = Budget::divide(Limits::default(), 0, 1.0);
+    let connections = Connections {
+        idle: 10_000.0,
+        connect_timeout: 1000.0,
+        most: budget.servers,
+        bodies_kib: budget.answers_kib,
+    };
+    let clock = Rc::new(SystemClock::new());
+    let house = House { held: 64, ..House::default() };
+    let engine = Engine::new(&setup(class(), 1), clock.clone(), Http1::speaking(house, clock, connections));
+    engine.start();
+    fixed::tell(&engine.told(), vec![Member::ready("s-1", server)]);
+    Hall { engine, ahead: Cell::new(0.0), on_answer: RefCell::default() }
+}
+
+/// An answer to this request, of so many bytes.
+pub fn to(m: &Message, length: usize, body: &str) -> Vec<u8> {
+    let id = m.header("Try-Id").expect("a name");
+    format!("HTTP/1.1 200 OK\r\nTry-Id: {id}\r\nServer-Seal: s\r\nContent-Length: {length}\r\n\r\n{body}")
+        .into_bytes()
+}
+
+pub fn path(m: &Message) -> &str {
+    m.start.split(' ').nth(1).expect("a path")
+}
+
+pub fn request(method: &str, path: &str, id: &str) -> String {
+    request_with(method, path, id, "")
+}
+
+/// With more lines in its head, each with its end.
+pub fn request_with(method: &str, path: &str, id: &str, lines: &str) -> String {
+    format!("{method} {path} HTTP/1.1\r\nHost: h\r\nTry-Id: {id}\r\n{lines}Content-Length: 0\r\n\r\n")
+}
--- /dev/null
+++ b/crates/engine/tests/departures.rs
@@ -0,0 +1,101 @@
+//! Clients that leave before their answer: no server works on for them where their request may be repeated, and what runs at
+//! most once is left to run.
+
+mod common;
+
+use common::pipelined::{request, request_with, Rig};
+use oatbank_testkit::{eventually, Act, Server};
+use socket2::SockRef;
+use std::io::Write;
+use std::net::TcpStream;
+use std::time::{Duration, Instant};
+
+/// A server's work ends by then; the bound that users are told is 500 ms.
+const NOTICED: Duration = Duration::from_millis(400);
+
+/// How a client leaves.
+#[derive(Clone, Copy, Debug)]
+enum Leaving {
+    Close,
+    Reset,
+}
+
+fn leave(stream: TcpStream, how: Leaving) {
+    if matches!(how, Leaving::Reset) {
+        SockRef::from(&stream).set_linger(Some(Duration::ZERO)).expect("an option");
+    }
+    // Not just dropped: the reader's clone would keep it open.
+    drop(stream);
+}
+
+/// What a client sends before it leaves, and how much of it reaches the server.
+struct Case {
+    name: &'static str,
+    sent: String,
+    at_server: usize,
+}
+
+fn cases() -> Vec<Case> {
+    let get = |id: &str| request("GET", "/silent", id);
+    let many = |count: usize| (0..count).map(|n| get(&n.to_string())).collect::<String>();
+    let case = |name, sent, at_server| Case { name, sent, at_server };
+    vec![
+        case("one request", get("1"), 1),
+        case("several at once", many(3), 3),
+        case("the last one", request_with("GET", "/silent", "1", "Connection: close\r\n"), 1),
+        case("of an old client", get("1").replace("HTTP/1.1", "HTTP/1.0"), 1),
+        case("one that waits its turn behind", get("1") + &request("POST", "/once", "2"), 1),
+        case("half a head behind", get("1") + "GET /silent HTTP/1.1\r\nHo", 1),
+        case("more than are taken at once", many(40), 8),
+        case("far more than is read ahead", get("1") + &request("POST", "/once", "2") + &many(4000), 1),
+    ]
+}
+
+#[test]
+fn no_server_works_on_for_a_client_that_has_left() {
+    let mut missed = Vec::new();
+    for how in [Leaving::Close, Leaving::Reset] {
+        for case in cases() {
+            let server = Server::start(|_| Act::Silence);
+            let rig = Rig::start(&server);
+            let stream = TcpStream::connect(rig.address).expect("a connection");
+            stream.set_nonblocking(true).expect("an option");
+            // What is not taken is not sent.
+            let _ = (&stream).write(case.sent.as_bytes());
+            eventually(case.name, || server.count() >= case.at_server);
+            leave(stream, how);
+            let until = Instant::now() + NOTICED;
+            let ended = (0..case.at_server)
+                .filter(|_| {
+                    let left = until.saturating_duration_since(Instant::now());
+                    server.closed.recv_timeout(left).is_ok()
+                })
+                .count();
+            if ended < case.at_server {
+                missed.push(format!("{}, {how:?}: {ended} of {}", case.name, case.at_server));
+            }
+            let (open, abandoned) = rig.with(|front| {
+                (front.desk().engine.owed(), front.desk().engine.departures().abandoned_attempts)
+            });
+            if open > 0 || abandoned > 0 {
+                missed.push(format!("{}, {how:?}: {open} are owed, {abandoned} abandoned", case.name));
+            }
+        }
+    }
+    assert!(missed.is_empty(), "servers worked on:\n{}", missed.join("\n"));
+}
+
+#[test]
+fn what_runs_at_most_once_goes_on_when_its_client_has_left() {
+    for how in [Leaving::Close, Leaving::Reset] {
+        let server = Server::start(|_| Act::Silence);
+        let rig = Rig::start(&server);
+        let mut stream = TcpStream::connect(rig.address).expect("a connection");
+        stream.write_all(request("POST", "/silent", "1").as_bytes()).expect("written");
+        eventually("it is out", || server.count() == 1);
+        leave(stream, how);
+        let departed = || rig.with(|front| front.desk().engine.departures().clients) == 1;
+        eventually("the departure is noticed", departed);
+        assert!(server.closed.recv_timeout(NOTICED).is_err(), "its server was broken off, {how:?}");
+    }
+}
