Local cluster: a soak of random faults that overlap, with clients that leave

Real processes and sockets: proxies and core machines killed, frozen, ended in order and reloaded; servers cut off, slow, or losing answers; configuration changes; clients with several requests at once, of which a quarter leave. Four groups of faults overlap; those of one follow each other, so that no more is lost at once than the cluster tolerates. Links between the system's processes are not cut (that needs privileges); there a process stands still.

--- a/crates/local-cluster/src/lib.rs
+++ b/crates/local-cluster/src/lib.rs
@@ -12,6 +12,7 @@
 //! | [`failing`], [`chart`] | a backend that fails and recovers, live and as a picture |
 //! | [`changes`] | changes of the configuration, and who acts by them when they are acknowledged |
 //! | [`checker`] | what servers ran against what clients were told |
+//! | [`soak`] | random faults that overlap, with clients that leave, and what must hold of it |
 //! | [`shell`] | asking the system by its own shell |
 //! | [`traffic`] | requests at a rate, counted |
 //! | [`http`], [`wait`], [`error`] | messages on a socket, waiting for conditions, what goes wrong |
@@ -28,6 +29,7 @@
 pub mod programs;
 pub mod server;
 pub mod shell;
+pub mod soak;
 pub mod traffic;
 pub mod wait;
 
--- a/crates/local-cluster/src/main.rs
+++ b/crates/local-cluster/src/main.rs
@@ -7,7 +7,9 @@
 use oatbank_local_cluster::error::ClusterError;
 use oatbank_local_cluster::failing::{self, Wanted};
 use oatbank_local_cluster::operator::{Operator, TestConfiguration};
+use oatbank_local_cluster::random_u64;
 use oatbank_local_cluster::server::Server;
+use oatbank_local_cluster::soak;
 use oatbank_local_cluster::traffic::{Count, Traffic};
 use std::process::ExitCode;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -20,12 +22,14 @@
 Usage: oatbank-local-cluster [--proxies N] [--servers N] [--rate N] [--seconds N] [--keep]
        oatbank-local-cluster failing-backend [--rate N] [--seconds N] [--json FILE] [--picture FILE] [--fault duplicate]
        oatbank-local-cluster changes [--cores N] [--proxies N] [--changes N]
+       oatbank-local-cluster soak [--seconds N] [--seed N] [--seeds N]
 
 failing-backend: three proxies, three core machines, and bookings that must land once at four servers, of which
 one turns slow, then fails, then recovers. A row a second; at the end an independent checker holds what servers
 ran against what clients were told.
 changes: changes of the configuration one after the other, how long each takes to be acknowledged, and how many
 proxies do not act by it at that moment.
+soak: random faults that overlap, drawn from a seed, with clients of which some leave; what must not be is printed.
 
   --proxies N  proxies (3); the core has three machines
   --servers N  stand-in servers (6)
@@ -36,11 +40,13 @@
   --fault NAME    failing-backend: duplicate: some bookings are sent twice under one id, for the checker to find
   --cores N    changes: core machines (3)
   --changes N  changes: so many (30)
+  --seed N     soak: the first seed (drawn)
+  --seeds N    soak: so many, one after the other (1)
   --keep       keeps the folder with settings, logs and data, and names it
   --help, --version
 
 Ends with 0 if requests were served, none failed and all programs ran (failing-backend: if the checker finds
-nothing wrong; changes: if all were taken); else with 1.
+nothing wrong; changes: if all were taken; soak: if nothing was violated); else with 1.
 ";
 const HOST: &str = "shop.example";
 
@@ -53,6 +59,8 @@
     failing: bool,
     /// Core machines and changes, where these are measured.
     changes: Option<(usize, usize)>,
+    /// The first seed and how many, where this is a soak.
+    soak: Option<(u64, u64)>,
     json: Option<String>,
     picture: Option<String>,
     duplicate: bool,
@@ -68,6 +76,7 @@
         keep: false,
         failing: false,
         changes: None,
+        soak: None,
         json: None,
         picture: None,
         duplicate: false,
@@ -83,6 +92,17 @@
             Value(word) if word == "changes" && !command_line.failing && command_line.changes.is_none() => {
                 command_line.changes = Some((3, 30));
             }
+            Value(word) if word == "soak" && !command_line.failing && command_line.changes.is_none() => {
+                (command_line.soak, command_line.seconds) = (Some((random_u64() >> 32, 1)), 20);
+            }
+            Long("seed") if command_line.soak.is_some() => {
+                let seed = parser.value()?.parse()?;
+                command_line.soak = command_line.soak.map(|(_, seeds)| (seed, seeds));
+            }
+            Long("seeds") if command_line.soak.is_some() => {
+                let seeds = parser.value()?.parse()?;
+                command_line.soak = command_line.soak.map(|(seed, _)| (seed, seeds));
+            }
             Long("cores") if command_line.changes.is_some() => {
                 command_line.changes =
                     command_line.changes.zip(Some(parser.value()?.parse()?)).map(|((_, n), c)| (c, n));
@@ -156,6 +176,31 @@
     Ok(played.len() == changes)
 }
 
+/// Soaks, one seed after the other; whether nothing was violated.
+fn soak(command_line: &CommandLine, end: &AtomicBool) -> Result<bool, ClusterError> {
+    let (first, seeds) = command_line.soak.unwrap_or_default();
+    let mut is_clean = true;
+    for seed in first..first.saturating_add(seeds) {
+        if end.load(Ordering::SeqCst) {
+            break;
+        }
+        let wanted = soak::Wanted { seed, span: Duration::from_secs(command_line.seconds) };
+        let report = soak::play(&wanted)?;
+        println!(
+            "seed {seed}: {} faults, {} changes, {} requests, {} served, {} left by their clients, {} violations",
+            report.faults,
+            report.changes,
+            report.requests,
+            report.served,
+            report.left,
+            report.violations.len()
+        );
+        report.violations.iter().for_each(|violation| println!("  {violation}"));
+        is_clean &= report.violations.is_empty();
+    }
+    Ok(is_clean)
+}
+
 /// Set once somebody wants this to end.
 fn shutdown_flag() -> Arc<AtomicBool> {
     let end = Arc::new(AtomicBool::new(false));
@@ -250,6 +295,7 @@
     };
     let end = shutdown_flag();
     let played = match command_line.changes {
+        None if command_line.soak.is_some() => soak(&command_line, &end),
         Some(changes) => change(command_line.proxies, changes, &end),
         None if command_line.failing => fail_a_backend(&command_line, &end),
         None => run_cluster(&command_line, &end),
--- a/crates/local-cluster/src/server.rs
+++ b/crates/local-cluster/src/server.rs
@@ -14,6 +14,8 @@
 const LARGE: usize = 3 * 1024 * 1024;
 /// How many times longer a slow server works.
 const SLOWER: u32 = 8;
+/// A server that works looks this often whether its answer is still wanted.
+const WORK_STEP: Duration = Duration::from_millis(5);
 /// Requests that wait for a slot.
 const QUEUE: usize = 8;
 const IDLE: Duration = Duration::from_secs(8);
@@ -50,6 +52,8 @@
     Slow,
     /// Runs it, and says by a 500 that it failed; of one in three the connection is reset instead.
     Fails,
+    /// As if its link were cut: what arrives is not run and not answered, and its connection ends with this behaviour.
+    Unreachable,
 }
 
 /// A request that reached a server.
@@ -67,6 +71,8 @@
     pub key: bool,
     /// Whether it was run.
     pub ran: bool,
+    /// When the server stopped working on it: it was done, or its connection was closed.
+    pub ended: Option<Instant>,
 }
 
 /// Whose word was acknowledged, by whom and when.
@@ -261,6 +267,13 @@
 }
 
 impl Shared {
+    /// Notes a request, and says where.
+    fn note(&self, request: ReceivedRequest) -> usize {
+        let mut seen = lock(&self.seen);
+        seen.push(request);
+        seen.len() - 1
+    }
+
     fn heartbeat(&self) -> Option<Acknowledgement> {
         let calls = self.calls.fetch_add(1, Ordering::SeqCst) + 1;
         let state = if self.draining.load(Ordering::SeqCst) { "draining" } else { "ready" };
@@ -364,19 +377,23 @@
     }
     let try_id = request.field("try-id").unwrap_or_default().to_owned();
     let behaviour = *lock(&shared.behaviour);
+    if behaviour == Behaviour::Unreachable {
+        return wait_until_reachable(shared, connection);
+    }
     let full = shared.busy.fetch_add(1, Ordering::SeqCst) >= shared.slots + QUEUE;
     let held = CountGuard(&shared.busy);
     let other = request.field("meant-server").is_some_and(|id| id != shared.id)
         || behaviour == Behaviour::Misdirected;
     let full = full || behaviour == Behaviour::Full;
     let ran = !(other || full || try_id.is_empty());
-    lock(&shared.seen).push(ReceivedRequest {
+    let place = shared.note(ReceivedRequest {
         at,
         try_id: try_id.clone(),
         customer: request.field("customer").map(str::to_owned),
         key: request.field("authorization").is_some(),
         what: (request.method.clone(), request.path.clone(), request.body.clone()),
         ran,
+        ended: None,
     });
     let not_run = |status: &str| text(status, &try_id, "Not-Run: 1\r\n", b"");
     let refusal = match () {
@@ -388,11 +405,40 @@
     if let Some(refusal) = refusal {
         return connection.send(&refusal).is_ok();
     }
-    std::thread::sleep(if behaviour == Behaviour::Slow { shared.work * SLOWER } else { shared.work });
+    let work = if behaviour == Behaviour::Slow { shared.work * SLOWER } else { shared.work };
+    let is_wanted = work_for(connection, work);
     drop(held);
+    lock(&shared.seen)[place].ended = Some(Instant::now());
+    if !is_wanted {
+        return false;
+    }
     send_success(shared, connection, &request, &try_id, before, behaviour)
 }
 
+/// Works so long, or until nobody waits for the answer any more; whether somebody still does.
+fn work_for(connection: &HttpConnection, work: Duration) -> bool {
+    let until = Instant::now() + work;
+    loop {
+        let left = until.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            return true;
+        }
+        std::thread::sleep(left.min(WORK_STEP));
+        if !connection.is_quiet() {
+            return false;
+        }
+    }
+}
+
+/// Says nothing until the server can be reached again. The connection is then of no use.
+fn wait_until_reachable(shared: &Shared, connection: &HttpConnection) -> bool {
+    let is_cut = || *lock(&shared.behaviour) == Behaviour::Unreachable;
+    while is_cut() && connection.is_quiet() && !shared.ended.load(Ordering::SeqCst) {
+        std::thread::sleep(WORK_STEP);
+    }
+    false
+}
+
 /// Answers a health check.
 fn send_health(shared: &Shared, connection: &mut HttpConnection) -> bool {
     let status = if shared.draining.load(Ordering::SeqCst) { "503 Service Unavailable" } else { "200 OK" };
--- /dev/null
+++ b/crates/local-cluster/src/soak/clients.rs
@@ -0,0 +1,160 @@
+//! Clients of the soak: several requests at once on kept connections, and some leave before their answers.
+
+use super::schedule::Random;
+use super::{HISTORY, HOST, READ, WRITE};
+use crate::client::try_id;
+use crate::http::{HttpConnection, HttpError};
+use crate::server::sealed_by;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+/// Requests that are sent at once, at most.
+const MOST_AT_ONCE: usize = 5;
+/// A client waits so long for its answers.
+const PATIENCE: Duration = Duration::from_millis(2500);
+/// Share of the batches whose client leaves.
+const LEAVES: f64 = 0.25;
+
+/// What is asked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// May be repeated.
+    Read,
+    /// Runs at most once.
+    Write,
+    /// A write without a route, in whose body another request stands.
+    Smuggling,
+}
+
+/// What came of a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// An answer, and whose whole answer to this very try it is.
+    Answered(u16, Option<String>),
+    /// The connection ended before an answer.
+    Unanswered,
+    /// An answer before it said that the connection ends.
+    BehindLastAnswer,
+    /// The client left, of its own or as its time was up.
+    Left,
+}
+
+/// One request.
+#[derive(Clone, Debug)]
+pub struct Exchange {
+    /// Its `Try-Id`.
+    pub id: String,
+    /// The `Try-Id` of the request that stands in its body.
+    pub inner: Option<String>,
+    /// What it is.
+    pub kind: Kind,
+    /// The proxy's number.
+    pub proxy: usize,
+    /// When it was sent.
+    pub sent: Instant,
+    /// When its end was seen.
+    pub ended: Instant,
+    /// What came of it.
+    pub outcome: Outcome,
+}
+
+struct Prepared {
+    id: String,
+    inner: Option<String>,
+    kind: Kind,
+    text: String,
+}
+
+fn prepare(random: &mut Random, is_last: bool) -> Prepared {
+    let id = try_id();
+    let close = if is_last { "Connection: close\r\n" } else { "" };
+    let head = |method: &str, path: &str, id: &str| {
+        format!("{method} {path}1 HTTP/1.1\r\nHost: {HOST}\r\nTry-Id: {id}\r\nTime-Left-Ms: 2000\r\n{close}")
+    };
+    let drawn = random.share();
+    if drawn < 0.04 {
+        let inner = try_id();
+        let body = format!("GET {READ}2 HTTP/1.1\r\nHost: {HOST}\r\nTry-Id: {inner}\r\n\r\n");
+        let text = format!("{}Content-Length: {}\r\n\r\n{body}", head("POST", "/none/", &id), body.len());
+        return Prepared { id, inner: Some(inner), kind: Kind::Smuggling, text };
+    }
+    let (kind, text) = match drawn {
+        drawn if drawn < 0.15 => (Kind::Write, head("POST", WRITE, &id) + "Content-Length: 5\r\n\r\nwords"),
+        drawn if drawn < 0.45 => (Kind::Read, head("GET", HISTORY, &id) + "\r\n"),
+        _ => (Kind::Read, head("GET", READ, &id) + "\r\n"),
+    };
+    Prepared { id, inner: None, kind, text }
+}
+
+/// Sends batches until it is stopped.
+pub fn run(fronts: &[SocketAddr], seed: u64, number: u64, stop: &AtomicBool) -> Vec<Exchange> {
+    let mut random = Random::new(seed, 100 + number);
+    let mut kept: Vec<Option<HttpConnection>> = fronts.iter().map(|_| None).collect();
+    let mut exchanges = Vec::new();
+    while !stop.load(Ordering::SeqCst) {
+        let proxy = random.below(fronts.len());
+        let quiet = kept[proxy].take().filter(HttpConnection::is_quiet);
+        let connection =
+            quiet.or_else(|| HttpConnection::connect(fronts[proxy], Duration::from_millis(300)).ok());
+        if let Some(connection) = connection {
+            kept[proxy] = send_batch(&mut random, proxy, connection, &mut exchanges);
+        }
+        std::thread::sleep(random.between(0, 40));
+    }
+    exchanges
+}
+
+/// Sends some requests at once and reads their answers, or leaves; the connection, if it may be kept.
+fn send_batch(
+    random: &mut Random,
+    proxy: usize,
+    mut connection: HttpConnection,
+    exchanges: &mut Vec<Exchange>,
+) -> Option<HttpConnection> {
+    let count = 1 + random.below(MOST_AT_ONCE);
+    let closes = random.share() < 0.1;
+    let batch: Vec<Prepared> = (0..count).map(|nth| prepare(random, closes && nth + 1 == count)).collect();
+    let text: String = batch.iter().map(|prepared| prepared.text.as_str()).collect();
+    let sent = Instant::now();
+    let _ = connection.send(text.as_bytes());
+    let outcomes = if random.share() < LEAVES {
+        std::thread::sleep(random.between(0, 150));
+        if random.share() < 0.3 {
+            connection.linger_none();
+        }
+        vec![Outcome::Left; count]
+    } else {
+        read_answers(&batch, &mut connection, sent + PATIENCE)
+    };
+    let is_kept = matches!(outcomes.last(), Some(Outcome::Answered(..))) && !closes;
+    // Whoever leaves does so here, and it is from here on that nobody is to work for it.
+    let connection = is_kept.then_some(connection);
+    let ended = Instant::now();
+    for (prepared, outcome) in batch.into_iter().zip(outcomes) {
+        let Prepared { id, inner, kind, .. } = prepared;
+        exchanges.push(Exchange { id, inner, kind, proxy, sent, ended, outcome });
+    }
+    connection
+}
+
+fn read_answers(batch: &[Prepared], connection: &mut HttpConnection, until: Instant) -> Vec<Outcome> {
+    let mut outcomes: Vec<Outcome> = Vec::new();
+    for prepared in batch {
+        let (outcome, follows) = match connection.answer(until) {
+            Ok(answer) => {
+                let by = sealed_by(&answer, &prepared.id);
+                let follows = answer.closes().then_some(Outcome::BehindLastAnswer);
+                (Outcome::Answered(answer.status, by), follows)
+            }
+            Err(HttpError::Late) => (Outcome::Left, Some(Outcome::Left)),
+            Err(_) => (Outcome::Unanswered, Some(Outcome::Unanswered)),
+        };
+        outcomes.push(outcome);
+        if let Some(follows) = follows {
+            outcomes.resize(batch.len(), follows);
+            break;
+        }
+    }
+    outcomes
+}
--- /dev/null
+++ b/crates/local-cluster/src/soak/mod.rs
@@ -0,0 +1,273 @@
+//! A soak: the system's own processes under random faults that overlap, with clients that send several requests at once and
+//! some that leave. [`rules`] says what must hold.
+//!
+//! Links between the system's processes cannot be cut without privileges: there a process stands still instead.
+
+pub mod clients;
+pub mod rules;
+pub mod schedule;
+
+use crate::cluster::{LocalCluster, Plan, Role, CORE, INNER_PROXY};
+use crate::error::ClusterError;
+use crate::operator::{Operator, TestConfiguration};
+use crate::server::{Behaviour, Server};
+use crate::{shell, wait};
+use clients::Exchange;
+use rules::{Evidence, Outage};
+use schedule::{Fault, Step, GROUPS};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+const HOST: &str = "soak.example";
+const READ: &str = "/read/";
+const WRITE: &str = "/write/";
+/// Served slowly: a client may leave long before its answer.
+const HISTORY: &str = "/history/";
+const READ_WORK: Duration = Duration::from_millis(15);
+const HISTORY_WORK: Duration = Duration::from_millis(800);
+/// Servers of each service.
+const SERVERS: usize = 3;
+const SLOTS: usize = 24;
+/// Clients.
+const CLIENTS: u64 = 16;
+/// What a program that was told to end may take.
+const GRACE_S: u64 = 3;
+/// Between the last request and the last look at what servers still do.
+const CALM: Duration = Duration::from_millis(1500);
+
+/// What is to be played.
+#[derive(Clone, Copy, Debug)]
+pub struct Wanted {
+    /// Draws the faults and what clients do.
+    pub seed: u64,
+    /// How long there are faults.
+    pub span: Duration,
+}
+
+/// What came of it.
+#[derive(Debug, Default)]
+pub struct Report {
+    /// Requests.
+    pub requests: usize,
+    /// Requests that were served.
+    pub served: usize,
+    /// Requests whose client left.
+    pub left: usize,
+    /// Configurations that were acknowledged.
+    pub changes: usize,
+    /// Faults.
+    pub faults: usize,
+    /// What must not be.
+    pub violations: Vec<String>,
+}
+
+/// What the threads of a soak share.
+struct Soak {
+    cluster: LocalCluster,
+    servers: Vec<Server>,
+    outages: Mutex<Vec<Outage>>,
+    /// The newest acknowledged configuration, and how many there were.
+    acknowledged: Mutex<(u64, usize)>,
+    stop: AtomicBool,
+}
+
+/// Plays a soak.
+///
+/// # Errors
+/// When the system does not come about, or a program does not start again.
+pub fn play(wanted: &Wanted) -> Result<Report, ClusterError> {
+    let soak = Arc::new(Soak::start()?);
+    let fronts = soak.cluster.fronts();
+    let clients: Vec<_> = (0..CLIENTS)
+        .map(|number| {
+            let (soak, fronts, seed) = (soak.clone(), fronts.clone(), wanted.seed);
+            std::thread::spawn(move || clients::run(&fronts, seed, number, &soak.stop))
+        })
+        .collect();
+    let groups: Vec<_> = (0..GROUPS.len())
+        .map(|group| {
+            let (soak, steps) = (soak.clone(), schedule::draw(wanted.seed, group, wanted.span));
+            std::thread::spawn(move || steps.iter().try_for_each(|step| soak.play_step(step)))
+        })
+        .collect();
+    let mut report = Report::default();
+    for (group, playing) in groups.into_iter().enumerate() {
+        report.faults += schedule::draw(wanted.seed, group, wanted.span).len();
+        match playing.join() {
+            Ok(Ok(())) => {}
+            Ok(Err(error)) => report.violations.push(format!("group {group}: {error}")),
+            Err(_) => report.violations.push(format!("group {group} has failed")),
+        }
+    }
+    soak.stop.store(true, Ordering::SeqCst);
+    let exchanges = clients.into_iter().flat_map(|client| client.join().unwrap_or_default()).collect();
+    std::thread::sleep(CALM);
+    soak.conclude(exchanges, &mut report);
+    Ok(report)
+}
+
+impl Soak {
+    fn start() -> Result<Soak, ClusterError> {
+        let cluster = LocalCluster::start(Plan::default().bound("graceS", GRACE_S))?;
+        Operator::new(cluster.controls()).must_put(&configuration())?;
+        let start = |nth: usize| match nth % 3 {
+            0 => Server::with(&cluster, nth, "reader", SLOTS, READ_WORK),
+            1 => Server::with(&cluster, nth, "writer", SLOTS, READ_WORK),
+            _ => Server::with(&cluster, nth, "historian", SLOTS, HISTORY_WORK),
+        };
+        let servers = (0..3 * SERVERS).map(start).collect::<Result<Vec<_>, _>>()?;
+        for server in &servers {
+            server.register()?;
+        }
+        cluster.until_ready()?;
+        Ok(Soak {
+            cluster,
+            servers,
+            outages: Mutex::default(),
+            acknowledged: Mutex::new((configuration().version, 1)),
+            stop: AtomicBool::new(false),
+        })
+    }
+
+    fn play_step(&self, step: &Step) -> Result<(), ClusterError> {
+        std::thread::sleep(step.pause);
+        let proxies = self.cluster.proxies();
+        let proxy = proxies.start + step.target % proxies.len();
+        let core = step.target % self.cluster.cores().len();
+        let server = &self.servers[step.target % self.servers.len()];
+        match step.fault {
+            Fault::KillProxy => self.outage(proxy, || {
+                self.cluster.kill(proxy, Role::Proxy);
+                std::thread::sleep(step.lasts);
+                self.cluster.run(proxy, Role::Proxy)
+            })?,
+            Fault::FreezeProxy => self.outage(proxy, || self.freeze(&[(proxy, Role::Proxy)], step.lasts))?,
+            Fault::EndProxy => self.end_proxy(proxy)?,
+            Fault::ReloadProxy => self.cluster.signal("HUP", &[(proxy, Role::Proxy)])?,
+            Fault::KillCore => {
+                let programs = CORE.map(|role| (core, role));
+                self.cluster.kill_all(&programs);
+                std::thread::sleep(step.lasts);
+                programs.iter().try_for_each(|(core, role)| self.cluster.run(*core, *role))?;
+            }
+            Fault::FreezeCore => self.freeze(&CORE.map(|role| (core, role)), step.lasts)?,
+            Fault::CutServer => behave(server, Behaviour::Unreachable, step.lasts),
+            Fault::LoseAnswers => behave(server, Behaviour::RunThenReset, step.lasts),
+            Fault::SlowServer => behave(server, Behaviour::Slow, step.lasts),
+            Fault::ChangeConfiguration => self.change_configuration(),
+        }
+        Ok(())
+    }
+
+    fn outage(
+        &self,
+        proxy: usize,
+        fault: impl FnOnce() -> Result<(), ClusterError>,
+    ) -> Result<(), ClusterError> {
+        let from = Instant::now();
+        let done = fault();
+        let proxy = proxy - self.cluster.proxies().start;
+        let outage = Outage { proxy, from, until: Instant::now() };
+        self.outages.lock().unwrap_or_else(PoisonError::into_inner).push(outage);
+        done
+    }
+
+    fn freeze(&self, programs: &[(usize, Role)], lasts: Duration) -> Result<(), ClusterError> {
+        self.cluster.signal("STOP", programs)?;
+        std::thread::sleep(lasts);
+        self.cluster.signal("CONT", programs)
+    }
+
+    /// Ends a proxy in order, as for an update: no request is lost by it.
+    fn end_proxy(&self, proxy: usize) -> Result<(), ClusterError> {
+        self.cluster.signal("TERM", &[(proxy, Role::Proxy)])?;
+        let grace = Duration::from_secs(GRACE_S) + Duration::from_millis(500);
+        self.cluster.ended(proxy, Role::Proxy, grace)?;
+        self.cluster.run(proxy, Role::Proxy)
+    }
+
+    /// Puts a configuration on top of the one in force; one without a clear answer may or may not be in force.
+    fn change_configuration(&self) {
+        let operator = Operator::new(self.cluster.controls());
+        let Ok((version, _)) = operator.read() else { return };
+        let extra = format!("/extra-{version}/");
+        let mut next = configuration().route(&extra, "safe", "reader");
+        (next.version, next.built_on) = (version + 3, version);
+        if operator.put(&next).is_ok_and(|answered| answered.status == 200) {
+            let mut acknowledged = self.acknowledged.lock().unwrap_or_else(PoisonError::into_inner);
+            *acknowledged = (next.version, acknowledged.1 + 1);
+        }
+    }
+
+    fn conclude(&self, exchanges: Vec<Exchange>, report: &mut Report) {
+        report.requests = exchanges.len();
+        let is_served = |exchange: &&Exchange| matches!(exchange.outcome, clients::Outcome::Answered(status, _) if (200..300).contains(&status));
+        report.served = exchanges.iter().filter(is_served).count();
+        report.left = exchanges.iter().filter(|exchange| exchange.outcome == clients::Outcome::Left).count();
+        let received = |server: &Server| {
+            let id = server.id().to_owned();
+            server.seen().into_iter().map(move |request| (id.clone(), request)).collect::<Vec<_>>()
+        };
+        let evidence = Evidence {
+            exchanges,
+            received: self.servers.iter().flat_map(received).collect(),
+            outages: self.outages.lock().unwrap_or_else(PoisonError::into_inner).clone(),
+            ended: Some(Instant::now()),
+        };
+        report.violations.extend(evidence.violations());
+        report
+            .violations
+            .extend(self.cluster.lost().iter().map(|program| format!("ended by itself: {program}")));
+        self.check_configuration(report);
+        self.check_invariants(report);
+        self.cluster.end();
+    }
+
+    /// What was acknowledged is read back.
+    fn check_configuration(&self, report: &mut Report) {
+        let (version, changes) = *self.acknowledged.lock().unwrap_or_else(PoisonError::into_inner);
+        report.changes = changes;
+        let read = wait::until(wait::LONG, "the configuration is read", || {
+            Operator::new(self.cluster.controls()).read().ok()
+        });
+        match read {
+            Ok((read, _)) if read >= version => {}
+            Ok((read, _)) => {
+                report.violations.push(format!("CONFIG: r{read} is read, r{version} was acknowledged"))
+            }
+            Err(error) => report.violations.push(format!("CONFIG: {error}")),
+        }
+    }
+
+    /// What the proxies say of themselves, also in the logs of those that have ended.
+    fn check_invariants(&self, report: &mut Report) {
+        for proxy in self.cluster.proxies() {
+            match shell::ask(self.cluster.inner(proxy, INNER_PROXY), &["invariants"]) {
+                Some(table) => {
+                    let broken = table.rows.iter().filter(|row| row.get(1).is_none_or(|count| count != "0"));
+                    let line = |row: &Vec<String>| format!("INVARIANT at proxy {proxy}: {}", row.join(": "));
+                    report.violations.extend(broken.map(line));
+                }
+                None => report.violations.push(format!("proxy {proxy} does not answer")),
+            }
+            if self.cluster.has_logged(proxy, Role::Proxy, "invariant violated") {
+                report.violations.push(format!("INVARIANT in the log of proxy {proxy}"));
+            }
+        }
+    }
+}
+
+fn behave(server: &Server, behaviour: Behaviour, lasts: Duration) {
+    server.set_behaviour(behaviour);
+    std::thread::sleep(lasts);
+    server.set_behaviour(Behaviour::Serve);
+}
+
+fn configuration() -> TestConfiguration {
+    TestConfiguration::new(HOST).route(READ, "safe", "reader").route(WRITE, "unsafe", "writer").route(
+        HISTORY,
+        "safe",
+        "historian",
+    )
+}
--- /dev/null
+++ b/crates/local-cluster/src/soak/rules.rs
@@ -0,0 +1,124 @@
+//! What must hold of a soak: what servers saw against what clients were told, and what the proxies say of themselves.
+
+use super::clients::{Exchange, Kind, Outcome};
+use crate::checker::is_promise;
+use crate::server::ReceivedRequest;
+use std::collections::{HashMap, HashSet};
+use std::time::{Duration, Instant};
+
+/// A server that is still at work this long after its client has left works for nobody.
+pub const GONE_AFTER: Duration = Duration::from_millis(500);
+/// A request that no server has is lost only if its connection ended this long after it was sent.
+pub const LOST_AFTER: Duration = Duration::from_millis(200);
+/// A machine counts again this long after its fault.
+const SETTLES: Duration = Duration::from_secs(1);
+
+/// When a proxy was killed or stood still: what it then did not do is no fault of its program.
+#[derive(Clone, Copy, Debug)]
+pub struct Outage {
+    /// Its proxy.
+    pub proxy: usize,
+    /// When it began.
+    pub from: Instant,
+    /// When it was over.
+    pub until: Instant,
+}
+
+/// What was seen of a soak.
+#[derive(Debug, Default)]
+pub struct Evidence {
+    /// What clients sent, and what came of it.
+    pub exchanges: Vec<Exchange>,
+    /// What reached servers, each with its server's id.
+    pub received: Vec<(String, ReceivedRequest)>,
+    /// Outages of proxies.
+    pub outages: Vec<Outage>,
+    /// Until when all of this was looked at.
+    pub ended: Option<Instant>,
+}
+
+impl Evidence {
+    /// Whether a proxy was in order from shortly before until then.
+    fn in_order(&self, proxy: usize, from: Instant, until: Instant) -> bool {
+        let hits = |outage: &Outage| outage.from <= until && outage.until + SETTLES >= from;
+        !self.outages.iter().any(|outage| outage.proxy == proxy && hits(outage))
+    }
+
+    /// What must not be, a line each.
+    pub fn violations(&self) -> Vec<String> {
+        let mut arrivals: HashMap<&str, Vec<&(String, ReceivedRequest)>> = HashMap::new();
+        for arrival in &self.received {
+            arrivals.entry(arrival.1.try_id.as_str()).or_default().push(arrival);
+        }
+        let known: HashSet<&str> = self.exchanges.iter().map(|exchange| exchange.id.as_str()).collect();
+        let unasked = arrivals.keys().filter(|id| !known.contains(**id));
+        let mut violations: Vec<String> =
+            unasked.map(|id| format!("UNASKED: {id} reached a server, and no client sent it")).collect();
+        for exchange in &self.exchanges {
+            let of = arrivals.get(exchange.id.as_str()).map_or(&[][..], Vec::as_slice);
+            let broken = [
+                self.gone(exchange, of),
+                self.lost(exchange, of),
+                twice(exchange, of),
+                refused(exchange, of),
+                mixed(exchange, of),
+            ];
+            violations.extend(broken.into_iter().flatten());
+        }
+        violations
+    }
+
+    fn gone(&self, exchange: &Exchange, arrivals: &[&(String, ReceivedRequest)]) -> Option<String> {
+        let late = exchange.ended + GONE_AFTER;
+        let counts = exchange.outcome == Outcome::Left
+            && exchange.kind == Kind::Read
+            && self.in_order(exchange.proxy, exchange.sent, late);
+        let works_on = |arrival: &&&(String, ReceivedRequest)| {
+            let until = arrival.1.ended.or(self.ended);
+            arrival.1.ran && until.is_some_and(|until| until > late)
+        };
+        let (server, _) = arrivals.iter().find(works_on).filter(|_| counts)?;
+        Some(format!(
+            "GONE: {} at proxy {}: {server} was at work {GONE_AFTER:?} after its client had left",
+            exchange.id, exchange.proxy
+        ))
+    }
+
+    fn lost(&self, exchange: &Exchange, arrivals: &[&(String, ReceivedRequest)]) -> Option<String> {
+        let took = exchange.ended - exchange.sent;
+        let is_lost = match exchange.outcome {
+            Outcome::Unanswered => !arrivals.is_empty() || took > LOST_AFTER,
+            Outcome::BehindLastAnswer => !arrivals.is_empty(),
+            _ => false,
+        };
+        (is_lost && self.in_order(exchange.proxy, exchange.sent, exchange.ended)).then(|| {
+            format!(
+                "LOST: {} ({:?}, {:?}) at proxy {}: {} arrivals, no answer after {took:?}",
+                exchange.id,
+                exchange.kind,
+                exchange.outcome,
+                exchange.proxy,
+                arrivals.len()
+            )
+        })
+    }
+}
+
+fn twice(exchange: &Exchange, arrivals: &[&(String, ReceivedRequest)]) -> Option<String> {
+    let runs = arrivals.iter().filter(|arrival| arrival.1.ran).count();
+    (exchange.kind != Kind::Read && runs > 1).then(|| format!("TWICE: {} ran {runs} times", exchange.id))
+}
+
+fn refused(exchange: &Exchange, arrivals: &[&(String, ReceivedRequest)]) -> Option<String> {
+    let Outcome::Answered(status, _) = exchange.outcome else { return None };
+    let ran = arrivals.iter().any(|arrival| arrival.1.ran);
+    let is_broken = exchange.kind != Kind::Read && is_promise(status) && ran;
+    is_broken.then(|| format!("REFUSED: {} was told {status}, and ran", exchange.id))
+}
+
+fn mixed(exchange: &Exchange, arrivals: &[&(String, ReceivedRequest)]) -> Option<String> {
+    let Outcome::Answered(status, by) = &exchange.outcome else { return None };
+    let ran_there = |by: &String| arrivals.iter().any(|(server, arrival)| server == by && arrival.ran);
+    let is_wrong = (200..300).contains(status) && !by.as_ref().is_some_and(ran_there);
+    is_wrong.then(|| format!("MIXED: {} was told {status}, by {by:?}", exchange.id))
+}
