--- a/crates/engine/tests/common/pipelined.rs
+++ b/crates/engine/tests/common/pipelined.rs
@@ -182,3 +182,8 @@
 pub fn request_with(method: &str, path: &str, id: &str, lines: &str) -> String {
     format!("{method} {path} HTTP/1.1\r\nHost: h\r\nTry-Id: {id}\r\n{lines}Content-Length: 0\r\n\r\n")
 }
+
+/// The paths of all that has reached a server.
+pub fn paths(server: &Server) -> Vec<String> {
+    server.seen.lock().expect("a lock").iter().map(|m| path(m).to_owned()).collect()
+}
--- a/crates/engine/tests/pipelined.rs
+++ b/crates/engine/tests/pipelined.rs
@@ -3,7 +3,7 @@
 
 mod common;
 
-use common::pipelined::{path, request, to, Rig};
+use common::pipelined::{path, paths, request, to, Rig};
 use oatbank_testkit::{eventually, read_message, Act, Server};
 use std::io::{Read, Write};
 use std::sync::mpsc::{self, Receiver, Sender};
@@ -25,10 +25,6 @@
     (server, release)
 }
 
-fn paths(server: &Server) -> Vec<String> {
-    server.seen.lock().expect("a lock").iter().map(|m| path(m).to_owned()).collect()
-}
-
 #[test]
 fn answers_go_out_in_the_order_of_their_requests_whichever_is_there_first() {
     let (server, release) = server();
--- a/crates/engine/tests/unanswered.rs
+++ b/crates/engine/tests/unanswered.rs
@@ -2,12 +2,13 @@
 
 mod common;
 
-use common::pipelined::{path, request, to, Rig};
+use common::pipelined::{path, paths, request, to, Rig};
 use oatbank_engine::front::connection_ends::ConnectionEnd;
-use oatbank_testkit::{eventually, read_message, Act, Server};
+use oatbank_testkit::{eventually, read_message, within, Act, Server};
 use std::io::{Read, Write};
 use std::sync::mpsc::{self, Receiver, Sender};
 use std::sync::Mutex;
+use std::time::Duration;
 
 /// Answers what is sent to `/wait` when the test says so, and all else at once.
 fn server() -> (Server, Sender<()>) {
@@ -107,3 +108,23 @@
         }
     }
 }
+
+#[test]
+fn a_request_that_crosses_an_idle_close_is_not_read() {
+    let (server, _release) = server();
+    let rig = Rig::start(&server);
+    let (mut stream, mut reader) = rig.connect();
+    stream.write_all(request("GET", "/a", "1").as_bytes()).expect("written");
+    assert!(read_message(&mut reader).is_some());
+    rig.with(|front| front.close_idle());
+    assert_eq!(stream.peek(&mut [0]).expect("an end"), 0);
+    // As if it had been sent before the end came: the connection was kept, and it could have been used.
+    stream.write_all(request("GET", "/b", "2").as_bytes()).expect("written");
+    let is_refused = || stream.take_error().expect("an option").is_some();
+    within(
+        Duration::from_millis(500),
+        "its client is told at once, by a reset, that it was not read",
+        is_refused,
+    );
+    assert_eq!(paths(&server), ["/a"]);
+}
