An idle connection that is ended is not read on: a request that crosses is refused unread

Cause: after the half close of an idle connection the proxy read on for up to a second, as after a last answer, and threw away what came. There it protects an answer that is still on its way; here there is none. A request that crossed the close on a slow link was so read whole and had neither an answer nor a reset.

Now nothing is read any more: the first byte that comes, or the client's own end, ends the wait, and the reset that follows an unread byte tells the client at once that its request was not read, so that it may send again what runs once, too. Crossings are counted (oatbankctl connections).

--- a/crates/engine/src/front/connection_ends.rs
+++ b/crates/engine/src/front/connection_ends.rs
@@ -54,12 +54,15 @@
 
 /// How many connections ended in each way.
 #[derive(Debug, Default)]
-pub struct ConnectionEnds([Cell<EndCount>; ConnectionEnd::ALL.len()]);
+pub struct ConnectionEnds {
+    counts: [Cell<EndCount>; ConnectionEnd::ALL.len()],
+    crossings: Cell<u64>,
+}
 
 impl ConnectionEnds {
     /// A connection has ended with so many requests begun and not answered.
     pub fn record(&self, end: ConnectionEnd, unanswered: usize) {
-        let count = &self.0[end as usize];
+        let count = &self.counts[end as usize];
         let before = count.get();
         count.set(EndCount {
             connections: before.connections + 1,
@@ -69,6 +72,16 @@
 
     /// How many ended in this way.
     pub fn count(&self, end: ConnectionEnd) -> EndCount {
-        self.0[end as usize].get()
+        self.counts[end as usize].get()
+    }
+
+    /// A request has crossed the end of its idle connection, and was left unread.
+    pub fn record_crossing(&self) {
+        self.crossings.set(self.crossings.get() + 1);
+    }
+
+    /// How many requests have crossed the end of their idle connection.
+    pub fn crossings(&self) -> u64 {
+        self.crossings.get()
     }
 }
--- a/crates/engine/src/front/pipelined/mod.rs
+++ b/crates/engine/src/front/pipelined/mod.rs
@@ -7,6 +7,7 @@
 //! Invariants:
 //! - A connection that ends by a decision of this process has no request that was begun and not answered. Once a reason to
 //!   end it has come up, nothing more is begun, and the last answer says that it ends.
+//! - What comes on a connection that was idle and is being ended is not read: its client may send it again.
 //! - A client that has closed is noticed wherever its connection stands: while something is waited for, it is read on. What
 //!   was begun for it is dropped then.
 
@@ -99,7 +100,8 @@
     let end = connection.run().await;
     connection.front.ends.record(end, connection.unanswered.get());
     match end {
-        ConnectionEnd::LastAnswer | ConnectionEnd::Idle => connection.part().await,
+        ConnectionEnd::LastAnswer => connection.part().await,
+        ConnectionEnd::Idle => connection.part_unread().await,
         ConnectionEnd::AnswerCut => _ = SockRef::from(&*connection.stream).set_linger(Some(Duration::ZERO)),
         ConnectionEnd::ClientClosed | ConnectionEnd::WriteFailed | ConnectionEnd::Dropped => {}
     }
@@ -202,6 +204,16 @@
         }
     }
 
+    /// Says that nothing more comes, and waits until the client has closed, or has sent a request that crosses this. That
+    /// is left unread, so that it certainly was not begun; the reset that follows tells its client at once.
+    async fn part_unread(&self) {
+        let _ = SockRef::from(&*self.stream).shutdown(Shutdown::Write);
+        let _ = timeout(PARTING, self.stream.readable()).await;
+        if unread(&self.stream) {
+            self.front.ends.record_crossing();
+        }
+    }
+
     /// Says that nothing more comes, and waits for the client's end.
     async fn part(&self) {
         let _ = SockRef::from(&*self.stream).shutdown(Shutdown::Write);
--- a/crates/proxy/src/invariants.rs
+++ b/crates/proxy/src/invariants.rs
@@ -116,10 +116,12 @@
         };
         let departures = self.handler.departures();
         let title = format!(
-            "{} open; {} clients left before their answer, {} attempts were cancelled for that",
+            "{} open; {} clients left before their answer, {} attempts were cancelled for that; {} requests crossed \
+             the end of an idle connection, unread",
             self.front.open(),
             departures.clients,
-            departures.cancelled_attempts
+            departures.cancelled_attempts,
+            self.front.ends().crossings()
         );
         table(title, &["end", "connections", "unanswered"], ConnectionEnd::ALL.into_iter().map(row).collect())
     }
