Streams end as whole only when they are told to be; departures in the core are tested

Read afresh, for the same class: a stream whose reader ended without a word (a connection that ends, a server that took nothing for 10 s) looked whole where its length was not told, so that a request cut in the middle could be run as a whole one. A feed that is dropped without finish() now breaks its stream off. Two tests that dropped a feed to mean the end say finish() now, as dropping means the opposite; a case is added that drops it.

A connection whose client takes nothing is counted as such, and no longer as dropped by this process. 8 KiB are read ahead, which stays within what the budget says of a connection.

--- a/crates/engine/src/body.rs
+++ b/crates/engine/src/body.rs
@@ -3,6 +3,10 @@
 //! A stream's pieces wait in a channel of [`PIECES`] at most: whoever reads slowly holds up whoever writes, and the
 //! window of a stream is bounded whatever its length. A small body is held so that it can be sent, or answered, again.
 
+mod feed;
+
+pub use feed::{pieces, Feed, NotTaken, Pieces, PIECES};
+
 use bytes::{Bytes, BytesMut};
 use http_body::{Body as HttpBody, Frame, SizeHint};
 use oatbank_operations::budget::{SMALL, STREAM_KIB};
@@ -11,14 +15,12 @@
 use std::rc::Rc;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::task::{ready, Context, Poll};
-use tokio::sync::{mpsc, OwnedSemaphorePermit, Semaphore};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
 /// A body up to this is held whole; of a longer one the start, until the rest is asked for.
 pub const HELD: usize = 64 * 1024;
 /// Longest body that is passed on, bytes: twice what users announced.
 pub const LONGEST: u64 = 64 * 1024 * 1024;
-/// Pieces of a stream that wait for its reader. Each is what one read brought, 16 KiB at most.
-pub const PIECES: usize = 2;
 
 /// Room for bodies: what they may take of the memory together. Whoever finds none waits, in turn.
 #[derive(Clone, Debug)]
@@ -135,17 +137,6 @@
     }
 }
 
-/// The pieces of a stream.
-pub type Pieces = mpsc::Receiver<Result<Bytes, Broken>>;
-
-/// Where the pieces of a stream are put.
-pub type Feed = mpsc::Sender<Result<Bytes, Broken>>;
-
-/// A stream's two ends.
-pub fn pieces() -> (Feed, Pieces) {
-    mpsc::channel(PIECES)
-}
-
 /// The body of an answer.
 #[derive(Debug)]
 pub enum Body {
@@ -170,7 +161,8 @@
         if room.is_none() {
             return Body::Whole(bytes);
         }
-        let (_, rest) = pieces();
+        let (feed, rest) = pieces();
+        feed.finish();
         Body::Stream { length: Some(bytes.len() as u64), held: bytes, rest, room }
     }
 
--- a/crates/engine/src/body/tests.rs
+++ b/crates/engine/src/body/tests.rs
@@ -42,7 +42,7 @@
             assert!(told.borrow().is_empty() && !gone.sent.get());
             let (body, told, gone) = sending(&upload);
             feed.send(Ok(Bytes::from_static(b"def"))).await.expect("room");
-            drop(feed);
+            feed.finish();
             assert_eq!(body.collect().await.expect("a body").to_bytes(), "abcdef");
             assert_eq!(*told.borrow(), [Progress::Spent, Progress::Sent]);
             assert!(gone.sent.get());
@@ -55,7 +55,9 @@
 
 #[test]
 fn a_body_that_ends_early_is_never_taken_for_whole() {
-    for (length, piece) in [(Some(7), Ok(Bytes::from_static(b"def"))), (None, Err(Broken::Left))] {
+    let def = || Ok(Bytes::from_static(b"def"));
+    // The last: its connection has ended, and nobody says anything more of it.
+    for (length, piece) in [(Some(7), def()), (None, Err(Broken::Left)), (None, def())] {
         let (feed, rest) = pieces();
         let upload = Arc::new(Upload::stream(Bytes::from_static(b"abc"), length, rest));
         runtime().block_on(async {
--- a/crates/engine/src/engine/core/tests.rs
+++ b/crates/engine/src/engine/core/tests.rs
@@ -54,3 +54,56 @@
     let answer = ask(&mut core, 1301.0).try_recv();
     assert!(answer.is_err(), "a total after that is dropped, the request waits for a server: {answer:?}");
 }
+
+/// A core with one server, and a request that is out there at 1000 ms.
+fn one_out(cancels_departed: bool, repeat: Repeat) -> (Core<(), ()>, RequestId) {
+    let class = Class { aim: 500.0, deadline: 3000.0, worth: 1.0, repeat, ..Class::default() };
+    let settings = Settings { gateways: 1.0, classes: vec![class], max_units: 1.0, ..Settings::default() };
+    let mut core: Core<(), ()> = Core::new(&Setup { settings, ..Setup::default() });
+    if cancels_departed {
+        core.cancel_departed();
+    }
+    let address = SocketAddr::from(([127, 0, 0, 1], 1));
+    core.members(900.0, &News::Complete(vec![crate::ports::membership::Member::ready("s-1", address)]));
+    let request = Request { units: 1.0, time_left: 3000.0, spread: 1.0, ..Request::default() };
+    let id = core.arrive(1000.0, request, (), Box::new(|_| ()));
+    let is_out = std::iter::from_fn(|| core.output()).any(|output| matches!(output, Output::Attempt { .. }));
+    assert!(is_out, "an attempt");
+    (core, id)
+}
+
+fn is_called_off(core: &mut Core<(), ()>) -> bool {
+    std::iter::from_fn(|| core.output()).any(|output| matches!(output, Output::CallOff { .. }))
+}
+
+#[test]
+fn what_may_be_repeated_is_cancelled_when_its_client_leaves() {
+    let (mut core, id) = one_out(true, Repeat::Safe);
+    core.gone(1100.0, id);
+    assert!(is_called_off(&mut core) && core.book.is_empty());
+    let departures = Departures { clients: 1, cancelled_attempts: 1, abandoned_attempts: 0 };
+    assert_eq!(core.departures(), departures);
+    // Its end comes all the same, and changes nothing.
+    core.attempt_ended(1900.0, id, 0, End::without_answer(Outcome::Cancelled));
+    assert_eq!(core.departures(), departures);
+}
+
+#[test]
+fn what_runs_at_most_once_is_not_cancelled_and_abandons_nobody() {
+    let (mut core, id) = one_out(true, Repeat::Unsafe);
+    core.gone(1100.0, id);
+    assert!(!is_called_off(&mut core) && core.out_once() == 1);
+    core.attempt_ended(1900.0, id, 0, End::without_answer(Outcome::Error));
+    assert_eq!(core.departures(), Departures { clients: 1, ..Departures::default() });
+}
+
+#[test]
+fn an_attempt_that_goes_on_for_nobody_is_counted_as_abandoned() {
+    for (ends, abandoned) in [(1300.0, 0), (1400.0, 1)] {
+        let (mut core, id) = one_out(false, Repeat::Safe);
+        core.gone(1100.0, id);
+        assert!(!is_called_off(&mut core));
+        core.attempt_ended(ends, id, 0, End::without_answer(Outcome::Error));
+        assert_eq!(core.departures().abandoned_attempts, abandoned, "ended at {ends}");
+    }
+}
--- a/crates/engine/src/front/pipelined/mod.rs
+++ b/crates/engine/src/front/pipelined/mod.rs
@@ -15,7 +15,7 @@
 mod write;
 
 use super::connection_ends::ConnectionEnd;
-use super::{unread, Desk, Front, Peer};
+use super::{unread, Desk, Front, Peer, Phase};
 use crate::body::Body;
 use bytes::BytesMut;
 use http::Response;
@@ -39,8 +39,9 @@
 const MOST: usize = 8;
 /// What is read at a time.
 const READ: usize = 16 * 1024;
-/// While something is waited for, so much is read ahead, to see whether the client closes.
-const READ_AHEAD: usize = 32 * 1024;
+/// While something is waited for, it is read on until this is there, to see whether the client closes. With what one read
+/// brings it stays within a connection's part of the memory.
+const READ_AHEAD: usize = 8 * 1024;
 /// Where more than that has come, the socket is asked this often.
 const CLOSED_POLL: Duration = Duration::from_millis(50);
 /// After the last answer the client's end is waited for so long: a close with unread bytes would take the answer back.
@@ -133,7 +134,7 @@
                 () = self.client_closed(), if !reads => return ConnectionEnd::ClientClosed,
                 () = self.peer.leave.notified() => {
                     if self.peer.over.get() {
-                        return ConnectionEnd::Dropped;
+                        return self.dropped();
                     }
                     if self.owes_nothing() {
                         return ConnectionEnd::Idle;
@@ -143,6 +144,14 @@
         }
     }
 
+    /// How it ends when it is dropped: one that is being written to has a client that takes nothing.
+    fn dropped(&self) -> ConnectionEnd {
+        match self.peer.phase.get() {
+            Phase::Writing => ConnectionEnd::WriteFailed,
+            _ => ConnectionEnd::Dropped,
+        }
+    }
+
     /// Whether nothing was begun that has no answer, and nothing has come that could be begun.
     fn owes_nothing(&self) -> bool {
         self.unanswered.get() == 0 && !self.next_has_come.get() && !unread(&self.stream)
--- a/crates/engine/src/front/pipelined/read.rs
+++ b/crates/engine/src/front/pipelined/read.rs
@@ -199,7 +199,7 @@
     }
 
     /// Passes the rest of a body on as it comes; what nobody takes any more is read all the same. False: the client has
-    /// closed, or makes no progress.
+    /// closed, or makes no progress; the body then breaks off with its feed.
     async fn pass_on(&self, buffer: &mut BytesMut, mut ends: Ends, feed: Feed) -> bool {
         let limits = &self.front.limits;
         let mut taken = 0u64;
@@ -208,41 +208,33 @@
             match heads::piece(buffer, &mut ends) {
                 Ok(Some(piece)) => {
                     taken += piece.len() as u64;
-                    let why = (taken > limits.body_bytes).then_some(body::Broken::TooLong);
+                    let is_too_long = taken > limits.body_bytes;
                     let Some(to) = &feed else {
-                        if why.is_some() {
+                        if is_too_long {
                             return false;
                         }
                         continue;
                     };
-                    let sending = timeout(STALL, to.send(why.map_or(Ok(piece), Err)));
-                    match self.while_open(buffer, sending).await {
-                        Some(Ok(Ok(()))) if why.is_none() => {}
-                        Some(Ok(Err(_))) if why.is_none() => feed = None,
-                        Some(_) => return false,
-                        None => return break_off(feed.as_ref()).await,
+                    let piece = if is_too_long { Err(body::Broken::TooLong) } else { Ok(piece) };
+                    match self.while_open(buffer, timeout(STALL, to.send(piece))).await {
+                        Some(Ok(Ok(()))) if !is_too_long => {}
+                        Some(Ok(Err(_))) if !is_too_long => feed = None,
+                        _ => return false,
                     }
                 }
-                Ok(None) if ends == Ends::Over => return true,
-                Ok(None) => {
-                    if !matches!(timeout(limits.silence, self.more(buffer)).await, Ok(true)) {
-                        return break_off(feed.as_ref()).await;
+                Ok(None) if ends == Ends::Over => {
+                    if let Some(feed) = feed {
+                        feed.finish();
                     }
+                    return true;
                 }
-                Err(_) => return break_off(feed.as_ref()).await,
+                Ok(None) if matches!(timeout(limits.silence, self.more(buffer)).await, Ok(true)) => {}
+                Ok(None) | Err(_) => return false,
             }
         }
     }
 }
 
-/// Tells whoever takes a body that the rest does not come; always false.
-async fn break_off(feed: Option<&Feed>) -> bool {
-    if let Some(to) = feed {
-        let _ = timeout(STALL, to.send(Err(body::Broken::Left))).await;
-    }
-    false
-}
-
 /// The turn of a request that is rejected: the connection ends with it.
 fn rejected(rejection: Rejection) -> Turn {
     tracing::debug!(status = rejection.status.as_u16(), "rejected: {}", rejection.why.trim_end());
--- a/crates/engine/src/front/receive.rs
+++ b/crates/engine/src/front/receive.rs
@@ -114,15 +114,18 @@
         };
         let piece = match piece {
             Ok(Some(piece)) => piece,
-            Ok(None) => return,
+            Ok(None) => return feed.finish(),
             // Who takes it hears why, unless it has given up.
-            Err(why) => return drop(feed.send(Err(why)).await),
+            Err(why) => {
+                let _ = feed.send(Err(why)).await;
+                return;
+            }
         };
         let waits = Instant::now();
         match timeout(STALL, feed.send(Ok(piece))).await {
             Ok(Ok(())) => {}
             Ok(Err(_)) => return linger(body, pace).await,
-            // The server's end of it closes with the channel.
+            // The server's end of it breaks off with the feed.
             Err(_) => return,
         }
         // Not the client's delay.
--- a/crates/engine/src/upstreams/http1.rs
+++ b/crates/engine/src/upstreams/http1.rs
@@ -644,7 +644,7 @@
             Err(_) => break Broken::Stalled,
             Ok(None) => {
                 begun.over();
-                return;
+                return feed.finish();
             }
             Ok(Some(Err(_))) => break Broken::Left,
             Ok(Some(Ok(frame))) => match frame.into_data() {
--- a/crates/engine/tests/once.rs
+++ b/crates/engine/tests/once.rs
@@ -322,7 +322,7 @@
                 stream.read_exact(&mut start).await.expect("the start");
                 if whole {
                     feed.send(Ok(Bytes::from_static(b"theend"))).await.expect("room");
-                    drop(feed);
+                    feed.finish();
                     read(&mut stream, if length.is_some() { "theend" } else { "0\r\n\r\n" }).await;
                     reset(stream);
                     assert_eq!(*attempt.told.borrow(), [Progress::Spent, Progress::Sent]);
@@ -366,7 +366,7 @@
         let (feed, coming) = pieces();
         let attempt = rig.post(1, "a", Upload::stream(vec![b'x'; 200_000].into(), Some(200_006), coming));
         feed.send(Ok(Bytes::from_static(b"theend"))).await.expect("room");
-        drop(feed);
+        feed.finish();
         let mut stream = rig.connection().await;
         read(&mut stream, "\r\n\r\n").await;
         let mut body = vec![0; 200_006];
