--- a/crates/engine/src/front/heads.rs
+++ b/crates/engine/src/front/heads.rs
@@ -218,9 +218,9 @@
     }
 }
 
-/// How an answer's end is told.
+/// How the end of an answer is marked.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Told {
+pub enum Framing {
     /// So many bytes.
     Length(u64),
     /// In chunks.
@@ -232,7 +232,7 @@
 }
 
 /// An answer's head as bytes.
-pub fn answer(status: StatusCode, headers: &HeaderMap, told: Told, close: bool, out: &mut BytesMut) {
+pub fn answer(status: StatusCode, headers: &HeaderMap, framing: Framing, close: bool, out: &mut BytesMut) {
     out.extend_from_slice(b"HTTP/1.1 ");
     out.extend_from_slice(status.as_str().as_bytes());
     out.extend_from_slice(b" ");
@@ -245,20 +245,20 @@
         out.extend_from_slice(b"\r\n");
     };
     for (name, value) in headers {
-        // Where the answer ends is told below, and nowhere else.
+        // The end of the answer is marked below, and nowhere else.
         let framing = *name == TRANSFER_ENCODING
             || *name == CONNECTION
-            || *name == CONTENT_LENGTH && told != Told::None;
+            || *name == CONTENT_LENGTH && framing != Framing::None;
         if !framing {
             line(name.as_str().as_bytes(), value.as_bytes());
         }
     }
-    match told {
-        Told::Length(length) => line(b"content-length", length.to_string().as_bytes()),
-        Told::Chunked => line(b"transfer-encoding", b"chunked"),
-        Told::Close | Told::None => {}
+    match framing {
+        Framing::Length(length) => line(b"content-length", length.to_string().as_bytes()),
+        Framing::Chunked => line(b"transfer-encoding", b"chunked"),
+        Framing::Close | Framing::None => {}
     }
-    if close || told == Told::Close {
+    if close || framing == Framing::Close {
         line(b"connection", b"close");
     }
     out.extend_from_slice(b"\r\n");
--- a/crates/engine/src/front/pipelined/mod.rs
+++ b/crates/engine/src/front/pipelined/mod.rs
@@ -79,7 +79,7 @@
     peer: Rc<Peer>,
     /// Requests that were begun and have no answer yet.
     unanswered: Cell<usize>,
-    /// Told when one of them has its answer.
+    /// Notified when one of them has its answer.
     answered: Notify,
     /// A request has come, or a part of one, that is not begun yet.
     next_has_come: Cell<bool>,
--- a/crates/engine/src/front/pipelined/write.rs
+++ b/crates/engine/src/front/pipelined/write.rs
@@ -1,6 +1,6 @@
 //! Writing: gives each request its answer, in the order of the requests.
 
-use super::super::heads::{self, Told};
+use super::super::heads::{self, Framing};
 use super::super::{closing, Desk, Phase};
 use super::{Answering, Connection, Turn};
 use crate::body::{self, Body};
@@ -79,25 +79,31 @@
         let lost = |done: bool| (!done).then_some(WriteEnd::Failed);
         match body {
             _ if bodiless => {
-                heads::answer(head.status, &head.headers, Told::None, close, &mut out);
+                heads::answer(head.status, &head.headers, Framing::None, close, &mut out);
                 lost(self.write_all(&out, b"").await)
             }
             Body::Whole(bytes) => {
-                heads::answer(head.status, &head.headers, Told::Length(bytes.len() as u64), close, &mut out);
+                heads::answer(
+                    head.status,
+                    &head.headers,
+                    Framing::Length(bytes.len() as u64),
+                    close,
+                    &mut out,
+                );
                 lost(self.write_all(&out, &bytes).await)
             }
             Body::Stream { held, length, mut rest, room } => {
-                let told = match length {
-                    Some(length) => Told::Length(length),
-                    None if turn.old => Told::Close,
-                    None => Told::Chunked,
+                let framing = match length {
+                    Some(length) => Framing::Length(length),
+                    None if turn.old => Framing::Close,
+                    None => Framing::Chunked,
                 };
-                heads::answer(head.status, &head.headers, told, close, &mut out);
+                heads::answer(head.status, &head.headers, framing, close, &mut out);
                 self.peer.streaming.set(length != Some(held.len() as u64));
-                let end = self.stream(&out, held, told, &mut rest).await;
+                let end = self.stream(&out, held, framing, &mut rest).await;
                 self.peer.streaming.set(false);
                 drop(room);
-                end.or_else(|| (told == Told::Close).then_some(WriteEnd::LastAnswer))
+                end.or_else(|| (framing == Framing::Close).then_some(WriteEnd::LastAnswer))
             }
         }
     }
@@ -106,28 +112,28 @@
         &self,
         head: &[u8],
         held: Bytes,
-        told: Told,
+        framing: Framing,
         rest: &mut body::Pieces,
     ) -> Option<WriteEnd> {
-        let mut left = match told {
-            Told::Length(length) => Some(length),
+        let mut left = match framing {
+            Framing::Length(length) => Some(length),
             _ => None,
         };
         let (mut before, mut piece) = (BytesMut::from(head), held);
         loop {
             match left.map(|left| left.checked_sub(piece.len() as u64)) {
-                // More than was told is not the answer that was told.
+                // More bytes than were announced are not the announced answer.
                 Some(None) => return Some(WriteEnd::Cut),
                 rest => left = rest.flatten(),
             }
-            if told == Told::Chunked && !piece.is_empty() {
+            if framing == Framing::Chunked && !piece.is_empty() {
                 before.extend_from_slice(format!("{:x}\r\n", piece.len()).as_bytes());
             }
             if !self.write_all(&before, &piece).await {
                 return Some(WriteEnd::Failed);
             }
             before.clear();
-            if told == Told::Chunked && !piece.is_empty() {
+            if framing == Framing::Chunked && !piece.is_empty() {
                 before.extend_from_slice(b"\r\n");
             }
             if left == Some(0) {
@@ -139,7 +145,7 @@
                 Some(Err(_)) | None => return Some(WriteEnd::Cut),
             }
         }
-        if told == Told::Chunked {
+        if framing == Framing::Chunked {
             before.extend_from_slice(b"0\r\n\r\n");
         }
         (!self.write_all(&before, b"").await).then_some(WriteEnd::Failed)
