Tests of the front share one rig; a schedule is drawn once; known failures by whole name

Read again for what stands twice: front.rs and the rig of the pipelined tests had the same desk and thread, pipelined.rs and unanswered.rs the same server; the time after which a server's silence ends a body stood in both ways of reading one. The soak drew each group's faults twice and kept ids that nobody read. A name in KNOWN-RED.txt left out every test that contains it, and now just the one. No assertion is changed or removed: what left front.rs is its rig.

--- a/crates/engine/src/front/pipelined/read.rs
+++ b/crates/engine/src/front/pipelined/read.rs
@@ -8,13 +8,9 @@
 use crate::respond;
 use bytes::{Bytes, BytesMut};
 use http::{Method, Version};
-use std::time::Duration;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
-/// A server that takes nothing of a body for this long is given up.
-const STALL: Duration = Duration::from_secs(10);
-
 /// Why nothing more is read.
 pub(super) enum ReadEnd {
     /// The client has closed, or makes no progress.
@@ -216,7 +212,7 @@
                         continue;
                     };
                     let piece = if is_too_long { Err(body::Broken::TooLong) } else { Ok(piece) };
-                    match self.while_open(buffer, timeout(STALL, to.send(piece))).await {
+                    match self.while_open(buffer, timeout(receive::STALL, to.send(piece))).await {
                         Some(Ok(Ok(()))) if !is_too_long => {}
                         Some(Ok(Err(_))) if !is_too_long => feed = None,
                         _ => return false,
--- a/crates/engine/src/front/receive.rs
+++ b/crates/engine/src/front/receive.rs
@@ -15,7 +15,7 @@
 const GRACE: Duration = Duration::from_millis(3000);
 const LEAST_RATE: f64 = 16.0 * 1024.0;
 /// A server that takes nothing of a body for this long is given up.
-const STALL: Duration = Duration::from_secs(10);
+pub(super) const STALL: Duration = Duration::from_secs(10);
 /// What comes of a body after its answer is read and thrown away while it gets on, for this long at most, so that a client
 /// which writes to the end before it reads gets its answer and keeps its connection.
 const LINGER: Duration = Duration::from_secs(30);
--- a/crates/engine/tests/common/pipelined.rs
+++ b/crates/engine/tests/common/front.rs
@@ -1,4 +1,4 @@
-//! A front on whose connections several requests may be in hand at once, before one server, on a thread of its own.
+//! A front before one server, on a thread of its own: on its connections several requests may be in hand at once, or one.
 
 use super::{class, setup};
 use http::request::Parts;
@@ -15,19 +15,29 @@
 use oatbank_engine::upstreams::http1::{Connections, Forward, Http1};
 use oatbank_limiter_core::interface::{Class, Millis, Repeat, Request, Rules};
 use oatbank_operations::budget::{Budget, Limits};
-use oatbank_testkit::{Message, Server, PATIENCE};
+use oatbank_testkit::{Act, Message, Server, PATIENCE};
 use std::cell::{Cell, RefCell};
 use std::io::BufReader;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
-use std::sync::mpsc;
-use std::sync::Arc;
+use std::sync::mpsc::{self, Receiver, Sender};
+use std::sync::{Arc, Mutex};
 use tokio::sync::mpsc::{unbounded_channel, UnboundedSender};
 
 pub type HallEngine = Engine<Http1<House>>;
 
-/// Several at once; what goes to `/closed` is rejected; what lies under `/once` may not overtake, and it and what is posted runs at most once.
+/// How many requests a connection may have in hand.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum InHand {
+    /// One; each has two attempts.
+    One,
+    /// Several; each has one attempt. What lies under `/once` may not overtake; it and what is posted runs at most once.
+    Several,
+}
+
+/// Sends all that comes to one service, but for what goes to `/closed`: that is rejected.
 pub struct Hall {
+    in_hand: InHand,
     pub engine: Rc<HallEngine>,
     /// The front's clock is ahead of the engine's by this, ms.
     ahead: Cell<Millis>,
@@ -51,7 +61,7 @@
     }
 
     fn several_at_once(&self) -> bool {
-        true
+        self.in_hand == InHand::Several
     }
 
     fn may_overtake(&self, head: &Parts) -> bool {
@@ -62,9 +72,12 @@
         if head.uri.path() == "/closed" {
             return Ok(Judged::Answer(respond::plain(StatusCode::SERVICE_UNAVAILABLE, "closed\n")));
         }
+        let request = Request { units: 1.0, spread: 1.0, time_left: 3000.0, ..Request::default() };
+        if self.in_hand == InHand::One {
+            return Ok(Judged::Taken(request));
+        }
         let repeat = if is_at_most_once(head) { Repeat::Unsafe } else { Repeat::Safe };
         let rules = Rules { class: Class { repeat, ..class() }, max_attempts: 1 };
-        let request = Request { units: 1.0, spread: 1.0, time_left: 3000.0, ..Request::default() };
         Ok(Judged::Taken(Request { rules: Some(Arc::new(rules)), ..request }))
     }
 
@@ -95,8 +108,13 @@
 }
 
 impl Rig {
-    /// Before this server.
+    /// Before this server, with several requests in hand.
     pub fn start(server: &Server) -> Rig {
+        Rig::with_in_hand(server, InHand::Several)
+    }
+
+    /// Before this server.
+    pub fn with_in_hand(server: &Server, in_hand: InHand) -> Rig {
         let (tell, told) = mpsc::channel();
         let (actions, mut wanted) = unbounded_channel::<Action>();
         let address = server.address;
@@ -104,7 +122,7 @@
             let runtime =
                 tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
             tokio::task::LocalSet::new().block_on(&runtime, async move {
-                let front = Front::new(hall(address), Budget::divide(Limits::default(), 0, 1.0), limits());
+                let front = Front::new(hall(address, in_hand), budget(), FrontLimits::default());
                 let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
                 tell.send(listener.local_addr().expect("an address")).expect("the test");
                 tokio::task::spawn_local(front.clone().look_round());
@@ -142,25 +160,29 @@
     }
 }
 
-pub fn limits() -> FrontLimits {
-    FrontLimits::default()
+fn budget() -> Budget {
+    Budget::divide(Limits::default(), 0, 1.0)
 }
 
-fn hall(server: SocketAddr) -> Hall {
-    let budget = Budget::divide(Limits::default(), 0, 1.0);
+fn hall(server: SocketAddr, in_hand: InHand) -> Hall {
+    let budget = budget();
     let connections = Connections {
         idle: 10_000.0,
         connect_timeout: 1000.0,
         most: budget.servers,
         bodies_kib: budget.answers_kib,
     };
+    let attempts = if in_hand == InHand::One { 2 } else { 1 };
     let clock = Rc::new(SystemClock::new());
     let house = House { held: 64, ..House::default() };
-    let engine = Engine::new(&setup(class(), 1), clock.clone(), Http1::speaking(house, clock, connections));
+    let engine =
+        Engine::new(&setup(class(), attempts), clock.clone(), Http1::speaking(house, clock, connections));
     engine.start();
-    engine.cancel_departed();
+    if in_hand == InHand::Several {
+        engine.cancel_departed();
+    }
     fixed::tell(&engine.told(), vec![Member::ready("s-1", server)]);
-    Hall { engine, ahead: Cell::new(0.0), on_answer: RefCell::default() }
+    Hall { in_hand, engine, ahead: Cell::new(0.0), on_answer: RefCell::default() }
 }
 
 /// An answer to this request, of so many bytes.
@@ -187,3 +209,19 @@
 pub fn paths(server: &Server) -> Vec<String> {
     server.seen.lock().expect("a lock").iter().map(|m| path(m).to_owned()).collect()
 }
+
+/// Answers what is sent to `/wait` when the test says so, breaks off its answer to `/cut` then, and answers all else at once.
+pub fn waiting_server() -> (Server, Sender<()>) {
+    let (release, released) = mpsc::channel();
+    let released: Mutex<Receiver<()>> = Mutex::new(released);
+    let server = Server::start(move |m| {
+        if matches!(path(m), "/wait" | "/cut") {
+            let _ = released.lock().expect("a lock").recv();
+        }
+        match path(m) {
+            "/cut" => Act::Close(to(m, 900, &"x".repeat(100))),
+            path => Act::Write(to(m, path.len(), path)),
+        }
+    });
+    (server, release)
+}
--- a/crates/engine/tests/common/mod.rs
+++ b/crates/engine/tests/common/mod.rs
@@ -2,7 +2,7 @@
 
 #![allow(dead_code, unreachable_pub)]
 
-pub mod pipelined;
+pub mod front;
 
 use oatbank_engine::engine::Setup;
 use oatbank_limiter_core::interface::{Class, Plan, Settings};
--- a/crates/engine/tests/departures.rs
+++ b/crates/engine/tests/departures.rs
@@ -3,7 +3,7 @@
 
 mod common;
 
-use common::pipelined::{request, request_with, Rig};
+use common::front::{request, request_with, Rig};
 use oatbank_testkit::{eventually, Act, Server};
 use socket2::SockRef;
 use std::io::Write;
@@ -24,7 +24,6 @@
     if matches!(how, Leaving::Reset) {
         SockRef::from(&stream).set_linger(Some(Duration::ZERO)).expect("an option");
     }
-    // Not just dropped: the reader's clone would keep it open.
     drop(stream);
 }
 
--- a/crates/engine/tests/front.rs
+++ b/crates/engine/tests/front.rs
@@ -2,102 +2,23 @@
 
 mod common;
 
-use common::{class, setup};
-use oatbank_engine::body::{Body, Room, Upload};
-use oatbank_engine::classify::Rejection;
-use oatbank_engine::engine::{Answer, Engine};
-use oatbank_engine::front::{Desk, Front, FrontLimits, Judged};
-use oatbank_engine::members::fixed;
-use oatbank_engine::ports::clock::SystemClock;
-use oatbank_engine::ports::membership::Member;
-use oatbank_engine::respond::{self, ComeBack};
-use oatbank_engine::upstreams::house::{headers_on, House};
-use oatbank_engine::upstreams::http1::{Connections, Forward, Http1};
-use oatbank_limiter_core::interface::{Millis, Request};
-use oatbank_operations::budget::{Budget, Limits};
-use oatbank_testkit::{read_message, Act, Message, Server, PATIENCE};
+use common::front::{InHand, Rig};
+use oatbank_testkit::{read_message, Act, Message, Server};
 use std::io::{BufReader, Read, Write};
-use std::net::{SocketAddr, TcpStream};
-use std::rc::Rc;
-use std::sync::mpsc;
+use std::net::TcpStream;
 
-use http::request::Parts;
-use http::{HeaderName, Response, StatusCode};
-
-/// Sends all that comes to one service.
-struct Hall(Rc<Engine<Http1<House>>>);
-
-impl Desk for Hall {
-    type Ticket = Request;
-
-    fn now(&self) -> Millis {
-        self.0.now()
-    }
-
-    fn names_requests_by(&self) -> HeaderName {
-        HeaderName::from_static("try-id")
-    }
-
-    fn judge(&self, head: &Parts) -> Result<Judged<Request>, Rejection> {
-        if head.uri.path() == "/closed" {
-            return Ok(Judged::Answer(respond::plain(StatusCode::SERVICE_UNAVAILABLE, "closed\n")));
-        }
-        Ok(Judged::Taken(Request { units: 1.0, spread: 1.0, time_left: 3000.0, ..Request::default() }))
-    }
-
-    async fn serve(
-        &self,
-        mut request: Request,
-        head: Parts,
-        body: Upload,
-        room: Option<Room>,
-    ) -> Result<Response<Body>, Rejection> {
-        request.uploading = body.is_stream();
-        let headers = headers_on(&head.headers);
-        let forward = Forward { method: head.method, uri: head.uri, headers, body, room };
-        let answer: Answer<Response<Body>> = self.0.ask(request, forward).await;
-        Ok(respond::answered(answer, ComeBack::Standard, |served| served))
-    }
-}
-
-/// A front before this server, on a thread of its own.
-fn front(server: &Server) -> SocketAddr {
-    let (tell, told) = mpsc::channel();
-    let address = server.address;
-    std::thread::spawn(move || {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-        tokio::task::LocalSet::new().block_on(&runtime, async move {
-            let budget = Budget::divide(Limits::default(), 0, 1.0);
-            let connections = Connections {
-                idle: 10_000.0,
-                connect_timeout: 1000.0,
-                most: budget.servers,
-                bodies_kib: budget.answers_kib,
-            };
-            let clock = Rc::new(SystemClock::new());
-            let house = House { held: 64, ..House::default() };
-            let upstream = Http1::speaking(house, clock.clone(), connections);
-            let engine = Engine::new(&setup(class(), 2), clock, upstream);
-            engine.start();
-            fixed::tell(&engine.told(), vec![Member::ready("s-1", address)]);
-            let front = Front::new(Hall(engine), budget, FrontLimits::default());
-            let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
-            tell.send(listener.local_addr().expect("an address")).expect("the test");
-            tokio::task::spawn_local(front.clone().look_round());
-            front.accept(Rc::new(listener)).await;
-        });
-    });
-    told.recv().expect("a front")
-}
-
-struct Client(TcpStream, BufReader<TcpStream>);
+/// A client of a front, which runs as long as it does.
+struct Client(
+    TcpStream,
+    BufReader<TcpStream>,
+    #[expect(dead_code, reason = "it keeps the front running")] Rig,
+);
 
 impl Client {
     fn of(server: &Server) -> Client {
-        let stream = TcpStream::connect(front(server)).expect("a connection");
-        stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
-        let reader = BufReader::new(stream.try_clone().expect("a clone"));
-        Client(stream, reader)
+        let rig = Rig::with_in_hand(server, InHand::One);
+        let (stream, reader) = rig.connect();
+        Client(stream, reader, rig)
     }
 
     fn send(&mut self, text: &str) {
--- a/crates/engine/tests/pipelined.rs
+++ b/crates/engine/tests/pipelined.rs
@@ -3,31 +3,13 @@
 
 mod common;
 
-use common::pipelined::{path, paths, request, to, Rig};
-use oatbank_testkit::{eventually, read_message, Act, Server};
+use common::front::{paths, request, waiting_server, Rig};
+use oatbank_testkit::{eventually, read_message};
 use std::io::{Read, Write};
-use std::sync::mpsc::{self, Receiver, Sender};
-use std::sync::Mutex;
-
-/// What is sent to `/wait` is answered when the test says so; what is sent to `/cut` breaks off then.
-fn server() -> (Server, Sender<()>) {
-    let (release, released) = mpsc::channel();
-    let released: Mutex<Receiver<()>> = Mutex::new(released);
-    let server = Server::start(move |m| {
-        if matches!(path(m), "/wait" | "/cut") {
-            let _ = released.lock().expect("a lock").recv();
-        }
-        match path(m) {
-            "/cut" => Act::Close(to(m, 900, &"x".repeat(100))),
-            path => Act::Write(to(m, path.len(), path)),
-        }
-    });
-    (server, release)
-}
 
 #[test]
 fn answers_go_out_in_the_order_of_their_requests_whichever_is_there_first() {
-    let (server, release) = server();
+    let (server, release) = waiting_server();
     let rig = Rig::start(&server);
     let (mut stream, mut reader) = rig.connect();
     let all = request("GET", "/wait", "1") + &request("GET", "/b", "2") + &request("GET", "/c", "3");
@@ -43,7 +25,7 @@
 #[test]
 fn behind_an_answer_that_breaks_off_nothing_comes_and_nothing_that_runs_once_was_begun() {
     for (method, behind) in [("POST", "/post"), ("GET", "/once"), ("GET", "/b")] {
-        let (server, release) = server();
+        let (server, release) = waiting_server();
         let rig = Rig::start(&server);
         let (mut stream, mut reader) = rig.connect();
         stream
@@ -65,7 +47,7 @@
 #[test]
 fn what_runs_once_is_begun_once_all_before_it_have_their_answers() {
     for (method, behind) in [("POST", "/post"), ("GET", "/once")] {
-        let (server, release) = server();
+        let (server, release) = waiting_server();
         let rig = Rig::start(&server);
         let (mut stream, mut reader) = rig.connect();
         let all = request("GET", "/wait", "1") + &request("GET", "/b", "2") + &request(method, behind, "3");
--- a/crates/engine/tests/unanswered.rs
+++ b/crates/engine/tests/unanswered.rs
@@ -2,34 +2,19 @@
 
 mod common;
 
-use common::pipelined::{path, paths, request, to, Rig};
+use common::front::{paths, request, waiting_server, Rig};
 use oatbank_engine::front::connection_ends::ConnectionEnd;
-use oatbank_testkit::{eventually, read_message, within, Act, Server};
+use oatbank_testkit::{eventually, read_message, within};
 use std::io::{Read, Write};
-use std::sync::mpsc::{self, Receiver, Sender};
-use std::sync::Mutex;
 use std::time::Duration;
 
-/// Answers what is sent to `/wait` when the test says so, and all else at once.
-fn server() -> (Server, Sender<()>) {
-    let (release, released) = mpsc::channel();
-    let released: Mutex<Receiver<()>> = Mutex::new(released);
-    let server = Server::start(move |m| {
-        if path(m) == "/wait" {
-            let _ = released.lock().expect("a lock").recv();
-        }
-        Act::Write(to(m, path(m).len(), path(m)))
-    });
-    (server, release)
-}
-
 fn unanswered(rig: &Rig) -> u64 {
     rig.with(|front| ConnectionEnd::ALL.map(|end| front.ends().count(end).unanswered).iter().sum())
 }
 
 #[test]
 fn what_was_begun_is_answered_before_its_connection_ends() {
-    let (server, release) = server();
+    let (server, release) = waiting_server();
     let rig = Rig::start(&server);
     let (mut stream, mut reader) = rig.connect();
     let all = request("GET", "/wait", "1") + &request("GET", "/b", "2") + &request("GET", "/c", "3");
@@ -50,7 +35,7 @@
 
 #[test]
 fn a_request_that_waits_its_turn_is_in_hand() {
-    let (server, _release) = server();
+    let (server, _release) = waiting_server();
     let rig = Rig::start(&server);
     // As in a shutdown: connections are asked to end as soon as they owe nothing, here just when an answer comes.
     rig.with(|front| {
@@ -72,7 +57,7 @@
 
 #[test]
 fn what_stands_in_the_body_of_a_rejected_request_is_no_request() {
-    let (server, _release) = server();
+    let (server, _release) = waiting_server();
     let rig = Rig::start(&server);
     let (mut stream, mut reader) = rig.connect();
     let inner = request("GET", "/inner", "2");
@@ -89,7 +74,7 @@
 
 #[test]
 fn a_connection_is_idle_after_a_request_with_a_body() {
-    let (server, _release) = server();
+    let (server, _release) = waiting_server();
     let rig = Rig::start(&server);
     let (mut half, mut half_reader) = rig.connect();
     half.write_all(b"GET /a HTTP/1.1\r\nHo").expect("written");
@@ -111,7 +96,7 @@
 
 #[test]
 fn a_request_that_crosses_an_idle_close_is_not_read() {
-    let (server, _release) = server();
+    let (server, _release) = waiting_server();
     let rig = Rig::start(&server);
     let (mut stream, mut reader) = rig.connect();
     stream.write_all(request("GET", "/a", "1").as_bytes()).expect("written");
--- a/crates/local-cluster/src/soak/clients.rs
+++ b/crates/local-cluster/src/soak/clients.rs
@@ -45,8 +45,6 @@
 pub struct Exchange {
     /// Its `Try-Id`.
     pub id: String,
-    /// The `Try-Id` of the request that stands in its body.
-    pub inner: Option<String>,
     /// What it is.
     pub kind: Kind,
     /// The proxy's number.
@@ -61,7 +59,6 @@
 
 struct Prepared {
     id: String,
-    inner: Option<String>,
     kind: Kind,
     text: String,
 }
@@ -74,17 +71,17 @@
     };
     let drawn = random.share();
     if drawn < 0.04 {
-        let inner = try_id();
-        let body = format!("GET {READ}2 HTTP/1.1\r\nHost: {HOST}\r\nTry-Id: {inner}\r\n\r\n");
+        // Nobody sends a request of this id: if it reaches a server, it was taken out of this body.
+        let body = format!("GET {READ}2 HTTP/1.1\r\nHost: {HOST}\r\nTry-Id: {}\r\n\r\n", try_id());
         let text = format!("{}Content-Length: {}\r\n\r\n{body}", head("POST", "/none/", &id), body.len());
-        return Prepared { id, inner: Some(inner), kind: Kind::Smuggling, text };
+        return Prepared { id, kind: Kind::Smuggling, text };
     }
     let (kind, text) = match drawn {
         drawn if drawn < 0.15 => (Kind::Write, head("POST", WRITE, &id) + "Content-Length: 5\r\n\r\nwords"),
         drawn if drawn < 0.45 => (Kind::Read, head("GET", HISTORY, &id) + "\r\n"),
         _ => (Kind::Read, head("GET", READ, &id) + "\r\n"),
     };
-    Prepared { id, inner: None, kind, text }
+    Prepared { id, kind, text }
 }
 
 /// Sends batches until it is stopped.
@@ -132,8 +129,8 @@
     let connection = is_kept.then_some(connection);
     let ended = Instant::now();
     for (prepared, outcome) in batch.into_iter().zip(outcomes) {
-        let Prepared { id, inner, kind, .. } = prepared;
-        exchanges.push(Exchange { id, inner, kind, proxy, sent, ended, outcome });
+        let Prepared { id, kind, .. } = prepared;
+        exchanges.push(Exchange { id, kind, proxy, sent, ended, outcome });
     }
     connection
 }
--- a/crates/local-cluster/src/soak/mod.rs
+++ b/crates/local-cluster/src/soak/mod.rs
@@ -85,15 +85,14 @@
             std::thread::spawn(move || clients::run(&fronts, seed, number, &soak.stop))
         })
         .collect();
-    let groups: Vec<_> = (0..GROUPS.len())
-        .map(|group| {
-            let (soak, steps) = (soak.clone(), schedule::draw(wanted.seed, group, wanted.span));
-            std::thread::spawn(move || steps.iter().try_for_each(|step| soak.play_step(step)))
-        })
-        .collect();
     let mut report = Report::default();
+    let mut groups = Vec::new();
+    for group in 0..GROUPS.len() {
+        let (soak, steps) = (soak.clone(), schedule::draw(wanted.seed, group, wanted.span));
+        report.faults += steps.len();
+        groups.push(std::thread::spawn(move || steps.iter().try_for_each(|step| soak.play_step(step))));
+    }
     for (group, playing) in groups.into_iter().enumerate() {
-        report.faults += schedule::draw(wanted.seed, group, wanted.span).len();
         match playing.join() {
             Ok(Ok(())) => {}
             Ok(Err(error)) => report.violations.push(format!("group {group}: {error}")),
--- a/crates/local-cluster/tests/soak.rs
+++ b/crates/local-cluster/tests/soak.rs
@@ -20,7 +20,7 @@
 
 fn exchange(kind: Kind, outcome: Outcome, took: Duration) -> Exchange {
     let sent = Instant::now();
-    Exchange { id: "1".into(), inner: None, kind, proxy: 0, sent, ended: sent + took, outcome }
+    Exchange { id: "1".into(), kind, proxy: 0, sent, ended: sent + took, outcome }
 }
 
 fn arrival(try_id: &str, at: Instant, works: Duration) -> (String, ReceivedRequest) {
--- a/crates/proxy/src/invariants.rs
+++ b/crates/proxy/src/invariants.rs
@@ -52,13 +52,16 @@
 
     /// How often an invariant was violated since the process started.
     pub fn violations(&self, invariant: Invariant) -> u64 {
-        let unanswered = |end| self.front.ends().count(end).unanswered;
         match invariant {
             Invariant::NoAbandonedAttempts => self.handler.departures().abandoned_attempts,
-            Invariant::NoUnansweredAtClose => OWN_ENDS.into_iter().map(unanswered).sum(),
+            Invariant::NoUnansweredAtClose => OWN_ENDS.into_iter().map(|end| self.unanswered(end)).sum(),
         }
     }
 
+    fn unanswered(&self, end: ConnectionEnd) -> u64 {
+        self.front.ends().count(end).unanswered
+    }
+
     /// Logs violations that are new.
     pub fn log_new(&self) {
         let mut logged = self.logged.borrow_mut();
@@ -84,7 +87,7 @@
         }
         let mut text = String::new();
         for end in OWN_ENDS {
-            let unanswered = self.front.ends().count(end).unanswered;
+            let unanswered = self.unanswered(end);
             if unanswered > 0 {
                 text += &format!("; {}: {unanswered}", end.name());
             }
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -5,12 +5,13 @@
 cargo fmt --check
 cargo clippy --locked --workspace --all-targets -- -D warnings
 cargo build --locked --release
-# A line of KNOWN-RED.txt names a test that fails for a known fault, its cause and its issue. Just these are left out.
+# A line of KNOWN-RED.txt names a test by its whole path, its cause and its issue. Just these are left out.
 skips=()
 if [ -s KNOWN-RED.txt ]; then
     echo "known to fail, not run:"
     cat KNOWN-RED.txt
     [ "$(wc -l < KNOWN-RED.txt)" -le 3 ]
+    skips=(--exact)
     while IFS='|' read -r name _; do skips+=(--skip "${name// /}"); done < KNOWN-RED.txt
 fi
 cargo test --locked --profile tested --workspace -- "${skips[@]}"
