--- a/crates/local-cluster/src/main.rs
+++ b/crates/local-cluster/src/main.rs
@@ -66,6 +66,13 @@
     duplicate: bool,
 }
 
+impl CommandLine {
+    /// No command was named yet.
+    fn is_plain(&self) -> bool {
+        !self.failing && self.changes.is_none() && self.soak.is_none()
+    }
+}
+
 fn command_line() -> Result<Option<CommandLine>, lexopt::Error> {
     use lexopt::prelude::*;
     let mut command_line = CommandLine {
@@ -89,10 +96,10 @@
             Long("rate") => command_line.rate = parser.value()?.parse()?,
             Long("seconds") => command_line.seconds = parser.value()?.parse()?,
             Long("keep") if !command_line.failing => command_line.keep = true,
-            Value(word) if word == "changes" && !command_line.failing && command_line.changes.is_none() => {
+            Value(word) if word == "changes" && command_line.is_plain() => {
                 command_line.changes = Some((3, 30));
             }
-            Value(word) if word == "soak" && !command_line.failing && command_line.changes.is_none() => {
+            Value(word) if word == "soak" && command_line.is_plain() => {
                 (command_line.soak, command_line.seconds) = (Some((random_u64() >> 32, 1)), 20);
             }
             Long("seed") if command_line.soak.is_some() => {
@@ -111,9 +118,7 @@
                 command_line.changes =
                     command_line.changes.zip(Some(parser.value()?.parse()?)).map(|((c, _), n)| (c, n));
             }
-            Value(word)
-                if word == "failing-backend" && !command_line.failing && command_line.changes.is_none() =>
-            {
+            Value(word) if word == "failing-backend" && command_line.is_plain() => {
                 (command_line.failing, command_line.rate, command_line.seconds) = (true, 80.0, 30);
             }
             Long("json") if command_line.failing => command_line.json = Some(parser.value()?.string()?),
@@ -143,6 +148,12 @@
         "--seconds: 4 to 600 for failing-backend",
         !command_line.failing || (4..=600).contains(&command_line.seconds),
     )?;
+    within(
+        "--seconds: 1 to 600, --seeds: 1 to 1000 for soak",
+        command_line.soak.is_none_or(|(_, seeds)| {
+            (1..=600).contains(&command_line.seconds) && (1..=1000).contains(&seeds)
+        }),
+    )?;
     Ok(Some(command_line))
 }
 
