Failing tests: quotas over 85 limiters with a silent owner, restarts and cuts, in virtual time

The quota counter reaches its peers by a trait, so that the real counter, plans and views run over a network of the tests' own. No logic changed.

--- a/crates/proxy/src/quota_counter.rs
+++ b/crates/proxy/src/quota_counter.rs
@@ -6,9 +6,8 @@
 
 use crate::counter_owner::owner_of;
 use crate::quota_partition::{owns_counters, QuotaPartition};
-use crate::session::PeerClients;
 use oatbank_cluster_state::cluster_view::ClusterView;
-use oatbank_cluster_state::messages::{call, QuotaAdd, QuotaAdds, QuotaTotals};
+use oatbank_cluster_state::messages::{QuotaAdd, QuotaAdds, QuotaTotals};
 use oatbank_engine::counters::local::Numbers;
 use oatbank_engine::ports::counter::{Call, CallEnd, CallId};
 use oatbank_limiter_core::interface::{
@@ -19,7 +18,9 @@
 use prost::Message;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::future::Future;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -41,10 +42,19 @@
 /// The longest lifetime of a counter, ms.
 const MAX_LIFETIME: Millis = 120_000.0;
 
+/// An owner's answer to additions, still encoded.
+pub type CountFuture = Pin<Box<dyn Future<Output = Result<bytes::Bytes, RpcError>>>>;
+
+/// How the other limiters are reached.
+pub trait QuotaPeers {
+    /// Sends encoded [`QuotaAdds`] to an owner, and waits for [`QuotaTotals`] for so long.
+    fn count(&self, owner: SocketAddr, adds: Vec<u8>, within: Duration) -> CountFuture;
+}
+
 /// The quotas of all tenants as seen by this limiter.
 pub struct QuotaCounter {
     view: Rc<ClusterView>,
-    peers: Rc<PeerClients>,
+    peers: Rc<dyn QuotaPeers>,
     node_name: String,
     quotas: RefCell<Quotas>,
     /// The counters that this limiter owns.
@@ -56,7 +66,7 @@
 
 impl QuotaCounter {
     /// No tenant yet.
-    pub fn new(view: Rc<ClusterView>, peers: Rc<PeerClients>, node_name: String, seed: u64) -> Rc<Self> {
+    pub fn new(view: Rc<ClusterView>, peers: Rc<dyn QuotaPeers>, node_name: String, seed: u64) -> Rc<Self> {
         Rc::new(QuotaCounter {
             view,
             peers,
@@ -147,10 +157,9 @@
     }
 
     async fn send(self: Rc<Self>, address: SocketAddr, adds: Vec<QuotaAdd>) {
-        let client = self.peers.get(address);
         let sent_at = self.view.now();
         let body = QuotaAdds { counts: adds.clone() }.encode_to_vec();
-        let response = client.call(call::COUNT, body, CALL_TIMEOUT).await;
+        let response = self.peers.count(address, body, CALL_TIMEOUT).await;
         let took = self.view.now() - sent_at;
         let totals =
             response.map(|bytes| QuotaTotals::decode(bytes).map(|totals| totals.totals).unwrap_or_default());
--- a/crates/proxy/src/session.rs
+++ b/crates/proxy/src/session.rs
@@ -1,8 +1,9 @@
 //! This limiter's session with a core machine, and the few other limiters that it follows.
 
 use crate::counter_owner::owner_of;
+use crate::quota_counter::{CountFuture, QuotaPeers};
 use oatbank_cluster_state::cluster_view::{ClusterView, IN_TOUCH};
-use oatbank_cluster_state::messages::{MemberRow, ObservationRow};
+use oatbank_cluster_state::messages::{call, MemberRow, ObservationRow};
 use oatbank_cluster_state::replication::{follow_once, FollowOptions, FollowResult, ReplicationPosition};
 use oatbank_cluster_state::state::member_state;
 use oatbank_node_runtime::log;
@@ -43,6 +44,13 @@
     }
 }
 
+impl QuotaPeers for PeerClients {
+    fn count(&self, owner: SocketAddr, adds: Vec<u8>, within: Duration) -> CountFuture {
+        let client = self.get(owner);
+        Box::pin(async move { client.call(call::COUNT, adds, within).await })
+    }
+}
+
 /// What this limiter says of itself, and to whom.
 pub struct Session {
     view: Rc<ClusterView>,
--- /dev/null
+++ b/crates/proxy/tests/common/mod.rs
@@ -0,0 +1,3 @@
+//! What several tests of the proxy share.
+
+pub mod quota_fleet;
--- /dev/null
+++ b/crates/proxy/tests/common/quota_fleet.rs
@@ -0,0 +1,484 @@
+//! Many limiters with their real quota counters, plans and views of the cluster, in virtual time. Between them lies a network
+//! of the test's own, on which owners can be killed, cut off, frozen and slow.
+
+use bytes::Bytes;
+use oatbank_cluster_state::clock::MonotonicClock;
+use oatbank_cluster_state::cluster_view::ClusterView;
+use oatbank_cluster_state::messages::{AgreedState, MemberRow, StateUpdate};
+use oatbank_cluster_state::state::{member_state, Millis, SESSION};
+use oatbank_config_model::Customer;
+use oatbank_node_runtime::rpc::RpcError;
+use oatbank_node_runtime::settings::Settings;
+use oatbank_proxy::config_snapshot::ConfigSnapshot;
+use oatbank_proxy::quota_counter::{CountFuture, QuotaCounter, QuotaPeers};
+use oatbank_proxy::tenant_plans::TenantPlans;
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::{Rc, Weak};
+use std::time::Duration;
+use tokio::task::AbortHandle;
+use tokio::time::{sleep, sleep_until, Instant};
+
+/// The window of the rule, ms.
+const WINDOW: f64 = 5000.0;
+/// Sessions, their ends and the plans are brought up to date this often, ms.
+const VIEW_INTERVAL: u64 = 250;
+/// A limiter hears of a change among the others this much later, ms, at most.
+const VIEW_LAG: f64 = 400.0;
+/// One way between two limiters, ms, at least and at most.
+const LATENCY: (f64, f64) = (2.0, 22.0);
+/// The name of the tenant.
+const TENANT: &str = "presses";
+
+/// What is played.
+#[derive(Clone, Debug)]
+pub struct Play {
+    /// Draws arrivals, latencies and who is hit.
+    pub seed: u64,
+    /// How many limiters there are.
+    pub limiters: usize,
+    /// The tenant's quota, requests a second.
+    pub rate: f64,
+    /// Its burst.
+    pub burst: f64,
+    /// What it sends before it presses, as a share of its rate.
+    pub usual: f64,
+    /// How many times that it sends when it presses.
+    pub press: f64,
+    /// From when on it presses, ms.
+    pub onset: u64,
+    /// How long it all lasts, ms.
+    pub lasts: u64,
+    /// What happens besides.
+    pub faults: Vec<Fault>,
+}
+
+impl Play {
+    /// The largest tenant of a deployment of 85 limiters, that presses from 6 s to 16 s.
+    pub fn large(seed: u64, faults: Vec<Fault>) -> Play {
+        Play {
+            seed,
+            limiters: 85,
+            rate: 314.0,
+            burst: 314.0,
+            usual: 0.62,
+            press: 8.0,
+            onset: 6000,
+            lasts: 16_000,
+            faults,
+        }
+    }
+}
+
+/// One fault.
+#[derive(Clone, Copy, Debug)]
+pub struct Fault {
+    /// When it begins, ms.
+    pub at: u64,
+    /// How long it lasts, ms.
+    pub lasts: u64,
+    /// What it is.
+    pub kind: FaultKind,
+    /// Whom it hits.
+    pub target: Target,
+}
+
+/// Kinds of faults.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[allow(dead_code, reason = "not every test plays all")]
+pub enum FaultKind {
+    /// Its memory is gone; it is back after the fault.
+    Kill,
+    /// It ends in order, and is back half a second after it has ended.
+    Restart,
+    /// It answers nobody and reaches nobody, clients reach it.
+    Cut,
+    /// It answers this much later, ms.
+    Slow(u32),
+}
+
+/// Whom a fault hits.
+#[derive(Clone, Copy, Debug)]
+#[allow(dead_code, reason = "not every test plays all")]
+pub enum Target {
+    /// The limiter that owns the tenant's counters.
+    Owner,
+    /// This share of the limiters, without those that own the tenant's counters.
+    OthersShare(f64),
+    /// This share of the limiters.
+    Share(f64),
+    /// All, so many at a time, each that much later, ms.
+    Rolling(usize, u64),
+}
+
+/// What became of a play.
+#[derive(Clone, Copy, Debug)]
+pub struct Outcome {
+    /// The fullest window as a share of what the rule allows.
+    pub worst: f64,
+    /// The share of what was sent before the onset that was rejected.
+    pub refused_calm: f64,
+    /// What was admitted from 3 s after the onset on, as a share of the rate.
+    pub given: f64,
+    /// The share of calm requests that waited longer than 1 ms.
+    pub waited_calm: f64,
+}
+
+#[derive(Clone, Copy, Default)]
+struct Conduct {
+    is_dead: bool,
+    is_leaving: bool,
+    is_cut: bool,
+    slow: u32,
+    incarnation: u64,
+    /// When it was last heard by the core.
+    heard_at: f64,
+}
+
+struct Limiter {
+    view: Rc<ClusterView>,
+    counter: Rc<QuotaCounter>,
+    plans: Rc<TenantPlans>,
+    running: AbortHandle,
+}
+
+struct Fleet {
+    play: Play,
+    begun: Instant,
+    settings: Settings,
+    snapshot: ConfigSnapshot,
+    customer: Customer,
+    conduct: RefCell<Vec<Conduct>>,
+    limiters: RefCell<Vec<Option<Rc<Limiter>>>>,
+    random: RefCell<Pcg64Mcg>,
+    heartbeat: Cell<u64>,
+    /// How often each was asked, fading.
+    asked: RefCell<Vec<f64>>,
+    admitted: RefCell<Vec<Millis>>,
+    calm: Cell<u32>,
+    calm_refused: Cell<u32>,
+    calm_waited: Cell<u32>,
+}
+
+fn name(limiter: usize) -> String {
+    format!("edge-{limiter}")
+}
+
+fn address(limiter: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 20_000 + limiter as u16))
+}
+
+/// How one limiter reaches the others.
+struct Network {
+    fleet: Weak<Fleet>,
+    from: usize,
+}
+
+impl QuotaPeers for Network {
+    fn count(&self, owner: SocketAddr, adds: Vec<u8>, within: Duration) -> CountFuture {
+        let (fleet, from) = (self.fleet.clone(), self.from);
+        let to = usize::from(owner.port() - 20_000);
+        Box::pin(async move {
+            let Some(fleet) = fleet.upgrade() else { return Err(RpcError::Lost) };
+            match tokio::time::timeout(within, fleet.carry(from, to, adds)).await {
+                Ok(result) => result,
+                Err(_) => Err(RpcError::Lost),
+            }
+        })
+    }
+}
+
+impl Fleet {
+    fn now(&self) -> f64 {
+        self.begun.elapsed().as_secs_f64() * 1000.0
+    }
+
+    fn roll(&self) -> f64 {
+        f64::from(self.random.borrow_mut().next_u32()) / f64::from(u32::MAX)
+    }
+
+    async fn latency(&self) {
+        let ms = LATENCY.0 + (LATENCY.1 - LATENCY.0) * self.roll();
+        sleep(Duration::from_secs_f64(ms / 1000.0)).await;
+    }
+
+    fn reaches(&self, from: usize, to: usize) -> bool {
+        let conduct = self.conduct.borrow();
+        !conduct[from].is_cut && !conduct[to].is_cut
+    }
+
+    async fn carry(&self, from: usize, to: usize, adds: Vec<u8>) -> Result<Bytes, RpcError> {
+        self.latency().await;
+        if !self.reaches(from, to) {
+            std::future::pending::<()>().await;
+        }
+        let Some(limiter) = self.limiters.borrow()[to].clone() else {
+            self.latency().await;
+            return Err(RpcError::Unreachable);
+        };
+        self.asked.borrow_mut()[to] += 1.0;
+        let slow = self.conduct.borrow()[to].slow;
+        sleep(Duration::from_millis(u64::from(slow))).await;
+        let answer = limiter.counter.answer(adds.into());
+        self.latency().await;
+        if !self.reaches(from, to) {
+            std::future::pending::<()>().await;
+        }
+        Ok(answer.into())
+    }
+
+    /// Starts a limiter that knows its members and its configuration, as one does before it is ready.
+    fn start(self: &Rc<Self>, at: usize) {
+        let view = ClusterView::new(MonotonicClock::start(), 1500.0);
+        let peers = Rc::new(Network { fleet: Rc::downgrade(self), from: at });
+        let counter = QuotaCounter::new(view.clone(), peers, name(at), self.play.seed ^ at as u64);
+        let plans = Rc::new(TenantPlans::new(view.clone(), counter.clone()));
+        let running = tokio::task::spawn_local(counter.clone().run()).abort_handle();
+        let mut conduct = self.conduct.borrow_mut();
+        conduct[at] =
+            Conduct { incarnation: conduct[at].incarnation + 1, heard_at: self.now(), ..Conduct::default() };
+        drop(conduct);
+        // All processes agree on the cluster's time.
+        view.apply_update(view.now(), StateUpdate { time: 60_000.0 + self.now(), ..StateUpdate::default() });
+        let limiter = Rc::new(Limiter { view, counter, plans, running });
+        self.tell(at, &limiter, self.now());
+        self.limiters.borrow_mut()[at] = Some(limiter);
+    }
+
+    fn stop(&self, at: usize) {
+        if let Some(limiter) = self.limiters.borrow_mut()[at].take() {
+            limiter.running.abort();
+        }
+        self.conduct.borrow_mut()[at].is_dead = true;
+    }
+
+    /// Tells a limiter how the others stood at a moment.
+    fn tell(&self, at: usize, limiter: &Limiter, when: f64) {
+        let conduct = self.conduct.borrow();
+        if conduct[at].is_cut {
+            return;
+        }
+        let heartbeat = self.heartbeat.get();
+        limiter.view.confirm(limiter.view.now(), 0);
+        limiter.view.change(|table, now| {
+            for (other, member) in conduct.iter().enumerate().filter(|(_, member)| member.incarnation > 0) {
+                let silent = when - member.heard_at;
+                let expired = silent > SESSION;
+                let row = MemberRow {
+                    name: name(other),
+                    incarnation: member.incarnation,
+                    heartbeat: if expired { u64::MAX - 1 } else { heartbeat },
+                    inner: address(other).to_string(),
+                    state: if member.is_leaving { member_state::LEAVING } else { member_state::READY },
+                    expired,
+                    age_ms: silent.max(0.0) as u32,
+                    edition: 1,
+                    ..MemberRow::default()
+                };
+                table.merge_member(now, &row);
+            }
+        });
+        if limiter.plans.is_outdated() {
+            limiter.plans.update(&self.snapshot, &self.settings.bounds);
+        }
+    }
+
+    /// Brings views up to date, each a little later than the last.
+    fn refresh_views(self: &Rc<Self>) {
+        let when = self.now();
+        self.asked.borrow_mut().iter_mut().for_each(|asked| *asked *= 0.5);
+        self.heartbeat.set(self.heartbeat.get() + 1);
+        for member in self.conduct.borrow_mut().iter_mut().filter(|member| !member.is_dead && !member.is_cut)
+        {
+            member.heard_at = when;
+        }
+        let limiters: Vec<_> = self.limiters.borrow().iter().cloned().enumerate().collect();
+        for (at, limiter) in limiters.into_iter().filter_map(|(at, limiter)| Some((at, limiter?))) {
+            let (fleet, lag) = (self.clone(), self.roll() * VIEW_LAG);
+            tokio::task::spawn_local(async move {
+                sleep(Duration::from_secs_f64(lag / 1000.0)).await;
+                fleet.tell(at, &limiter, when);
+                if limiter.plans.is_outdated() {
+                    limiter.plans.update(&fleet.snapshot, &fleet.settings.bounds);
+                }
+            });
+        }
+    }
+
+    /// The limiter that was asked most often of late.
+    fn owner(&self) -> usize {
+        let asked = self.asked.borrow();
+        (0..asked.len()).max_by(|a, b| asked[*a].total_cmp(&asked[*b])).unwrap_or(0)
+    }
+
+    fn targets(&self, target: Target) -> Vec<usize> {
+        let owner = self.owner();
+        let share = |share: f64, spared: Option<usize>| {
+            let mut all: Vec<usize> =
+                (0..self.play.limiters).filter(|limiter| Some(*limiter) != spared).collect();
+            let count = (share * self.play.limiters as f64).round() as usize;
+            (0..count.min(all.len()))
+                .map(|_| all.swap_remove((self.roll() * all.len() as f64) as usize % all.len()))
+                .collect()
+        };
+        match target {
+            Target::Owner => vec![owner],
+            Target::OthersShare(part) => share(part, Some(owner)),
+            Target::Share(part) => share(part, None),
+            Target::Rolling(..) => (0..self.play.limiters).collect(),
+        }
+    }
+
+    async fn hit(self: Rc<Self>, fault: Fault, at: usize, after: u64) {
+        sleep(Duration::from_millis(after)).await;
+        let set = |change: &dyn Fn(&mut Conduct)| change(&mut self.conduct.borrow_mut()[at]);
+        let lasts = Duration::from_millis(fault.lasts);
+        match fault.kind {
+            FaultKind::Kill => {
+                self.stop(at);
+                sleep(lasts).await;
+                self.start(at);
+            }
+            FaultKind::Restart => {
+                set(&|conduct| conduct.is_leaving = true);
+                sleep(lasts).await;
+                self.stop(at);
+                sleep(Duration::from_millis(500)).await;
+                self.start(at);
+            }
+            FaultKind::Cut => {
+                set(&|conduct| conduct.is_cut = true);
+                sleep(lasts).await;
+                set(&|conduct| conduct.is_cut = false);
+            }
+            FaultKind::Slow(ms) => {
+                set(&|conduct| conduct.slow = ms);
+                sleep(lasts).await;
+                set(&|conduct| conduct.slow = 0);
+            }
+        }
+    }
+
+    async fn play_fault(self: Rc<Self>, fault: Fault) {
+        sleep_until(self.begun + Duration::from_millis(fault.at)).await;
+        let (at_once, gap) = match fault.target {
+            Target::Rolling(at_once, gap) => (at_once, gap),
+            _ => (usize::MAX, 0),
+        };
+        for (nth, at) in self.targets(fault.target).into_iter().enumerate() {
+            let after = (nth / at_once) as u64 * gap;
+            tokio::task::spawn_local(self.clone().hit(fault, at, after));
+        }
+    }
+
+    fn request(self: &Rc<Self>, presses: bool) {
+        let up: Vec<Rc<Limiter>> = self.limiters.borrow().iter().flatten().cloned().collect();
+        if up.is_empty() {
+            return;
+        }
+        let limiter = up[(self.roll() * up.len() as f64) as usize % up.len()].clone();
+        let fleet = self.clone();
+        let sent_at = self.now();
+        tokio::task::spawn_local(async move {
+            let is_admitted = limiter.plans.admit(&fleet.customer).is_ok();
+            // Requests of the first seconds find limiters that have all just started.
+            let is_calm = !presses && sent_at > 1500.0;
+            fleet.calm.set(fleet.calm.get() + u32::from(is_calm));
+            fleet.calm_refused.set(fleet.calm_refused.get() + u32::from(is_calm && !is_admitted));
+            let has_waited = fleet.now() - sent_at > 1.0;
+            fleet.calm_waited.set(fleet.calm_waited.get() + u32::from(is_calm && has_waited));
+            if is_admitted {
+                fleet.admitted.borrow_mut().push(fleet.now());
+            }
+        });
+    }
+
+    async fn run(self: Rc<Self>) {
+        for at in 0..self.play.limiters {
+            self.start(at);
+        }
+        // Once more, as the first did not know of the last.
+        self.refresh_views();
+        for fault in self.play.faults.clone() {
+            tokio::task::spawn_local(self.clone().play_fault(fault));
+        }
+        for ms in 0..self.play.lasts {
+            sleep_until(self.begun + Duration::from_millis(ms)).await;
+            if ms % VIEW_INTERVAL == 0 {
+                self.refresh_views();
+            }
+            let presses = ms >= self.play.onset;
+            let a_second = self.play.rate * self.play.usual * if presses { self.play.press } else { 1.0 };
+            let mut due = a_second / 1000.0;
+            while due > 0.0 {
+                if self.roll() < due.min(1.0) {
+                    self.request(presses);
+                }
+                due -= 1.0;
+            }
+        }
+    }
+
+    fn outcome(&self) -> Outcome {
+        let mut admitted = self.admitted.borrow().clone();
+        admitted.sort_by(f64::total_cmp);
+        let bounds = &self.settings.bounds;
+        let allowed = (self.play.rate * WINDOW / 1000.0 + self.play.burst) * (1.0 + bounds.quota_over)
+            + bounds.quota_slack;
+        let mut first = 0;
+        let mut fullest = 0;
+        for (last, at) in admitted.iter().enumerate() {
+            while admitted[first] <= at - WINDOW {
+                first += 1;
+            }
+            fullest = fullest.max(last - first + 1);
+        }
+        let from = self.play.onset as f64 + 3000.0;
+        let late = admitted.iter().filter(|at| **at >= from).count() as f64;
+        let span = (self.play.lasts as f64 - from) / 1000.0;
+        Outcome {
+            worst: fullest as f64 / allowed,
+            refused_calm: f64::from(self.calm_refused.get()) / f64::from(self.calm.get().max(1)),
+            given: late / (self.play.rate * span),
+            waited_calm: f64::from(self.calm_waited.get()) / f64::from(self.calm.get().max(1)),
+        }
+    }
+}
+
+/// Plays it; the same play has the same outcome each time.
+pub fn play(play: Play) -> Outcome {
+    let settings = Settings::parse(include_str!("../../../node-runtime/tests/node.toml")).expect("settings");
+    let config = format!(
+        r#"{{"version":"r1","routes":{{"columns":["name","hostName","pathStart","service"],"rows":[["a","h","/","s"]]}},
+        "services":{{"columns":["name"],"rows":[["s"]]}},"limits":{{}},
+        "customers":{{"columns":["name","keys","ratePerS","burst"],"rows":[["{TENANT}",["key"],{},{}]]}}}}"#,
+        play.rate, play.burst
+    );
+    let agreed = AgreedState { config, ..AgreedState::default() };
+    let snapshot = ConfigSnapshot::new(1, &agreed, &settings).expect("a configuration");
+    let customer = snapshot.configuration().customers.as_ref().expect("a tenant")[0].clone();
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build();
+    let local = tokio::task::LocalSet::new();
+    local.block_on(&runtime.expect("a runtime"), async {
+        let fleet = Rc::new(Fleet {
+            begun: Instant::now(),
+            settings,
+            snapshot,
+            customer,
+            conduct: RefCell::new(vec![Conduct::default(); play.limiters]),
+            limiters: RefCell::new((0..play.limiters).map(|_| None).collect()),
+            random: RefCell::new(Pcg64Mcg::seed_from_u64(play.seed)),
+            heartbeat: Cell::default(),
+            asked: RefCell::new(vec![0.0; play.limiters]),
+            admitted: RefCell::default(),
+            calm: Cell::default(),
+            calm_refused: Cell::default(),
+            calm_waited: Cell::default(),
+            play,
+        });
+        fleet.clone().run().await;
+        fleet.outcome()
+    })
+}
--- /dev/null
+++ b/crates/proxy/tests/quota_beside_restarts.rs
@@ -0,0 +1,74 @@
+//! What users saw: a tenant that pressed ran up to 1.03 times what its quota allows in five seconds, on most runs in which
+//! limiters restarted, were cut off or were slow at that time; never by its onset alone.
+//!
+//! The order of events: a tenant begins to send eight times its usual. The limiter that owns its counter is gone, cut off or
+//! answers late, or many limiters start without memory. The others go on by what they know until they hear of it.
+//!
+//! The cause: what a limiter admitted without an answer of the owner was bounded by nothing but the time that an answer usually
+//! takes; and an owner or a limiter that had just started took the quota to be unused. The evidence: each fault alone, below.
+//! With the owner silent the fullest window held 1.3 to 1.6 times what is allowed, with answers after 0.45 s 1.2 to 1.3 times,
+//! with many limiters killed twice 1.01 to 1.04 times; with none of these 0.82 times.
+
+mod common;
+
+use common::quota_fleet::{play, Fault, FaultKind, Outcome, Play, Target};
+
+const SEEDS: std::ops::RangeInclusive<u64> = 1..=3;
+
+fn fault(kind: FaultKind, at: u64, lasts: u64, target: Target) -> Fault {
+    Fault { at, lasts, kind, target }
+}
+
+fn outcomes(title: &str, faults: &[Fault]) -> Vec<Outcome> {
+    SEEDS
+        .map(|seed| {
+            let outcome = play(Play::large(seed, faults.to_vec()));
+            println!("{title}, seed {seed}: {outcome:?}");
+            outcome
+        })
+        .collect()
+}
+
+fn assert_kept(title: &str, faults: &[Fault]) {
+    for outcome in outcomes(title, faults) {
+        assert!(outcome.worst <= 1.0, "{title}: {outcome:?}");
+        assert!(outcome.refused_calm < 0.01, "{title}: {outcome:?}");
+    }
+}
+
+#[test]
+fn an_onset_alone_keeps_the_quota_and_calm_is_not_refused() {
+    for outcome in outcomes("nothing", &[]) {
+        assert!(outcome.worst <= 1.0 && outcome.given > 0.85, "{outcome:?}");
+        assert!(outcome.refused_calm == 0.0 && outcome.waited_calm < 0.02, "{outcome:?}");
+    }
+}
+
+#[test]
+fn an_owner_that_answers_nobody_in_time_closes_admission() {
+    for (title, kind, lasts) in [
+        ("killed for 3.5 s", FaultKind::Kill, 3500),
+        ("cut off", FaultKind::Cut, 6000),
+        ("answers after 0.45 s", FaultKind::Slow(450), 8000),
+        ("killed, at once back", FaultKind::Kill, 500),
+    ] {
+        assert_kept(&format!("the owner is {title}"), &[fault(kind, 5900, lasts, Target::Owner)]);
+    }
+}
+
+#[test]
+fn limiters_that_start_without_memory_do_not_give_out_a_quota_anew() {
+    let killed = |at, share| fault(FaultKind::Kill, at, 500, Target::Share(share));
+    assert_kept("three and six tenths killed", &[killed(7000, 0.3), killed(8500, 0.6)]);
+    let owner = fault(FaultKind::Kill, 7000, 3500, Target::Owner);
+    assert_kept("the owner and others killed", &[owner, killed(7000, 0.3)]);
+}
+
+#[test]
+fn limiters_that_restart_in_order_or_are_cut_off_do_not_raise_a_rate() {
+    let rolling = [fault(FaultKind::Restart, 6500, 500, Target::Rolling(4, 500))];
+    for outcome in outcomes("rolling restart", &rolling) {
+        assert!(outcome.worst <= 1.0 && outcome.given <= 1.05, "rolling restart: {outcome:?}");
+    }
+    assert_kept("three tenths cut off", &[fault(FaultKind::Cut, 6500, 6000, Target::Share(0.3))]);
+}
