Quotas: credit ahead of an owner's answer, and owners that never begin empty

Cause: what a limiter admitted before its counter's owner answered was bounded by the time that an answer usually takes (0.2 s and 1 ms a limiter), not by anything that ends; and an owner or limiter that had just started took a quota to be unused.

Change: an owner keeps one leaky bucket a tenant, which starts full where nothing is known of it and takes over the backlog that limiters report (quota_backlog). A limiter has credit for few admissions ahead of the owner's answer, and asks first where that does not reach; while the owner is silent, credit comes back at this limiter's part of the rate (quota_credit). One owner has all counters of a tenant, and one that says it ends owns none. Invariant "no quota overrun" and `oatbankctl quotas` show it.

Totals in counting.rs are a message now.

--- a/crates/cluster-state/src/messages.rs
+++ b/crates/cluster-state/src/messages.rs
@@ -285,6 +285,18 @@
     /// A new counter is forgotten after this, ms.
     #[prost(double, tag = "3")]
     pub ttl: f64,
+    /// The tenant of whose admissions this is a report too; 0 if it is none.
+    #[prost(fixed64, tag = "4")]
+    pub tenant: u64,
+    /// The backlog of that tenant's quota that the sender knows of, ms; 0 if it knows of none.
+    #[prost(uint32, tag = "5")]
+    pub backlog: u32,
+    /// So many of its requests were admitted since the last report.
+    #[prost(uint32, tag = "6")]
+    pub admitted: u32,
+    /// So many of its requests wait for the owner's grant.
+    #[prost(uint32, tag = "7")]
+    pub wanted: u32,
 }
 
 /// Additions to counters that the called process owns.
@@ -301,6 +313,12 @@
     /// The totals.
     #[prost(double, repeated, tag = "1")]
     pub totals: Vec<f64>,
+    /// For each addition that names a tenant, in their order, the backlog of its quota, ms, and 1; 0 if the tenant is not known.
+    #[prost(uint32, repeated, tag = "2")]
+    pub backlogs: Vec<u32>,
+    /// For each of these, how many requests are granted of those that wait.
+    #[prost(uint32, repeated, tag = "3")]
+    pub granted: Vec<u32>,
 }
 
 /// A command of `oatbankctl`.
--- a/crates/cluster-state/src/state.rs
+++ b/crates/cluster-state/src/state.rs
@@ -392,6 +392,11 @@
         self.members.values().map(move |entry| (&*entry.row, now - entry.received_at))
     }
 
+    /// The limiter of this name.
+    pub fn member(&self, name: &str) -> Option<&MemberRow> {
+        self.members.get(name).map(|entry| &*entry.row)
+    }
+
     /// The sequence number at which a server last changed in what it is used for; 0 if it is not known.
     pub fn changed_at(&self, id: &str) -> u64 {
         self.servers.get(id).into_iter().flatten().map(|entry| entry.changed).max().unwrap_or(0)
--- a/crates/cluster-state/tests/compatibility.rs
+++ b/crates/cluster-state/tests/compatibility.rs
@@ -125,9 +125,10 @@
         ("news", update().encode_to_vec()),
         (
             "counts",
-            QuotaAdds { counts: vec![QuotaAdd { name: 0x55, add: 1.5, ttl: 5000.0 }] }.encode_to_vec(),
+            QuotaAdds { counts: vec![QuotaAdd { name: 0x55, add: 1.5, ttl: 5000.0, ..QuotaAdd::default() }] }
+                .encode_to_vec(),
         ),
-        ("totals", QuotaTotals { totals: vec![0.5, 17.0] }.encode_to_vec()),
+        ("totals", QuotaTotals { totals: vec![0.5, 17.0], ..QuotaTotals::default() }.encode_to_vec()),
         ("query", AdminQuery { words: vec!["servers".into(), "x".into()], near: true }.encode_to_vec()),
         ("table", table.encode_to_vec()),
         ("outcome asked", OutcomeRequest { try_id: "k-1".into() }.encode_to_vec()),
--- a/crates/limiter-core/src/state.rs
+++ b/crates/limiter-core/src/state.rs
@@ -244,6 +244,21 @@
         self.customers.len()
     }
 
+    /// The customer of whose accepted use a call to the counter tells, while the call is out.
+    pub fn accepted_by(&self, name: CountName) -> Option<CustomerId> {
+        self.calls.get(&name).filter(|(_, kind)| *kind == ACCEPTED).map(|(customer, _)| *customer)
+    }
+
+    /// The customer of whom a call to the counter tells, while the call is out.
+    pub fn customer_of(&self, name: CountName) -> Option<CustomerId> {
+        self.calls.get(&name).map(|(customer, _)| *customer)
+    }
+
+    /// Whether a customer's use is told by samples, not one for one.
+    pub fn is_sampled(&self, customer: CustomerId) -> bool {
+        self.customers.get(&customer).is_some_and(|c| c.thin)
+    }
+
     /// So many more of a customer's attempts are out, or fewer.
     pub fn out(&mut self, customer: CustomerId, more: f64) {
         if let Some(c) = self.customers.get_mut(&customer) {
--- a/crates/proxy/src/invariants.rs
+++ b/crates/proxy/src/invariants.rs
@@ -24,15 +24,19 @@
     NoAbandonedAttempts,
     /// A connection that this proxy ends of its own has no request that was begun and not answered.
     NoUnansweredAtClose,
+    /// Of no tenant whose counters this proxy owns, more ran in a window than its quota allows, as far as was reported.
+    NoQuotaOverrun,
 }
 
 impl Invariant {
-    const ALL: [Invariant; 2] = [Invariant::NoAbandonedAttempts, Invariant::NoUnansweredAtClose];
+    const ALL: [Invariant; 3] =
+        [Invariant::NoAbandonedAttempts, Invariant::NoUnansweredAtClose, Invariant::NoQuotaOverrun];
 
     fn name(self) -> &'static str {
         match self {
             Invariant::NoAbandonedAttempts => "no abandoned attempts",
             Invariant::NoUnansweredAtClose => "no unanswered at close",
+            Invariant::NoQuotaOverrun => "no quota overrun",
         }
     }
 }
@@ -55,6 +59,7 @@
         match invariant {
             Invariant::NoAbandonedAttempts => self.handler.departures().abandoned_attempts,
             Invariant::NoUnansweredAtClose => OWN_ENDS.into_iter().map(|end| self.unanswered(end)).sum(),
+            Invariant::NoQuotaOverrun => self.handler.quota_overrun(),
         }
     }
 
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -11,6 +11,7 @@
 //! | [`outlier_ejection`] | which servers are unhealthy, by what all proxies observe |
 //! | [`outcome_recorder`] | outcomes of requests that run at most once |
 //! | [`tenant_plans`], [`quota_plan`], [`quota_counter`] | quotas of tenants over all limiters |
+//! | [`quota_credit`], [`quota_backlog`] | what bounds a quota beneath that: admissions ahead of an owner's answer, and the owner's buckets; pure |
 //! | [`quota_partition`], [`counter_owner`] | which limiters count together, and who owns a counter; pure |
 //! | [`session`] | the session with a core machine, and following other limiters |
 //! | [`lease`] | for how long a limiter may act by what it knows; pure |
@@ -25,7 +26,9 @@
 pub mod limiter_settings;
 pub mod outcome_recorder;
 pub mod outlier_ejection;
+pub mod quota_backlog;
 pub mod quota_counter;
+pub mod quota_credit;
 pub mod quota_partition;
 pub mod quota_plan;
 pub mod readiness;
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -129,6 +129,8 @@
         let handler = self.handler.clone();
         commands.add("guard", "guard", 0, move |_| handler.attempts_table());
         let handler = self.handler.clone();
+        commands.add("quotas", "quotas", 0, move |_| handler.quotas_table());
+        let handler = self.handler.clone();
         commands.add("verdicts", "verdicts", 0, move |_| handler.verdicts_table());
         let invariants = self.invariants.clone();
         commands.add("invariants", "invariants", 0, move |_| invariants.table());
--- /dev/null
+++ b/crates/proxy/src/quota_backlog.rs
@@ -0,0 +1,165 @@
+//! What an owner keeps of each tenant's quota: a leaky bucket over the admissions of all limiters. Pure; the time is handed in.
+//!
+//! A bucket is kept as its backlog: the time in which it would be empty at the quota's rate (GCRA). So it stays meaningful when the
+//! rate changes, or the part of a quota that is given out.
+//!
+//! An owner never takes a quota to be unused because it knows nothing of it. A bucket that it meets for the first time is as full
+//! as it can have been left when this limiter became its owner, and limiters report the backlog that they have heard of last.
+
+use crate::quota_credit::Report;
+use oatbank_limiter_core::interface::{CustomerId, Millis};
+use std::collections::{HashMap, VecDeque};
+
+/// Reports from limiters that see other owners may come this much sooner than this limiter hears that it owns a bucket, or
+/// later than it hears that it does not, ms.
+const VIEW_LAG: Millis = 1000.0;
+/// A bucket that is empty and was not reported to for this long is forgotten, ms: longer than the rule's window.
+const IDLE: Millis = 10_000.0;
+/// Width of the parts in which the last window of admissions is kept, ms.
+const PART: Millis = 250.0;
+/// The longest backlog that a report may raise a bucket to, in bursts: what was admitted beyond a quota is owed no longer.
+const MAX_BACKLOG_BURSTS: f64 = 5.0;
+
+/// What a tenant's admissions are bounded by.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct QuotaBounds {
+    /// How much is given out in all, requests a second.
+    pub rate: f64,
+    /// How much of it may be given out at once, requests.
+    pub burst: f64,
+    /// How much each limiter may admit ahead of the owner's answer, requests; also a fraction of one.
+    pub credit: f64,
+    /// Limiters that share what is given out.
+    pub limiters: f64,
+    /// How much may be reported to the owner in a window of the rule, requests.
+    pub reported: f64,
+    /// The window, ms.
+    pub window: Millis,
+}
+
+impl QuotaBounds {
+    /// How long so many requests take at the quota's rate.
+    pub fn time_of(&self, requests: f64) -> Millis {
+        requests * 1000.0 / self.rate.max(f64::MIN_POSITIVE)
+    }
+
+    /// What is left of the burst at a backlog, for each limiter: as far as limiters have heard of each other by the time at which
+    /// it is used up, which is the more the larger the burst is beside their number.
+    pub fn shared_burst(&self, backlog: Millis) -> f64 {
+        let left = (self.burst - backlog * self.rate / 1000.0).max(0.0);
+        left / self.limiters.max(1.0) * self.burst / (self.burst + self.limiters / 4.0)
+    }
+}
+
+/// One tenant's bucket.
+#[derive(Debug, Default)]
+struct Bucket {
+    /// As of `at`.
+    backlog: Millis,
+    at: Millis,
+    /// Admissions in the last window, by the part of it in which they were reported.
+    reported: VecDeque<(Millis, f64)>,
+}
+
+impl Bucket {
+    fn leak(&mut self, now: Millis) {
+        self.backlog = (self.backlog - (now - self.at).max(0.0)).max(0.0);
+        self.at = self.at.max(now);
+    }
+
+    /// Notes what was reported, and returns how much of it is beyond what may run in a window.
+    fn note(&mut self, now: Millis, requests: f64, bounds: &QuotaBounds) -> f64 {
+        let part = (now / PART).floor() * PART;
+        match self.reported.back_mut().filter(|(at, _)| *at >= part) {
+            Some((_, sum)) => *sum += requests,
+            None => self.reported.push_back((part, requests)),
+        }
+        // Whole parts within the window only: what is counted too much would be a false alarm.
+        while self.reported.front().is_some_and(|(at, _)| *at < now - bounds.window) {
+            self.reported.pop_front();
+        }
+        let sum: f64 = self.reported.iter().map(|(_, sum)| sum).sum();
+        (sum - bounds.reported).clamp(0.0, requests.max(0.0))
+    }
+}
+
+/// The buckets of the tenants that this limiter owns.
+#[derive(Debug, Default)]
+pub struct OwnedBacklogs {
+    buckets: HashMap<CustomerId, Bucket>,
+    /// Since when it has owned what it owns.
+    since: Millis,
+    forgotten_at: Millis,
+    overrun: f64,
+}
+
+impl OwnedBacklogs {
+    /// None yet, for one that starts now.
+    pub fn new(now: Millis) -> Self {
+        OwnedBacklogs { since: now, forgotten_at: now, ..OwnedBacklogs::default() }
+    }
+
+    /// Takes in a limiter's report; returns the backlog after it, and how many of the requests that wait are granted.
+    pub fn report(
+        &mut self,
+        now: Millis,
+        tenant: CustomerId,
+        report: Report,
+        bounds: &QuotaBounds,
+    ) -> (Millis, u32) {
+        self.forget_idle(now);
+        let since = self.since;
+        let bucket = self.buckets.entry(tenant).or_insert_with(|| {
+            // Whoever owned it before may have left it full; since then it has leaked.
+            let backlog = (bounds.time_of(bounds.burst) - (now - since)).max(0.0);
+            Bucket { backlog, at: now, ..Bucket::default() }
+        });
+        bucket.leak(now);
+        let most = MAX_BACKLOG_BURSTS * bounds.time_of(bounds.burst);
+        let admitted = f64::from(report.admitted);
+        bucket.backlog = bucket.backlog.max(f64::from(report.backlog).min(most)) + bounds.time_of(admitted);
+        let room = (bounds.burst - bucket.backlog * bounds.rate / 1000.0).max(0.0).floor();
+        let granted = room.min(f64::from(report.wanted));
+        bucket.backlog += bounds.time_of(granted);
+        self.overrun += bucket.note(now, admitted + granted, bounds);
+        (bucket.backlog, granted as u32)
+    }
+
+    /// Ownership has changed: what is not owned any more is forgotten, as another counts on from here.
+    pub fn on_owners_changed(
+        &mut self,
+        now: Millis,
+        owned_before: impl Fn(CustomerId) -> bool,
+        owned: impl Fn(CustomerId) -> bool,
+    ) {
+        self.since = now;
+        self.buckets.retain(|tenant, bucket| {
+            owned(*tenant) && (owned_before(*tenant) || now - bucket.at <= VIEW_LAG)
+        });
+    }
+
+    fn forget_idle(&mut self, now: Millis) {
+        if now - self.forgotten_at >= IDLE {
+            self.forgotten_at = now;
+            self.buckets.retain(|_, bucket| now - bucket.at < IDLE + bucket.backlog);
+        }
+    }
+
+    /// How many admissions were reported here beyond what may run in a window, since the start.
+    pub fn overrun(&self) -> f64 {
+        self.overrun
+    }
+
+    /// How many tenants are owned and in use.
+    pub fn len(&self) -> usize {
+        self.buckets.len()
+    }
+
+    /// Whether none is.
+    pub fn is_empty(&self) -> bool {
+        self.buckets.is_empty()
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/proxy/src/quota_backlog/tests.rs
@@ -0,0 +1,79 @@
+//! Tests of the parent module.
+
+use super::*;
+
+const BOUNDS: QuotaBounds =
+    QuotaBounds { rate: 100.0, burst: 60.0, credit: 2.0, limiters: 10.0, reported: 700.0, window: 5000.0 };
+const TENANT: CustomerId = CustomerId(7);
+
+fn admitted(admitted: u32) -> Report {
+    Report { admitted, ..Report::default() }
+}
+
+fn wanted(wanted: u32) -> Report {
+    Report { wanted, ..Report::default() }
+}
+
+#[test]
+fn an_owner_that_has_just_started_gives_out_the_rate_and_no_burst() {
+    let mut owned = OwnedBacklogs::new(1000.0);
+    assert_eq!(owned.report(1000.0, TENANT, wanted(50), &BOUNDS), (600.0, 0));
+    assert_eq!(owned.report(1100.0, TENANT, wanted(50), &BOUNDS), (600.0, 10));
+    // One whose tenants come later has waited as long for them.
+    assert_eq!(owned.report(1400.0, CustomerId(8), wanted(50), &BOUNDS).1, 40);
+}
+
+#[test]
+fn whatever_restarts_an_owner_a_window_sees_no_more_than_rate_and_burst() {
+    let mut owned = OwnedBacklogs::new(-1000.0);
+    let mut granted = 0;
+    for ms in 0..5000 {
+        if ms % 700 == 0 {
+            owned = OwnedBacklogs::new(f64::from(ms) - if ms == 0 { 1000.0 } else { 0.0 });
+        }
+        granted += owned.report(f64::from(ms), TENANT, wanted(5), &BOUNDS).1;
+    }
+    assert!((490..=561).contains(&granted), "{granted}");
+}
+
+#[test]
+fn a_new_owner_takes_over_the_backlog_that_limiters_have_heard() {
+    let mut owned = OwnedBacklogs::new(0.0);
+    let report = Report { admitted: 1, wanted: 10, backlog: 1500 };
+    assert_eq!(owned.report(0.0, TENANT, report, &BOUNDS), (1510.0, 0));
+    // Not without an end: a limiter of other bounds, or a faulty one, may say anything.
+    let report = Report { backlog: u32::MAX, ..Report::default() };
+    assert_eq!(owned.report(0.0, TENANT, report, &BOUNDS).0, 3000.0);
+}
+
+#[test]
+fn a_tenant_that_is_owned_again_begins_anew_and_one_that_others_have_reported_early_stays() {
+    let mut owned = OwnedBacklogs::new(-10_000.0);
+    owned.report(0.0, TENANT, admitted(0), &BOUNDS);
+    owned.on_owners_changed(1000.0, |_| true, |_| false);
+    assert!(owned.is_empty());
+    owned.on_owners_changed(2000.0, |_| false, |_| true);
+    assert_eq!(owned.report(2000.0, TENANT, wanted(1), &BOUNDS), (600.0, 0), "another has counted meanwhile");
+    owned.report(4000.0, CustomerId(8), admitted(3), &BOUNDS);
+    owned.on_owners_changed(4500.0, |_| false, |_| true);
+    assert_eq!(owned.len(), 1, "reported to shortly before");
+}
+
+#[test]
+fn what_is_reported_beyond_a_window_is_counted() {
+    let mut owned = OwnedBacklogs::new(0.0);
+    for second in 0..5 {
+        owned.report(f64::from(second) * 1000.0, TENANT, admitted(140), &BOUNDS);
+    }
+    assert_eq!(owned.overrun(), 0.0);
+    owned.report(4900.0, TENANT, admitted(5), &BOUNDS);
+    assert_eq!(owned.overrun(), 5.0);
+}
+
+#[test]
+fn buckets_that_are_empty_and_idle_are_forgotten() {
+    let mut owned = OwnedBacklogs::new(0.0);
+    owned.report(0.0, TENANT, admitted(1), &BOUNDS);
+    owned.report(25_000.0, CustomerId(8), admitted(1), &BOUNDS);
+    assert_eq!(owned.len(), 1);
+}
--- a/crates/proxy/src/quota_counter.rs
+++ b/crates/proxy/src/quota_counter.rs
@@ -3,11 +3,19 @@
 //! Each counter has one owner, by its key and the limiters that may be active. Additions for the same owner are sent together.
 //! An owner that is gone takes its totals with it: the decision module sees a total below its own last one and counts anew,
 //! and meanwhile keeps to its own part.
+//!
+//! Totals say how much of a quota was used, and late: beneath them [`crate::quota_credit`] bounds what this limiter admits before the
+//! owner has answered, and [`crate::quota_backlog`] what an owner takes to be left. One owner has all counters of a tenant, and
+//! the reports that the decision module sends serve both.
 
 use crate::counter_owner::owner_of;
+use crate::quota_backlog::{OwnedBacklogs, QuotaBounds};
+use crate::quota_credit::{CreditVerdict, Report, TenantCredit, TenantCredits};
 use crate::quota_partition::{owns_counters, QuotaPartition};
+use oatbank_cluster_state::admin_query::table;
 use oatbank_cluster_state::cluster_view::ClusterView;
-use oatbank_cluster_state::messages::{QuotaAdd, QuotaAdds, QuotaTotals};
+use oatbank_cluster_state::messages::{QuotaAdd, QuotaAdds, QuotaTotals, Table};
+use oatbank_cluster_state::state::member_state;
 use oatbank_engine::counters::local::Numbers;
 use oatbank_engine::ports::counter::{Call, CallEnd, CallId};
 use oatbank_limiter_core::interface::{
@@ -17,12 +25,14 @@
 use oatbank_node_runtime::rpc::RpcError;
 use prost::Message;
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::sync::Notify;
+use tokio::time::Instant;
 
 /// Additions are gathered for this long.
 const GATHER: Duration = Duration::from_millis(25);
@@ -42,6 +52,28 @@
 /// The longest lifetime of a counter, ms.
 const MAX_LIFETIME: Millis = 120_000.0;
 
+/// A request waits for the answer of an owner for this long at most: a small part of what its client waits for.
+const OWNER_WAIT: Duration = Duration::from_millis(90);
+/// One that was rejected after that may come again after this, ms.
+const RETRY_AFTER_WAIT: Millis = 100.0;
+/// Interval of checks which limiters own counters.
+const OWNERS_INTERVAL: Duration = Duration::from_millis(250);
+/// The name of an addition that only reports admissions.
+const NO_COUNTER: u64 = 0;
+
+/// How admissions have fared beneath the decision module, since the start.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct CreditCounts {
+    /// Requests that waited for an owner's answer.
+    pub waited: u64,
+    /// Of these, those that were rejected.
+    pub given_up: u64,
+    /// Requests that were rejected as the owner's backlog was full.
+    pub used_up: u64,
+    /// Reports without an answer.
+    pub unanswered_reports: u64,
+}
+
 /// An owner's answer to additions, still encoded.
 pub type CountFuture = Pin<Box<dyn Future<Output = Result<bytes::Bytes, RpcError>>>>;
 
@@ -62,11 +94,22 @@
     /// Additions to send, by the owner's address; `None`: this limiter.
     pending: RefCell<BTreeMap<Option<SocketAddr>, Vec<QuotaAdd>>>,
     is_flush_scheduled: Cell<bool>,
+    credits: RefCell<TenantCredits>,
+    /// The buckets of the tenants that this limiter owns.
+    backlogs: RefCell<OwnedBacklogs>,
+    /// The limiters that owned counters when last looked at.
+    owners: RefCell<Vec<String>>,
+    /// An owner has answered.
+    answered: Notify,
+    counts: Cell<CreditCounts>,
+    random: Cell<u64>,
 }
 
 impl QuotaCounter {
     /// No tenant yet.
     pub fn new(view: Rc<ClusterView>, peers: Rc<dyn QuotaPeers>, node_name: String, seed: u64) -> Rc<Self> {
+        let credits = RefCell::new(TenantCredits::new(view.now()));
+        let backlogs = RefCell::new(OwnedBacklogs::new(view.now()));
         Rc::new(QuotaCounter {
             view,
             peers,
@@ -75,6 +118,12 @@
             owned: Numbers::default(),
             pending: RefCell::default(),
             is_flush_scheduled: Cell::new(false),
+            credits,
+            backlogs,
+            owners: RefCell::default(),
+            answered: Notify::new(),
+            counts: Cell::default(),
+            random: Cell::new(seed),
         })
     }
 
@@ -84,39 +133,109 @@
         self.view.with(|table, now| QuotaPartition::of(&self.node_name, table.members(now), confirmed_ago))
     }
 
-    /// Sets the plans, by tenant, shared by so many limiters.
-    pub fn set_plans(&self, plans: Vec<Plan>, limiters: f64) {
+    /// Sets the plans, and what bounds each tenant, shared by so many limiters.
+    pub fn set_plans(&self, plans: Vec<Plan>, bounds: HashMap<CustomerId, QuotaBounds>, limiters: f64) {
         self.quotas.borrow_mut().settle(quota_settings(plans, limiters));
+        self.credits.borrow_mut().set_bounds(bounds);
     }
 
-    /// Whether a tenant's request goes on.
+    /// Whether a tenant's request goes on. If its credit is used up, it waits a moment for the owner's answer.
     ///
     /// # Errors
     /// If its quota is used up: when to come back, ms.
-    pub fn admit(self: &Rc<Self>, customer: CustomerId, plan: PlanId, limiters: f64) -> Result<(), Millis> {
-        let now = self.view.cluster_time();
-        let mut actions = Vec::new();
+    pub async fn admit(
+        self: &Rc<Self>,
+        customer: CustomerId,
+        plan: PlanId,
+        limiters: f64,
+    ) -> Result<(), Millis> {
         let draw = Draw { customer, plan, units: 1.0, spread: limiters, ..Draw::default() };
-        let verdict = {
+        let deadline = Instant::now() + OWNER_WAIT;
+        let mut has_asked = false;
+        loop {
+            let answered = self.answered.notified();
+            let credit = self.credits.borrow_mut().check(self.view.now(), customer, || self.draw_rounding());
+            match credit {
+                CreditVerdict::Granted => return self.decide(draw, None),
+                CreditVerdict::UsedUp(wait) => {
+                    self.count(|counts| counts.used_up += 1);
+                    return self.decide(draw, Some(wait));
+                }
+                CreditVerdict::AskOwner => {}
+            }
+            if !std::mem::replace(&mut has_asked, true) {
+                self.count(|counts| counts.waited += 1);
+                self.with_credit(customer, TenantCredit::want);
+                self.report_now(customer);
+            }
+            if tokio::time::timeout_at(deadline, answered).await.is_err() {
+                self.count(|counts| counts.given_up += 1);
+                return self.decide(draw, Some(RETRY_AFTER_WAIT));
+            }
+        }
+    }
+
+    /// A random number from 0 to 1.
+    fn draw_rounding(&self) -> f64 {
+        let next = self.random.get().wrapping_mul(0x5851_f42d_4c95_7f2d).wrapping_add(0x1405_7b7e_f767_814f);
+        self.random.set(next);
+        (next >> 11) as f64 / (1u64 << 53) as f64
+    }
+
+    /// What the decision module says of a request, which is to be rejected in any case if it is to come back `later`.
+    fn decide(self: &Rc<Self>, draw: Draw, later: Option<Millis>) -> Result<(), Millis> {
+        let (now, customer) = (self.view.cluster_time(), draw.customer);
+        let mut actions = Vec::new();
+        let (result, is_sampled) = {
             let mut quotas = self.quotas.borrow_mut();
             let verdict = quotas.admit(now, draw, &mut actions);
-            quotas.record(now, customer, 1.0, !matches!(verdict, Verdict::Refuse { .. }));
-            verdict
+            let result = match (later, verdict) {
+                (Some(wait), _) | (None, Verdict::Refuse { retry_after: wait }) => Err(wait),
+                _ => Ok(()),
+            };
+            quotas.record(now, customer, 1.0, result.is_ok());
+            (result, quotas.is_sampled(customer))
         };
+        let is_report_due = result.is_ok() && self.credits.borrow_mut().spend(customer);
         self.carry_out(actions);
-        match verdict {
-            Verdict::Refuse { retry_after } => Err(retry_after),
-            _ => Ok(()),
+        if is_report_due || is_sampled && result.is_ok() {
+            self.report_now(customer);
         }
+        result
+    }
+
+    fn with_credit<T>(&self, customer: CustomerId, then: impl FnOnce(&mut TenantCredit) -> T) -> Option<T> {
+        self.credits.borrow_mut().of(customer).map(then)
+    }
+
+    /// Reports what was admitted of a tenant, without waiting for the decision module to tell its counter.
+    fn report_now(self: &Rc<Self>, customer: CustomerId) {
+        if self.with_credit(customer, |credit| credit.has_report()) == Some(true) {
+            self.queue(customer, QuotaAdd { name: NO_COUNTER, ..QuotaAdd::default() }, true);
+            self.schedule_flush();
+        }
+    }
+
+    fn count(&self, change: impl FnOnce(&mut CreditCounts)) {
+        let mut counts = self.counts.get();
+        change(&mut counts);
+        self.counts.set(counts);
     }
 
     fn carry_out(self: &Rc<Self>, actions: Vec<Action>) {
         for action in actions {
             let Action::Count { name, add, ttl } = action else { continue };
-            let owner = self.owner(name);
-            let add = QuotaAdd { name: name.0, add, ttl };
-            self.pending.borrow_mut().entry(owner).or_default().push(add);
+            let (customer, reports) = {
+                let quotas = self.quotas.borrow();
+                let Some(customer) = quotas.customer_of(name) else { continue };
+                (customer, quotas.accepted_by(name).is_some())
+            };
+            self.queue(customer, QuotaAdd { name: name.0, add, ttl, ..QuotaAdd::default() }, reports);
         }
+        self.schedule_flush();
+    }
+
+    fn schedule_flush(self: &Rc<Self>) {
         if !self.pending.borrow().is_empty() && !self.is_flush_scheduled.replace(true) {
             let counter = self.clone();
             tokio::task::spawn_local(async move {
@@ -127,21 +246,75 @@
         }
     }
 
-    /// The owner of a counter; `None`: this limiter.
-    fn owner(&self, name: CountName) -> Option<SocketAddr> {
+    /// Queues an addition to a tenant's counter, for its owner, and with it the report of what was admitted.
+    fn queue(&self, customer: CustomerId, mut add: QuotaAdd, reports: bool) {
+        let owner = self.owner(customer);
+        let now = self.view.now();
+        if reports {
+            if let Some(report) = self.with_credit(customer, |credit| credit.take_report(now)) {
+                add.tenant = customer.0;
+                (add.admitted, add.wanted, add.backlog) = (report.admitted, report.wanted, report.backlog);
+            }
+        }
+        self.pending.borrow_mut().entry(owner).or_default().push(add);
+    }
+
+    /// The limiters that own counters, as known here.
+    fn owner_names(&self) -> Vec<String> {
+        if !self.view.in_touch() {
+            return vec![self.node_name.clone()];
+        }
+        self.view.with(|table, now| {
+            let owning = table.members(now).filter(|(row, age)| owns_counters(row, *age));
+            let mut names: Vec<String> = owning.map(|(row, _)| row.name.clone()).collect();
+            if names.is_empty() || !self.is_leaving() && !names.contains(&self.node_name) {
+                names.push(self.node_name.clone());
+            }
+            names
+        })
+    }
+
+    /// Whether this limiter has said that it ends.
+    fn is_leaving(&self) -> bool {
+        self.view.with(|table, _| {
+            table.member(&self.node_name).is_some_and(|row| row.state == member_state::LEAVING)
+        })
+    }
+
+    /// The owner of a tenant's counters; `None`: this limiter.
+    fn owner(&self, customer: CustomerId) -> Option<SocketAddr> {
         // A limiter that is not in touch counts alone: see `QuotaPartition`.
         if !self.view.in_touch() {
             return None;
         }
+        let own_name = (!self.is_leaving()).then_some(self.node_name.as_str());
         self.view.with(|table, now| {
             let members = || table.members(now).filter(|(row, age)| owns_counters(row, *age));
             let names = members().map(|(row, _)| row.name.as_str());
-            let owner = owner_of(name.0, names.chain(std::iter::once(self.node_name.as_str())))?;
+            let owner = owner_of(customer.0, names.chain(own_name))?;
             let row = members().find(|(row, _)| row.name == owner && row.name != self.node_name)?.0;
             row.inner.parse().ok()
         })
     }
 
+    /// Takes in which limiters own counters now.
+    fn check_owners(&self) {
+        let owners = self.owner_names();
+        let before = self.owners.replace(owners);
+        let owners = self.owners.borrow();
+        if *owners == before {
+            return;
+        }
+        let owns = |names: &[String], tenant: CustomerId| {
+            owner_of(tenant.0, names.iter().map(String::as_str)) == Some(&self.node_name)
+        };
+        self.backlogs.borrow_mut().on_owners_changed(
+            self.view.now(),
+            |tenant| owns(&before, tenant),
+            |tenant| owns(&owners, tenant),
+        );
+    }
+
     fn flush(self: &Rc<Self>) {
         for (owner, adds) in std::mem::take(&mut *self.pending.borrow_mut()) {
             match owner {
@@ -161,46 +334,127 @@
         let body = QuotaAdds { counts: adds.clone() }.encode_to_vec();
         let response = self.peers.count(address, body, CALL_TIMEOUT).await;
         let took = self.view.now() - sent_at;
-        let totals =
-            response.map(|bytes| QuotaTotals::decode(bytes).map(|totals| totals.totals).unwrap_or_default());
+        let totals = response.map(|bytes| QuotaTotals::decode(bytes).unwrap_or_default());
         self.on_totals(&adds, &totals, took);
     }
 
-    fn on_totals(&self, adds: &[QuotaAdd], totals: &Result<Vec<f64>, RpcError>, took: Millis) {
+    fn on_totals(&self, adds: &[QuotaAdd], answer: &Result<QuotaTotals, RpcError>, took: Millis) {
         let now = self.view.cluster_time();
-        let mut quotas = self.quotas.borrow_mut();
-        for (add, (outcome, total)) in adds.iter().zip(outcomes_of(adds.len(), totals)) {
-            quotas.counted(now, CountName(add.name), outcome, took, total);
+        {
+            let mut quotas = self.quotas.borrow_mut();
+            for (add, (outcome, total)) in adds.iter().zip(outcomes_of(adds.len(), answer)) {
+                if add.name != NO_COUNTER {
+                    quotas.counted(now, CountName(add.name), outcome, took, total);
+                }
+            }
+        }
+        self.settle_reports(adds, answer, took);
+        self.answered.notify_waiters();
+    }
+
+    /// Gives back the credit of what an owner has answered to.
+    fn settle_reports(&self, adds: &[QuotaAdd], answer: &Result<QuotaTotals, RpcError>, took: Millis) {
+        let now = self.view.now();
+        let reports: Vec<&QuotaAdd> = adds.iter().filter(|add| add.tenant != 0).collect();
+        let is_whole = |totals: &QuotaTotals| {
+            totals.backlogs.len() == reports.len() && totals.granted.len() == reports.len()
+        };
+        let (backlogs, granted) = match answer {
+            Ok(totals) if is_whole(totals) => (totals.backlogs.as_slice(), totals.granted.as_slice()),
+            // It answers as an older version does: there is nothing to wait for.
+            Ok(totals) if totals.backlogs.is_empty() && totals.totals.len() == adds.len() => {
+                (&[][..], &[][..])
+            }
+            _ => {
+                let was_sent = *answer != Err(RpcError::Unreachable);
+                self.count(|counts| counts.unanswered_reports += reports.len() as u64);
+                for add in reports {
+                    let report = report_of(add);
+                    self.with_credit(CustomerId(add.tenant), |credit| match was_sent {
+                        true => credit.on_lost(report),
+                        false => credit.on_not_sent(report),
+                    });
+                }
+                return;
+            }
+        };
+        for (place, add) in reports.into_iter().enumerate() {
+            let backlog = backlogs.get(place).and_then(|backlog| backlog.checked_sub(1)).map(f64::from);
+            let granted = granted.get(place).copied().unwrap_or(add.wanted);
+            self.with_credit(CustomerId(add.tenant), |credit| {
+                credit.on_answer(now, took, report_of(add), backlog, granted);
+            });
         }
     }
 
     /// Adds to counters that this limiter owns: one total for each, in their order. What cannot be added has none (NaN).
-    fn add(&self, adds: &[QuotaAdd]) -> Vec<f64> {
+    fn add(&self, adds: &[QuotaAdd]) -> QuotaTotals {
         let now = self.view.now();
         let total = |add: &QuotaAdd| {
             if !add.add.is_finite() {
                 return f64::NAN;
             }
+            if add.name == NO_COUNTER {
+                return 0.0;
+            }
             let (name, ttl) = (CountName(add.name), add.ttl.clamp(0.0, MAX_LIFETIME));
             match self.owned.add(now, &Call { id: CallId(0), name, add: add.add, ttl }) {
                 CallEnd::Added(total) => total,
                 _ => f64::NAN,
             }
         };
-        adds.iter().map(total).collect()
+        let totals = adds.iter().map(total).collect();
+        let reports = adds.iter().filter(|add| add.tenant != 0);
+        let (backlogs, granted) = reports.map(|add| self.take_in_report(now, add)).unzip();
+        QuotaTotals { totals, backlogs, granted }
+    }
+
+    /// Takes in a report of admissions. The backlog and 1, or 0 if the tenant is not known here; and how much is granted.
+    fn take_in_report(&self, now: Millis, add: &QuotaAdd) -> (u32, u32) {
+        let tenant = CustomerId(add.tenant);
+        let Some(bounds) = self.credits.borrow().bounds(tenant) else { return (0, add.wanted) };
+        let (backlog, granted) = self.backlogs.borrow_mut().report(now, tenant, report_of(add), &bounds);
+        (1 + backlog.ceil() as u32, granted)
     }
 
     /// Answers another limiter's [`QuotaAdds`].
     pub fn answer(&self, body: bytes::Bytes) -> Vec<u8> {
         match QuotaAdds::decode(body) {
-            Ok(adds) => QuotaTotals { totals: self.add(&adds.counts) }.encode_to_vec(),
+            Ok(adds) => self.add(&adds.counts).encode_to_vec(),
             Err(_) => Vec::new(),
         }
     }
 
+    /// How many admissions were reported to this limiter beyond what may run in a window, of the tenants that it owns.
+    pub fn overrun(&self) -> u64 {
+        self.backlogs.borrow().overrun().ceil() as u64
+    }
+
+    /// The table of what bounds quotas here.
+    pub fn table(&self) -> Table {
+        let counts = self.counts.get();
+        let (credits, backlogs) = (self.credits.borrow(), self.backlogs.borrow());
+        let row = |name: &str, value: String| vec![name.to_owned(), value];
+        let rows = vec![
+            row("admitted, not answered to", format!("{:.1}", credits.outstanding())),
+            row("waited for an owner", counts.waited.to_string()),
+            row("rejected after waiting", counts.given_up.to_string()),
+            row("rejected, quota used up", counts.used_up.to_string()),
+            row("reports without an answer", counts.unanswered_reports.to_string()),
+            row("tenants owned", backlogs.len().to_string()),
+            row("reported beyond a quota", self.overrun().to_string()),
+        ];
+        table("quotas, since the start", &["what", "how many"], rows)
+    }
+
     /// Sends what is due, for the life of the process.
     pub async fn run(self: Rc<Self>) {
+        let mut owners_due = Instant::now();
         loop {
+            if Instant::now() >= owners_due {
+                owners_due = Instant::now() + OWNERS_INTERVAL;
+                self.check_owners();
+            }
             tokio::time::sleep(TICK).await;
             let mut actions = Vec::new();
             self.quotas.borrow_mut().tick(self.view.cluster_time(), &mut actions);
@@ -209,13 +463,18 @@
     }
 }
 
+/// The report that goes with an addition.
+fn report_of(add: &QuotaAdd) -> Report {
+    Report { admitted: add.admitted, wanted: add.wanted, backlog: add.backlog }
+}
+
 /// What an owner's answer to so many additions says of each: its outcome and total. An addition whose answer was lost may have
 /// been made: what a later total does not show of it is sent again, once.
-pub fn outcomes_of(adds: usize, answer: &Result<Vec<f64>, RpcError>) -> Vec<(Outcome, f64)> {
+pub fn outcomes_of(adds: usize, answer: &Result<QuotaTotals, RpcError>) -> Vec<(Outcome, f64)> {
     // The owner has no room for a counter whose total is missing.
     let outcome = |total: &f64| if total.is_finite() { (Outcome::Ok, *total) } else { (Outcome::Full, 0.0) };
     match answer {
-        Ok(totals) if totals.len() == adds => totals.iter().map(outcome).collect(),
+        Ok(answer) if answer.totals.len() == adds => answer.totals.iter().map(outcome).collect(),
         // Which total belongs to which addition is not known.
         Ok(_) => vec![(Outcome::Reset, 0.0); adds],
         Err(RpcError::Unreachable) => vec![(Outcome::ConnectFailed, 0.0); adds],
--- /dev/null
+++ b/crates/proxy/src/quota_credit/tests.rs
@@ -0,0 +1,124 @@
+//! Tests of the parent module.
+
+use super::*;
+
+const BOUNDS: QuotaBounds =
+    QuotaBounds { rate: 100.0, burst: 60.0, credit: 2.0, limiters: 10.0, reported: 700.0, window: 5000.0 };
+/// A limiter that has run for longer than a window.
+const SINCE: Millis = -10_000.0;
+
+fn report(admitted: u32) -> Report {
+    Report { admitted, ..Report::default() }
+}
+
+/// How many requests are admitted at once.
+fn admitted_at(credit: &mut TenantCredit, now: Millis, bounds: &QuotaBounds) -> u32 {
+    let mut admitted = 0;
+    while admitted < 1000 && credit.check(now, bounds) == CreditVerdict::Granted {
+        credit.spend();
+        admitted += 1;
+    }
+    admitted
+}
+
+/// A tenant whose owner has just said that its burst is given out but for a few requests.
+fn nearly_used_up(now: Millis) -> TenantCredit {
+    let mut credit = TenantCredit::new(now, SINCE, 0.0);
+    credit.on_answer(now, 0.0, report(0), Some(550.0), 0);
+    credit
+}
+
+#[test]
+fn without_an_answer_credit_is_used_up_and_comes_back_at_this_limiters_part_of_the_rate() {
+    let mut credit = nearly_used_up(0.0);
+    assert_eq!(admitted_at(&mut credit, 0.0, &BOUNDS), 2);
+    assert_eq!(credit.check(0.0, &BOUNDS), CreditVerdict::AskOwner);
+    // The backlog leaks meanwhile: of what the burst has again each limiter has its part, once.
+    assert_eq!(admitted_at(&mut credit, 599.0, &BOUNDS), 5);
+    assert_eq!(credit.check(599.0, &BOUNDS), CreditVerdict::AskOwner, "the owner may still answer");
+    let mut admitted = 0;
+    for step in 0..500 {
+        admitted += admitted_at(&mut credit, 600.0 + f64::from(step) * 20.0, &BOUNDS);
+    }
+    // Ten a second for ten seconds, and no more than that.
+    assert!((98..=101).contains(&admitted), "{admitted}");
+}
+
+#[test]
+fn an_answer_gives_back_what_was_reported_and_a_full_backlog_closes() {
+    let mut credit = nearly_used_up(0.0);
+    assert_eq!(admitted_at(&mut credit, 0.0, &BOUNDS), 2);
+    let first = credit.take_report(0.0);
+    assert_eq!((first.admitted, first.wanted), (2, 0));
+    credit.on_answer(50.0, 50.0, first, Some(560.0), 0);
+    assert_eq!(credit.outstanding(), 0.0);
+    assert_eq!(admitted_at(&mut credit, 50.0, &BOUNDS), 2);
+    let second = credit.take_report(50.0);
+    credit.on_answer(100.0, 50.0, second, Some(700.0), 0);
+    assert_eq!(credit.check(100.0, &BOUNDS), CreditVerdict::UsedUp(110.0));
+    assert_eq!(credit.check(250.0, &BOUNDS), CreditVerdict::Granted);
+}
+
+#[test]
+fn what_was_lost_stays_outstanding_and_is_reported_again_after_the_next_answer() {
+    let mut credit = nearly_used_up(0.0);
+    admitted_at(&mut credit, 0.0, &BOUNDS);
+    let lost = credit.take_report(0.0);
+    credit.on_lost(lost);
+    assert_eq!((credit.outstanding(), credit.take_report(400.0).admitted), (2.0, 0));
+    credit.on_answer(500.0, 50.0, report(0), Some(100.0), 0);
+    assert_eq!((credit.outstanding(), credit.take_report(500.0).admitted), (2.0, 2));
+    // One that was certainly not received is made again at once.
+    credit.on_not_sent(report(2));
+    assert_eq!(credit.take_report(500.0).admitted, 2);
+}
+
+#[test]
+fn a_fraction_of_a_request_is_rounded_so_that_the_sum_is_right_and_the_rest_asks() {
+    let bounds = QuotaBounds { credit: 0.25, burst: 0.0, ..BOUNDS };
+    let admitted: u32 = (0..100)
+        .map(|limiter| {
+            let mut credit = TenantCredit::new(0.0, 0.0, (f64::from(limiter) + 0.5) / 100.0);
+            admitted_at(&mut credit, 0.0, &bounds)
+        })
+        .sum();
+    assert_eq!(admitted, 25);
+}
+
+#[test]
+fn what_an_owner_grants_is_admitted_once_and_in_time_only() {
+    let bounds = QuotaBounds { credit: 0.0, ..BOUNDS };
+    let mut credit = TenantCredit::new(0.0, 0.0, 0.0);
+    assert_eq!(credit.check(0.0, &bounds), CreditVerdict::AskOwner);
+    credit.want();
+    credit.want();
+    let asked = credit.take_report(0.0);
+    assert_eq!((asked.admitted, asked.wanted), (0, 2));
+    credit.on_answer(50.0, 50.0, asked, Some(590.0), 2);
+    assert_eq!(admitted_at(&mut credit, 50.0, &bounds), 2);
+    assert_eq!(credit.take_report(50.0).admitted, 0, "the owner has counted them");
+    credit.on_answer(100.0, 50.0, report(0), Some(700.0), 1);
+    assert_eq!(credit.check(1200.0, &BOUNDS), CreditVerdict::Granted, "by credit");
+    credit.spend();
+    assert_eq!(credit.take_report(1200.0).admitted, 1, "the grant has lapsed");
+}
+
+#[test]
+fn what_is_reported_of_a_backlog_does_not_grow_on_its_way() {
+    let mut credit = TenantCredit::new(0.0, 0.0, 0.0);
+    credit.on_answer(300.0, 300.0, report(0), Some(1000.0), 0);
+    assert_eq!(credit.take_report(400.0).backlog, 600);
+    assert_eq!(credit.take_report(2000.0).backlog, 0);
+}
+
+#[test]
+fn tenants_that_are_idle_are_forgotten() {
+    let tenant = CustomerId(7);
+    let mut credits = TenantCredits::new(0.0);
+    assert_eq!(credits.check(0.0, tenant, || 0.0), CreditVerdict::Granted, "it has no quota");
+    credits.set_bounds(HashMap::from([(tenant, BOUNDS)]));
+    credits.check(0.0, tenant, || 0.0);
+    assert!(credits.of(tenant).is_some());
+    credits.check(70_000.0, CustomerId(8), || 0.0);
+    assert!(credits.of(tenant).is_none());
+}
--- a/crates/proxy/src/quota_partition.rs
+++ b/crates/proxy/src/quota_partition.rs
@@ -59,7 +59,8 @@
     }
 }
 
-/// Whether a limiter heard this long ago is taken to own its counters.
+/// Whether a limiter heard this long ago is taken to own its counters. One that says that it ends does not: it still answers
+/// those who have not heard so, and others count on before it is gone.
 pub fn owns_counters(row: &MemberRow, age: Millis) -> bool {
-    !row.expired || age < OWNS_AFTER_SESSION
+    row.state != member_state::LEAVING && (!row.expired || age < OWNS_AFTER_SESSION)
 }
--- a/crates/proxy/src/request_handler.rs
+++ b/crates/proxy/src/request_handler.rs
@@ -175,6 +175,11 @@
         self.lease_state.is_active(self.view.now(), self.view.confirmed_ago(), knows_servers)
     }
 
+    /// How many admissions were reported here beyond what a quota allows, of the tenants whose counters this proxy owns.
+    pub fn quota_overrun(&self) -> u64 {
+        self.plans.counter().overrun()
+    }
+
     // ---- For oatbankctl -----------------------------------------------------------------------
 
     /// The table of requests that run at most once: how many are recorded, and how often a decision was not carried out.
@@ -187,6 +192,11 @@
         table(title, &["service", "out", "kept from"], self.pools.all().iter().map(row).collect())
     }
 
+    /// The table of what bounds tenants' quotas here.
+    pub fn quotas_table(&self) -> Table {
+        self.plans.counter().table()
+    }
+
     /// The table of servers that are not healthy.
     pub fn verdicts_table(&self) -> Table {
         self.outliers.verdicts_table(self.view.now())
@@ -326,8 +336,11 @@
         request: IncomingRequest,
     ) -> Result<Response<Body>, Rejection> {
         let (route, tenant) = (routed.route(), routed.tenant());
-        if let Some(wait) = tenant.and_then(|tenant| self.plans.admit(tenant).err()) {
-            return Err(Rejection::with_retry_after(ErrorKind::QuotaExceeded, wait.max(RETRY_SOON)));
+        if let Some(tenant) = tenant {
+            let admitted = self.plans.admit(tenant).await;
+            admitted.map_err(|wait| {
+                Rejection::with_retry_after(ErrorKind::QuotaExceeded, wait.max(RETRY_SOON))
+            })?;
         }
         let service = choose_service(route, self.next_random()).unwrap_or_default();
         let Some(pool) = self.pools.get(service) else {
--- a/crates/proxy/src/tenant_plans.rs
+++ b/crates/proxy/src/tenant_plans.rs
@@ -3,7 +3,7 @@
 
 use crate::config_snapshot::ConfigSnapshot;
 use crate::quota_counter::QuotaCounter;
-use crate::quota_plan::{plan, tenant_number, QuotaAllowance};
+use crate::quota_plan::{bounds, plan, tenant_number, QuotaAllowance};
 use oatbank_cluster_state::cluster_view::ClusterView;
 use oatbank_cluster_state::state::Millis;
 use oatbank_config_model::Customer;
@@ -49,13 +49,18 @@
         PlanBasis { limiters, share: partition.share() }
     }
 
+    /// The counter of these tenants.
+    pub fn counter(&self) -> &QuotaCounter {
+        &self.counter
+    }
+
     /// Whether plans have to be made again: time alone changes which limiters count together.
     pub fn is_outdated(&self) -> bool {
         self.basis.get() != self.current_basis()
     }
 
     /// Makes the plans of this configuration.
-    pub fn update(&self, snapshot: &ConfigSnapshot, bounds: &Bounds) {
+    pub fn update(&self, snapshot: &ConfigSnapshot, rules: &Bounds) {
         let mut places = self.places.borrow_mut();
         let customers = snapshot.configuration().customers.as_deref().unwrap_or_default();
         for customer in customers {
@@ -64,31 +69,36 @@
         }
         let basis = self.current_basis();
         let allowance = QuotaAllowance {
-            window: bounds.quota_window_s,
-            over: bounds.quota_over,
-            slack: bounds.quota_slack * basis.share,
+            window: rules.quota_window_s,
+            over: rules.quota_over,
+            slack: rules.quota_slack * basis.share,
             limiters: basis.limiters,
         };
         let mut plans = vec![plan(0.0, 0.0, allowance); places.len()];
+        let mut tenant_bounds = HashMap::new();
         for customer in customers {
+            let (rate, burst) = (customer.rate * basis.share, customer.burst * basis.share);
             if let Some(place) = places.get(&customer.name) {
-                plans[*place] = plan(customer.rate * basis.share, customer.burst * basis.share, allowance);
+                plans[*place] = plan(rate, burst, allowance);
+            }
+            if rate > 0.0 {
+                tenant_bounds.insert(tenant_number(&customer.name), bounds(rate, burst, allowance));
             }
         }
-        self.counter.set_plans(plans, basis.limiters);
+        self.counter.set_plans(plans, tenant_bounds, basis.limiters);
         self.basis.set(basis);
     }
 
-    /// Whether a tenant's request goes on.
+    /// Whether a tenant's request goes on; for a moment it may wait for what an owner says.
     ///
     /// # Errors
     /// If its quota is used up: when to come back, ms.
-    pub fn admit(&self, tenant: &Customer) -> Result<(), Millis> {
+    pub async fn admit(&self, tenant: &Customer) -> Result<(), Millis> {
         if tenant.rate <= 0.0 {
             return Ok(());
         }
         let place = self.places.borrow().get(&tenant.name).copied().unwrap_or(0);
         let limiters = self.basis.get().limiters.max(1.0);
-        self.counter.admit(tenant_number(&tenant.name), PlanId(place), limiters)
+        self.counter.admit(tenant_number(&tenant.name), PlanId(place), limiters).await
     }
 }
--- a/crates/proxy/tests/common/quota_fleet.rs
+++ b/crates/proxy/tests/common/quota_fleet.rs
@@ -182,9 +182,11 @@
         let to = usize::from(owner.port() - 20_000);
         Box::pin(async move {
             let Some(fleet) = fleet.upgrade() else { return Err(RpcError::Lost) };
-            match tokio::time::timeout(within, fleet.carry(from, to, adds)).await {
-                Ok(result) => result,
-                Err(_) => Err(RpcError::Lost),
+            // What has arrived is worked on, whether or not its caller still waits.
+            let carried = tokio::task::spawn_local(async move { fleet.carry(from, to, adds).await });
+            match tokio::time::timeout(within, carried).await {
+                Ok(Ok(result)) => result,
+                _ => Err(RpcError::Lost),
             }
         })
     }
@@ -382,7 +384,7 @@
         let fleet = self.clone();
         let sent_at = self.now();
         tokio::task::spawn_local(async move {
-            let is_admitted = limiter.plans.admit(&fleet.customer).is_ok();
+            let is_admitted = limiter.plans.admit(&fleet.customer).await.is_ok();
             // Requests of the first seconds find limiters that have all just started.
             let is_calm = !presses && sent_at > 1500.0;
             fleet.calm.set(fleet.calm.get() + u32::from(is_calm));
--- a/crates/proxy/tests/counting.rs
+++ b/crates/proxy/tests/counting.rs
@@ -17,7 +17,12 @@
     let view = ClusterView::new(MonotonicClock::start(), 1500.0);
     let counter = QuotaCounter::new(view, Rc::new(PeerClients::default()), "edge-1".into(), 7);
     let ask = |adds: &[(u64, f64)]| {
-        let count = |(name, add): &(u64, f64)| QuotaAdd { name: *name, add: *add, ttl: 60_000.0 };
+        let count = |(name, add): &(u64, f64)| QuotaAdd {
+            name: *name,
+            add: *add,
+            ttl: 60_000.0,
+            ..QuotaAdd::default()
+        };
         let body = QuotaAdds { counts: adds.iter().map(count).collect() }.encode_to_vec();
         QuotaTotals::decode(&counter.answer(body.into())[..]).expect("totals").totals
     };
@@ -31,6 +36,10 @@
 
 #[test]
 fn what_an_answer_says_of_each_add() {
+    let outcomes_of = |adds, answer: &Result<Vec<f64>, RpcError>| {
+        let answer = answer.clone().map(|totals| QuotaTotals { totals, ..QuotaTotals::default() });
+        outcomes_of(adds, &answer)
+    };
     assert_eq!(outcomes_of(2, &Ok(vec![3.0, 0.0])), [(Outcome::Ok, 3.0), (Outcome::Ok, 0.0)]);
     assert_eq!(
         outcomes_of(2, &Ok(vec![f64::NAN, 4.0])),
@@ -82,7 +91,7 @@
                 *sums.entry(name.0).or_default() += add;
             }
             let answer = match how {
-                Does::Answers => Ok(vec![sums[&name.0]]),
+                Does::Answers => Ok(QuotaTotals { totals: vec![sums[&name.0]], ..QuotaTotals::default() }),
                 _ => Err(RpcError::Lost),
             };
             let (outcome, total) = outcomes_of(1, &answer)[0];
--- a/crates/proxy/tests/quota_beside_restarts.rs
+++ b/crates/proxy/tests/quota_beside_restarts.rs
@@ -72,3 +72,20 @@
     }
     assert_kept("three tenths cut off", &[fault(FaultKind::Cut, 6500, 6000, Target::Share(0.3))]);
 }
+
+#[test]
+fn tenants_and_fleets_of_other_sizes_keep_it_too() {
+    let killed = |at| fault(FaultKind::Kill, at, 300, Target::Share(1.0));
+    let faults = [
+        ("all killed three times", vec![killed(7000), killed(8500), killed(10_000)]),
+        ("the owner is cut off", vec![fault(FaultKind::Cut, 5900, 6000, Target::Owner)]),
+        ("the owner answers late", vec![fault(FaultKind::Slow(450), 5000, 8000, Target::Owner)]),
+    ];
+    for (limiters, rate) in [(85, 104.0), (85, 30.0), (85, 8.0), (20, 475.0), (9, 172.0)] {
+        for (title, faults) in &faults {
+            let outcome = play(Play { limiters, rate, burst: rate, ..Play::large(1, faults.clone()) });
+            println!("{limiters} limiters, {rate} a second, {title}: {outcome:?}");
+            assert!(outcome.worst <= 1.0, "{limiters} limiters, {rate} a second, {title}: {outcome:?}");
+        }
+    }
+}
