--- a/crates/local-cluster/src/main.rs
+++ b/crates/local-cluster/src/main.rs
@@ -22,7 +22,7 @@
 Usage: oatbank-local-cluster [--proxies N] [--servers N] [--rate N] [--seconds N] [--keep]
        oatbank-local-cluster failing-backend [--rate N] [--seconds N] [--json FILE] [--picture FILE] [--fault duplicate]
        oatbank-local-cluster changes [--cores N] [--proxies N] [--changes N]
-       oatbank-local-cluster soak [--seconds N] [--seed N] [--seeds N]
+       oatbank-local-cluster soak [--seconds N] [--seed N] [--seeds N] [--proxies N]
 
 failing-backend: three proxies, three core machines, and bookings that must land once at four servers, of which
 one turns slow, then fails, then recovers. A row a second; at the end an independent checker holds what servers
@@ -195,7 +195,11 @@
         if end.load(Ordering::SeqCst) {
             break;
         }
-        let wanted = soak::Wanted { seed, span: Duration::from_secs(command_line.seconds) };
+        let wanted = soak::Wanted {
+            seed,
+            span: Duration::from_secs(command_line.seconds),
+            proxies: command_line.proxies,
+        };
         let report = soak::play(&wanted)?;
         println!(
             "seed {seed}: {} faults, {} changes, {} requests, {} served, {} left by their clients, {} violations",
@@ -206,6 +210,8 @@
             report.left,
             report.violations.len()
         );
+        let fullest = report.fullest.iter().map(|(tenant, share)| format!("{tenant} {share:.2}"));
+        println!("  fullest windows of what is allowed: {}", fullest.collect::<Vec<_>>().join(", "));
         report.violations.iter().for_each(|violation| println!("  {violation}"));
         is_clean &= report.violations.is_empty();
     }
--- a/crates/local-cluster/src/soak/clients.rs
+++ b/crates/local-cluster/src/soak/clients.rs
@@ -1,7 +1,7 @@
 //! Clients of the soak: several requests at once on kept connections, and some leave before their answers.
 
 use super::schedule::Random;
-use super::{HISTORY, HOST, READ, WRITE};
+use super::{HISTORY, HOST, READ, UNLIMITED_KEY, WRITE};
 use crate::client::try_id;
 use crate::http::{HttpConnection, HttpError};
 use crate::server::sealed_by;
@@ -57,22 +57,29 @@
     pub outcome: Outcome,
 }
 
-struct Prepared {
-    id: String,
-    kind: Kind,
-    text: String,
+/// A request that is to be sent.
+pub(super) struct Prepared {
+    pub(super) id: String,
+    pub(super) kind: Kind,
+    pub(super) text: String,
 }
 
 fn prepare(random: &mut Random, is_last: bool) -> Prepared {
     let id = try_id();
     let close = if is_last { "Connection: close\r\n" } else { "" };
     let head = |method: &str, path: &str, id: &str| {
-        format!("{method} {path}1 HTTP/1.1\r\nHost: {HOST}\r\nTry-Id: {id}\r\nTime-Left-Ms: 2000\r\n{close}")
+        format!(
+            "{method} {path}1 HTTP/1.1\r\nHost: {HOST}\r\nTry-Id: {id}\r\nTime-Left-Ms: 2000\r\n\
+             Authorization: Bearer {UNLIMITED_KEY}\r\n{close}"
+        )
     };
     let drawn = random.share();
     if drawn < 0.04 {
         // Nobody sends a request of this id: if it reaches a server, it was taken out of this body.
-        let body = format!("GET {READ}2 HTTP/1.1\r\nHost: {HOST}\r\nTry-Id: {}\r\n\r\n", try_id());
+        let body = format!(
+            "GET {READ}2 HTTP/1.1\r\nHost: {HOST}\r\nTry-Id: {}\r\nAuthorization: Bearer {UNLIMITED_KEY}\r\n\r\n",
+            try_id()
+        );
         let text = format!("{}Content-Length: {}\r\n\r\n{body}", head("POST", "/none/", &id), body.len());
         return Prepared { id, kind: Kind::Smuggling, text };
     }
@@ -135,7 +142,12 @@
     connection
 }
 
-fn read_answers(batch: &[Prepared], connection: &mut HttpConnection, until: Instant) -> Vec<Outcome> {
+/// What became of each request of a batch, by what comes on its connection.
+pub(super) fn read_answers(
+    batch: &[Prepared],
+    connection: &mut HttpConnection,
+    until: Instant,
+) -> Vec<Outcome> {
     let mut outcomes: Vec<Outcome> = Vec::new();
     for prepared in batch {
         let (outcome, follows) = match connection.answer(until) {
--- a/crates/local-cluster/src/soak/mod.rs
+++ b/crates/local-cluster/src/soak/mod.rs
@@ -4,6 +4,7 @@
 //! Links between the system's processes cannot be cut without privileges: there a process stands still instead.
 
 pub mod clients;
+pub mod press;
 pub mod rules;
 pub mod schedule;
 
@@ -13,7 +14,8 @@
 use crate::server::{Behaviour, Server};
 use crate::{shell, wait};
 use clients::Exchange;
-use rules::{Evidence, Outage};
+use press::{Press, PressingTenant};
+use rules::{Evidence, Outage, Quota};
 use schedule::{Fault, Step, GROUPS};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -29,6 +31,14 @@
 /// Servers of each service.
 const SERVERS: usize = 3;
 const SLOTS: usize = 24;
+/// The key of a tenant without a quota.
+const UNLIMITED_KEY: &str = "key-of-unlimited";
+/// The rule on quotas: its window, and by which share and how many requests a quota may be exceeded.
+const QUOTA_WINDOW: Duration = Duration::from_secs(5);
+const QUOTA_OVER: f64 = 0.1;
+const QUOTA_SLACK: f64 = 20.0;
+/// Between the signals of a series.
+const SERIES_GAP: Duration = Duration::from_millis(200);
 /// Clients.
 const CLIENTS: u64 = 16;
 /// What a program that was told to end may take: half of it for new connections, and then a whole request.
@@ -43,6 +53,8 @@
     pub seed: u64,
     /// How long there are faults.
     pub span: Duration,
+    /// Proxies.
+    pub proxies: usize,
 }
 
 /// What came of it.
@@ -58,6 +70,8 @@
     pub changes: usize,
     /// Faults.
     pub faults: usize,
+    /// Of each tenant with a quota, how much of what is allowed ran in its fullest window.
+    pub fullest: Vec<(String, f64)>,
     /// What must not be.
     pub violations: Vec<String>,
 }
@@ -67,6 +81,8 @@
     cluster: LocalCluster,
     servers: Vec<Server>,
     outages: Mutex<Vec<Outage>>,
+    /// By proxy: held while a fault of one group is played on it.
+    busy: Vec<Mutex<()>>,
     /// The newest acknowledged configuration, and how many there were.
     acknowledged: Mutex<(u64, usize)>,
     stop: AtomicBool,
@@ -77,7 +93,7 @@
 /// # Errors
 /// When the system does not come about, or a program does not start again.
 pub fn play(wanted: &Wanted) -> Result<Report, ClusterError> {
-    let soak = Arc::new(Soak::start()?);
+    let soak = Arc::new(Soak::start(wanted.proxies)?);
     let fronts = soak.cluster.fronts();
     let clients: Vec<_> = (0..CLIENTS)
         .map(|number| {
@@ -85,6 +101,18 @@
             std::thread::spawn(move || clients::run(&fronts, seed, number, &soak.stop))
         })
         .collect();
+    let mut pressing = Vec::new();
+    let begun = Instant::now();
+    for (nth, tenant) in press::TENANTS.into_iter().enumerate() {
+        let spells = press::draw_spells(wanted.seed, nth, wanted.span);
+        for connection in 0..press::CONNECTIONS {
+            let (soak, fronts, seed, spells) = (soak.clone(), fronts.clone(), wanted.seed, spells.clone());
+            pressing.push(std::thread::spawn(move || {
+                let press = Press { tenant, spells, fronts: &fronts, begun, stop: &soak.stop };
+                press.run(seed, (nth * press::CONNECTIONS + connection) as u64)
+            }));
+        }
+    }
     let mut report = Report::default();
     let mut groups = Vec::new();
     for group in 0..GROUPS.len() {
@@ -100,15 +128,17 @@
         }
     }
     soak.stop.store(true, Ordering::SeqCst);
-    let exchanges = clients.into_iter().flat_map(|client| client.join().unwrap_or_default()).collect();
+    let exchanges =
+        clients.into_iter().chain(pressing).flat_map(|client| client.join().unwrap_or_default()).collect();
     std::thread::sleep(CALM);
     soak.conclude(exchanges, &mut report);
     Ok(report)
 }
 
 impl Soak {
-    fn start() -> Result<Soak, ClusterError> {
-        let cluster = LocalCluster::start(Plan::default().bound("graceS", GRACE_S))?;
+    fn start(proxies: usize) -> Result<Soak, ClusterError> {
+        let plan = Plan { proxies, ..Plan::default() }.bound("graceS", GRACE_S);
+        let cluster = LocalCluster::start(plan)?;
         Operator::new(cluster.controls()).must_put(&configuration())?;
         let start = |nth: usize| match nth % 3 {
             0 => Server::with(&cluster, nth, "reader", SLOTS, READ_WORK),
@@ -124,6 +154,7 @@
             cluster,
             servers,
             outages: Mutex::default(),
+            busy: (0..proxies).map(|_| Mutex::default()).collect(),
             acknowledged: Mutex::new((configuration().version, 1)),
             stop: AtomicBool::new(false),
         })
@@ -136,14 +167,12 @@
         let core = step.target % self.cluster.cores().len();
         let server = &self.servers[step.target % self.servers.len()];
         match step.fault {
-            Fault::KillProxy => self.outage(proxy, || {
-                self.cluster.kill(proxy, Role::Proxy);
-                std::thread::sleep(step.lasts);
-                self.cluster.run(proxy, Role::Proxy)
-            })?,
-            Fault::FreezeProxy => self.outage(proxy, || self.freeze(&[(proxy, Role::Proxy)], step.lasts))?,
-            Fault::EndProxy => self.end_proxy(proxy)?,
-            Fault::ReloadProxy => self.cluster.signal("HUP", &[(proxy, Role::Proxy)])?,
+            Fault::KillProxy | Fault::FreezeProxy | Fault::EndProxy | Fault::ReloadProxy => {
+                self.hit_proxy(step.fault, proxy, step.lasts)?;
+            }
+            Fault::KillProxies => self.hit_series(step, Fault::KillProxy, Duration::ZERO)?,
+            Fault::RollProxies => self.hit_series(step, Fault::EndProxy, SERIES_GAP)?,
+            Fault::FreezeProxies => self.hit_series(step, Fault::FreezeProxy, Duration::ZERO)?,
             Fault::KillCore => {
                 let programs = CORE.map(|role| (core, role));
                 self.cluster.kill_all(&programs);
@@ -159,6 +188,37 @@
         Ok(())
     }
 
+    /// Plays a fault on one proxy, unless one of another group is played on it now.
+    fn hit_proxy(&self, fault: Fault, proxy: usize, lasts: Duration) -> Result<(), ClusterError> {
+        let Ok(_busy) = self.busy[proxy - self.cluster.proxies().start].try_lock() else { return Ok(()) };
+        match fault {
+            Fault::KillProxy => self.outage(proxy, || {
+                self.cluster.kill(proxy, Role::Proxy);
+                std::thread::sleep(lasts);
+                self.cluster.run(proxy, Role::Proxy)
+            }),
+            Fault::FreezeProxy => self.outage(proxy, || self.freeze(&[(proxy, Role::Proxy)], lasts)),
+            Fault::EndProxy => self.end_proxy(proxy),
+            _ => self.cluster.signal("HUP", &[(proxy, Role::Proxy)]),
+        }
+    }
+
+    /// Plays a fault on many proxies, each so much later than the one before. They overlap; two thirds are hit at most.
+    fn hit_series(&self, step: &Step, fault: Fault, gap: Duration) -> Result<(), ClusterError> {
+        let proxies = self.cluster.proxies();
+        let count = 1 + step.target % (proxies.len() * 2 / 3).max(1);
+        std::thread::scope(|scope| {
+            let mut hits = Vec::new();
+            for nth in 0..count {
+                let proxy = proxies.start + (step.target + nth) % proxies.len();
+                hits.push(scope.spawn(move || self.hit_proxy(fault, proxy, step.lasts)));
+                std::thread::sleep(gap);
+            }
+            let failed = |_| Err(ClusterError::Never("a series of faults is played".into()));
+            hits.into_iter().try_for_each(|hit| hit.join().unwrap_or_else(failed))
+        })
+    }
+
     fn outage(
         &self,
         proxy: usize,
@@ -212,8 +272,10 @@
             exchanges,
             received: self.servers.iter().flat_map(received).collect(),
             outages: self.outages.lock().unwrap_or_else(PoisonError::into_inner).clone(),
+            quotas: press::TENANTS.iter().map(quota_of).collect(),
             ended: Some(Instant::now()),
         };
+        report.fullest = fullest_windows(&evidence);
         report.violations.extend(evidence.violations());
         report
             .violations
@@ -257,6 +319,22 @@
     }
 }
 
+/// The rule's quota of a tenant, whose burst is its rate.
+fn quota_of(tenant: &PressingTenant) -> Quota {
+    let given = tenant.rate * QUOTA_WINDOW.as_secs_f64() + tenant.rate;
+    let allowed = (given * (1.0 + QUOTA_OVER) + QUOTA_SLACK).floor() as usize;
+    Quota { tenant: tenant.name.to_owned(), window: QUOTA_WINDOW, allowed }
+}
+
+fn fullest_windows(evidence: &Evidence) -> Vec<(String, f64)> {
+    let sent = evidence.exchanges.iter().map(|exchange| (exchange.id.as_str(), exchange.sent)).collect();
+    let share = |quota: &Quota| {
+        let ran = evidence.fullest_window(quota, &sent).map_or(0, |(ran, _)| ran);
+        (quota.tenant.clone(), ran as f64 / quota.allowed as f64)
+    };
+    evidence.quotas.iter().map(share).collect()
+}
+
 fn behave(server: &Server, behaviour: Behaviour, lasts: Duration) {
     server.set_behaviour(behaviour);
     std::thread::sleep(lasts);
@@ -264,9 +342,10 @@
 }
 
 fn configuration() -> TestConfiguration {
-    TestConfiguration::new(HOST).route(READ, "safe", "reader").route(WRITE, "unsafe", "writer").route(
-        HISTORY,
-        "safe",
-        "historian",
-    )
+    let routes = TestConfiguration::new(HOST)
+        .route(READ, "safe", "reader")
+        .route(WRITE, "unsafe", "writer")
+        .route(HISTORY, "safe", "historian")
+        .tenant("unlimited", &[UNLIMITED_KEY], 0.0);
+    press::TENANTS.iter().fold(routes, |all, tenant| all.tenant(tenant.name, &[tenant.key], tenant.rate))
 }
--- a/crates/local-cluster/src/soak/rules.rs
+++ b/crates/local-cluster/src/soak/rules.rs
@@ -24,6 +24,17 @@
     pub until: Instant,
 }
 
+/// How much a tenant may send, and in which windows it counts.
+#[derive(Clone, Debug)]
+pub struct Quota {
+    /// The tenant.
+    pub tenant: String,
+    /// The window.
+    pub window: Duration,
+    /// Requests in a window.
+    pub allowed: usize,
+}
+
 /// What was seen of a soak.
 #[derive(Debug, Default)]
 pub struct Evidence {
@@ -33,6 +44,8 @@
     pub received: Vec<(String, ReceivedRequest)>,
     /// Outages of proxies.
     pub outages: Vec<Outage>,
+    /// Quotas of tenants.
+    pub quotas: Vec<Quota>,
     /// Until when all of this was looked at.
     pub ended: Option<Instant>,
 }
@@ -65,9 +78,55 @@
             ];
             violations.extend(broken.into_iter().flatten());
         }
+        let sent: HashMap<&str, Instant> =
+            self.exchanges.iter().map(|exchange| (exchange.id.as_str(), exchange.sent)).collect();
+        violations.extend(self.quotas.iter().filter_map(|quota| self.overrun(quota, &sent)));
         violations
     }
 
+    /// The fullest window of a tenant, if it holds more than its quota: requests that were sent and run within it.
+    fn overrun(&self, quota: &Quota, sent: &HashMap<&str, Instant>) -> Option<String> {
+        let (ran, at) = self.fullest_window(quota, sent)?;
+        (ran > quota.allowed).then(|| {
+            let first = self.exchanges.iter().map(|exchange| exchange.sent).min().unwrap_or(at);
+            format!(
+                "QUOTA: {}: {ran} requests ran in {:?} until {:.1?}, {} are allowed",
+                quota.tenant,
+                quota.window,
+                at.saturating_duration_since(first),
+                quota.allowed
+            )
+        })
+    }
+
+    /// How many requests ran in a tenant's fullest window, and its end.
+    pub fn fullest_window(&self, quota: &Quota, sent: &HashMap<&str, Instant>) -> Option<(usize, Instant)> {
+        // By id: one that was tried at two servers is one request.
+        let mut runs: HashMap<&str, Instant> = HashMap::new();
+        let of_tenant =
+            |request: &&ReceivedRequest| request.ran && request.customer.as_deref() == Some(&quota.tenant);
+        for request in self.received.iter().map(|(_, request)| request).filter(of_tenant) {
+            let first = runs.entry(request.try_id.as_str()).or_insert(request.at);
+            *first = (*first).min(request.at);
+        }
+        let mut runs: Vec<(Instant, Instant)> =
+            runs.into_iter().map(|(id, at)| (at, sent.get(id).copied().unwrap_or(at))).collect();
+        runs.sort_unstable();
+        let mut fullest = None;
+        let mut first = 0;
+        for (last, (end, _)) in runs.iter().enumerate() {
+            while *end - runs[first].0 > quota.window {
+                first += 1;
+            }
+            let within = |(_, sent): &&(Instant, Instant)| *end - *sent <= quota.window;
+            let count = runs[first..=last].iter().filter(within).count();
+            if fullest.is_none_or(|(most, _)| count > most) {
+                fullest = Some((count, *end));
+            }
+        }
+        fullest
+    }
+
     fn gone(&self, exchange: &Exchange, arrivals: &[&(String, ReceivedRequest)]) -> Option<String> {
         let late = exchange.ended + GONE_AFTER;
         let counts = exchange.outcome == Outcome::Left
--- a/crates/local-cluster/src/soak/schedule.rs
+++ b/crates/local-cluster/src/soak/schedule.rs
@@ -37,6 +37,12 @@
     KillProxy,
     /// SIGTERM for a proxy, as for an update; it starts again.
     EndProxy,
+    /// SIGKILL for many proxies at once; they start again.
+    KillProxies,
+    /// SIGTERM for many proxies, one after the other before the last has ended; they start again.
+    RollProxies,
+    /// Many proxies stand still.
+    FreezeProxies,
     /// A proxy stands still.
     FreezeProxy,
     /// SIGHUP for a proxy.
@@ -56,12 +62,13 @@
 }
 
 /// Faults that may overlap with those of the other groups; those of one group happen one after the other, so that no
-/// more is lost at once than the cluster tolerates.
-pub const GROUPS: [&[Fault]; 4] = [
+/// more of the core is lost at once than the cluster tolerates; any number of proxies may be.
+pub const GROUPS: [&[Fault]; 5] = [
     &[Fault::KillProxy, Fault::EndProxy, Fault::EndProxy, Fault::FreezeProxy, Fault::ReloadProxy],
     &[Fault::KillCore, Fault::FreezeCore],
     &[Fault::CutServer, Fault::LoseAnswers, Fault::SlowServer],
     &[Fault::ChangeConfiguration],
+    &[Fault::KillProxies, Fault::KillProxies, Fault::RollProxies, Fault::FreezeProxies],
 ];
 
 /// One fault of a schedule.
