Quotas: asks are sent sooner and waited for longer, owners that are dark are left sooner

A request that asks waits 0.2 s at most (0.09 before) and is sent after 4 ms (25); an owner is left 2.5 s after it was heard (4 s); one that counts alone answers nobody, as its part is not the others' quota.

--- a/crates/proxy/src/quota_counter.rs
+++ b/crates/proxy/src/quota_counter.rs
@@ -22,6 +22,7 @@
     Action, CountName, CustomerId, Draw, Millis, Outcome, Plan, PlanId, QuotaSettings, Verdict,
 };
 use oatbank_limiter_core::logic::Quotas;
+use oatbank_node_runtime::log;
 use oatbank_node_runtime::rpc::RpcError;
 use prost::Message;
 use std::cell::{Cell, RefCell};
@@ -36,6 +37,8 @@
 
 /// Additions are gathered for this long.
 const GATHER: Duration = Duration::from_millis(25);
+/// The same where a request waits for the owner.
+const GATHER_ASKED: Duration = Duration::from_millis(4);
 /// How long an owner may take to answer.
 const CALL_TIMEOUT: Duration = Duration::from_millis(400);
 /// Interval of checks for what is due.
@@ -52,12 +55,14 @@
 /// The longest lifetime of a counter, ms.
 const MAX_LIFETIME: Millis = 120_000.0;
 
-/// A request waits for the answer of an owner for this long at most: a small part of what its client waits for.
-const OWNER_WAIT: Duration = Duration::from_millis(90);
+/// A request waits for the answer of an owner for this long at most: a part of what its client waits for.
+const OWNER_WAIT: Duration = Duration::from_millis(200);
 /// One that was rejected after that may come again after this, ms.
 const RETRY_AFTER_WAIT: Millis = 100.0;
 /// Interval of checks which limiters own counters.
 const OWNERS_INTERVAL: Duration = Duration::from_millis(250);
+/// Interval of log lines on requests that were rejected for want of an owner's answer.
+const LOG_INTERVAL: Duration = Duration::from_secs(5);
 /// The name of an addition that only reports admissions.
 const NO_COUNTER: u64 = 0;
 
@@ -93,7 +98,8 @@
     owned: Numbers,
     /// Additions to send, by the owner's address; `None`: this limiter.
     pending: RefCell<BTreeMap<Option<SocketAddr>, Vec<QuotaAdd>>>,
-    is_flush_scheduled: Cell<bool>,
+    /// When it is to be sent.
+    flush_due: Cell<Option<Instant>>,
     credits: RefCell<TenantCredits>,
     /// The buckets of the tenants that this limiter owns.
     backlogs: RefCell<OwnedBacklogs>,
@@ -117,7 +123,7 @@
             quotas: RefCell::new(Quotas::new(quota_settings(Vec::new(), 1.0), seed)),
             owned: Numbers::default(),
             pending: RefCell::default(),
-            is_flush_scheduled: Cell::new(false),
+            flush_due: Cell::default(),
             credits,
             backlogs,
             owners: RefCell::default(),
@@ -166,7 +172,7 @@
             if !std::mem::replace(&mut has_asked, true) {
                 self.count(|counts| counts.waited += 1);
                 self.with_credit(customer, TenantCredit::want);
-                self.report_now(customer);
+                self.report_now(customer, GATHER_ASKED);
             }
             if tokio::time::timeout_at(deadline, answered).await.is_err() {
                 self.count(|counts| counts.given_up += 1);
@@ -199,7 +205,7 @@
         let is_report_due = result.is_ok() && self.credits.borrow_mut().spend(customer);
         self.carry_out(actions);
         if is_report_due || is_sampled && result.is_ok() {
-            self.report_now(customer);
+            self.report_now(customer, GATHER);
         }
         result
     }
@@ -209,10 +215,10 @@
     }
 
     /// Reports what was admitted of a tenant, without waiting for the decision module to tell its counter.
-    fn report_now(self: &Rc<Self>, customer: CustomerId) {
+    fn report_now(self: &Rc<Self>, customer: CustomerId, gather: Duration) {
         if self.with_credit(customer, |credit| credit.has_report()) == Some(true) {
             self.queue(customer, QuotaAdd { name: NO_COUNTER, ..QuotaAdd::default() }, true);
-            self.schedule_flush();
+            self.schedule_flush(gather);
         }
     }
 
@@ -232,18 +238,25 @@
             };
             self.queue(customer, QuotaAdd { name: name.0, add, ttl, ..QuotaAdd::default() }, reports);
         }
-        self.schedule_flush();
+        self.schedule_flush(GATHER);
     }
 
-    fn schedule_flush(self: &Rc<Self>) {
-        if !self.pending.borrow().is_empty() && !self.is_flush_scheduled.replace(true) {
-            let counter = self.clone();
-            tokio::task::spawn_local(async move {
-                tokio::time::sleep(GATHER).await;
-                counter.is_flush_scheduled.set(false);
-                counter.flush();
-            });
+    /// Sends what is queued after `gather`, or sooner if that is planned.
+    fn schedule_flush(self: &Rc<Self>, gather: Duration) {
+        let due = Instant::now() + gather;
+        let is_planned = self.flush_due.get().is_some_and(|planned| planned <= due);
+        if self.pending.borrow().is_empty() || is_planned {
+            return;
         }
+        self.flush_due.set(Some(due));
+        let counter = self.clone();
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep_until(due).await;
+            if counter.flush_due.get() == Some(due) {
+                counter.flush_due.set(None);
+                counter.flush();
+            }
+        });
     }
 
     /// Queues an addition to a tenant's counter, for its owner, and with it the report of what was admitted.
@@ -420,6 +433,8 @@
     /// Answers another limiter's [`QuotaAdds`].
     pub fn answer(&self, body: bytes::Bytes) -> Vec<u8> {
         match QuotaAdds::decode(body) {
+            // One that counts alone gives out its own part, and nobody else's: see `QuotaPartition`.
+            Ok(_) if !self.view.in_touch() => Vec::new(),
             Ok(adds) => self.add(&adds.counts).encode_to_vec(),
             Err(_) => Vec::new(),
         }
@@ -447,10 +462,32 @@
         table("quotas, since the start", &["what", "how many"], rows)
     }
 
+    /// Logs how many requests were rejected for want of an owner's answer, if there are more than `logged` by now.
+    fn log_rejected(&self, logged: u64) -> u64 {
+        let counts = self.counts.get();
+        if counts.given_up > logged {
+            log::warn!(
+                "quotas: {} requests rejected by now as no owner answered; {} have waited, {} reports had no answer, {} \
+                 found their quota used up",
+                counts.given_up,
+                counts.waited,
+                counts.unanswered_reports,
+                counts.used_up
+            );
+        }
+        counts.given_up
+    }
+
     /// Sends what is due, for the life of the process.
     pub async fn run(self: Rc<Self>) {
         let mut owners_due = Instant::now();
+        let mut log_due = Instant::now() + LOG_INTERVAL;
+        let mut logged = 0;
         loop {
+            if Instant::now() >= log_due {
+                log_due = Instant::now() + LOG_INTERVAL;
+                logged = self.log_rejected(logged);
+            }
             if Instant::now() >= owners_due {
                 owners_due = Instant::now() + OWNERS_INTERVAL;
                 self.check_owners();
--- a/crates/proxy/src/quota_partition.rs
+++ b/crates/proxy/src/quota_partition.rs
@@ -16,9 +16,10 @@
 use oatbank_cluster_state::messages::MemberRow;
 use oatbank_cluster_state::state::{member_state, Millis};
 
-/// A limiter whose session has expired is taken to own its counters for this long, ms: it may be cut off from the core alone,
-/// and others that moved on at once would count beside it.
-pub const OWNS_AFTER_SESSION: Millis = 4000.0;
+/// A limiter whose session has expired is taken to own its counters until it was not heard for this long, ms: it may be cut off
+/// from the core alone, and others that moved on at once would count beside it. It counts alone from 1.5 s after it last knew
+/// that the core was in touch, which may be up to 0.6 s after it was heard; until others move on, nobody answers for what it owned.
+pub const OWNS_AFTER_SESSION: Millis = 2500.0;
 
 /// Which limiters count with this one, and which may act besides.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/proxy/tests/counting.rs
+++ b/crates/proxy/tests/counting.rs
@@ -15,7 +15,11 @@
 #[test]
 fn a_keeper_tells_a_total_for_each_add_in_their_order_also_where_one_cannot_be_added() {
     let view = ClusterView::new(MonotonicClock::start(), 1500.0);
-    let counter = QuotaCounter::new(view, Rc::new(PeerClients::default()), "edge-1".into(), 7);
+    let counter = QuotaCounter::new(view.clone(), Rc::new(PeerClients::default()), "edge-1".into(), 7);
+    let body = QuotaAdds { counts: vec![QuotaAdd { name: 9, add: 1.0, ..QuotaAdd::default() }] };
+    let alone = counter.answer(body.encode_to_vec().into());
+    assert!(alone.is_empty(), "one that does not know the core in touch counts for itself alone");
+    view.confirm(view.now(), 0);
     let ask = |adds: &[(u64, f64)]| {
         let count = |(name, add): &(u64, f64)| QuotaAdd {
             name: *name,
