--- a/crates/local-cluster/src/soak/mod.rs
+++ b/crates/local-cluster/src/soak/mod.rs
@@ -104,11 +104,11 @@
     let mut pressing = Vec::new();
     let begun = Instant::now();
     for (nth, tenant) in press::TENANTS.into_iter().enumerate() {
-        let spells = press::draw_spells(wanted.seed, nth, wanted.span);
+        let periods = press::draw_periods(wanted.seed, nth, wanted.span);
         for connection in 0..press::CONNECTIONS {
-            let (soak, fronts, seed, spells) = (soak.clone(), fronts.clone(), wanted.seed, spells.clone());
+            let (soak, fronts, seed, periods) = (soak.clone(), fronts.clone(), wanted.seed, periods.clone());
             pressing.push(std::thread::spawn(move || {
-                let press = Press { tenant, spells, fronts: &fronts, begun, stop: &soak.stop };
+                let press = Press { tenant, periods, fronts: &fronts, begun, stop: &soak.stop };
                 press.run(seed, (nth * press::CONNECTIONS + connection) as u64)
             }));
         }
--- a/crates/local-cluster/src/soak/press.rs
+++ b/crates/local-cluster/src/soak/press.rs
@@ -1,4 +1,4 @@
-//! Tenants of the soak that press: each sends its usual, and in spells many times that, on connections that it keeps for as long as
+//! Tenants of the soak that press: each sends its usual, and in periods many times that, on connections that it keeps for as long as
 //! their proxy does, whether or not the proxy has said that it ends.
 
 use super::clients::{self, Exchange, Kind, Outcome, Prepared};
@@ -37,9 +37,9 @@
     PressingTenant { name: "small", key: "key-of-small", rate: 8.0 },
 ];
 
-/// A spell of pressing.
+/// A period of pressing.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Spell {
+pub struct PressPeriod {
     /// When it begins, from the start.
     pub from: Duration,
     /// When it is over.
@@ -48,16 +48,16 @@
     pub times: f64,
 }
 
-/// The spells of one tenant within a soak.
-pub fn draw_spells(seed: u64, tenant: usize, span: Duration) -> Vec<Spell> {
+/// The periods of one tenant within a soak.
+pub fn draw_periods(seed: u64, tenant: usize, span: Duration) -> Vec<PressPeriod> {
     let mut random = Random::new(seed, 200 + tenant as u64);
-    let (mut spells, mut at) = (Vec::new(), random.between(300, 2000));
+    let (mut periods, mut at) = (Vec::new(), random.between(300, 2000));
     while at < span {
         let until = at + random.between(2000, 6000);
-        spells.push(Spell { from: at, until, times: 6.0 + 4.0 * random.share() });
+        periods.push(PressPeriod { from: at, until, times: 6.0 + 4.0 * random.share() });
         at = until + random.between(500, 4000);
     }
-    spells
+    periods
 }
 
 /// What one connection of a tenant sends.
@@ -65,7 +65,7 @@
     /// The tenant.
     pub tenant: PressingTenant,
     /// When it presses.
-    pub spells: Vec<Spell>,
+    pub periods: Vec<PressPeriod>,
     /// Where proxies take clients.
     pub fronts: &'a [SocketAddr],
     /// When the soak began.
@@ -77,8 +77,8 @@
 impl Press<'_> {
     fn pause(&self) -> Duration {
         let now = self.begun.elapsed();
-        let spell = self.spells.iter().find(|spell| (spell.from..spell.until).contains(&now));
-        let a_second = self.tenant.rate * USUAL * spell.map_or(1.0, |spell| spell.times);
+        let period = self.periods.iter().find(|period| (period.from..period.until).contains(&now));
+        let a_second = self.tenant.rate * USUAL * period.map_or(1.0, |period| period.times);
         Duration::from_secs_f64(CONNECTIONS as f64 / a_second)
     }
 
@@ -89,7 +89,7 @@
         let mut exchanges = Vec::new();
         let mut due = Instant::now() + self.pause().mul_f64(random.share());
         while !self.stop.load(Ordering::SeqCst) {
-            // Never longer than this at once, so that a spell is noticed when it begins.
+            // Never longer than this at once, so that a period is noticed when it begins.
             let wait = due.saturating_duration_since(Instant::now()).min(Duration::from_millis(50));
             std::thread::sleep(wait);
             due = due.min(Instant::now() + self.pause());
--- a/crates/local-cluster/tests/soak.rs
+++ b/crates/local-cluster/tests/soak.rs
@@ -8,7 +8,7 @@
 
 const MS: Duration = Duration::from_millis(1);
 
-/// The same faults and spells each time. With the first, 435 requests of the large tenant ran where 416 are allowed, when only the
+/// The same faults and periods each time. With the first, 435 requests of the large tenant ran where 416 are allowed, when only the
 /// usual time of an owner's answer bounded what limiters admitted ahead of it.
 const SEEDS: [u64; 2] = [2, 3];
 
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -12,7 +12,7 @@
 //! | [`outcome_recorder`] | outcomes of requests that run at most once |
 //! | [`tenant_plans`], [`quota_plan`], [`quota_counter`] | quotas of tenants over all limiters |
 //! | [`quota_credit`], [`quota_backlog`] | what bounds a quota beneath that: admissions ahead of an owner's answer, and the owner's buckets; pure |
-//! | [`quota_partition`], [`counter_owner`] | which limiters count together, and who owns a counter; pure |
+//! | [`quota_partition`], [`counter_owner`] | which limiters count together, and who owns a counter |
 //! | [`session`] | the session with a core machine, and following other limiters |
 //! | [`lease`] | for how long a limiter may act by what it knows; pure |
 //! | [`readiness`] | `GET /ready` |
--- a/crates/proxy/src/quota_counter.rs
+++ b/crates/proxy/src/quota_counter.rs
@@ -8,14 +8,13 @@
 //! owner has answered, and [`crate::quota_backlog`] what an owner takes to be left. One owner has all counters of a tenant, and
 //! the reports that the decision module sends serve both.
 
-use crate::counter_owner::owner_of;
+use crate::counter_owner::{owner_address, owner_names, owner_of};
 use crate::quota_backlog::{OwnedBacklogs, QuotaBounds};
 use crate::quota_credit::{CreditVerdict, Report, TenantCredit, TenantCredits};
-use crate::quota_partition::{owns_counters, QuotaPartition};
+use crate::quota_partition::QuotaPartition;
 use oatbank_cluster_state::admin_query::table;
 use oatbank_cluster_state::cluster_view::ClusterView;
 use oatbank_cluster_state::messages::{QuotaAdd, QuotaAdds, QuotaTotals, Table};
-use oatbank_cluster_state::state::member_state;
 use oatbank_engine::counters::local::Numbers;
 use oatbank_engine::ports::counter::{Call, CallEnd, CallId};
 use oatbank_limiter_core::interface::{
@@ -261,7 +260,7 @@
 
     /// Queues an addition to a tenant's counter, for its owner, and with it the report of what was admitted.
     fn queue(&self, customer: CustomerId, mut add: QuotaAdd, reports: bool) {
-        let owner = self.owner(customer);
+        let owner = owner_address(&self.view, &self.node_name, customer.0);
         let now = self.view.now();
         if reports {
             if let Some(report) = self.with_credit(customer, |credit| credit.take_report(now)) {
@@ -272,47 +271,9 @@
         self.pending.borrow_mut().entry(owner).or_default().push(add);
     }
 
-    /// The limiters that own counters, as known here.
-    fn owner_names(&self) -> Vec<String> {
-        if !self.view.in_touch() {
-            return vec![self.node_name.clone()];
-        }
-        self.view.with(|table, now| {
-            let owning = table.members(now).filter(|(row, age)| owns_counters(row, *age));
-            let mut names: Vec<String> = owning.map(|(row, _)| row.name.clone()).collect();
-            if names.is_empty() || !self.is_leaving() && !names.contains(&self.node_name) {
-                names.push(self.node_name.clone());
-            }
-            names
-        })
-    }
-
-    /// Whether this limiter has said that it ends.
-    fn is_leaving(&self) -> bool {
-        self.view.with(|table, _| {
-            table.member(&self.node_name).is_some_and(|row| row.state == member_state::LEAVING)
-        })
-    }
-
-    /// The owner of a tenant's counters; `None`: this limiter.
-    fn owner(&self, customer: CustomerId) -> Option<SocketAddr> {
-        // A limiter that is not in touch counts alone: see `QuotaPartition`.
-        if !self.view.in_touch() {
-            return None;
-        }
-        let own_name = (!self.is_leaving()).then_some(self.node_name.as_str());
-        self.view.with(|table, now| {
-            let members = || table.members(now).filter(|(row, age)| owns_counters(row, *age));
-            let names = members().map(|(row, _)| row.name.as_str());
-            let owner = owner_of(customer.0, names.chain(own_name))?;
-            let row = members().find(|(row, _)| row.name == owner && row.name != self.node_name)?.0;
-            row.inner.parse().ok()
-        })
-    }
-
     /// Takes in which limiters own counters now.
     fn check_owners(&self) {
-        let owners = self.owner_names();
+        let owners = owner_names(&self.view, &self.node_name);
         let before = self.owners.replace(owners);
         let owners = self.owners.borrow();
         if *owners == before {
--- a/crates/proxy/src/quota_credit.rs
+++ b/crates/proxy/src/quota_credit.rs
@@ -12,8 +12,8 @@
 use std::collections::HashMap;
 
 /// An owner that has not answered to anything for this long is silent, ms: longer than an answer may take.
-const SILENT_AFTER: Millis = 600.0;
-/// A backlog that was heard longer ago is not reported to an owner, ms: it has leaked, or another has counted on.
+const OWNER_TIMEOUT: Millis = 600.0;
+/// A backlog that was received longer ago is not reported to an owner, ms: it has leaked, or another has counted on.
 const REPORTED_FOR: Millis = 5000.0;
 /// What was granted is to be used within this, ms: its request may have been given up.
 const GRANTED_FOR: Millis = 1000.0;
@@ -44,7 +44,7 @@
 
 /// A backlog as an owner has told it.
 #[derive(Clone, Copy, Debug)]
-struct Heard {
+struct ReceivedBacklog {
     backlog: Millis,
     asked_at: Millis,
     answered_at: Millis,
@@ -68,7 +68,7 @@
     granted_at: Millis,
     /// Since when an answer is outstanding and none has come.
     unanswered_since: Option<Millis>,
-    heard: Option<Heard>,
+    received: Option<ReceivedBacklog>,
     limiter_since: Millis,
     /// From 0 to 1: limiters round the same fraction of a request differently, so that their sum is right.
     rounding: f64,
@@ -88,7 +88,7 @@
             granted: 0,
             granted_at: now,
             unanswered_since: None,
-            heard: None,
+            received: None,
             rounding,
             used_at: now,
         }
@@ -96,8 +96,8 @@
 
     /// While the owner is silent, credit comes back at this limiter's part of the rate: nobody else gives that part out.
     fn recover(&mut self, now: Millis, bounds: &QuotaBounds) {
-        let silent_from = self.unanswered_since.map_or(f64::INFINITY, |since| since + SILENT_AFTER);
-        let passed = (now - self.outstanding_at.max(silent_from)).max(0.0) / 1000.0;
+        let timed_out_from = self.unanswered_since.map_or(f64::INFINITY, |since| since + OWNER_TIMEOUT);
+        let passed = (now - self.outstanding_at.max(timed_out_from)).max(0.0) / 1000.0;
         self.outstanding_at = now;
         let least = (bounds.credit + self.rounding - 1.0).min(0.0);
         let left = self.outstanding - passed * bounds.rate / bounds.limiters.max(1.0);
@@ -123,8 +123,8 @@
         } else {
             bounds.credit + bounds.shared_burst(0.0)
         };
-        if let Some(heard) = self.heard {
-            let backlog = (heard.backlog - (now - heard.answered_at)).max(0.0);
+        if let Some(received) = self.received {
+            let backlog = (received.backlog - (now - received.answered_at)).max(0.0);
             let beyond = backlog + bounds.time_of(self.outstanding.max(0.0) + 1.0 - bounds.burst);
             if beyond > 0.0 {
                 return CreditVerdict::UsedUp(beyond);
@@ -169,8 +169,8 @@
         let admitted = self.unreported.floor();
         self.unreported -= admitted;
         // From when it was asked for: what an owner hears must not grow on its way there and back.
-        let heard = self.heard.filter(|heard| now - heard.asked_at < REPORTED_FOR);
-        let backlog = heard.map_or(0.0, |heard| heard.backlog - (now - heard.asked_at)).max(0.0);
+        let received = self.received.filter(|received| now - received.asked_at < REPORTED_FOR);
+        let backlog = received.map_or(0.0, |received| received.backlog - (now - received.asked_at)).max(0.0);
         Report {
             admitted: admitted as u32,
             wanted: std::mem::take(&mut self.wanted),
@@ -199,7 +199,7 @@
             (self.granted, self.granted_at) = (self.granted + granted, now);
         }
         if let Some(backlog) = backlog {
-            self.heard = Some(Heard { backlog, asked_at: now - took, answered_at: now });
+            self.received = Some(ReceivedBacklog { backlog, asked_at: now - took, answered_at: now });
         }
     }
 
