Quotas: no burst is a bound without one; a lower bound counts one window after it was set

Trace: 52 reported in a window, of 25 allowed, rate 3.0, one limiter: it had lost the core and gave out its eighth, and the window held what it had counted before. So the largest bound of a window counts, as the rule says of a lower limit; a test holds both sides. The soak prints the line of the log.

--- a/crates/local-cluster/src/cluster.rs
+++ b/crates/local-cluster/src/cluster.rs
@@ -321,8 +321,14 @@
 
     /// Whether a program has ever said this in its log.
     pub fn has_logged(&self, machine: usize, role: Role, words: &str) -> bool {
+        self.logged(machine, role, words).is_some()
+    }
+
+    /// The last line of a program's log that says this.
+    pub fn logged(&self, machine: usize, role: Role, words: &str) -> Option<String> {
         let log = self.with(machine, |m| self.folder.join(&m.name).join(format!("{}.log", role.program())));
-        fs::read_to_string(log).is_ok_and(|log| log.contains(words))
+        let log = fs::read_to_string(log).ok()?;
+        log.lines().rev().find(|line| line.contains(words)).map(str::to_owned)
     }
 
     /// Waits until all proxies are ready.
--- a/crates/local-cluster/src/soak/mod.rs
+++ b/crates/local-cluster/src/soak/mod.rs
@@ -312,8 +312,8 @@
                 }
                 None => report.violations.push(format!("proxy {proxy} does not answer")),
             }
-            if self.cluster.has_logged(proxy, Role::Proxy, "invariant violated") {
-                report.violations.push(format!("INVARIANT in the log of proxy {proxy}"));
+            if let Some(line) = self.cluster.logged(proxy, Role::Proxy, "invariant violated") {
+                report.violations.push(format!("INVARIANT in the log of proxy {proxy}: {line}"));
             }
         }
     }
--- a/crates/proxy/src/quota_backlog.rs
+++ b/crates/proxy/src/quota_backlog.rs
@@ -58,7 +58,18 @@
     backlog: Millis,
     at: Millis,
     /// Admissions in the last window, by the part of it in which they were reported.
-    reported: VecDeque<(Millis, f64)>,
+    reported: VecDeque<ReportedPart>,
+}
+
+/// What was reported in a part of a window.
+#[derive(Debug)]
+struct ReportedPart {
+    /// When the part began.
+    from: Millis,
+    /// Admissions.
+    requests: f64,
+    /// The most that might then be reported in a window: a lower bound holds one window after it was set.
+    allowed: f64,
 }
 
 impl Bucket {
@@ -69,17 +80,21 @@
 
     /// Notes what was reported, and returns how much of it is beyond what may run in a window.
     fn note(&mut self, now: Millis, requests: f64, bounds: &QuotaBounds) -> f64 {
-        let part = (now / PART).floor() * PART;
-        match self.reported.back_mut().filter(|(at, _)| *at >= part) {
-            Some((_, sum)) => *sum += requests,
-            None => self.reported.push_back((part, requests)),
+        let from = (now / PART).floor() * PART;
+        match self.reported.back_mut().filter(|part| part.from >= from) {
+            Some(part) => {
+                part.requests += requests;
+                part.allowed = part.allowed.max(bounds.reported);
+            }
+            None => self.reported.push_back(ReportedPart { from, requests, allowed: bounds.reported }),
         }
         // Whole parts within the window only: what is counted too much would be a false alarm.
-        while self.reported.front().is_some_and(|(at, _)| *at < now - bounds.window) {
+        while self.reported.front().is_some_and(|part| part.from < now - bounds.window) {
             self.reported.pop_front();
         }
-        let sum: f64 = self.reported.iter().map(|(_, sum)| sum).sum();
-        (sum - bounds.reported).clamp(0.0, requests.max(0.0))
+        let sum: f64 = self.reported.iter().map(|part| part.requests).sum();
+        let allowed = self.reported.iter().map(|part| part.allowed).fold(0.0, f64::max);
+        (sum - allowed).clamp(0.0, requests.max(0.0))
     }
 }
 
--- a/crates/proxy/src/quota_backlog/tests.rs
+++ b/crates/proxy/src/quota_backlog/tests.rs
@@ -70,6 +70,18 @@
     assert_eq!(owned.overrun(), 5.0);
 }
 
+#[test]
+fn a_lower_bound_is_counted_against_one_window_after_it_was_set() {
+    // An owner that loses the core gives out its own part alone: what it counted before was not too much.
+    let lower = QuotaBounds { rate: 10.0, reported: 70.0, ..BOUNDS };
+    let mut owned = OwnedBacklogs::new(0.0);
+    owned.report(0.0, TENANT, admitted(300), &BOUNDS);
+    owned.report(4000.0, TENANT, admitted(30), &lower);
+    assert_eq!(owned.overrun(), 0.0);
+    owned.report(6000.0, TENANT, admitted(41), &lower);
+    assert_eq!(owned.overrun(), 1.0);
+}
+
 #[test]
 fn buckets_that_are_empty_and_idle_are_forgotten() {
     let mut owned = OwnedBacklogs::new(0.0);
--- a/crates/proxy/src/quota_plan.rs
+++ b/crates/proxy/src/quota_plan.rs
@@ -38,7 +38,7 @@
     pub limiters: f64,
 }
 
-/// A quota without a burst still lets one second through at once.
+/// What may be given out at once: a quota without a burst has none, but requests come unevenly.
 fn burst_of(rate: f64, burst: f64) -> f64 {
     if burst > 0.0 {
         burst
@@ -57,10 +57,10 @@
     if rate <= 0.0 {
         return Plan { price: 1.0, ..Plan::default() };
     }
+    let allowed = allowed_in_window(rate, burst, allowance);
     let burst = burst_of(rate, burst);
     let given = RATE_SHARE * rate * allowance.window;
     let unheard = PRESSURE * rate * (PROPAGATION_S + PROPAGATION_PER_LIMITER_S * allowance.limiters);
-    let allowed = allowed_in_window(rate, burst, allowance);
     let room = if allowance.window > 0.0 { allowed - given - unheard } else { burst };
     Plan {
         rate: rate * RATE_SHARE,
@@ -76,7 +76,7 @@
 pub fn bounds(rate: f64, burst: f64, allowance: QuotaAllowance) -> QuotaBounds {
     let plan = plan(rate, burst, allowance);
     let window = allowance.window;
-    let allowed = allowed_in_window(rate, burst_of(rate, burst), allowance);
+    let allowed = allowed_in_window(rate, burst, allowance);
     let room = (allowed - plan.rate * window - plan.burst).max(0.0);
     let burst = plan.burst + OWNER_SHARE_OF_ROOM * room;
     let limiters = allowance.limiters.max(1.0);
