Quotas: only a tenant whose owner went begins with a full bucket

Found on reading the change again: each change among the limiters made all buckets that were met for the first time begin full, so at thousands of limiters, where some come and go each few seconds, the first request of an idle tenant would have been rejected. A bucket begins full only where a limiter that is gone stood before this one for that tenant, or this one counted alone; three tests. Owners are compared by a fingerprint, without copying thousands of names.

--- a/crates/proxy/src/counter_owner.rs
+++ b/crates/proxy/src/counter_owner.rs
@@ -34,6 +34,18 @@
     names
 }
 
+/// A number that differs when [`owner_names`] does, without the names: with thousands of limiters it is looked at often.
+pub fn owners_fingerprint(view: &ClusterView, own_name: &str) -> u64 {
+    if !view.in_touch() {
+        return 0;
+    }
+    let own = if is_leaving(view, own_name) { 1 } else { 2 };
+    view.with(|table, now| {
+        let owning = table.members(now).filter(|(row, age)| owns_counters(row, *age));
+        owning.fold(own, |sum: u64, (row, _)| sum.wrapping_add(score(1, &row.name) << 1))
+    })
+}
+
 /// Where the owner of a counter answers, as known to the limiter of this name; `None`: that limiter itself.
 pub fn owner_address(view: &ClusterView, own_name: &str, number: u64) -> Option<SocketAddr> {
     if !view.in_touch() {
--- a/crates/proxy/src/quota_backlog.rs
+++ b/crates/proxy/src/quota_backlog.rs
@@ -4,8 +4,9 @@
 //! rate changes, or the part of a quota that is given out.
 //!
 //! An owner never takes a quota to be unused because it knows nothing of it. A bucket that it meets for the first time is as full
-//! as it can have been left when this limiter became its owner, and limiters report the backlog that they have heard of last.
+//! as it can have been left when this limiter became its owner, and limiters report the backlog that they have received last.
 
+use crate::counter_owner::owner_of;
 use crate::quota_credit::Report;
 use oatbank_limiter_core::interface::{CustomerId, Millis};
 use std::collections::{HashMap, VecDeque};
@@ -13,6 +14,8 @@
 /// Reports from limiters that see other owners may come this much sooner than this limiter hears that it owns a bucket, or
 /// later than it hears that it does not, ms.
 const VIEW_LAG: Millis = 1000.0;
+/// Limiters that owned counters and do so no more are remembered for this long, ms: longer than any bucket takes to be empty.
+const REMEMBERED: Millis = 30_000.0;
 /// A bucket that is empty and was not reported to for this long is forgotten, ms: longer than the rule's window.
 const IDLE: Millis = 10_000.0;
 /// Width of the parts in which the last window of admissions is kept, ms.
@@ -99,19 +102,33 @@
 }
 
 /// The buckets of the tenants that this limiter owns.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct OwnedBacklogs {
+    own_name: String,
     buckets: HashMap<CustomerId, Bucket>,
-    /// Since when it has owned what it owns.
+    /// Since when this limiter counts together with the others.
     since: Millis,
+    /// Limiters that owned counters until then; what one of them owned, this one may have taken over.
+    former_owners: Vec<(Millis, Vec<String>)>,
     forgotten_at: Millis,
     overrun: f64,
 }
 
 impl OwnedBacklogs {
-    /// None yet, for one that starts now.
-    pub fn new(now: Millis) -> Self {
-        OwnedBacklogs { since: now, forgotten_at: now, ..OwnedBacklogs::default() }
+    /// None yet, for the limiter of this name, which starts now.
+    pub fn new(now: Millis, own_name: String) -> Self {
+        let (buckets, former_owners) = Default::default();
+        OwnedBacklogs { own_name, buckets, since: now, former_owners, forgotten_at: now, overrun: 0.0 }
+    }
+
+    /// Since when this limiter has owned a tenant's counters, if it owns them now.
+    fn owned_since(&self, tenant: CustomerId) -> Millis {
+        let preceded = |names: &Vec<String>| {
+            let mut names = names.iter().map(String::as_str);
+            names.any(|name| owner_of(tenant.0, [name, &self.own_name].into_iter()) == Some(name))
+        };
+        let taken_over = self.former_owners.iter().rev().find(|(_, names)| preceded(names));
+        taken_over.map_or(self.since, |(at, _)| self.since.max(*at))
     }
 
     /// Takes in a limiter's report; returns the backlog after it, and how many of the requests that wait are granted.
@@ -123,12 +140,12 @@
         bounds: &QuotaBounds,
     ) -> (Millis, u32) {
         self.forget_idle(now);
-        let since = self.since;
-        let bucket = self.buckets.entry(tenant).or_insert_with(|| {
+        if !self.buckets.contains_key(&tenant) {
             // Whoever owned it before may have left it full; since then it has leaked.
-            let backlog = (bounds.time_of(bounds.burst) - (now - since)).max(0.0);
-            Bucket { backlog, at: now, ..Bucket::default() }
-        });
+            let backlog = (bounds.time_of(bounds.burst) - (now - self.owned_since(tenant))).max(0.0);
+            self.buckets.insert(tenant, Bucket { backlog, at: now, ..Bucket::default() });
+        }
+        let bucket = self.buckets.entry(tenant).or_default();
         bucket.leak(now);
         let most = MAX_BACKLOG_BURSTS * bounds.time_of(bounds.burst);
         let admitted = f64::from(report.admitted);
@@ -140,16 +157,27 @@
         (bucket.backlog, granted as u32)
     }
 
-    /// Ownership has changed: what is not owned any more is forgotten, as another counts on from here.
-    pub fn on_owners_changed(
-        &mut self,
-        now: Millis,
-        owned_before: impl Fn(CustomerId) -> bool,
-        owned: impl Fn(CustomerId) -> bool,
-    ) {
-        self.since = now;
+    /// The limiters that own counters have changed: what is not owned any more is forgotten, as another counts on from here.
+    pub fn on_owners_changed(&mut self, now: Millis, before: &[String], after: &[String]) {
+        let is_alone = |names: &[String]| names == [self.own_name.as_str()];
+        if is_alone(before) || is_alone(after) {
+            // What it counts alone is its own part, and not what others count meanwhile.
+            self.buckets.clear();
+            self.former_owners.clear();
+            self.since = now;
+            return;
+        }
+        let removed: Vec<String> = before.iter().filter(|name| !after.contains(name)).cloned().collect();
+        self.former_owners.retain(|(at, _)| now - at < REMEMBERED);
+        if !removed.is_empty() {
+            self.former_owners.push((now, removed));
+        }
+        let own_name = self.own_name.as_str();
+        let owns = |names: &[String], tenant: &CustomerId| {
+            owner_of(tenant.0, names.iter().map(String::as_str)) == Some(own_name)
+        };
         self.buckets.retain(|tenant, bucket| {
-            owned(*tenant) && (owned_before(*tenant) || now - bucket.at <= VIEW_LAG)
+            owns(after, tenant) && (owns(before, tenant) || now - bucket.at <= VIEW_LAG)
         });
     }
 
--- a/crates/proxy/src/quota_backlog/tests.rs
+++ b/crates/proxy/src/quota_backlog/tests.rs
@@ -6,6 +6,20 @@
     QuotaBounds { rate: 100.0, burst: 60.0, credit: 2.0, limiters: 10.0, reported: 700.0, window: 5000.0 };
 const TENANT: CustomerId = CustomerId(7);
 
+fn owner(since: Millis) -> OwnedBacklogs {
+    OwnedBacklogs::new(since, "me".into())
+}
+
+/// Names of limiters: this one, and another that comes before it for a tenant, or does not.
+fn names(tenant: CustomerId) -> (Vec<String>, Vec<String>, String) {
+    let precedes = |name: &String| owner_of(tenant.0, [name.as_str(), "me"].into_iter()) == Some(name);
+    let all: Vec<String> = (0..20).map(|nth| format!("edge-{nth}")).collect();
+    let first = all.iter().find(|name| precedes(name)).expect("one").clone();
+    let second = all.iter().find(|name| !precedes(name)).expect("one").clone();
+    let third = all.iter().rfind(|name| !precedes(name)).expect("one").clone();
+    (vec!["me".into(), first.clone(), second.clone()], vec!["me".into(), second, third], first)
+}
+
 fn admitted(admitted: u32) -> Report {
     Report { admitted, ..Report::default() }
 }
@@ -16,7 +30,7 @@
 
 #[test]
 fn an_owner_that_has_just_started_gives_out_the_rate_and_no_burst() {
-    let mut owned = OwnedBacklogs::new(1000.0);
+    let mut owned = owner(1000.0);
     assert_eq!(owned.report(1000.0, TENANT, wanted(50), &BOUNDS), (600.0, 0));
     assert_eq!(owned.report(1100.0, TENANT, wanted(50), &BOUNDS), (600.0, 10));
     // One whose tenants come later has waited as long for them.
@@ -25,11 +39,11 @@
 
 #[test]
 fn whatever_restarts_an_owner_a_window_sees_no_more_than_rate_and_burst() {
-    let mut owned = OwnedBacklogs::new(-1000.0);
+    let mut owned = owner(-1000.0);
     let mut granted = 0;
     for ms in 0..5000 {
         if ms % 700 == 0 {
-            owned = OwnedBacklogs::new(f64::from(ms) - if ms == 0 { 1000.0 } else { 0.0 });
+            owned = owner(f64::from(ms) - if ms == 0 { 1000.0 } else { 0.0 });
         }
         granted += owned.report(f64::from(ms), TENANT, wanted(5), &BOUNDS).1;
     }
@@ -38,7 +52,7 @@
 
 #[test]
 fn a_new_owner_takes_over_the_backlog_that_limiters_have_heard() {
-    let mut owned = OwnedBacklogs::new(0.0);
+    let mut owned = owner(0.0);
     let report = Report { admitted: 1, wanted: 10, backlog: 1500 };
     assert_eq!(owned.report(0.0, TENANT, report, &BOUNDS), (1510.0, 0));
     // Not without an end: a limiter of other bounds, or a faulty one, may say anything.
@@ -48,20 +62,45 @@
 
 #[test]
 fn a_tenant_that_is_owned_again_begins_anew_and_one_that_others_have_reported_early_stays() {
-    let mut owned = OwnedBacklogs::new(-10_000.0);
+    let (with_first, without, first) = names(TENANT);
+    let mut owned = owner(-10_000.0);
     owned.report(0.0, TENANT, admitted(0), &BOUNDS);
-    owned.on_owners_changed(1000.0, |_| true, |_| false);
-    assert!(owned.is_empty());
-    owned.on_owners_changed(2000.0, |_| false, |_| true);
+    owned.on_owners_changed(1000.0, &without, &with_first);
+    assert!(owned.is_empty(), "{first} owns it");
+    owned.on_owners_changed(2000.0, &with_first, &without);
     assert_eq!(owned.report(2000.0, TENANT, wanted(1), &BOUNDS), (600.0, 0), "another has counted meanwhile");
-    owned.report(4000.0, CustomerId(8), admitted(3), &BOUNDS);
-    owned.on_owners_changed(4500.0, |_| false, |_| true);
+    owned.on_owners_changed(3000.0, &without, &with_first);
+    owned.report(3500.0, TENANT, admitted(3), &BOUNDS);
+    owned.on_owners_changed(4000.0, &with_first, &without);
     assert_eq!(owned.len(), 1, "reported to shortly before");
 }
 
+#[test]
+fn a_tenant_that_was_idle_is_not_rejected_because_other_limiters_come_and_go() {
+    let (with_first, without, _) = names(TENANT);
+    let mut owned = owner(-10_000.0);
+    // None of these owned it.
+    owned.on_owners_changed(0.0, &without, &without[..2]);
+    assert_eq!(owned.report(100.0, TENANT, wanted(10), &BOUNDS), (100.0, 10));
+    // One of these did.
+    let mut owned = owner(-10_000.0);
+    owned.on_owners_changed(0.0, &with_first, &without);
+    assert_eq!(owned.report(100.0, TENANT, wanted(10), &BOUNDS), (600.0, 10));
+}
+
+#[test]
+fn what_was_counted_alone_says_nothing_of_what_others_counted_meanwhile() {
+    let (_, without, _) = names(TENANT);
+    let mut owned = owner(-10_000.0);
+    owned.on_owners_changed(0.0, &without, &["me".to_owned()]);
+    owned.report(1000.0, TENANT, admitted(1), &BOUNDS);
+    owned.on_owners_changed(2000.0, &["me".to_owned()], &without);
+    assert_eq!(owned.report(2000.0, TENANT, wanted(1), &BOUNDS), (600.0, 0));
+}
+
 #[test]
 fn what_is_reported_beyond_a_window_is_counted() {
-    let mut owned = OwnedBacklogs::new(0.0);
+    let mut owned = owner(0.0);
     for second in 0..5 {
         owned.report(f64::from(second) * 1000.0, TENANT, admitted(140), &BOUNDS);
     }
@@ -74,7 +113,7 @@
 fn a_lower_bound_is_counted_against_one_window_after_it_was_set() {
     // An owner that loses the core gives out its own part alone: what it counted before was not too much.
     let lower = QuotaBounds { rate: 10.0, reported: 70.0, ..BOUNDS };
-    let mut owned = OwnedBacklogs::new(0.0);
+    let mut owned = owner(0.0);
     owned.report(0.0, TENANT, admitted(300), &BOUNDS);
     owned.report(4000.0, TENANT, admitted(30), &lower);
     assert_eq!(owned.overrun(), 0.0);
@@ -84,7 +123,7 @@
 
 #[test]
 fn buckets_that_are_empty_and_idle_are_forgotten() {
-    let mut owned = OwnedBacklogs::new(0.0);
+    let mut owned = owner(0.0);
     owned.report(0.0, TENANT, admitted(1), &BOUNDS);
     owned.report(25_000.0, CustomerId(8), admitted(1), &BOUNDS);
     assert_eq!(owned.len(), 1);
--- a/crates/proxy/src/quota_counter.rs
+++ b/crates/proxy/src/quota_counter.rs
@@ -8,7 +8,7 @@
 //! owner has answered, and [`crate::quota_backlog`] what an owner takes to be left. One owner has all counters of a tenant, and
 //! the reports that the decision module sends serve both.
 
-use crate::counter_owner::{owner_address, owner_names, owner_of};
+use crate::counter_owner::{owner_address, owner_names, owners_fingerprint};
 use crate::quota_backlog::{OwnedBacklogs, QuotaBounds};
 use crate::quota_credit::{CreditVerdict, Report, TenantCredit, TenantCredits};
 use crate::quota_partition::QuotaPartition;
@@ -104,6 +104,7 @@
     backlogs: RefCell<OwnedBacklogs>,
     /// The limiters that owned counters when last looked at.
     owners: RefCell<Vec<String>>,
+    owners_fingerprint: Cell<Option<u64>>,
     /// An owner has answered.
     answered: Notify,
     counts: Cell<CreditCounts>,
@@ -114,7 +115,7 @@
     /// No tenant yet.
     pub fn new(view: Rc<ClusterView>, peers: Rc<dyn QuotaPeers>, node_name: String, seed: u64) -> Rc<Self> {
         let credits = RefCell::new(TenantCredits::new(view.now()));
-        let backlogs = RefCell::new(OwnedBacklogs::new(view.now()));
+        let backlogs = RefCell::new(OwnedBacklogs::new(view.now(), node_name.clone()));
         Rc::new(QuotaCounter {
             view,
             peers,
@@ -126,6 +127,7 @@
             credits,
             backlogs,
             owners: RefCell::default(),
+            owners_fingerprint: Cell::default(),
             answered: Notify::new(),
             counts: Cell::default(),
             random: Cell::new(seed),
@@ -273,20 +275,16 @@
 
     /// Takes in which limiters own counters now.
     fn check_owners(&self) {
+        let fingerprint = owners_fingerprint(&self.view, &self.node_name);
+        if self.owners_fingerprint.replace(Some(fingerprint)) == Some(fingerprint) {
+            return;
+        }
         let owners = owner_names(&self.view, &self.node_name);
         let before = self.owners.replace(owners);
         let owners = self.owners.borrow();
-        if *owners == before {
-            return;
+        if *owners != before && !before.is_empty() {
+            self.backlogs.borrow_mut().on_owners_changed(self.view.now(), &before, &owners);
         }
-        let owns = |names: &[String], tenant: CustomerId| {
-            owner_of(tenant.0, names.iter().map(String::as_str)) == Some(&self.node_name)
-        };
-        self.backlogs.borrow_mut().on_owners_changed(
-            self.view.now(),
-            |tenant| owns(&before, tenant),
-            |tenant| owns(&owners, tenant),
-        );
     }
 
     fn flush(self: &Rc<Self>) {
