Quotas: owners are known before a report counts; room for two sides that do not know of each other

Reports that came before a limiter had looked at the owners again (each 0.25 s) met the bucket of the time before: it looks first now where it counted alone or meets a tenant for the first time.

The tests' network: limiters that were cut off stayed expired for ever at all others, as their rows were told with the highest heartbeat; they are told with their last one now, as registries do.

--- a/crates/proxy/src/counter_owner.rs
+++ b/crates/proxy/src/counter_owner.rs
@@ -34,10 +34,13 @@
     names
 }
 
+/// The fingerprint of the owners as known to a limiter that counts alone.
+pub const ALONE: u64 = 0;
+
 /// A number that differs when [`owner_names`] does, without the names: with thousands of limiters it is looked at often.
 pub fn owners_fingerprint(view: &ClusterView, own_name: &str) -> u64 {
     if !view.in_touch() {
-        return 0;
+        return ALONE;
     }
     let own = if is_leaving(view, own_name) { 1 } else { 2 };
     view.with(|table, now| {
--- a/crates/proxy/src/quota_backlog.rs
+++ b/crates/proxy/src/quota_backlog.rs
@@ -105,6 +105,8 @@
 #[derive(Debug)]
 pub struct OwnedBacklogs {
     own_name: String,
+    /// The limiters that own counters as known here; none yet if empty.
+    owners: Vec<String>,
     buckets: HashMap<CustomerId, Bucket>,
     /// Since when this limiter counts together with the others.
     since: Millis,
@@ -117,12 +119,33 @@
 impl OwnedBacklogs {
     /// None yet, for the limiter of this name, which starts now.
     pub fn new(now: Millis, own_name: String) -> Self {
-        let (buckets, former_owners) = Default::default();
-        OwnedBacklogs { own_name, buckets, since: now, former_owners, forgotten_at: now, overrun: 0.0 }
+        let (owners, buckets, former_owners) = Default::default();
+        OwnedBacklogs {
+            own_name,
+            owners,
+            buckets,
+            since: now,
+            former_owners,
+            forgotten_at: now,
+            overrun: 0.0,
+        }
+    }
+
+    fn is_own(&self, tenant: CustomerId) -> bool {
+        owner_of(tenant.0, self.owners.iter().map(String::as_str)) == Some(&self.own_name)
+    }
+
+    /// Whether a tenant's bucket is known. Before a report to one that is not, the owners have to be up to date.
+    pub fn has(&self, tenant: CustomerId) -> bool {
+        self.buckets.contains_key(&tenant)
     }
 
-    /// Since when this limiter has owned a tenant's counters, if it owns them now.
-    fn owned_since(&self, tenant: CustomerId) -> Millis {
+    /// Since when this limiter has owned a tenant's counters. One that others take for the owner before it does itself begins to
+    /// own them now.
+    fn owned_since(&self, now: Millis, tenant: CustomerId) -> Millis {
+        if !self.owners.is_empty() && !self.is_own(tenant) {
+            return now;
+        }
         let preceded = |names: &Vec<String>| {
             let mut names = names.iter().map(String::as_str);
             names.any(|name| owner_of(tenant.0, [name, &self.own_name].into_iter()) == Some(name))
@@ -142,7 +165,7 @@
         self.forget_idle(now);
         if !self.buckets.contains_key(&tenant) {
             // Whoever owned it before may have left it full; since then it has leaked.
-            let backlog = (bounds.time_of(bounds.burst) - (now - self.owned_since(tenant))).max(0.0);
+            let backlog = (bounds.time_of(bounds.burst) - (now - self.owned_since(now, tenant))).max(0.0);
             self.buckets.insert(tenant, Bucket { backlog, at: now, ..Bucket::default() });
         }
         let bucket = self.buckets.entry(tenant).or_default();
@@ -157,28 +180,32 @@
         (bucket.backlog, granted as u32)
     }
 
-    /// The limiters that own counters have changed: what is not owned any more is forgotten, as another counts on from here.
-    pub fn on_owners_changed(&mut self, now: Millis, before: &[String], after: &[String]) {
+    /// The limiters that own counters are these now: what is not owned any more is forgotten, as another counts on from here.
+    pub fn set_owners(&mut self, now: Millis, owners: Vec<String>) {
+        let before = std::mem::replace(&mut self.owners, owners);
+        if before == self.owners || before.is_empty() {
+            return;
+        }
         let is_alone = |names: &[String]| names == [self.own_name.as_str()];
-        if is_alone(before) || is_alone(after) {
+        if is_alone(&before) || is_alone(&self.owners) {
             // What it counts alone is its own part, and not what others count meanwhile.
             self.buckets.clear();
             self.former_owners.clear();
             self.since = now;
             return;
         }
-        let removed: Vec<String> = before.iter().filter(|name| !after.contains(name)).cloned().collect();
+        let removed: Vec<String> =
+            before.iter().filter(|name| self.owners.binary_search(name).is_err()).cloned().collect();
         self.former_owners.retain(|(at, _)| now - at < REMEMBERED);
         if !removed.is_empty() {
             self.former_owners.push((now, removed));
         }
-        let own_name = self.own_name.as_str();
-        let owns = |names: &[String], tenant: &CustomerId| {
-            owner_of(tenant.0, names.iter().map(String::as_str)) == Some(own_name)
-        };
-        self.buckets.retain(|tenant, bucket| {
-            owns(after, tenant) && (owns(before, tenant) || now - bucket.at <= VIEW_LAG)
+        let mut buckets = std::mem::take(&mut self.buckets);
+        buckets.retain(|tenant, bucket| {
+            let owned_before = owner_of(tenant.0, before.iter().map(String::as_str)) == Some(&self.own_name);
+            self.is_own(*tenant) && (owned_before || now - bucket.at <= VIEW_LAG)
         });
+        self.buckets = buckets;
     }
 
     fn forget_idle(&mut self, now: Millis) {
--- a/crates/proxy/src/quota_backlog/tests.rs
+++ b/crates/proxy/src/quota_backlog/tests.rs
@@ -17,7 +17,12 @@
     let first = all.iter().find(|name| precedes(name)).expect("one").clone();
     let second = all.iter().find(|name| !precedes(name)).expect("one").clone();
     let third = all.iter().rfind(|name| !precedes(name)).expect("one").clone();
-    (vec!["me".into(), first.clone(), second.clone()], vec!["me".into(), second, third], first)
+    let sorted = |mut names: Vec<String>| {
+        names.sort_unstable();
+        names
+    };
+    let with_first = sorted(vec!["me".into(), first.clone(), second.clone(), third.clone()]);
+    (with_first, sorted(vec!["me".into(), second, third]), first)
 }
 
 fn admitted(admitted: u32) -> Report {
@@ -64,14 +69,15 @@
 fn a_tenant_that_is_owned_again_begins_anew_and_one_that_others_have_reported_early_stays() {
     let (with_first, without, first) = names(TENANT);
     let mut owned = owner(-10_000.0);
+    owned.set_owners(-10_000.0, without.clone());
     owned.report(0.0, TENANT, admitted(0), &BOUNDS);
-    owned.on_owners_changed(1000.0, &without, &with_first);
+    owned.set_owners(1000.0, with_first.clone());
     assert!(owned.is_empty(), "{first} owns it");
-    owned.on_owners_changed(2000.0, &with_first, &without);
+    owned.set_owners(2000.0, without.clone());
     assert_eq!(owned.report(2000.0, TENANT, wanted(1), &BOUNDS), (600.0, 0), "another has counted meanwhile");
-    owned.on_owners_changed(3000.0, &without, &with_first);
+    owned.set_owners(3000.0, with_first.clone());
     owned.report(3500.0, TENANT, admitted(3), &BOUNDS);
-    owned.on_owners_changed(4000.0, &with_first, &without);
+    owned.set_owners(4000.0, without.clone());
     assert_eq!(owned.len(), 1, "reported to shortly before");
 }
 
@@ -80,21 +86,34 @@
     let (with_first, without, _) = names(TENANT);
     let mut owned = owner(-10_000.0);
     // None of these owned it.
-    owned.on_owners_changed(0.0, &without, &without[..2]);
+    owned.set_owners(-10_000.0, without.clone());
+    owned.set_owners(0.0, without[1..].to_vec());
     assert_eq!(owned.report(100.0, TENANT, wanted(10), &BOUNDS), (100.0, 10));
     // One of these did.
     let mut owned = owner(-10_000.0);
-    owned.on_owners_changed(0.0, &with_first, &without);
+    owned.set_owners(-10_000.0, with_first);
+    owned.set_owners(0.0, without.clone());
     assert_eq!(owned.report(100.0, TENANT, wanted(10), &BOUNDS), (600.0, 10));
 }
 
+#[test]
+fn one_that_others_take_for_the_owner_before_it_does_itself_gives_out_no_burst() {
+    let (with_first, _, _) = names(TENANT);
+    let mut owned = owner(-10_000.0);
+    owned.set_owners(-10_000.0, with_first);
+    assert!(!owned.has(TENANT));
+    assert_eq!(owned.report(0.0, TENANT, wanted(10), &BOUNDS), (600.0, 0));
+    assert!(owned.has(TENANT));
+}
+
 #[test]
 fn what_was_counted_alone_says_nothing_of_what_others_counted_meanwhile() {
     let (_, without, _) = names(TENANT);
     let mut owned = owner(-10_000.0);
-    owned.on_owners_changed(0.0, &without, &["me".to_owned()]);
+    owned.set_owners(-10_000.0, without.clone());
+    owned.set_owners(0.0, vec!["me".to_owned()]);
     owned.report(1000.0, TENANT, admitted(1), &BOUNDS);
-    owned.on_owners_changed(2000.0, &["me".to_owned()], &without);
+    owned.set_owners(2000.0, without);
     assert_eq!(owned.report(2000.0, TENANT, wanted(1), &BOUNDS), (600.0, 0));
 }
 
--- a/crates/proxy/src/quota_counter.rs
+++ b/crates/proxy/src/quota_counter.rs
@@ -8,7 +8,7 @@
 //! owner has answered, and [`crate::quota_backlog`] what an owner takes to be left. One owner has all counters of a tenant, and
 //! the reports that the decision module sends serve both.
 
-use crate::counter_owner::{owner_address, owner_names, owners_fingerprint};
+use crate::counter_owner::{owner_address, owner_names, owners_fingerprint, ALONE};
 use crate::quota_backlog::{OwnedBacklogs, QuotaBounds};
 use crate::quota_credit::{CreditVerdict, Report, TenantCredit, TenantCredits};
 use crate::quota_partition::QuotaPartition;
@@ -102,8 +102,7 @@
     credits: RefCell<TenantCredits>,
     /// The buckets of the tenants that this limiter owns.
     backlogs: RefCell<OwnedBacklogs>,
-    /// The limiters that owned counters when last looked at.
-    owners: RefCell<Vec<String>>,
+    /// Of the limiters that owned counters when last looked at, and whether this one counted with them.
     owners_fingerprint: Cell<Option<u64>>,
     /// An owner has answered.
     answered: Notify,
@@ -126,7 +125,6 @@
             flush_due: Cell::default(),
             credits,
             backlogs,
-            owners: RefCell::default(),
             owners_fingerprint: Cell::default(),
             answered: Notify::new(),
             counts: Cell::default(),
@@ -280,11 +278,7 @@
             return;
         }
         let owners = owner_names(&self.view, &self.node_name);
-        let before = self.owners.replace(owners);
-        let owners = self.owners.borrow();
-        if *owners != before && !before.is_empty() {
-            self.backlogs.borrow_mut().on_owners_changed(self.view.now(), &before, &owners);
-        }
+        self.backlogs.borrow_mut().set_owners(self.view.now(), owners);
     }
 
     fn flush(self: &Rc<Self>) {
@@ -385,6 +379,11 @@
     fn take_in_report(&self, now: Millis, add: &QuotaAdd) -> (u32, u32) {
         let tenant = CustomerId(add.tenant);
         let Some(bounds) = self.credits.borrow().bounds(tenant) else { return (0, add.wanted) };
+        // A limiter that counted alone until now has to forget that first, and one that is met for the first time may be new here.
+        let has_counted_alone = self.owners_fingerprint.get() == Some(ALONE) && self.view.in_touch();
+        if has_counted_alone || !self.backlogs.borrow().has(tenant) {
+            self.check_owners();
+        }
         let (backlog, granted) = self.backlogs.borrow_mut().report(now, tenant, report_of(add), &bounds);
         (1 + backlog.ceil() as u32, granted)
     }
--- a/crates/proxy/src/quota_plan.rs
+++ b/crates/proxy/src/quota_plan.rs
@@ -19,11 +19,13 @@
 const PROPAGATION_PER_LIMITER_S: f64 = 0.001;
 
 /// What the rule leaves beyond rate and burst is given out too, this share of it by the owner: the decision module, which knows
-/// of admissions later, is to decide on the ordinary path. The rest is the limiters' credit.
-const OWNER_SHARE_OF_ROOM: f64 = 0.5;
+/// of admissions later, is to decide on the ordinary path.
+const OWNER_SHARE_OF_ROOM: f64 = 0.35;
+/// This share of it is the limiters' credit. The rest is for the time in which two sides of a cut do not yet know of each other.
+const CREDIT_SHARE_OF_ROOM: f64 = 0.35;
 /// Each limiter's credit leaves room for so many limiters that restart in a window, of each that there is: what they had outstanding
 /// is forgotten with them.
-const RESTARTS_PER_LIMITER: f64 = 0.6;
+const RESTARTS_PER_LIMITER: f64 = 0.3;
 
 /// By how much a tenant's quota may be exceeded, and in which window.
 #[derive(Clone, Copy, Debug)]
@@ -80,7 +82,7 @@
     let room = (allowed - plan.rate * window - plan.burst).max(0.0);
     let burst = plan.burst + OWNER_SHARE_OF_ROOM * room;
     let limiters = allowance.limiters.max(1.0);
-    let credit = (1.0 - OWNER_SHARE_OF_ROOM) * room / (limiters * (1.0 + RESTARTS_PER_LIMITER));
+    let credit = CREDIT_SHARE_OF_ROOM * room / (limiters * (1.0 + RESTARTS_PER_LIMITER));
     // What is outstanding may be reported in a later window than it ran in.
     let reported = allowed + limiters * credit;
     QuotaBounds { rate: plan.rate, burst, credit, limiters, reported, window: window * 1000.0 }
--- a/crates/proxy/tests/common/quota_fleet.rs
+++ b/crates/proxy/tests/common/quota_fleet.rs
@@ -133,8 +133,9 @@
     is_cut: bool,
     slow: u32,
     incarnation: u64,
-    /// When it was last heard by the core.
+    /// When it was last heard by the core, and its heartbeat then.
     heard_at: f64,
+    heartbeat: u64,
 }
 
 struct Limiter {
@@ -239,8 +240,12 @@
         let plans = Rc::new(TenantPlans::new(view.clone(), counter.clone()));
         let running = tokio::task::spawn_local(counter.clone().run()).abort_handle();
         let mut conduct = self.conduct.borrow_mut();
-        conduct[at] =
-            Conduct { incarnation: conduct[at].incarnation + 1, heard_at: self.now(), ..Conduct::default() };
+        conduct[at] = Conduct {
+            incarnation: conduct[at].incarnation + 1,
+            heard_at: self.now(),
+            heartbeat: self.heartbeat.get(),
+            ..Conduct::default()
+        };
         drop(conduct);
         // All processes agree on the cluster's time.
         view.apply_update(view.now(), StateUpdate { time: 60_000.0 + self.now(), ..StateUpdate::default() });
@@ -262,7 +267,6 @@
         if conduct[at].is_cut {
             return;
         }
-        let heartbeat = self.heartbeat.get();
         limiter.view.confirm(limiter.view.now(), 0);
         limiter.view.change(|table, now| {
             for (other, member) in conduct.iter().enumerate().filter(|(_, member)| member.incarnation > 0) {
@@ -271,7 +275,7 @@
                 let row = MemberRow {
                     name: name(other),
                     incarnation: member.incarnation,
-                    heartbeat: if expired { u64::MAX - 1 } else { heartbeat },
+                    heartbeat: member.heartbeat,
                     inner: address(other).to_string(),
                     state: if member.is_leaving { member_state::LEAVING } else { member_state::READY },
                     expired,
@@ -294,7 +298,7 @@
         self.heartbeat.set(self.heartbeat.get() + 1);
         for member in self.conduct.borrow_mut().iter_mut().filter(|member| !member.is_dead && !member.is_cut)
         {
-            member.heard_at = when;
+            (member.heard_at, member.heartbeat) = (when, self.heartbeat.get());
         }
         let limiters: Vec<_> = self.limiters.borrow().iter().cloned().enumerate().collect();
         for (at, limiter) in limiters.into_iter().filter_map(|(at, limiter)| Some((at, limiter?))) {
--- a/crates/proxy/tests/quota_beside_restarts.rs
+++ b/crates/proxy/tests/quota_beside_restarts.rs
@@ -73,6 +73,18 @@
     assert_kept("three tenths cut off", &[fault(FaultKind::Cut, 6500, 6000, Target::Share(0.3))]);
 }
 
+#[test]
+fn an_owner_that_is_cut_off_while_its_tenant_presses_hardest_does_not_give_out_a_second_quota() {
+    // Until it knows that it is alone it goes on giving out, and the others have their parts already.
+    for (limiters, rate, seed, at) in [(85, 40.0, 1, 7000), (13, 83.0, 2, 8000), (9, 172.0, 1, 7000)] {
+        let faults = vec![fault(FaultKind::Cut, at, 6000, Target::Owner)];
+        let play_of = Play { limiters, rate, burst: rate, press: 10.0, ..Play::large(seed, faults) };
+        let outcome = play(play_of);
+        println!("{limiters} limiters, {rate} a second: {outcome:?}");
+        assert!(outcome.worst <= 1.0, "{limiters} limiters, {rate} a second: {outcome:?}");
+    }
+}
+
 #[test]
 fn tenants_and_fleets_of_other_sizes_keep_it_too() {
     let killed = |at| fault(FaultKind::Kill, at, 300, Target::Share(1.0));
