Quotas: owners on a tenth of a core answer late; fewer requests ask, and wait longer

Cause, by logs: a quarter of all requests asked, and of 3,488 asks half were answered later than 190 ms, a tenth later than 342 ms, and 15% not within 400 ms, while a request waited 200 ms. Ruled out: limiters that take themselves to be alone (none did); owners that are gone (spread over all).

A request waits 400 ms, a call 700 ms; credit is 0.45 of the rest instead of 0.35, and what the burst has left is divided without a weight. The line 'quotas: counts alone' is logged once for each change.

--- a/crates/proxy/src/quota_backlog.rs
+++ b/crates/proxy/src/quota_backlog.rs
@@ -46,11 +46,10 @@
         requests * 1000.0 / self.rate.max(f64::MIN_POSITIVE)
     }
 
-    /// What is left of the burst at a backlog, for each limiter: as far as limiters have heard of each other by the time at which
-    /// it is used up, which is the more the larger the burst is beside their number.
+    /// What is left of the burst at a backlog, for each limiter.
     pub fn shared_burst(&self, backlog: Millis) -> f64 {
         let left = (self.burst - backlog * self.rate / 1000.0).max(0.0);
-        left / self.limiters.max(1.0) * self.burst / (self.burst + self.limiters / 4.0)
+        left / self.limiters.max(1.0)
     }
 }
 
--- a/crates/proxy/src/quota_counter.rs
+++ b/crates/proxy/src/quota_counter.rs
@@ -38,8 +38,10 @@
 const GATHER: Duration = Duration::from_millis(25);
 /// The same where a request waits for the owner.
 const GATHER_ASKED: Duration = Duration::from_millis(4);
-/// How long an owner may take to answer.
-const CALL_TIMEOUT: Duration = Duration::from_millis(400);
+/// How long an owner may take to answer: on a tenth of a core and in another region, 400 ms are not rare.
+const CALL_TIMEOUT: Duration = Duration::from_millis(700);
+/// A call is slow for the decision module beyond a part of this, ms, and it pauses for as long after failures.
+const COUNTER_TIMEOUT: Millis = 400.0;
 /// Interval of checks for what is due.
 const TICK: Duration = Duration::from_millis(50);
 /// Interval of syncs of a tenant, ms: a tenth of a window of one second. What a tenant that comes under pressure sends through
@@ -55,7 +57,7 @@
 const MAX_LIFETIME: Millis = 120_000.0;
 
 /// A request waits for the answer of an owner for this long at most: a part of what its client waits for.
-const OWNER_WAIT: Duration = Duration::from_millis(200);
+const OWNER_WAIT: Duration = Duration::from_millis(400);
 /// One that was rejected after that may come again after this, ms.
 const RETRY_AFTER_WAIT: Millis = 100.0;
 /// Interval of checks which limiters own counters.
@@ -274,9 +276,14 @@
     /// Takes in which limiters own counters now.
     fn check_owners(&self) {
         let fingerprint = owners_fingerprint(&self.view, &self.node_name);
-        if self.owners_fingerprint.replace(Some(fingerprint)) == Some(fingerprint) {
+        let before = self.owners_fingerprint.replace(Some(fingerprint));
+        if before == Some(fingerprint) {
             return;
         }
+        if before.is_some_and(|before| (before == ALONE) != (fingerprint == ALONE)) {
+            let whom = if fingerprint == ALONE { "alone, by its own part" } else { "with the others" };
+            log::info!("quotas: counts {}", whom);
+        }
         let owners = owner_names(&self.view, &self.node_name);
         self.backlogs.borrow_mut().set_owners(self.view.now(), owners);
     }
@@ -483,7 +490,7 @@
         plans,
         max_units: 1.0,
         counter: true,
-        counter_timeout: CALL_TIMEOUT.as_secs_f64() * 1000.0,
+        counter_timeout: COUNTER_TIMEOUT,
         sync_every: SYNC_INTERVAL,
         flush_after: FLUSH_AFTER,
         sync_share: UNTOLD_SHARE.min(UNTOLD_SHARE_OF_ALL / limiters),
--- a/crates/proxy/src/quota_credit.rs
+++ b/crates/proxy/src/quota_credit.rs
@@ -12,7 +12,7 @@
 use std::collections::HashMap;
 
 /// An owner that has not answered to anything for this long is silent, ms: longer than an answer may take.
-const OWNER_TIMEOUT: Millis = 600.0;
+const OWNER_TIMEOUT: Millis = 800.0;
 /// A backlog that was received longer ago is not reported to an owner, ms: it has leaked, or another has counted on.
 const REPORTED_FOR: Millis = 5000.0;
 /// What was granted is to be used within this, ms: its request may have been given up.
--- a/crates/proxy/src/quota_credit/tests.rs
+++ b/crates/proxy/src/quota_credit/tests.rs
@@ -34,11 +34,11 @@
     assert_eq!(admitted_at(&mut credit, 0.0, &BOUNDS), 2);
     assert_eq!(credit.check(0.0, &BOUNDS), CreditVerdict::AskOwner);
     // The backlog leaks meanwhile: of what the burst has again each limiter has its part, once.
-    assert_eq!(admitted_at(&mut credit, 599.0, &BOUNDS), 5);
-    assert_eq!(credit.check(599.0, &BOUNDS), CreditVerdict::AskOwner, "the owner may still answer");
+    assert_eq!(admitted_at(&mut credit, 799.0, &BOUNDS), 6);
+    assert_eq!(credit.check(799.0, &BOUNDS), CreditVerdict::AskOwner, "the owner may still answer");
     let mut admitted = 0;
     for step in 0..500 {
-        admitted += admitted_at(&mut credit, 600.0 + f64::from(step) * 20.0, &BOUNDS);
+        admitted += admitted_at(&mut credit, 800.0 + f64::from(step) * 20.0, &BOUNDS);
     }
     // Ten a second for ten seconds, and no more than that.
     assert!((98..=101).contains(&admitted), "{admitted}");
--- a/crates/proxy/src/quota_plan.rs
+++ b/crates/proxy/src/quota_plan.rs
@@ -22,7 +22,7 @@
 /// of admissions later, is to decide on the ordinary path.
 const OWNER_SHARE_OF_ROOM: f64 = 0.35;
 /// This share of it is the limiters' credit. The rest is for the time in which two sides of a cut do not yet know of each other.
-const CREDIT_SHARE_OF_ROOM: f64 = 0.35;
+const CREDIT_SHARE_OF_ROOM: f64 = 0.45;
 /// Each limiter's credit leaves room for so many limiters that restart in a window, of each that there is: what they had outstanding
 /// is forgotten with them.
 const RESTARTS_PER_LIMITER: f64 = 0.3;
