Compare service names whole unless a route declares a mesh

Cause: ServiceNames::resolve took every slash of a name for the end of a mesh and gave a server that says "jobs" to the only service with that name after its first slash. Evidence: both proxies also used "north/jobs", so none kept the old version; a route that moves to "all-jobs" runs there alone, so the prefilter of ServicePools by the end of a name decides nothing; a catalogue of one service and one server, without any proxy, names the wrong owner.

Change: a configuration uses meshes only if a route has a value in the column mesh, which the operators' protocol does not have. Otherwise names are compared whole. Same cause, also changed: a route to an unknown service was accepted if another service's name ended so; "jobs" beside "north/jobs" was refused; two routes of one path to names with different texts before a slash were refused. A configuration accepted by an earlier version with abbreviated names stays readable and leads where it did.

--- a/crates/config-model/src/proposal.rs
+++ b/crates/config-model/src/proposal.rs
@@ -3,6 +3,7 @@
 use crate::columnar_rows::{self, ColumnarRows};
 use crate::configuration::{self, Configuration, SourceFields};
 use crate::json::Raw;
+use crate::model::Route;
 use crate::reading;
 use crate::validation_error::{ProposalError, ValidationError};
 use std::collections::BTreeMap;
@@ -51,7 +52,7 @@
         Ok(Proposal::Replace(Replacement {
             built_on,
             digest,
-            configuration: Configuration::from_fields(fields)?,
+            configuration: Configuration::from_fields(fields, &|_, _| false)?,
         }))
     }
 
@@ -156,7 +157,11 @@
             Proposal::Replace(whole) => Ok(whole.configuration.clone()),
             Proposal::Change(change) => {
                 let source = current.map(|configuration| configuration.source().clone()).unwrap_or_default();
-                Ok(Configuration::from_source(change.apply(source)?)?)
+                let is_in_force = |route: &Route, service: &str| {
+                    let mut routes = current.into_iter().flat_map(|configuration| &configuration.routes);
+                    routes.any(|r| r.name == route.name && r.shares.iter().any(|(name, _)| name == service))
+                };
+                Ok(Configuration::from_source(change.apply(source)?, &is_in_force)?)
             }
         }
     }
--- a/crates/config-model/src/service_name.rs
+++ b/crates/config-model/src/service_name.rs
@@ -1,6 +1,7 @@
 //! Service names, which may be prefixed with a mesh and a slash.
 
-/// Splits a service name into its mesh, empty for none, and its name within the mesh.
+/// Splits a service name at its first slash into the mesh that it would belong to, empty for none, and the rest. Whether
+/// there is such a mesh is for the configuration to say.
 pub fn parts(name: &str) -> (&str, &str) {
     match name.split_once('/') {
         Some((mesh, rest)) if !mesh.is_empty() && !rest.is_empty() => (mesh, rest),
--- a/crates/local-cluster/tests/config.rs
+++ b/crates/local-cluster/tests/config.rs
@@ -75,6 +75,32 @@
     assert!(!services.is_empty() && services.iter().all(|s| s == "three"), "{services:?}");
 }
 
+/// Guards against requests running at servers of a service that the configuration no longer has, and whose name the new
+/// service's name ends in after a slash (CONFIG, review case 2).
+#[test]
+fn moved_route_runs_only_at_servers_of_the_service_it_names() {
+    const NAMES: [&str; 4] = ["jobs", "north/jobs", "a/north/jobs", "all-jobs"];
+    let configuration = TestConfiguration::new(HOST).route("/x/", "unsafe", NAMES[0]);
+    let system = System::serving(Plan::default(), configuration, &[NAMES, NAMES].concat());
+    let ask = ClientRequest::post(HOST, "/x/1", "order");
+    let mut current = system.configuration.clone();
+    for (step, at) in [1, 2, 0, 3, 1, 0].into_iter().enumerate() {
+        let service = NAMES[at];
+        current = moved(&current, service);
+        // Every second version has all services, the others only that of the route.
+        current.services =
+            if step % 2 == 1 { NAMES.map(str::to_owned).to_vec() } else { vec![service.to_owned()] };
+        let running_tries = ContinuousTries::start(&system.cluster.fronts(), std::slice::from_ref(&ask));
+        let acked = system.operator.must_put(&current).unwrap().at;
+        running_tries.until_after(acked + APPLY);
+        for (proxy, attempts) in running_tries.stop().iter().enumerate() {
+            let settled = attempts.iter().filter(|t| t.sent > acked + APPLY);
+            let served: Vec<_> = settled.map(|t| system.served(t)).collect();
+            assert!(served.iter().all(|s| *s == Some(service)), "proxy {proxy}, {service}: {served:?}");
+        }
+    }
+}
+
 #[test]
 fn one_of_two_conflicting_changes_wins_and_invalid_configurations_are_rejected() {
     let system =
@@ -120,6 +146,7 @@
         .replace("false,\"one\"]", &format!("false,{shares}]"));
     let invalid = [
         ("an unknown service", text.replace("false,\"one\"]", "false,\"none\"]")),
+        ("the end of a service's name", text.replace("[\"one\",", "[\"north/one\",")),
         ("weights that add up to 0", weightless),
         ("a timeout over ten minutes", text.replace("2000,500,2,2", "600001,500,2,2")),
         ("no tries", text.replace("2000,500,2,2", "2000,500,2,0")),
--- a/crates/proxy/src/service_pool.rs
+++ b/crates/proxy/src/service_pool.rs
@@ -275,6 +275,7 @@
             return dropped_service(pool, context);
         };
         let permitted_use = |row: &ServerRow| {
+            // Skips most servers of other services without a look-up. The catalog decides: the end of a name is not a name.
             if name.ends_with(row.service.as_str()) {
                 context.catalog.permitted_use(row, owner)
             } else {
--- a/crates/service-catalog/src/catalog.rs
+++ b/crates/service-catalog/src/catalog.rs
@@ -28,7 +28,7 @@
             edition,
             version: configuration.version,
             owners,
-            service_names: ServiceNames::new(&configuration.services),
+            service_names: ServiceNames::new(&configuration.services, configuration.naming()),
         }
     }
 
--- a/crates/service-catalog/src/conflict.rs
+++ b/crates/service-catalog/src/conflict.rs
@@ -3,7 +3,7 @@
 /// A kind of conflict between two claims on one name, id, address or host.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Conflict {
-    /// A service name exists in two meshes, and a server's heartbeat does not name the mesh.
+    /// Meshes are in use, a service name exists in two of them, and a server's heartbeat does not name the mesh.
     Mesh,
     /// Heartbeats under one id come from two addresses.
     Id,
