Pass on answers without a length that don't announce their close

Cause: has_valid_framing took an HTTP/1.1 answer without a length only if its head says Connection: close. With Connection: close, and as HTTP/1.0, answers of 0, 100 and 3 MiB pass, so neither id, seal, parser nor a time limit is at fault; HTTP/1.1 without the header is the first case that fails, at once and with no bytes due.

Change: response_end says where an answer ends; whether an end with the connection has to be announced is the dialect's to say. Such a connection is never used again, a reset on the way is a lost answer as before.

Tests, each failed on: an_answer_without_a_length_is_complete_when_ its_connection_ends_in_order, a_failure_without_a_length_is_passed_on_whole, answers_without_a_length_arrive_whole (502). Two tests of faulty servers have such servers too, whole and broken off by a reset.

--- a/crates/engine/src/upstreams/http1.rs
+++ b/crates/engine/src/upstreams/http1.rs
@@ -81,6 +81,12 @@
         MAX_BODY_BYTES
     }
 
+    /// Whether a response without a length is valid if its head does not announce the close of the connection. It is
+    /// complete when the connection ends in order, and truncated when it is reset.
+    fn allows_unannounced_end(&self) -> bool {
+        false
+    }
+
     /// TCP user timeout: a connection whose sent data is not acknowledged for this long is broken. `None` leaves the
     /// system's default.
     fn unconfirmed(&self) -> Option<Duration> {
@@ -521,15 +527,34 @@
     }
 }
 
-/// Checks that the response has exactly one length header and is within `longest` bytes. Without a length header the
-/// body ends with the connection, so the head must announce the close; otherwise a truncated body would look complete.
-fn has_valid_framing(head: &Parts, body: &Incoming, bodiless: bool, longest: u64) -> bool {
-    let many = |name| head.headers.get_all(name).iter().count();
-    let plain = match many(CONTENT_LENGTH) + many(TRANSFER_ENCODING) {
-        0 => bodiless || closes_connection(head),
-        lengths => lengths == 1,
-    };
-    plain && !head.status.is_informational() && body.size_hint().lower() <= longest
+/// Where a response ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ResponseEnd {
+    /// Where its head, its length or its coding says; the connection may be used again.
+    Framed,
+    /// With its connection.
+    WithConnection,
+}
+
+/// Returns where the response ends, or `None` if that is unclear or it is longer than `longest` bytes. A response without a
+/// length ends with its connection (RFC 9112, 6.3). Its head has to announce the close unless `allows_unannounced_end`.
+fn response_end(
+    head: &Parts,
+    body: &Incoming,
+    bodiless: bool,
+    longest: u64,
+    allows_unannounced_end: bool,
+) -> Option<ResponseEnd> {
+    if head.status.is_informational() || body.size_hint().lower() > longest {
+        return None;
+    }
+    let count = |name| head.headers.get_all(name).iter().count();
+    match count(CONTENT_LENGTH) + count(TRANSFER_ENCODING) {
+        0 if bodiless => Some(ResponseEnd::Framed),
+        0 if allows_unannounced_end || closes_connection(head) => Some(ResponseEnd::WithConnection),
+        1 => Some(ResponseEnd::Framed),
+        _ => None,
+    }
 }
 
 /// Whether the connection closes after this response.
@@ -558,9 +583,11 @@
     if verdict.unusable {
         return End::without_answer(verdict.outcome);
     }
-    if !has_valid_framing(&head, &body, verdict.bodiless, dialect.longest()) {
+    let allows_unannounced_end = dialect.allows_unannounced_end();
+    let Some(end) = response_end(&head, &body, verdict.bodiless, dialect.longest(), allows_unannounced_end)
+    else {
         return End::without_answer(Outcome::Error);
-    }
+    };
     let load = dialect.load(&head.headers);
     let most = dialect.held();
     let permit = shared.body_budget.acquire_buffered(body.size_hint().exact(), most).await;
@@ -571,7 +598,8 @@
 
     // If the response came before the request was sent completely, the rest of the request still follows, so the
     // connection cannot be reused.
-    let kept = (!closes_connection(&head) && sent).then(|| PoolReturn {
+    let is_reusable = end == ResponseEnd::Framed && !closes_connection(&head) && sent;
+    let kept = is_reusable.then(|| PoolReturn {
         shared: shared.clone(),
         server: job.server,
         may_send: job.may_send.clone(),
--- a/crates/engine/src/upstreams/try_id.rs
+++ b/crates/engine/src/upstreams/try_id.rs
@@ -160,6 +160,11 @@
         self.longest
     }
 
+    fn allows_unannounced_end(&self) -> bool {
+        // These servers may leave out the length and need not announce that the answer ends with its connection.
+        true
+    }
+
     fn unconfirmed(&self) -> Option<Duration> {
         Some(self.unconfirmed)
     }
--- a/crates/engine/tests/once.rs
+++ b/crates/engine/tests/once.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use common::{class, setup};
 use http::{HeaderMap, HeaderValue, Method, Response};
+use http_body_util::BodyExt;
 use oatbank_engine::body::{body_channel, Body, BodyError, Progress, Upload};
 use oatbank_engine::engine::{Answer, Engine, Setup};
 use oatbank_engine::members::fixed;
@@ -228,6 +229,91 @@
     });
 }
 
+/// Sends an answer to the try `a` in parts: a head without a length, then `body`.
+async fn write_without_length(stream: &mut TcpStream, status_line: &str, headers: &str, body: &[u8]) {
+    write(stream, &format!("{status_line}\r\nTry-Id: a\r\nServer-Seal: s\r\n{headers}\r\n")).await;
+    for part in body.chunks(body.len() / 3 + 1) {
+        // Lets the client read the parts one by one.
+        tokio::task::yield_now().await;
+        if stream.write_all(part).await.is_err() {
+            // The client has closed the connection, which the caller sees by the outcome.
+            return;
+        }
+    }
+}
+
+/// Guards against an answer without a length being broken off, and its request being failed, while its server is still at
+/// work on it (LOST, review case 3). A reset shows that such an answer is truncated.
+#[test]
+fn an_answer_without_a_length_is_complete_when_its_connection_ends_in_order() {
+    const SHORT: usize = 100;
+    const STREAMED: usize = 3 << 20;
+    let heads = [
+        ("HTTP/1.1", "Connection: close\r\n"),
+        ("HTTP/1.0", ""),
+        ("HTTP/1.1", ""),
+        ("HTTP/1.1", "Connection: keep-alive\r\nKeep-Alive: timeout=5\r\n"),
+        ("HTTP/1.0", "Connection: keep-alive\r\n"),
+    ];
+    on_local_set(async move {
+        for (version, headers) in heads {
+            for (length, is_reset) in [0, SHORT, STREAMED].into_iter().flat_map(|n| [(n, false), (n, true)]) {
+                let case = format!("{version} {headers:?}, {length} bytes, reset: {is_reset}");
+                let rig = Rig::new().await;
+                let attempt = rig.post_words("a");
+                let mut stream = rig.connection().await;
+                read(&mut stream, "words").await;
+                let body = vec![b'x'; length];
+                let sent = body.clone();
+                let server = spawn_local(async move {
+                    write_without_length(&mut stream, &format!("{version} 200 OK"), headers, &sent).await;
+                    if is_reset {
+                        reset(stream);
+                    }
+                });
+                let end = attempt.end.await.expect("an end");
+                let got = match end.answer {
+                    Some(answer) => BodyExt::collect(answer.into_body()).await.ok().map(|b| b.to_bytes()),
+                    None => None,
+                };
+                if is_reset {
+                    assert_eq!(got, None, "{case}: a truncated answer looks complete");
+                    assert!(matches!(end.outcome, Outcome::Ok | Outcome::Reset), "{case}: {:?}", end.outcome);
+                } else {
+                    assert_eq!(end.outcome, Outcome::Ok, "{case}");
+                    assert!(got.is_some_and(|got| got == body), "{case}: the body differs");
+                }
+                server.await.expect("the server's end");
+                // The connection is not used again, and the request was not sent again.
+                rig.assert_no_other_connection().await;
+                let next = rig.post_words("b");
+                let mut stream = rig.connection().await;
+                read(&mut stream, "words").await;
+                write(&mut stream, &valid_answer("b")).await;
+                assert_eq!(next.outcome().await, Outcome::Ok, "{case}");
+            }
+        }
+    });
+}
+
+/// Guards against a server's own failure being lost for want of a length: its status and body are returned unchanged.
+#[test]
+fn a_failure_without_a_length_is_passed_on_whole() {
+    on_local_set(async {
+        let rig = Rig::new().await;
+        let attempt = rig.post_words("a");
+        let mut stream = rig.connection().await;
+        read(&mut stream, "words").await;
+        write_without_length(&mut stream, "HTTP/1.1 409 Conflict", "", b"taken").await;
+        drop(stream);
+        let end = attempt.end.await.expect("an end");
+        let answer = end.answer.expect("an answer");
+        assert_eq!((end.outcome, answer.status().as_u16()), (Outcome::Error, 409));
+        assert_eq!(BodyExt::collect(answer.into_body()).await.expect("a body").to_bytes(), "taken");
+        rig.assert_no_other_connection().await;
+    });
+}
+
 #[test]
 fn unsolicited_bytes_on_an_idle_connection_are_discarded() {
     on_local_set(async {
--- a/crates/local-cluster/src/server.rs
+++ b/crates/local-cluster/src/server.rs
@@ -5,6 +5,7 @@
 use crate::http::{HttpConnection, HttpError, Message};
 use crate::wait;
 use miniserde::{json, Deserialize};
+use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -44,6 +45,10 @@
     Surplus,
     /// Runs the request and repeats the previous answer before the actual one.
     Late,
+    /// Answers correctly, but without a length: the answer comes in parts and ends with its connection.
+    WithoutLength,
+    /// As [`Behaviour::WithoutLength`], but resets the connection in the middle of the answer's body.
+    WithoutLengthReset,
     /// Runs the request and answers with a `Content-Encoding` that was not requested.
     Coded,
     /// Runs the request and sends bytes that are not an HTTP answer.
@@ -446,6 +451,28 @@
     connection.send(text.as_bytes()).is_ok()
 }
 
+/// Sends an answer without a length in parts, the last of which is missing if the connection is to be reset.
+fn send_without_length(
+    connection: &mut HttpConnection,
+    try_id: &str,
+    stamp: &str,
+    body: &[u8],
+    is_reset: bool,
+) -> io::Result<()> {
+    const PARTS: usize = 4;
+    connection.send(format!("HTTP/1.1 200 OK\r\nTry-Id: {try_id}\r\n{stamp}\r\n").as_bytes())?;
+    let part_bytes = body.len().div_ceil(PARTS);
+    for (nth, part) in body.chunks(part_bytes).enumerate() {
+        std::thread::sleep(WORK_STEP);
+        if is_reset && nth + 1 == PARTS {
+            connection.linger_none();
+            return Ok(());
+        }
+        connection.send(part)?;
+    }
+    Ok(())
+}
+
 /// Answers a request that has run, as the server's behaviour says. `before` is the previous answer on this connection.
 /// Returns whether the connection can be reused.
 fn send_success(
@@ -478,6 +505,11 @@
             let _ = connection.send(&whole[..whole.len() - body.len() / 2]);
             return false;
         }
+        Behaviour::WithoutLength | Behaviour::WithoutLengthReset => {
+            let is_reset = behaviour == Behaviour::WithoutLengthReset;
+            let _ = send_without_length(connection, try_id, &stamp, &body, is_reset);
+            return false;
+        }
         Behaviour::Unsealed => text("200 OK", try_id, "", &body),
         Behaviour::WrongTry => text("200 OK", &format!("{try_id}x"), &stamp, &body),
         Behaviour::Surplus => [whole.clone(), whole.clone()].concat(),
--- a/crates/local-cluster/tests/answers.rs
+++ b/crates/local-cluster/tests/answers.rs
@@ -19,7 +19,7 @@
 
 #[test]
 fn only_requests_that_have_not_run_are_retried_at_another_server() {
-    let services = ["reset", "close", "cut", "garbled", "full", "moved", "gone", "shut"];
+    let services = ["reset", "close", "cut", "part", "garbled", "full", "moved", "gone", "shut"];
     let configuration = services.iter().fold(TestConfiguration::new(HOST), |configuration, s| {
         configuration.route(&format!("/{s}/"), "unsafe", s)
     });
@@ -31,6 +31,7 @@
     set_behaviour("reset", [Behaviour::RunThenReset; 2]);
     set_behaviour("close", [Behaviour::RunThenClose; 2]);
     set_behaviour("cut", [Behaviour::Cut; 2]);
+    set_behaviour("part", [Behaviour::WithoutLengthReset; 2]);
     set_behaviour("garbled", [Behaviour::Garbled; 2]);
     set_behaviour("full", [Behaviour::Full, Behaviour::Serve]);
     set_behaviour("moved", [Behaviour::Misdirected, Behaviour::Serve]);
@@ -45,7 +46,7 @@
         let ask = ClientRequest::post(HOST, &format!("/{service}/1"), "words");
         (0..24).map(|nth| try_at(fronts[nth % fronts.len()], &ask)).collect()
     };
-    for service in ["reset", "close", "cut", "garbled"] {
+    for service in ["reset", "close", "cut", "part", "garbled"] {
         let attempts = attempts(service);
         let ran = attempts.iter().filter(|t| system.runs(t) == 1).count();
         assert!(ran > 2, "{service}: only {ran} tries ran");
@@ -81,6 +82,8 @@
         ("other", Behaviour::WrongTry),
         ("unsealed", Behaviour::Unsealed),
         ("coded", Behaviour::Coded),
+        ("whole", Behaviour::WithoutLength),
+        ("part", Behaviour::WithoutLengthReset),
         ("cut", Behaviour::Cut),
         ("garbled", Behaviour::Garbled),
     ];
@@ -126,7 +129,7 @@
                 attempts.iter().filter(|t| t.is_mixed()).map(|t| (&t.id, t.status())).collect();
             assert!(mixed.is_empty(), "{service}: {mixed:?}");
             let served = attempts.iter().filter(|t| t.served_by().is_some()).count();
-            let sound = matches!(service, "surplus" | "late");
+            let sound = matches!(service, "surplus" | "late" | "whole");
             assert!(served > 0 || all_bad, "{service}: none of {} tries was served", attempts.len());
             assert!(served == 0 || !all_bad || sound, "{service}: served although all servers are faulty");
             let seen = system.seen();
@@ -143,6 +146,29 @@
     }
 }
 
+/// Guards against requests answered 502 because their server's answer has no length, although it was whole and on its way
+/// (LOST, review case 3).
+#[test]
+fn answers_without_a_length_arrive_whole() {
+    const KINDS: [&str; 3] = ["unsafe", "safe", "download"];
+    let configuration = KINDS.iter().fold(TestConfiguration::new(HOST), |configuration, kind| {
+        configuration.route(&format!("/{kind}/"), kind, "service")
+    });
+    let system = System::serving(plan(), configuration, &["service", "service"]);
+    system.of("service").iter().for_each(|server| server.set_behaviour(Behaviour::WithoutLength));
+    for (nth, front) in system.cluster.fronts().into_iter().cycle().take(24).enumerate() {
+        let kind = KINDS[nth % KINDS.len()];
+        // Every fourth answer is longer than a proxy buffers.
+        let path = if nth % 4 == 3 { format!("/{kind}/large") } else { format!("/{kind}/{nth}") };
+        let ask = match kind {
+            "unsafe" => ClientRequest::post(HOST, &path, "words"),
+            _ => ClientRequest::get(HOST, &path),
+        };
+        let one = try_at(front, &ask);
+        assert!(one.served_by().is_some() && system.runs(&one) == 1, "{path}: {}", one.status());
+    }
+}
+
 #[test]
 fn at_most_once_request_pipelined_after_a_truncated_answer_does_not_run() {
     let configuration =
