Library and standalone limiter pass on answers that end unannounced

RFC 9112, 6.3, lets such an answer end with its connection.

Change: the platform's dialect has a setting for it, on for these two.

Tests, each failed on: a_response_without_a_length_is_whole_when_its_ connection_ends, serve_passes_on_an_answer_without_a_length (429 both).

--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -118,6 +118,7 @@
             limits: file.limits,
             conn_idle: ceiling("conn_idle", 15_000.0),
             connect_timeout: ceiling("connect_timeout", 250.0),
+            allows_unannounced_end: false,
             come_back: RetryAfterFormat::Decimal,
             passed: None,
             others: 0,
--- a/crates/daemon/src/serve.rs
+++ b/crates/daemon/src/serve.rs
@@ -6,7 +6,7 @@
 use oatbank_engine::ports::clock::Clock;
 use oatbank_engine::respond::RetryAfterFormat;
 use oatbank_engine::supervise::keep_running;
-use oatbank_engine::upstreams::http1::{Connections, Http1};
+use oatbank_engine::upstreams::http1::{Connections, Http1, Platform};
 use oatbank_limiter_core::interface::Millis;
 use oatbank_operations::budget::{Budget, Limits};
 use socket2::SockRef;
@@ -44,6 +44,8 @@
     pub conn_idle: Millis,
     /// Timeout for opening a connection to a server, ms.
     pub connect_timeout: Millis,
+    /// Whether servers' responses may end with their connection unannounced.
+    pub allows_unannounced_end: bool,
     /// Format of the retry time in rejections.
     pub come_back: RetryAfterFormat,
     /// Inherited listening socket, used in place of a new one at `listen`.
@@ -110,7 +112,9 @@
             most: budget.servers,
             bodies_kib: budget.answers_kib,
         };
-        let upstream = Http1::new(clock.clone(), connections, plan.setup.names.report.clone());
+        let report = plan.setup.names.report.clone();
+        let dialect = Platform { report, allows_unannounced_end: plan.allows_unannounced_end };
+        let upstream = Http1::with_dialect(dialect, clock.clone(), connections);
         let engine = Engine::new(&plan.setup, clock, upstream);
         engine.start();
         engine
--- a/crates/daemon/src/standalone.rs
+++ b/crates/daemon/src/standalone.rs
@@ -143,6 +143,7 @@
         limits: Limits { sockets, memory_mb },
         conn_idle: config.keep_idle,
         connect_timeout: config.connect_timeout,
+        allows_unannounced_end: true,
         come_back: RetryAfterFormat::Standard,
         passed: None,
         others: 0,
--- a/crates/daemon/tests/cli.rs
+++ b/crates/daemon/tests/cli.rs
@@ -110,6 +110,16 @@
     assert_eq!(answer.header("x-oatbank-retry-after"), Some("0.300"));
 }
 
+/// Guards against answers of any HTTP/1.1 server being lost for want of a length.
+#[test]
+fn serve_passes_on_an_answer_without_a_length() {
+    let server = Server::start(|_| Act::Close(b"HTTP/1.1 200 OK\r\n\r\nall of it".to_vec()));
+    let file = Scratch::new(&config(&[&server]));
+    let process = Standalone::serve(OATBANK, &file);
+    let answer = Client::connect(process.address).look_of_one();
+    assert_eq!((answer.status(), &answer.body[..]), (200, &b"all of it"[..]));
+}
+
 #[test]
 fn the_log_supports_json_and_levels_by_module_and_reports_dropped_lines() {
     let server = Server::ok();
--- a/crates/engine/src/upstreams/http1.rs
+++ b/crates/engine/src/upstreams/http1.rs
@@ -127,6 +127,9 @@
 pub struct Platform {
     /// Names of the values in a load report, in the order of the settings.
     pub report: Vec<String>,
+    /// Whether the servers are any HTTP/1.1 servers, whose responses may end with their connection unannounced. On the
+    /// platform a connection stays open unless its server announces the close.
+    pub allows_unannounced_end: bool,
 }
 
 impl Dialect for Platform {
@@ -157,6 +160,10 @@
     fn load(&self, headers: &HeaderMap) -> Vec<f64> {
         load_report(headers, &self.report)
     }
+
+    fn allows_unannounced_end(&self) -> bool {
+        self.allows_unannounced_end
+    }
 }
 
 const LOAD: HeaderName = HeaderName::from_static("x-backend-load");
@@ -424,7 +431,8 @@
 impl Http1 {
     /// Creates an upstream for the platform's servers, without connections. `report` names the values of a load report.
     pub fn new(clock: Rc<dyn Clock>, connections: Connections, report: Vec<String>) -> Self {
-        Http1::with_dialect(Platform { report }, clock, connections)
+        let dialect = Platform { report, allows_unannounced_end: false };
+        Http1::with_dialect(dialect, clock, connections)
     }
 }
 
--- a/crates/engine/tests/ports.rs
+++ b/crates/engine/tests/ports.rs
@@ -7,16 +7,18 @@
 use oatbank_engine::members::{agent, fixed};
 use oatbank_engine::ports::clock::{Clock, SystemClock};
 use oatbank_engine::ports::membership::Member;
+use oatbank_engine::ports::upstream::{AttemptJob, Upstream};
 use oatbank_engine::supervise::keep_running;
 use oatbank_engine::upstreams::http1::{Connections, Forward, Http1};
 use oatbank_engine::upstreams::inprocess::{InProcess, Start};
-use oatbank_limiter_core::interface::Outcome;
+use oatbank_limiter_core::interface::{Outcome, ServerId};
 use oatbank_testkit::conformance::upstream::{Behaviour, UnderTest};
 use oatbank_testkit::conformance::{clock, counter, membership, on_local_set, upstream};
 use oatbank_testkit::*;
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 
 fn system() -> Rc<dyn Clock> {
     Rc::new(SystemClock::new())
@@ -171,6 +173,29 @@
     on_local_set(async { upstream::suite(&HttpUnderTest::new()).await });
 }
 
+#[test]
+fn a_platform_server_has_to_announce_that_its_answer_ends_with_the_connection() {
+    on_local_set(async {
+        for (headers, outcome) in [("", Outcome::Error), ("Connection: close\r\n", Outcome::Ok)] {
+            let text = format!("HTTP/1.1 200 OK\r\n{headers}\r\nwell").into_bytes();
+            let server = Server::start(move |_| Act::Close(text.clone()));
+            let under_test =
+                HttpUnderTest { servers: vec![(Behaviour::Answers, server)], ..HttpUnderTest::new() };
+            let (address, request) = under_test.server(Behaviour::Answers);
+            let job = AttemptJob {
+                server: ServerId(1),
+                name: "s-1".into(),
+                address,
+                request: Arc::new(request),
+                span: 1000.0,
+                may_send: Rc::new(|| true),
+                progress: Rc::new(|_| ()),
+            };
+            assert_eq!(under_test.way().attempt(job).await.outcome, outcome, "{headers}");
+        }
+    });
+}
+
 /// In-process upstream whose handler is a task for each request.
 #[derive(Default)]
 struct InProcessUnderTest {
--- a/crates/tower/src/start.rs
+++ b/crates/tower/src/start.rs
@@ -10,7 +10,7 @@
 use oatbank_engine::ports::clock::{Clock, SystemClock};
 use oatbank_engine::ports::membership::Member;
 use oatbank_engine::ports::upstream::Upstream;
-use oatbank_engine::upstreams::http1::{Connections, Forward, Http1};
+use oatbank_engine::upstreams::http1::{Connections, Forward, Http1, Platform};
 use std::rc::Rc;
 
 /// Share of the file descriptors used for connections to servers; the rest is left to the application.
@@ -104,7 +104,8 @@
         let build = move || {
             let clock: Rc<dyn Clock> = Rc::new(SystemClock::new());
             let report = config.setup.names.report.clone();
-            let upstream = Http1::new(clock.clone(), connections, report);
+            let dialect = Platform { report, allows_unannounced_end: true };
+            let upstream = Http1::with_dialect(dialect, clock.clone(), connections);
             assemble(&config, clock, upstream, numbers, config.members.clone())
         };
         place.run(setup, queue, build)
--- a/crates/tower/tests/client.rs
+++ b/crates/tower/tests/client.rs
@@ -86,6 +86,20 @@
     asked.into_iter().for_each(|task| runtime.block_on(task).expect("a task"));
 }
 
+/// Guards against a response without a length being lost although it is whole and ends with its connection.
+#[test]
+fn a_response_without_a_length_is_whole_when_its_connection_ends() {
+    let server = Server::start(|_| Act::Close(b"HTTP/1.1 200 OK\r\n\r\nall of it".to_vec()));
+    let (client, runtime) = (client(&[&server]), runtime());
+    for asked in 1..=3 {
+        let got = runtime.block_on(client.clone().oneshot(request("book"))).expect("an answer");
+        let status = got.status().as_u16();
+        let body = runtime.block_on(got.into_body().collect(100)).expect("a whole body");
+        assert_eq!((status, &body[..]), (200, &b"all of it"[..]));
+        assert_eq!(server.count(), asked, "a request was sent again");
+    }
+}
+
 #[test]
 fn a_keyed_request_is_repeated_within_its_window_and_never_after_it() {
     let server = || Server::start(|_| Act::Late(Duration::from_millis(40), answer("500 No", "", b"")));
