A partly sent request may have run where servers start early

Cause: run_attempt took a partly written stream for a request that no server runs. That is the rule of the limiter in service; the system's servers may begin, and even answer, before they have a long body whole, and only Not-Run and 421 say that a request has not run. The same in two more places: an attempt that is given up or timed out before its body is whole (engine and module), and a client whose body breaks off. Evidence: the callers write on and nothing is timed out; a scripted server that reads a part and resets gives ConnectFailed, and the engine refuses.

From the first byte that is written such an attempt may have run, as one with a buffered body: 502 for what runs once, no second server.

--- a/crates/attempt-state/src/attempt.rs
+++ b/crates/attempt-state/src/attempt.rs
@@ -3,7 +3,7 @@
 //! | state | another server | assertion that it has not run |
 //! | --- | --- | --- |
 //! | [`RequestState::NotSent`], [`RequestState::NotExecuted`] | yes | yes |
-//! | [`RequestState::Sending`]: its body is still being sent | no | no: it may be complete in a moment |
+//! | [`RequestState::Sending`]: its body is still being sent | no | no: it may be complete in a moment, or begun already |
 //! | [`RequestState::MayHaveRun`], [`RequestState::Answered`] | only if it may be repeated | only if it may be repeated |
 //! | [`RequestState::Ended`]: the client has its answer | no | no |
 
@@ -17,6 +17,16 @@
     Repeatable,
 }
 
+/// When a server may begin to execute a request.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum ExecutionStart {
+    /// Once it has received the whole request.
+    #[default]
+    WholeRequest,
+    /// Once it has received a part of it.
+    FirstBytes,
+}
+
 /// The state of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RequestState {
@@ -115,14 +125,15 @@
 #[derive(Clone, Debug, Default)]
 pub struct RequestAttempts {
     idempotency: Idempotency,
+    execution_start: ExecutionStart,
     states: Vec<AttemptState>,
     is_answered: bool,
 }
 
 impl RequestAttempts {
-    /// A request without an attempt.
-    pub fn new(idempotency: Idempotency) -> Self {
-        RequestAttempts { idempotency, states: Vec::new(), is_answered: false }
+    /// A request without an attempt, to servers that begin to execute it as `execution_start` says.
+    pub fn new(idempotency: Idempotency, execution_start: ExecutionStart) -> Self {
+        RequestAttempts { idempotency, execution_start, states: Vec::new(), is_answered: false }
     }
 
     /// Whether the request must run at most once.
@@ -148,7 +159,8 @@
         }
     }
 
-    /// Whether the request may have run: it was sent completely, answered or lost at least once.
+    /// Whether the request may have run after its attempts so far, but for those whose body is still being sent: a server
+    /// may have begun it, has answered it, or its connection was lost.
     pub fn may_have_run(&self) -> bool {
         self.states.iter().any(|state| state.may_have_run())
     }
@@ -199,8 +211,10 @@
     /// Records the end of an attempt. Only the first end counts.
     pub fn end(&mut self, attempt: usize, end: AttemptEnd) {
         use AttemptState::{Failed, Lost, NotExecuted, Queued, Sending, Sent, Succeeded};
+        let may_have_begun = self.execution_start == ExecutionStart::FirstBytes;
         let Some(state) = self.states.get_mut(attempt) else { return };
         *state = match (*state, end) {
+            (Sending, AttemptEnd::Cancelled) if may_have_begun => Lost,
             (Queued, _) | (Sending, AttemptEnd::Cancelled) => NotExecuted,
             (Sending | Sent, AttemptEnd::Succeeded) => Succeeded,
             (Sending | Sent, AttemptEnd::Failed) => Failed,
--- a/crates/attempt-state/src/attempt/tests.rs
+++ b/crates/attempt-state/src/attempt/tests.rs
@@ -3,7 +3,11 @@
 use super::*;
 
 fn sent(complete: bool) -> RequestAttempts {
-    let mut attempts = RequestAttempts::new(Idempotency::AtMostOnce);
+    sent_to(ExecutionStart::WholeRequest, complete)
+}
+
+fn sent_to(execution_start: ExecutionStart, complete: bool) -> RequestAttempts {
+    let mut attempts = RequestAttempts::new(Idempotency::AtMostOnce, execution_start);
     assert_eq!((attempts.begin(), attempts.send(0, complete)), (0, Ok(())));
     attempts
 }
@@ -43,6 +47,30 @@
     }
 }
 
+/// Guards against the assertion that a request has not run, while a server that had part of it has begun it (REFUSED).
+#[test]
+fn a_server_that_may_begin_early_leaves_a_partly_sent_request_in_doubt() {
+    use AttemptEnd::*;
+    for (end, state, may_retry) in [
+        (Cancelled, RequestState::MayHaveRun, false),
+        (Lost, RequestState::MayHaveRun, false),
+        (Failed, RequestState::Answered, false),
+        (NotExecuted, RequestState::NotExecuted, true),
+    ] {
+        let mut attempts = sent_to(ExecutionStart::FirstBytes, false);
+        attempts.end(0, end);
+        assert_eq!(attempts.state(), state, "{end:?}");
+        let second = attempts.begin();
+        assert_eq!(attempts.clone().send(second, true).is_ok(), may_retry, "{end:?}");
+        let (answer, violation) = attempts.answer_client(ClientAnswer::Rejected);
+        assert_eq!(
+            (answer == ClientAnswer::Rejected, violation.is_none()),
+            (may_retry, may_retry),
+            "{end:?}"
+        );
+    }
+}
+
 #[test]
 fn a_fully_sent_body_may_have_run_and_an_unsent_attempt_has_not() {
     let mut attempts = sent(false);
@@ -61,7 +89,7 @@
 
 #[test]
 fn repeatable_requests_are_not_restricted() {
-    let mut attempts = RequestAttempts::new(Idempotency::Repeatable);
+    let mut attempts = RequestAttempts::new(Idempotency::Repeatable, ExecutionStart::FirstBytes);
     for attempt in 0..3 {
         assert_eq!((attempts.begin(), attempts.send(attempt, true)), (attempt, Ok(())));
     }
--- a/crates/engine/src/engine/core.rs
+++ b/crates/engine/src/engine/core.rs
@@ -13,7 +13,7 @@
 use crate::ports::membership::News;
 use crate::ports::upstream::End;
 use oatbank_attempt_state::attempt::{
-    AttemptEnd, ClientAnswer, Idempotency, InvariantViolation, RequestAttempts,
+    AttemptEnd, ClientAnswer, ExecutionStart, Idempotency, InvariantViolation, RequestAttempts,
 };
 use oatbank_attempt_state::outcome_log::ExecutionOutcome;
 use oatbank_limiter_core::interface::*;
@@ -47,6 +47,7 @@
         address: SocketAddr,
         request: Arc<Q>,
         span: Millis,
+        starts_early: bool,
     },
     /// Cancel an attempt whose end is already recorded.
     CancelAttempt { id: RequestId, number: u8 },
@@ -265,7 +266,7 @@
         let span = if request.uploading { MAX_UPLOAD_TIME } else { request.time_left };
         let deadline = now + span;
         let max_attempts = request.rules.as_ref().map_or(self.settings.max_attempts, |r| r.max_attempts);
-        let execution = RequestAttempts::new(self.idempotency_of(&request));
+        let execution = RequestAttempts::new(self.idempotency_of(&request), self.execution_start());
         let id = self.requests.open(forward, deadline, max_attempts, execution, reply);
         self.timers.arm(deadline - ANSWER_MARGIN, Due::AnswerDeadline(id));
         if let Some(entry) = self.requests.get_mut(id) {
@@ -279,6 +280,13 @@
         id
     }
 
+    fn execution_start(&self) -> ExecutionStart {
+        match self.settings.starts_early {
+            true => ExecutionStart::FirstBytes,
+            false => ExecutionStart::WholeRequest,
+        }
+    }
+
     fn idempotency_of(&self, request: &Request) -> Idempotency {
         let class = match &request.rules {
             Some(rules) => Some(&rules.class),
@@ -423,11 +431,13 @@
             return self.end(now, id, number, Outcome::NotSent, Vec::new());
         }
         entry.set_server_name(attempt, &name);
-        if fully_sent && entry.execution.is_at_most_once() {
+        let starts_early = self.settings.starts_early;
+        if (fully_sent || starts_early) && entry.execution.is_at_most_once() {
             self.note(&request, Some(&name), Note::Outcome(ExecutionOutcome::Running, "sent"));
         }
         self.timers.arm(now + span, Due::Attempt(id, number));
-        self.outputs.push_back(Output::Attempt { id, number, server, name, address, request, span });
+        let attempt = Output::Attempt { id, number, server, name, address, request, span, starts_early };
+        self.outputs.push_back(attempt);
     }
 
     /// Handles the progress of an attempt that sends a streamed body.
@@ -440,7 +450,7 @@
         }
         let Some(entry) = self.requests.get_mut(id) else { return };
         entry.execution.mark_fully_sent(usize::from(attempt));
-        if entry.execution.is_at_most_once() {
+        if entry.execution.is_at_most_once() && !self.settings.starts_early {
             let (request, name) = (entry.request.clone(), entry.name(attempt).cloned());
             self.note(&request, name.as_ref(), Note::Outcome(ExecutionOutcome::Running, "sent"));
         }
--- a/crates/engine/src/engine/mod.rs
+++ b/crates/engine/src/engine/mod.rs
@@ -360,7 +360,7 @@
 
     fn carry_out(self: &Rc<Self>, output: Output<U::Request>) {
         match output {
-            Output::Attempt { id, number, server, name, address, request, span } => {
+            Output::Attempt { id, number, server, name, address, request, span, starts_early } => {
                 let guarded = self.clone();
                 let may_send = Rc::new(move || {
                     guarded.check_guard().is_none() && guarded.core.borrow().fleet().is_ready(server)
@@ -369,11 +369,9 @@
                 let progress = Rc::new(move |progress| {
                     engine.change(|core, now| core.progress(now, id, number, progress));
                 });
-                self.attempt(
-                    id,
-                    number,
-                    AttemptJob { server, name, address, request, span, may_send, progress },
-                );
+                let job =
+                    AttemptJob { server, name, address, request, span, starts_early, may_send, progress };
+                self.attempt(id, number, job);
             }
             Output::CancelAttempt { id, number } => {
                 if let Some(task) = self.tasks.borrow_mut().remove(&(id, number)) {
--- a/crates/engine/src/engine/schedule_tests.rs
+++ b/crates/engine/src/engine/schedule_tests.rs
@@ -18,15 +18,17 @@
 
 const SERVERS: u64 = 4;
 const AT_MOST_ONCE_CLASS: ClassId = ClassId(1);
+/// End of an attempt whose client's body broke off, at a server that may have begun it.
+const CLIENT_GAVE_UP: u8 = 8;
 
 /// A scheduled event.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
-    /// A server executes an attempt, if it was written completely.
+    /// A server executes an attempt, if it was written completely or the server starts early.
     Run(RequestId, u8, u32),
     /// The last byte of a body is written.
     Whole(RequestId, u8),
-    /// The end of an attempt: 0 success, 1 failure, 2 corrupt answer, 3 reset, 4 full, 5 no connection.
+    /// The end of an attempt: 0 success, 1 failure, 2 corrupt answer, 3 reset, 4 full, 5 no connection, or [`CLIENT_GAVE_UP`].
     End(RequestId, u8, u32, u8),
     Arrive(u32),
     Gone(RequestId),
@@ -52,6 +54,8 @@
     whole: HashSet<(RequestId, u8)>,
     outcomes: OutcomeLog,
     is_guarded: bool,
+    /// Whether servers may start to run a request before they have it whole.
+    starts_early: bool,
     /// Whether wrong decisions are injected.
     injects_wrong_decisions: bool,
     /// Servers that received an attempt.
@@ -61,7 +65,9 @@
 impl World {
     fn new(seed: u64, is_guarded: bool) -> World {
         let class = |repeat| Class { target: 500.0, deadline: 1500.0, late_worth: 0.3, worth: 1.0, repeat };
+        let starts_early = seed % 2 == 1;
         let settings = Settings {
+            starts_early,
             gateways: 1.0,
             classes: vec![class(Repeat::Safe), class(Repeat::Unsafe)],
             max_units: 1.0,
@@ -88,6 +94,7 @@
             whole: HashSet::new(),
             outcomes: OutcomeLog::new(OutcomeLogLimits { retention: 1e9, ..OutcomeLogLimits::default() }),
             is_guarded,
+            starts_early,
             injects_wrong_decisions: true,
             contacted_servers: Vec::new(),
         }
@@ -150,6 +157,14 @@
         }
     }
 
+    /// Lets the server run a request of which it gets a part only, in half of the cases.
+    fn start_early(&mut self, id: RequestId, number: u8, n: u32, ends_in: u64) {
+        if self.starts_early && self.random_below(2) == 0 {
+            let begins = self.random_below(ends_in + 1);
+            self.after(begins, Due::Run(id, number, n));
+        }
+    }
+
     /// Schedules a server's reaction to an attempt.
     fn attempt(&mut self, id: RequestId, number: u8, n: u32) {
         let mut at = 1 + self.random_below(30);
@@ -157,9 +172,16 @@
             at += self.random_below(200);
             match self.random_below(8) {
                 // The body breaks off before it is complete.
-                0 => return self.after(at, Due::End(id, number, n, 5)),
+                0 => {
+                    self.start_early(id, number, n, at);
+                    let end = if self.starts_early { CLIENT_GAVE_UP } else { 5 };
+                    return self.after(at, Due::End(id, number, n, end));
+                }
                 // The body stalls and is abandoned.
-                1 => return self.after(at + 400, Due::End(id, number, n, 3)),
+                1 => {
+                    self.start_early(id, number, n, at);
+                    return self.after(at + 400, Due::End(id, number, n, 3));
+                }
                 _ => self.after(at, Due::Whole(id, number)),
             }
         }
@@ -216,7 +238,7 @@
         let now = self.now as f64;
         match due {
             Due::Run(id, number, n) => {
-                if !self.uploads.contains(&n) || self.whole.contains(&(id, number)) {
+                if self.starts_early || !self.uploads.contains(&n) || self.whole.contains(&(id, number)) {
                     *self.runs.entry(n).or_default() += 1;
                 }
             }
@@ -231,6 +253,7 @@
                     2 => (Outcome::Error, None),
                     3 => (Outcome::Reset, None),
                     4 => (Outcome::Full, None),
+                    CLIENT_GAVE_UP => (Outcome::Cancelled, None),
                     _ => (Outcome::ConnectFailed, None),
                 };
                 self.core.attempt_ended(now, id, number, End { outcome, answer, load: Vec::new() });
--- a/crates/engine/src/ports/upstream.rs
+++ b/crates/engine/src/ports/upstream.rs
@@ -19,6 +19,8 @@
     pub request: Arc<Q>,
     /// Timeout, ms.
     pub span: Millis,
+    /// Whether the server may begin to execute the request before it has received its whole body.
+    pub starts_early: bool,
     /// Whether the server may still receive new requests. Must be checked right before the first byte is sent: a
     /// drain may be reported while the connection is being established.
     pub may_send: Rc<dyn Fn() -> bool>,
@@ -56,7 +58,8 @@
 ///   to another request;
 /// - an answer is returned once it is complete or, if it is longer than [`crate::body::MAX_BUFFERED_BYTES`], once it
 ///   has begun; if it breaks off after that, its body ends with an error and never looks complete;
-/// - a request with a streamed body does not run before [`Progress::Sent`] is reported.
+/// - a request with a streamed body does not run before [`Progress::Sent`] is reported, unless its server starts early:
+///   then the outcome is certain only if no byte was sent, or the server says that the request has not run.
 pub trait Upstream: 'static {
     /// Request that is sent to a server.
     type Request: 'static;
--- a/crates/engine/src/upstreams/http1.rs
+++ b/crates/engine/src/upstreams/http1.rs
@@ -497,20 +497,38 @@
                 let sent = !job.request.body.is_stream() || send_state.sent.get();
                 return receive(shared, job, connection, answer, sent).await;
             }
-            // The client's body failed or its buffer was dropped, which is no fault of the server.
-            Err(_) if send_state.failed.get() => return End::without_answer(Outcome::NotSent),
-            // A partly written stream is an incomplete request, which no server runs.
-            Err(_) if job.request.body.is_stream() && !send_state.sent.get() && connection.wrote.get() => {
-                return End::without_answer(Outcome::ConnectFailed)
+            Err(e) => {
+                let wrote = connection.wrote.get();
+                if !wrote && !fresh && !send_state.failed.get() {
+                    // A pooled connection that closed before the first byte: nothing was sent, so another is tried.
+                    continue;
+                }
+                return End::without_answer(send_failure(job, &send_state, wrote, e.error()));
             }
-            Err(e) if connection.wrote.get() => return End::without_answer(error_outcome(e.error())),
-            // A pooled connection that closed before the first byte: nothing was sent, so another is tried.
-            Err(_) if !fresh => {}
-            Err(_) => return End::without_answer(Outcome::ConnectFailed),
         }
     }
 }
 
+/// Returns the outcome of an attempt whose request could not be sent, or whose connection failed before a response.
+/// `wrote` is set if any byte was written. From the first byte on a server that starts early may run the request; another
+/// one runs it only if it has received it whole.
+fn send_failure(
+    job: &AttemptJob<Forward>,
+    send_state: &SendState,
+    wrote: bool,
+    error: &hyper::Error,
+) -> Outcome {
+    let is_incomplete = job.request.body.is_stream() && !send_state.sent.get();
+    let may_have_run = wrote && (job.starts_early || !is_incomplete);
+    match (send_state.failed.get(), may_have_run) {
+        // The client's body failed or its buffer was dropped, which is no fault of the server.
+        (true, true) => Outcome::Cancelled,
+        (true, false) => Outcome::NotSent,
+        (false, true) => error_outcome(error),
+        (false, false) => Outcome::ConnectFailed,
+    }
+}
+
 fn request<D: Dialect>(
     dialect: &D,
     job: &AttemptJob<Forward>,
--- a/crates/engine/tests/house.rs
+++ b/crates/engine/tests/house.rs
@@ -60,6 +60,7 @@
             address: self.server.address,
             request,
             span: 750.9,
+            starts_early: false,
             may_send: Rc::new(|| true),
             progress: Rc::new(|_| ()),
         };
--- a/crates/engine/tests/once.rs
+++ b/crates/engine/tests/once.rs
@@ -71,6 +71,15 @@
     }
 
     fn post(&self, server: u64, id: &'static str, body: Upload) -> Attempt {
+        self.post_to(server, id, body, false)
+    }
+
+    /// Like [`Rig::post`], to a server that may start before it has the whole request.
+    fn post_early(&self, server: u64, id: &'static str, body: Upload) -> Attempt {
+        self.post_to(server, id, body, true)
+    }
+
+    fn post_to(&self, server: u64, id: &'static str, body: Upload, starts_early: bool) -> Attempt {
         let reported = Rc::<RefCell<Vec<Progress>>>::default();
         let sink = reported.clone();
         let job = AttemptJob {
@@ -79,6 +88,7 @@
             address: self.listener.local_addr().expect("an address"),
             request: Arc::new(forward(id, body)),
             span: 750.0,
+            starts_early,
             may_send: Rc::new(|| true),
             progress: Rc::new(move |p| sink.borrow_mut().push(p)),
         };
@@ -396,6 +406,54 @@
     });
 }
 
+/// Guards against the promise that a request has not run, while a server that had only a part of it is running it (REFUSED,
+/// review case 1).
+#[test]
+fn a_request_to_a_server_that_starts_early_may_have_run_after_its_first_byte() {
+    const START: usize = 200_000;
+    on_local_set(async {
+        for length in [Some(START as u64 + 6), None] {
+            let upload = |coming| Upload::stream(vec![b'x'; START].into(), length, coming);
+            for read_all in [false, true] {
+                let rig = Rig::new().await;
+                let (feed, coming) = body_channel();
+                let attempt = rig.post_early(1, "a", upload(coming));
+                let mut stream = rig.connection().await;
+                read(&mut stream, "\r\n\r\n").await;
+                if read_all {
+                    stream.read_exact(&mut vec![0; START]).await.expect("the start");
+                }
+                reset(stream);
+                let reported = attempt.reported.clone();
+                assert_eq!(attempt.outcome().await, Outcome::Reset, "{length:?}, read all: {read_all}");
+                assert!(!reported.borrow().contains(&Progress::Sent));
+                rig.assert_no_other_connection().await;
+                drop(feed);
+            }
+            // The client's body breaks off, and the server may be running what it has.
+            let rig = Rig::new().await;
+            let (feed, coming) = body_channel();
+            let attempt = rig.post_early(1, "a", upload(coming));
+            let mut stream = rig.connection().await;
+            read(&mut stream, "\r\n\r\n").await;
+            feed.send(Err(BodyError::Left)).await.expect("capacity");
+            rest(&mut stream).await;
+            assert_eq!(attempt.outcome().await, Outcome::Cancelled, "{length:?}");
+            rig.assert_no_other_connection().await;
+        }
+        // A pooled connection that has ended took no byte of it: it is sent on a new one.
+        let rig = Rig::new().await;
+        reset(rig.idle_connection().await);
+        let (feed, coming) = body_channel();
+        let attempt = rig.post_early(1, "a", Upload::stream(vec![b'x'; 3].into(), Some(3), coming));
+        feed.finish();
+        let mut stream = rig.connection().await;
+        read(&mut stream, "xxx").await;
+        write(&mut stream, &valid_answer("a")).await;
+        assert_eq!(attempt.outcome().await, Outcome::Ok);
+    });
+}
+
 #[test]
 fn a_request_may_have_run_only_after_its_last_body_byte() {
     on_local_set(async {
@@ -531,6 +589,48 @@
     setup
 }
 
+/// Submits a request whose body is still arriving when its server, which may start early, ends the connection in this way.
+async fn submit_upload(repeat: Repeat, end: fn(TcpStream)) -> Answer<Response<Body>> {
+    const START: usize = 100_000;
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let clock = Rc::new(SystemClock::new());
+    let client = Http1::with_dialect(TryIdDialect::default(), clock.clone(), CONNECTIONS);
+    let mut setup = once(repeat);
+    setup.settings.starts_early = true;
+    let engine = Engine::new(&setup, clock, client);
+    engine.start();
+    // As in the system's proxies.
+    engine.observe_executions(1000.0, Rc::new(|_, _, _| ()));
+    let member = Member::ready("s-1", listener.local_addr().expect("an address"));
+    fixed::tell(&engine.membership_sink(), vec![member]);
+    let (feed, coming) = body_channel();
+    let upload = Upload::stream(vec![b'x'; START].into(), Some(START as u64 + 1), coming);
+    let request =
+        Request { units: 1.0, spread: 1.0, time_left: 600.0, uploading: true, ..Request::default() };
+    let server = spawn_local(async move {
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        stream.read_exact(&mut vec![0; START]).await.expect("a part");
+        end(stream);
+    });
+    let answer = engine.submit_and_wait(request, forward("a", upload)).await;
+    server.await.expect("the server's end");
+    assert_eq!(engine.prevented_violations(), 0, "the module decided against the guard");
+    drop(feed);
+    answer
+}
+
+/// Guards against a refusal of an order whose server had begun it with a part of its body (REFUSED, review case 1).
+#[test]
+fn an_upload_that_breaks_off_at_a_server_that_starts_early_is_not_refused() {
+    on_local_set(async {
+        let ends: [fn(TcpStream); 2] = [reset, drop];
+        for (repeat, end) in [Repeat::Unsafe, Repeat::Safe].into_iter().flat_map(|r| ends.map(|e| (r, e))) {
+            let answer = submit_upload(repeat, end).await;
+            assert!(matches!(answer, Answer::Failed), "{repeat:?}: {answer:?}");
+        }
+    });
+}
+
 /// Submits a request and returns how often it arrived and the client's answer.
 async fn submit_to(action: ServerAction, repeat: Repeat) -> (usize, Answer<Response<Body>>) {
     let received = Rc::default();
--- a/crates/engine/tests/ports.rs
+++ b/crates/engine/tests/ports.rs
@@ -188,6 +188,7 @@
                 address,
                 request: Arc::new(request),
                 span: 1000.0,
+                starts_early: false,
                 may_send: Rc::new(|| true),
                 progress: Rc::new(|_| ()),
             };
--- a/crates/limiter-core/src/interface.rs
+++ b/crates/limiter-core/src/interface.rs
@@ -143,6 +143,8 @@
     pub max_attempts: u32,
     /// Whether a request may have two concurrent attempts (hedging).
     pub parallel_tries: bool,
+    /// Whether a server may begin to execute a request before it has received its whole body.
+    pub starts_early: bool,
     /// Whether attempts may be cancelled.
     pub cancelling: bool,
     /// Whether servers may be probed.
--- a/crates/limiter-core/src/logic/retries.rs
+++ b/crates/limiter-core/src/logic/retries.rs
@@ -35,7 +35,7 @@
     }
 
     /// Adjusts the outcome of an attempt that ended before its body was complete: it did not count towards
-    /// concurrency, was not executed, and says nothing about the server's speed.
+    /// concurrency, says nothing about the server's speed, and was executed only if servers start early.
     pub(super) fn adjust_early_end(
         &mut self,
         id: RequestId,
@@ -43,13 +43,13 @@
         server: ServerId,
         outcome: Outcome,
     ) -> Outcome {
-        let Some(open) = self.open.get(&id) else { return outcome };
-        if open.attempts.get(usize::from(attempt)).is_none_or(|a| a.whole || !a.live) {
-            return outcome;
-        }
+        let attempt_of = |open: &OpenRequest| open.attempts.get(usize::from(attempt)).copied();
+        let is_early = |open: &&OpenRequest| attempt_of(open).is_some_and(|a| !a.whole && a.live);
+        let Some(open) = self.open.get(&id).filter(is_early) else { return outcome };
         // The common handling of ended attempts subtracts it again.
         self.count_out(open.request.customer, server);
         match outcome {
+            Outcome::Cancelled | Outcome::TimedOut if self.set.starts_early => Outcome::Cancelled,
             Outcome::Cancelled | Outcome::TimedOut => Outcome::NotSent,
             outcome => outcome,
         }
--- a/crates/testkit/src/conformance/upstream.rs
+++ b/crates/testkit/src/conformance/upstream.rs
@@ -51,6 +51,7 @@
             address,
             request,
             span: 1000.0,
+            starts_early: false,
             may_send,
             progress: Rc::new(|_| ()),
         })
@@ -96,7 +97,16 @@
     let (address, request) = test.server(Behaviour::Silent);
     let (server, request) = (ServerId(Behaviour::Silent as u64), Arc::new(request));
     let (name, progress) = ("one".into(), Rc::new(|_| ()));
-    let job = AttemptJob { server, name, address, request, span: 1000.0, may_send: yes, progress };
+    let job = AttemptJob {
+        server,
+        name,
+        address,
+        request,
+        span: 1000.0,
+        starts_early: false,
+        may_send: yes,
+        progress,
+    };
     let mut attempting = Box::pin(test.way().attempt(job));
     tokio::select! {
         end = &mut attempting => panic!("a silent server ended as {:?}", end.outcome),
