Ask the stores for the voters while the known ones give no majority

Cause: follow_voters asked the stores for the present voters only while the view was out of touch, and the view is confirmed through the other registry. A quorum read without a majority returns nothing, so the record that names the three voters was never seen.

Change: QuorumClient notes whether its own last quorum read had a majority; without one the stores are asked, every half a second at most as before.

--- a/crates/registry/src/node.rs
+++ b/crates/registry/src/node.rs
@@ -105,7 +105,7 @@
         self.find_voters(&settings).await;
         let quorum = QuorumClient::new(self.view.clone(), self.register.clone(), settings.ip);
         tokio::task::spawn_local(quorum.clone().refresh_forever());
-        tokio::task::spawn_local(self.clone().follow_voters());
+        tokio::task::spawn_local(self.clone().follow_voters(quorum.clone()));
         let zones = settings.zones.iter().map(|(zone, _)| zone.clone()).collect();
         ControlApi::new(self.view.clone(), quorum, zones, settings.bounds.ttl_max_s)
     }
@@ -127,12 +127,10 @@
 
     /// Follows each core machine that is a seed or a voter. The known voters change with the agreed configuration. While no
     /// majority answers, the seeds in the current settings are asked for the voters.
-    async fn follow_voters(self: Rc<Self>) {
+    async fn follow_voters(self: Rc<Self>, quorum: Rc<QuorumClient>) {
         loop {
             let settings = self.settings.settings();
-            if !self.view.in_touch() {
-                self.register.discover_voters(&store_addresses(&settings), DISCOVERY_TIMEOUT).await;
-            }
+            quorum.rediscover_voters(&store_addresses(&settings)).await;
             let voters: Vec<Ipv4Addr> = self.register.voters().into_iter().filter_map(ipv4).collect();
             let seeds = settings.seeds.iter().map(|seed| *seed.ip());
             self.follow_peers(&settings, seeds.chain(voters.clone()));
--- a/crates/registry/src/quorum_client.rs
+++ b/crates/registry/src/quorum_client.rs
@@ -7,6 +7,7 @@
 use oatbank_config_store::client::{ChangeError, ChosenValue, RegisterClient};
 use oatbank_node_runtime::error_kind::ErrorKind;
 use oatbank_node_runtime::log;
+use std::cell::Cell;
 use std::collections::HashMap;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::rc::Rc;
@@ -16,6 +17,8 @@
 const READ_INTERVAL: Duration = Duration::from_millis(300);
 /// Timeout for reading a newer value from the store.
 const READ_TIMEOUT: Duration = Duration::from_millis(1200);
+/// Timeout for asking the stores for the voters.
+const DISCOVERY_TIMEOUT: Duration = Duration::from_millis(800);
 /// Timeout of a command. The operator then repeats it, at this or another core machine.
 const AGREE_TIMEOUT: Duration = Duration::from_millis(1500);
 
@@ -25,12 +28,14 @@
     register: Rc<RegisterClient>,
     /// This machine's address.
     ip: Ipv4Addr,
+    /// Whether a majority of the voters known here answered the last quorum read.
+    is_answered: Cell<bool>,
 }
 
 impl QuorumClient {
     /// Creates a client that changes and reads `register`, and records the agreed state in `view`.
     pub fn new(view: Rc<ClusterView>, register: Rc<RegisterClient>, ip: Ipv4Addr) -> Rc<Self> {
-        Rc::new(QuorumClient { view, register, ip })
+        Rc::new(QuorumClient { view, register, ip, is_answered: Cell::new(true) })
     }
 
     /// Returns whether there is no other voter.
@@ -133,10 +138,21 @@
         Err(Rejection { kind: ErrorKind::OutcomeUnknown, problem })
     }
 
+    /// Asks the stores at `seeds` and the known voters for the present voters, unless a majority of those known here answers.
+    /// That this process is in touch does not suffice: others may have confirmed its state, while the voters known here have
+    /// been replaced.
+    pub async fn rediscover_voters(&self, seeds: &[SocketAddr]) {
+        if !self.is_answered.get() || !self.view.in_touch() {
+            self.register.discover_voters(seeds, DISCOVERY_TIMEOUT).await;
+        }
+    }
+
     /// Asks a majority once, and reads the newer value if there is one. Returns whether the state known here is now the newest.
     async fn refresh(&self) -> bool {
         let begun_at = self.view.now();
-        let Some(peeked) = self.register.peek().await else { return false };
+        let peeked = self.register.peek().await;
+        self.is_answered.set(peeked.is_some());
+        let Some(peeked) = peeked else { return false };
         if peeked.agreed && peeked.edition <= self.view.edition() {
             self.view.confirm(begun_at, peeked.edition);
             return true;
