--- a/review/outsiders-2/src/cases.rs
+++ b/review/outsiders-2/src/cases.rs
@@ -5,6 +5,7 @@
 use crate::record::Record;
 use crate::servers::{Server, Work};
 use std::collections::{HashMap, HashSet};
+use std::ops::RangeInclusive;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread::{sleep, spawn, JoinHandle};
@@ -16,7 +17,7 @@
         "refused" => refused(trouble, record),
         "starved" => starved(trouble, record),
         "upload" => upload(trouble, record),
-        "silence" => silence(trouble, record),
+        "row" => row(trouble, record),
         "held" => held(trouble, record),
         _ => Err(format!("no such case: {case}")),
     }
@@ -49,9 +50,19 @@
 
 /// Starts the deployment, its servers and its configuration, and waits until it is calm.
 fn start(record: &Arc<Record>, configuration: &str, work: &Work) -> Result<Deployment, String> {
+    start_with(SERVERS, record, configuration, work)
+}
+
+/// As [`start`], with this many servers.
+fn start_with(
+    servers: u8,
+    record: &Arc<Record>,
+    configuration: &str,
+    work: &Work,
+) -> Result<Deployment, String> {
     let deployment = Deployment::start(PROXIES, record)?;
     deployment.configure(configuration)?;
-    for number in 1..=SERVERS {
+    for number in 1..=servers {
         Server::start(&deployment, number, SERVICE, work.clone())?.wait_until_known()?;
     }
     deployment.wait_until_ready()?;
@@ -326,46 +337,84 @@
     Ok(broken)
 }
 
-/// LOST: a server is silent for some seconds in the middle of a long answer.
-fn silence(trouble: bool, record: &Arc<Record>) -> Result<bool, String> {
-    const SILENT: Duration = Duration::from_secs(12);
-    const TIME_LEFT: Duration = Duration::from_secs(25);
-    const HALF: usize = 2 << 20;
-    let works: Works = Arc::default();
-    let at_work = works.clone();
+/// LOST: of two requests behind each other on one connection, the later one's server breaks off its answer. The earlier
+/// one's answer, which its server has given whole, must come whole.
+fn row(trouble: bool, record: &Arc<Record>) -> Result<bool, String> {
+    const CLIENTS: usize = 5 * PROXIES as usize;
+    const TIME_LEFT: Duration = Duration::from_secs(8);
+    const FIRST: usize = 5 << 18;
+    const SECOND: usize = 9 << 17;
+    /// Three of five servers break off one in fifty of their answers.
+    const BREAKS: usize = 50;
+    const GARBLING: RangeInclusive<u8> = 1..=3;
+    const ALL: u8 = 5;
+    /// A client reads 8 MiB a second.
+    const PIECE: usize = 64 << 10;
+    const PAUSE: Duration = Duration::from_millis(8);
+    let whole: Arc<Mutex<HashSet<String>>> = Arc::default();
+    let given = whole.clone();
+    let answers = AtomicUsize::new(0);
+    let broken_off_answers: Arc<AtomicUsize> = Arc::default();
+    let broken = broken_off_answers.clone();
     let work: Work = Arc::new(move |exchange| {
-        let id = exchange.try_id();
         exchange.read_body()?;
-        locked(&at_work).entry(id.clone()).or_default().began = Some(Instant::now());
-        exchange.note(&format!("begins, time left {:?}", exchange.request.header("time-left-ms")));
-        exchange.write_head("200 OK", 2 * HALF)?;
-        exchange.write(&vec![b'a'; HALF])?;
-        if trouble {
-            exchange.note("has written half of its answer and works on");
-            sleep(SILENT);
+        let is_first = exchange.request.path() == "/hall/first";
+        let (length, id) = (if is_first { FIRST } else { SECOND }, exchange.try_id());
+        if trouble && GARBLING.contains(&exchange.server.number) {
+            let due = (answers.fetch_add(1, Ordering::Relaxed) + 1) / BREAKS;
+            // The next one that is the later of its connection, so that the case does not wait for chance.
+            if !is_first && broken.load(Ordering::Relaxed) < due {
+                broken.fetch_add(1, Ordering::Relaxed);
+                exchange.write_head("200 OK", length)?;
+                exchange.write(&[b'b'; 10_000])?;
+                exchange.note("breaks off its answer after 10,000 bytes");
+                return Err(std::io::ErrorKind::BrokenPipe.into());
+            }
+        }
+        let result = exchange.answer("200 OK", &vec![b'a'; length]);
+        if result.is_ok() {
+            locked(&given).insert(id);
         }
-        let result = exchange.write(&vec![b'b'; HALF]);
-        locked(&at_work).entry(id).or_default().ended = Some(Instant::now());
-        exchange.note(&format!("has written the rest: {result:?}"));
         result
     });
-    let deployment = start(record, &configuration("download", 30_000, 8000), &work)?;
+    let deployment = start_with(ALL, record, &configuration("download", 20_000, 4000), &work)?;
     deployment.hang_up_proxies();
-    let threads = (0..2).map(|_| {
+    // Requests that are sent up to `applyMs` (3,000) after the SIGHUP.
+    let until = Instant::now() + Duration::from_millis(2800);
+    let threads = (0..CLIENTS).map(|_| {
         let client = Client::new(&deployment);
         spawn(move || {
-            let wanted = Wanted { method: "GET", path: "/hall/archive", body: b"", time_left: TIME_LEFT };
-            let end = client.send(&wanted);
-            (end, Instant::now())
+            let mut rows = Vec::new();
+            while Instant::now() < until {
+                let paths = ["/hall/first", "/hall/second"];
+                rows.push(client.pipeline_slowly(&paths, TIME_LEFT, PIECE, PAUSE));
+            }
+            rows
         })
     });
-    let ends = join(threads.collect())?;
-    sleep(Duration::from_secs(3));
-    let broken = broken_off(record, &works, &ends, TIME_LEFT);
-    if !broken && !ends.iter().all(|(end, _)| end.whole && end.answer.body.len() == 2 * HALF) {
-        return Err("an answer did not come whole, for another reason".into());
+    let rows: Vec<_> = join(threads.collect())?.into_iter().flatten().collect();
+    let whole = locked(&whole);
+    let mut lost = 0;
+    for (id, part) in rows.iter().filter_map(|row| row.first()) {
+        if part.status == 200 && part.came < part.stated && whole.contains(id) {
+            lost += 1;
+            record.line(&format!(
+                "try {id}: its server gave its answer whole, and its client got {} of {} bytes",
+                part.came, part.stated
+            ));
+        }
     }
-    Ok(broken)
+    let served =
+        rows.iter().flatten().filter(|(_, part)| part.status == 200 && part.came == part.stated).count();
+    let breaks = broken_off_answers.load(Ordering::Relaxed);
+    record.line(&format!(
+        "{breaks} answers were broken off by their servers; {} rows of two requests; {served} answers came whole; of {lost} earlier ones that were whole the end was lost",
+        rows.len()
+    ));
+    if served < rows.len() {
+        return Err("fewer than half of the answers came".into());
+    }
+    Ok(lost > 0)
 }
 
 /// CONFIG: servers take long bodies slowly. Of the requests that are unanswered at their route's `giveUpMs`, at most half
--- a/review/outsiders-2/src/clients.rs
+++ b/review/outsiders-2/src/clients.rs
@@ -1,7 +1,7 @@
 //! Clients as the pages describe them: they ask a directory where to go, and each try carries an id of its own.
 
 use crate::deployment::Deployment;
-use crate::http::{self, Message};
+use crate::http::{self, Message, Part};
 use crate::record::Record;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -127,10 +127,8 @@
         Ended { try_id, status: answer.status(), whole, answer, took }
     }
 
-    /// Sends safe requests for these paths behind each other on one new connection, before the first is answered, and waits
-    /// until its own deadline. Returns which were answered with success by then.
-    pub fn pipeline(&self, paths: &[&str], time_left: Duration) -> Vec<bool> {
-        let Some(to) = self.look_up() else { return vec![false; paths.len()] };
+    /// The heads of safe requests for these paths, with the ids of their tries. They are noted as sent to `to`.
+    fn heads(&self, paths: &[&str], time_left: Duration, to: SocketAddr) -> (Vec<String>, Vec<String>) {
         let mut ids = Vec::new();
         let heads: Vec<String> = paths
             .iter()
@@ -151,6 +149,14 @@
             ids.len(),
             time_left.as_millis()
         ));
+        (ids, heads)
+    }
+
+    /// Sends safe requests for these paths behind each other on one new connection, before the first is answered, and waits
+    /// until its own deadline. Returns which were answered with success by then.
+    pub fn pipeline(&self, paths: &[&str], time_left: Duration) -> Vec<bool> {
+        let Some(to) = self.look_up() else { return vec![false; paths.len()] };
+        let (ids, heads) = self.heads(paths, time_left, to);
         let answers = http::pipeline(to, &heads, time_left).unwrap_or_default();
         for (id, (answer, at)) in ids.iter().zip(&answers) {
             self.record.line(&format!(
@@ -167,4 +173,27 @@
         }
         (0..ids.len()).map(|at| answers.get(at).is_some_and(|(answer, _)| answer.status() == 200)).collect()
     }
+
+    /// As [`Client::pipeline`], reading the answers `piece` bytes at a time with a pause after each. Returns the id of each try
+    /// with what came of its answer.
+    pub fn pipeline_slowly(
+        &self,
+        paths: &[&str],
+        time_left: Duration,
+        piece: usize,
+        pause: Duration,
+    ) -> Vec<(String, Part)> {
+        let Some(to) = self.look_up() else { return Vec::new() };
+        let (ids, heads) = self.heads(paths, time_left, to);
+        let parts = http::pipeline_slowly(to, &heads, time_left, piece, pause).unwrap_or_default();
+        let parts = parts.into_iter().chain(std::iter::repeat(Part::default()));
+        let ends: Vec<(String, Part)> = ids.into_iter().zip(parts).collect();
+        for (id, part) in &ends {
+            self.record.line(&format!(
+                "client: try {id}: status {}, {} of {} bytes came",
+                part.status, part.came, part.stated
+            ));
+        }
+        ends
+    }
 }
--- a/review/outsiders-2/src/http.rs
+++ b/review/outsiders-2/src/http.rs
@@ -118,6 +118,49 @@
     Ok(answers)
 }
 
+/// How much of one answer came.
+#[derive(Clone, Debug, Default)]
+pub struct Part {
+    pub status: u16,
+    pub stated: usize,
+    pub came: usize,
+}
+
+/// Sends several requests without bodies at once on a connection of their own, and reads their answers, which state their
+/// lengths, `piece` bytes at a time with a pause after each. Returns what came of each answer that began.
+pub fn pipeline_slowly(
+    to: SocketAddr,
+    heads: &[String],
+    within: Duration,
+    piece: usize,
+    pause: Duration,
+) -> io::Result<Vec<Part>> {
+    let mut stream = TcpStream::connect_timeout(&to, Duration::from_secs(1))?;
+    stream.set_nodelay(true)?;
+    stream.set_read_timeout(Some(within))?;
+    stream.write_all(heads.concat().as_bytes())?;
+    let mut reader = BufReader::with_capacity(8 * 1024, stream);
+    let (mut parts, mut buffer) = (Vec::new(), vec![0; piece]);
+    while parts.len() < heads.len() {
+        let Ok(Some(answer)) = read_head(&mut reader) else { break };
+        let mut part = Part { status: answer.status(), stated: answer.length().unwrap_or(0), came: 0 };
+        while part.came < part.stated {
+            let wanted = piece.min(part.stated - part.came);
+            match reader.read(&mut buffer[..wanted]) {
+                Ok(read @ 1..) => part.came += read,
+                _ => break,
+            }
+            std::thread::sleep(pause.mul_f64(wanted as f64 / piece as f64));
+        }
+        let is_whole = part.came == part.stated;
+        parts.push(part);
+        if !is_whole {
+            break;
+        }
+    }
+    Ok(parts)
+}
+
 /// Sends one request on a connection of its own and reads the whole answer. Errors hold what had arrived.
 pub fn call(
     to: SocketAddr,
--- a/review/outsiders-2/src/servers.rs
+++ b/review/outsiders-2/src/servers.rs
@@ -103,6 +103,7 @@
 /// One life of a server.
 pub struct Server {
     pub id: String,
+    pub number: u8,
     service: String,
     address: SocketAddr,
     record: Arc<Record>,
@@ -123,6 +124,7 @@
         let listener = TcpListener::bind(address).map_err(|error| format!("{address}: {error}"))?;
         let server = Arc::new(Server {
             id: format!("i-{:x}{number}", std::process::id()),
+            number,
             service: service.to_owned(),
             address,
             record: deployment.record.clone(),
