A server's own 408, 429 or 503 is no promise to who sent what runs once

Cause: a status means different things on the two sides of the proxy. From a server only Not-Run and 421 say that a request has not run; to a client 408, 421, 429 and 503 say so by themselves. The guard of promises looked at the proxy's own answers only; a server's failure was passed on whatever its status. Evidence: the 503 has the server's body, comes when the run ends, and the try ran at one server, once. Ruled out: that the proxy takes it for "full" and refuses in its own words, or sends the booking on.

Change: the dialect marks an answer whose status is a promise to clients, and the engine passes such a failure on only where the state of the attempts permits a promise. What runs once gets 502 "may have run" and no second server; what may be repeated gets the server's answer unchanged. 408 with Not-Run counts as not run, as 429 and 503 do. On the wire and on disk nothing changes.

--- a/crates/attempt-state/src/attempt.rs
+++ b/crates/attempt-state/src/attempt.rs
@@ -62,7 +62,7 @@
 /// The kind of answer that the client receives.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ClientAnswer {
-    /// The answer of a server.
+    /// The answer of a server. Its status must not assert more than [`RequestAttempts::permits_rejection`] allows.
     Served,
     /// An assertion that the request has not run and never will.
     Rejected,
@@ -224,12 +224,22 @@
         };
     }
 
+    /// Whether the request may have run, or may still run.
+    pub fn is_in_doubt(&self) -> bool {
+        self.may_have_run() || self.is_in_flight()
+    }
+
+    /// Whether the client may be told that the request has not run and never will, in the proxy's own words or in a
+    /// server's.
+    pub fn permits_rejection(&self) -> bool {
+        !(self.is_at_most_once() && self.is_in_doubt())
+    }
+
     /// Ends the request with an answer to the client, and is to be called once. Returns the permitted answer, and the
     /// violation if it differs from `answer`.
     pub fn answer_client(&mut self, answer: ClientAnswer) -> (ClientAnswer, Option<InvariantViolation>) {
         self.is_answered = true;
-        let in_doubt = self.may_have_run() || self.is_in_flight();
-        if answer == ClientAnswer::Rejected && self.is_at_most_once() && in_doubt {
+        if answer == ClientAnswer::Rejected && !self.permits_rejection() {
             return (ClientAnswer::Failed, Some(InvariantViolation::FalsePromise));
         }
         (answer, None)
--- a/crates/attempt-state/src/attempt/tests.rs
+++ b/crates/attempt-state/src/attempt/tests.rs
@@ -37,6 +37,7 @@
         assert_eq!(attempts.state(), state, "{end:?}: the first end counts");
         let second = attempts.begin();
         assert_eq!(attempts.clone().send(second, true).is_ok(), may_retry, "{end:?}");
+        assert_eq!(attempts.permits_rejection(), may_retry, "{end:?}: in a server's words");
         let answered = attempts.answer_client(ClientAnswer::Rejected);
         let expected = if may_retry {
             (ClientAnswer::Rejected, None)
@@ -93,5 +94,6 @@
     for attempt in 0..3 {
         assert_eq!((attempts.begin(), attempts.send(attempt, true)), (attempt, Ok(())));
     }
+    assert!(attempts.is_in_doubt() && attempts.permits_rejection());
     assert_eq!(attempts.answer_client(ClientAnswer::Rejected), (ClientAnswer::Rejected, None));
 }
--- a/crates/engine/src/direct.rs
+++ b/crates/engine/src/direct.rs
@@ -130,7 +130,10 @@
 
     fn report(&mut self, outcome: Outcome) {
         if let Some(shared) = self.shared.take() {
-            let end = End { outcome, answer: (outcome == Outcome::Ok).then_some(()), load: Vec::new() };
+            let end = match outcome {
+                Outcome::Ok => End::with_answer(outcome, ()),
+                _ => End::without_answer(outcome),
+            };
             shared.change(|core, now| core.attempt_ended(now, self.id, self.number, end));
         }
     }
--- a/crates/engine/src/engine/core.rs
+++ b/crates/engine/src/engine/core.rs
@@ -364,7 +364,7 @@
             Answer::Refused(_) => ClientAnswer::Rejected,
             Answer::Failed | Answer::TimedOut => ClientAnswer::Failed,
         };
-        let certain = !entry.execution.may_have_run() && !entry.execution.is_in_flight();
+        let certain = !entry.execution.is_in_doubt();
         let (_, violation) = entry.execution.answer_client(client_answer);
         let (request, once) = (entry.request.clone(), entry.execution.is_at_most_once());
         if let Some(violation) = violation {
@@ -495,7 +495,10 @@
             }
             (Outcome::Error, Some(answer)) => {
                 if let Some(entry) = self.requests.get_mut(id).filter(|entry| !entry.is_answered()) {
-                    entry.error_answer = Some(answer);
+                    // Clients hold the proxy to a server's status as to its own.
+                    if !end.asserts_not_run || entry.execution.permits_rejection() {
+                        entry.error_answer = Some(answer);
+                    }
                 }
             }
             _ => {}
--- a/crates/engine/src/engine/schedule_tests.rs
+++ b/crates/engine/src/engine/schedule_tests.rs
@@ -20,6 +20,8 @@
 const AT_MOST_ONCE_CLASS: ClassId = ClassId(1);
 /// End of an attempt whose client's body broke off, at a server that may have begun it.
 const CLIENT_GAVE_UP: u8 = 8;
+/// End of an attempt that ran, with an answer whose status tells clients that it has not run.
+const FALSE_PROMISE: u8 = 9;
 
 /// A scheduled event.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -28,7 +30,8 @@
     Run(RequestId, u8, u32),
     /// The last byte of a body is written.
     Whole(RequestId, u8),
-    /// The end of an attempt: 0 success, 1 failure, 2 corrupt answer, 3 reset, 4 full, 5 no connection, or [`CLIENT_GAVE_UP`].
+    /// The end of an attempt: 0 success, 1 failure, 2 corrupt answer, 3 reset, 4 full, 5 no connection, [`CLIENT_GAVE_UP`]
+    /// or [`FALSE_PROMISE`].
     End(RequestId, u8, u32, u8),
     Arrive(u32),
     Gone(RequestId),
@@ -196,6 +199,7 @@
             6 => 5,
             7 => 6,
             8 => 7,
+            9 => FALSE_PROMISE,
             _ => 0,
         };
         if !matches!(end, 4 | 5 | 7) {
@@ -249,14 +253,20 @@
             Due::End(id, number, n, end) if !self.cancelled.contains(&(id, number)) => {
                 let (outcome, answer) = match end {
                     0 => (Outcome::Ok, Some((n, end))),
-                    1 => (Outcome::Error, Some((n, end))),
+                    1 | FALSE_PROMISE => (Outcome::Error, Some((n, end))),
                     2 => (Outcome::Error, None),
                     3 => (Outcome::Reset, None),
                     4 => (Outcome::Full, None),
                     CLIENT_GAVE_UP => (Outcome::Cancelled, None),
                     _ => (Outcome::ConnectFailed, None),
                 };
-                self.core.attempt_ended(now, id, number, End { outcome, answer, load: Vec::new() });
+                let asserts_not_run = end == FALSE_PROMISE;
+                self.core.attempt_ended(
+                    now,
+                    id,
+                    number,
+                    End { outcome, answer, asserts_not_run, load: Vec::new() },
+                );
             }
             Due::Whole(..) | Due::End(..) => {}
             Due::Arrive(n) => self.arrive(n),
@@ -336,6 +346,9 @@
             if matches!(answers.first(), Some(Answer::Refused(_))) && runs > 0 {
                 report("refused after an execution");
             }
+            if matches!(answers.first(), Some(Answer::Served((_, FALSE_PROMISE)))) && runs > 0 {
+                report("passed on a server's false promise");
+            }
             let outcome = self.outcomes.get(self.now as f64, &n.to_string()).map(|k| k.outcome);
             let true_fate = match outcome {
                 None => runs == 0,
@@ -395,7 +408,7 @@
 #[test]
 fn without_the_guard_the_checker_finds_double_runs_and_wrong_refusals() {
     let found: Vec<String> = (0..200).flat_map(|seed| run_schedule(seed, false).0).collect();
-    for what in ["ran twice", "refused after an execution"] {
+    for what in ["ran twice", "refused after an execution", "passed on a server's false promise"] {
         assert!(found.iter().filter(|w| w.contains(what)).count() > 10, "{what}: {}", found.len());
     }
 }
--- a/crates/engine/src/ports/upstream.rs
+++ b/crates/engine/src/ports/upstream.rs
@@ -35,6 +35,9 @@
     /// The server's answer. With [`Outcome::Error`] it is passed to the client if no attempt succeeds; with outcomes
     /// other than that and [`Outcome::Ok`] it is ignored.
     pub answer: Option<A>,
+    /// Whether the status of `answer` asserts to clients that the request has not run and never will. With
+    /// [`Outcome::Error`] the server has not said so, and the request may have run.
+    pub asserts_not_run: bool,
     /// The server's load report in the order of the settings; empty without one.
     pub load: Vec<f64>,
 }
@@ -42,7 +45,12 @@
 impl<A> End<A> {
     /// An end without an answer.
     pub fn without_answer(outcome: Outcome) -> Self {
-        End { outcome, answer: None, load: Vec::new() }
+        End { outcome, answer: None, asserts_not_run: false, load: Vec::new() }
+    }
+
+    /// An end with an answer whose status asserts nothing about the execution.
+    pub fn with_answer(outcome: Outcome, answer: A) -> Self {
+        End { answer: Some(answer), ..End::without_answer(outcome) }
     }
 }
 
--- a/crates/engine/src/upstreams/http1.rs
+++ b/crates/engine/src/upstreams/http1.rs
@@ -104,6 +104,8 @@
     /// Whether the response may be passed to the client. With [`Outcome::Error`] it is used only if no attempt gives a
     /// better one.
     pub given: bool,
+    /// Whether clients take the status as an assertion that the request has not run and never will.
+    pub asserts_not_run: bool,
     /// Whether the response has no body by its method or status, whatever its length headers say.
     pub bodiless: bool,
     /// The server's idle timeout, ms, if it states one.
@@ -113,7 +115,14 @@
 impl Verdict {
     /// A usable response with a body, passed to the client if `outcome` is [`Outcome::Ok`].
     pub fn new(outcome: Outcome) -> Self {
-        Verdict { outcome, unusable: false, given: outcome == Outcome::Ok, bodiless: false, keeps: None }
+        Verdict {
+            outcome,
+            unusable: false,
+            given: outcome == Outcome::Ok,
+            asserts_not_run: false,
+            bodiless: false,
+            keeps: None,
+        }
     }
 
     /// An unusable response.
@@ -619,7 +628,7 @@
     let permit = shared.body_budget.acquire_buffered(body.size_hint().exact(), most).await;
     let held = match buffer_body(&mut body, most).await {
         Ok(held) => held,
-        Err(e) => return End { outcome: error_outcome(&e), answer: None, load },
+        Err(e) => return End { load, ..End::without_answer(error_outcome(&e)) },
     };
 
     // If the response came before the request was sent completely, the rest of the request still follows, so the
@@ -638,7 +647,7 @@
             Body::held(bytes, permit)
         }
         BufferedBody::Start(_) if verdict.outcome != Outcome::Ok => {
-            return End { outcome: Outcome::Error, answer: None, load }
+            return End { load, ..End::without_answer(Outcome::Error) }
         }
         BufferedBody::Start(held) => {
             let length = body.size_hint().exact().map(|left| left + held.len() as u64);
@@ -648,7 +657,7 @@
         }
     };
     let answer = verdict.given.then(|| dialect.answer(head, body));
-    End { outcome: verdict.outcome, answer, load }
+    End { outcome: verdict.outcome, answer, asserts_not_run: verdict.asserts_not_run, load }
 }
 
 /// The buffered part of a response body: all of a short one, or the start of a long one.
--- a/crates/engine/src/upstreams/inprocess.rs
+++ b/crates/engine/src/upstreams/inprocess.rs
@@ -64,7 +64,10 @@
             }
             // Not a reset: a request dropped by the application does not mean that the handler is gone.
             let outcome = ended.await.unwrap_or(Outcome::Cancelled);
-            End { outcome, answer: (outcome == Outcome::Ok).then_some(()), load: Vec::new() }
+            match outcome {
+                Outcome::Ok => End::with_answer(outcome, ()),
+                _ => End::without_answer(outcome),
+            }
         })
     }
 }
--- a/crates/engine/src/upstreams/try_id.rs
+++ b/crates/engine/src/upstreams/try_id.rs
@@ -3,11 +3,15 @@
 //! | response | outcome |
 //! | --- | --- |
 //! | without the try's id, or with another | the connection is out of sync: reset, closed, passed to no client |
-//! | 400, 429 or 503 with the not-run header | full: the request has not run |
+//! | 400, 408, 429 or 503 with the not-run header | full: the request has not run |
 //! | 421 | connect failure: another server has the address, the request has not run |
 //! | with a content coding, or a success without the seal | unusable: an error, closed |
 //! | a success with the seal | passed to the client |
 //! | any other | an error; passed to the client if no attempt gives a better response |
+//!
+//! The same status means different things on the two sides of the proxy. From a server, only the header and 421 say that
+//! the request has not run. To a client, 408, 421, 429 and 503 say so by themselves. Without the header, such a response
+//! is therefore marked as [`Verdict::asserts_not_run`], and is not passed to the client of an at-most-once request.
 
 use super::http1::{Dialect, Forward, Verdict};
 use crate::body::Body;
@@ -92,12 +96,9 @@
     fn outcome(&self, head: &Parts) -> Outcome {
         let not_run = head.headers.contains_key(&self.names.not_run);
         match head.status {
-            StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS | StatusCode::BAD_REQUEST
-                if not_run =>
-            {
-                Outcome::Full
-            }
             StatusCode::MISDIRECTED_REQUEST => Outcome::ConnectFailed,
+            StatusCode::BAD_REQUEST if not_run => Outcome::Full,
+            status if not_run && asserts_not_run(status) => Outcome::Full,
             status if status.is_success() => Outcome::Ok,
             _ => Outcome::Error,
         }
@@ -142,7 +143,13 @@
         let bodiless = job.request.method == Method::HEAD
             || matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
         let given = matches!(outcome, Outcome::Ok | Outcome::Error);
-        Verdict { given, bodiless, keeps: keep_alive_timeout(&head.headers), ..Verdict::new(outcome) }
+        Verdict {
+            given,
+            asserts_not_run: asserts_not_run(head.status),
+            bodiless,
+            keeps: keep_alive_timeout(&head.headers),
+            ..Verdict::new(outcome)
+        }
     }
 
     fn answer(&self, mut head: Parts, body: Body) -> Response<Body> {
@@ -170,6 +177,17 @@
     }
 }
 
+/// Whether clients take this status as an assertion that the request has not run and never will.
+fn asserts_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 /// Parses the server's idle timeout, ms, from `Keep-Alive`; `None` if it states none, 0 if the value is invalid.
 fn keep_alive_timeout(headers: &HeaderMap) -> Option<Millis> {
     let values = headers.get_all(&KEEP_ALIVE).iter().filter_map(|v| v.to_str().ok());
--- a/crates/engine/tests/once.rs
+++ b/crates/engine/tests/once.rs
@@ -536,6 +536,10 @@
     End,
     /// Answers with this status and these headers.
     Answers(&'static str, &'static str),
+    /// Answers with this status and a body that is longer than the client buffers.
+    AnswersAtLength(&'static str),
+    /// Answers with this status and a body that ends with its connection.
+    AnswersWithoutLength(&'static str),
     /// Answers with a body that is shorter than announced.
     Cut,
     Malformed,
@@ -565,6 +569,16 @@
                     ServerAction::Answers(status, headers) => {
                         format!("HTTP/1.1 {status}\r\nTry-Id: a\r\n{headers}Content-Length: 0\r\n\r\n")
                     }
+                    ServerAction::AnswersAtLength(status) => {
+                        let length = TryIdDialect::default().held + 1;
+                        let head =
+                            format!("HTTP/1.1 {status}\r\nTry-Id: a\r\nContent-Length: {length}\r\n\r\n");
+                        head + &"x".repeat(length)
+                    }
+                    ServerAction::AnswersWithoutLength(status) => {
+                        write(&mut stream, &format!("HTTP/1.1 {status}\r\nTry-Id: a\r\n\r\nwords")).await;
+                        continue;
+                    }
                     ServerAction::Cut => {
                         let text =
                             "HTTP/1.1 200 OK\r\nTry-Id: a\r\nServer-Seal: s\r\nContent-Length: 9\r\n\r\nw";
@@ -575,7 +589,8 @@
                     ServerAction::WrongTryId => valid_answer("another"),
                     ServerAction::Nothing => String::new(),
                 };
-                write(&mut stream, &text).await;
+                // The client may close the connection before it has read a long answer.
+                let _ = stream.write_all(text.as_bytes()).await;
                 open.push(stream);
             }
         });
@@ -589,8 +604,8 @@
     setup
 }
 
-/// Submits a request whose body is still arriving when its server, which may start early, ends the connection in this way.
-async fn submit_upload(repeat: Repeat, end: fn(TcpStream)) -> Answer<Response<Body>> {
+/// Submits a request whose body is still arriving when its server, which may start early, reacts to a part of it.
+async fn submit_upload(repeat: Repeat, react: impl FnOnce(TcpStream) + 'static) -> Answer<Response<Body>> {
     const START: usize = 100_000;
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let clock = Rc::new(SystemClock::new());
@@ -610,7 +625,7 @@
     let server = spawn_local(async move {
         let (mut stream, _) = listener.accept().await.expect("a connection");
         stream.read_exact(&mut vec![0; START]).await.expect("a part");
-        end(stream);
+        react(stream);
     });
     let answer = engine.submit_and_wait(request, forward("a", upload)).await;
     server.await.expect("the server's end");
@@ -680,3 +695,81 @@
         assert_eq!(submit_to(ServerAction::Reset, Repeat::Safe).await.0, 2);
     });
 }
+
+/// Failures whose status tells clients that the request has not run and never will.
+const PROMISES: [&str; 3] = ["408 Request Timeout", "429 Too Many Requests", "503 Service Unavailable"];
+/// Failures whose status leaves open whether the request ran, or says that it did.
+const OTHER_FAILURES: [&str; 4] = ["400 Bad Request", "404 Not Found", "500 Failed", "504 Late"];
+
+/// The status of a server's answer that was passed on; `None` if the client got an answer of the engine's own.
+fn served_status(answer: &Answer<Response<Body>>) -> Option<u16> {
+    match answer {
+        Answer::Served(response) => Some(response.status().as_u16()),
+        _ => None,
+    }
+}
+
+fn code(status: &str) -> Option<u16> {
+    status.split(' ').next()?.parse().ok()
+}
+
+/// Guards against a server's own 408, 429 or 503 becoming a false promise to the client of a request that ran (REFUSED,
+/// review case 4).
+#[test]
+fn a_servers_failure_is_no_promise_to_the_client_of_an_at_most_once_request() {
+    on_local_set(async {
+        for status in PROMISES {
+            for action in [
+                ServerAction::Answers(status, "Retry-After: 1\r\n"),
+                ServerAction::AnswersAtLength(status),
+                ServerAction::AnswersWithoutLength(status),
+            ] {
+                let (received, answer) = submit_to(action, Repeat::Unsafe).await;
+                assert_eq!(received, 1, "{action:?}: it may have run at the first server");
+                assert!(matches!(answer, Answer::Failed), "{action:?}: {answer:?}");
+            }
+            let (received, answer) =
+                submit_to(ServerAction::Answers(status, "Not-Run: 1\r\n"), Repeat::Unsafe).await;
+            assert_eq!(received, 2, "{status}: the first server says that the request has not run");
+            assert!(matches!(answer, Answer::Refused(_)), "{status}: {answer:?}");
+        }
+    });
+}
+
+#[test]
+fn a_servers_failure_is_passed_on_unchanged_if_it_promises_nothing_or_the_request_may_be_repeated() {
+    on_local_set(async {
+        for status in OTHER_FAILURES {
+            for repeat in [Repeat::Unsafe, Repeat::Safe] {
+                let (_, answer) = submit_to(ServerAction::Answers(status, ""), repeat).await;
+                assert_eq!(served_status(&answer), code(status), "{repeat:?}: {answer:?}");
+            }
+        }
+        for status in PROMISES {
+            for action in [ServerAction::Answers(status, ""), ServerAction::AnswersWithoutLength(status)] {
+                let (_, answer) = submit_to(action, Repeat::Safe).await;
+                assert_eq!(served_status(&answer), code(status), "{action:?}: {answer:?}");
+            }
+        }
+    });
+}
+
+/// Guards against the same false promise while the body of the request is still arriving (REFUSED, review case 4).
+#[test]
+fn an_early_failure_is_no_promise_to_the_client_of_an_at_most_once_upload() {
+    on_local_set(async {
+        for status in PROMISES.into_iter().chain(OTHER_FAILURES) {
+            let answer_early = move |mut stream: TcpStream| {
+                spawn_local(async move {
+                    let text = format!("HTTP/1.1 {status}\r\nTry-Id: a\r\nContent-Length: 0\r\n\r\n");
+                    write(&mut stream, &text).await;
+                    rest(&mut stream).await;
+                });
+            };
+            let answer = submit_upload(Repeat::Unsafe, answer_early).await;
+            let passed_on = code(status).filter(|_| OTHER_FAILURES.contains(&status));
+            assert_eq!(served_status(&answer), passed_on, "{status}: {answer:?}");
+            assert!(passed_on.is_some() || matches!(answer, Answer::Failed), "{status}: {answer:?}");
+        }
+    });
+}
--- a/crates/local-cluster/src/server.rs
+++ b/crates/local-cluster/src/server.rs
@@ -57,6 +57,8 @@
     Slow,
     /// Runs the request and answers 500, or resets the connection in a third of the cases.
     Fails,
+    /// Runs the request and answers with this status of its own, without `Not-Run`.
+    FailsWith(u16),
     /// Neither runs nor answers requests, as if the link were cut. Their connections are closed when this behaviour ends.
     Unreachable,
 }
@@ -501,6 +503,7 @@
             return false;
         }
         Behaviour::Fails => text("500 Internal Server Error", try_id, "", b"failed"),
+        Behaviour::FailsWith(status) => text(&format!("{status} Failed"), try_id, "", b"failed"),
         Behaviour::Cut => {
             let _ = connection.send(&whole[..whole.len() - body.len() / 2]);
             return false;
--- a/crates/local-cluster/src/soak/mod.rs
+++ b/crates/local-cluster/src/soak/mod.rs
@@ -37,6 +37,8 @@
 const QUOTA_WINDOW: Duration = Duration::from_secs(5);
 const QUOTA_OVER: f64 = 0.1;
 const QUOTA_SLACK: f64 = 20.0;
+/// Statuses with which servers fail requests that they have run.
+const FAILURES: [u16; 4] = [503, 429, 408, 500];
 /// Delay between the SIGTERMs of a rolling restart.
 const SERIES_GAP: Duration = Duration::from_millis(200);
 /// Number of concurrent clients without a quota.
@@ -186,6 +188,10 @@
             Fault::CutServer => behave(server, Behaviour::Unreachable, step.lasts),
             Fault::LoseAnswers => behave(server, Behaviour::RunThenReset, step.lasts),
             Fault::SlowServer => behave(server, Behaviour::Slow, step.lasts),
+            Fault::FailRequests => {
+                let status = FAILURES[step.target % FAILURES.len()];
+                behave(server, Behaviour::FailsWith(status), step.lasts);
+            }
             Fault::ChangeConfiguration => self.change_configuration(),
         }
         Ok(())
--- a/crates/local-cluster/src/soak/schedule.rs
+++ b/crates/local-cluster/src/soak/schedule.rs
@@ -57,18 +57,22 @@
     LoseAnswers,
     /// Makes a server slow.
     SlowServer,
+    /// Makes a server run requests and answer with a failure of its own, whose status it would also use for a request that
+    /// it has not run.
+    FailRequests,
     /// Changes the configuration.
     ChangeConfiguration,
 }
 
 /// Groups of faults. Faults of different groups may overlap; those of one group run in sequence, so that the core never
 /// loses more machines at once than the cluster tolerates. Any number of proxies may be lost at once.
-pub const GROUPS: [&[Fault]; 5] = [
+pub const GROUPS: [&[Fault]; 6] = [
     &[Fault::KillProxy, Fault::EndProxy, Fault::EndProxy, Fault::FreezeProxy, Fault::ReloadProxy],
     &[Fault::KillCore, Fault::FreezeCore],
     &[Fault::CutServer, Fault::LoseAnswers, Fault::SlowServer],
     &[Fault::ChangeConfiguration],
     &[Fault::KillProxies, Fault::KillProxies, Fault::RollProxies, Fault::FreezeProxies],
+    &[Fault::FailRequests],
 ];
 
 /// One step of a schedule.
--- a/crates/local-cluster/tests/answers.rs
+++ b/crates/local-cluster/tests/answers.rs
@@ -74,6 +74,55 @@
     assert!(seen.iter().all(|s| s.what.0 == "POST" && s.what.2 == b"words"), "a request arrived altered");
 }
 
+/// Guards against bookings that are made twice, because a server's own 408, 429 or 503 reached the client as a promise that
+/// the booking had not run (REFUSED, review case 4).
+#[test]
+fn a_failure_after_the_run_reaches_the_client_as_no_promise() {
+    const PROMISES: [u16; 3] = [408, 429, 503];
+    const OTHERS: [u16; 3] = [404, 500, 504];
+    let service = |status: u16| format!("fails-{status}");
+    let (mut configuration, mut services) = (TestConfiguration::new(HOST), Vec::new());
+    for status in PROMISES.into_iter().chain(OTHERS) {
+        let service = service(status);
+        configuration = configuration.route(&format!("/unsafe/{status}/"), "unsafe", &service);
+        configuration = configuration.route(&format!("/safe/{status}/"), "safe", &service);
+        services.extend([service.clone(), service]);
+    }
+    let services: Vec<&str> = services.iter().map(String::as_str).collect();
+    let system = System::serving(plan(), configuration, &services);
+    for status in PROMISES.into_iter().chain(OTHERS) {
+        system.of(&service(status)).iter().for_each(|s| s.set_behaviour(Behaviour::FailsWith(status)));
+    }
+    for (nth, front) in system.cluster.fronts().into_iter().cycle().take(6).enumerate() {
+        for status in PROMISES.into_iter().chain(OTHERS) {
+            let booking =
+                try_at(front, &ClientRequest::post(HOST, &format!("/unsafe/{status}/{nth}"), "words"));
+            let text = String::from_utf8_lossy(&booking.got.as_ref().unwrap().body).into_owned();
+            match system.runs(&booking) {
+                // The proxy refused it without sending it, as the servers had failed too often.
+                0 => assert!(booking.is_promise(), "{status}: {booking:?}"),
+                1 if PROMISES.contains(&status) => {
+                    assert!(
+                        booking.status() == 502 && text.contains("may have run"),
+                        "{status}: {booking:?}"
+                    );
+                }
+                1 => assert_eq!((booking.status(), &*text), (status, "failed"), "{booking:?}"),
+                more => panic!("{status}: ran {more} times: {booking:?}"),
+            }
+            let query = try_at(front, &ClientRequest::get(HOST, &format!("/safe/{status}/{nth}")));
+            assert!(system.runs(&query) == 0 || query.status() == status, "{status}: {query:?}");
+        }
+    }
+    for status in PROMISES.into_iter().chain(OTHERS) {
+        let ran = |method: &str| {
+            let servers = system.of(&service(status));
+            servers.iter().any(|server| server.seen().iter().any(|seen| seen.ran && seen.what.0 == method))
+        };
+        assert!(ran("POST") && ran("GET"), "{status}: no request of each kind has run");
+    }
+}
+
 #[test]
 fn no_success_is_corrupt_or_belongs_to_another_request() {
     let behaviours = [
