Local cluster: a folder that a failed test has left is not used again

Cause: a cluster's folder was named after the process and its address range. A failed test keeps its folder for diagnosis and frees the range, so the next cluster of the process got both. One failure then brought on others.

Change: each cluster makes a folder that did not exist. Test: a_cluster_does_not_use_the_folder_that_another_one_has_left, which fails without the change.

--- a/crates/local-cluster/src/cluster.rs
+++ b/crates/local-cluster/src/cluster.rs
@@ -155,6 +155,24 @@
     drawn.find(free).ok_or_else(|| ClusterError::NoRoom("no range of consecutive free ports".into()))
 }
 
+/// Creates an empty folder for a cluster. A folder that another cluster has left behind is not used again: its stores would
+/// go on with the voters, and so the addresses, of that cluster.
+fn create_folder() -> Result<PathBuf, ClusterError> {
+    let mut number = 0;
+    loop {
+        number += 1;
+        let name = format!("oatbank-local-cluster-{}-{number}", std::process::id());
+        let folder = std::env::temp_dir().join(name);
+        match fs::create_dir(&folder) {
+            Err(error) if error.kind() == std::io::ErrorKind::AlreadyExists => {}
+            created => {
+                created.map_err(ClusterError::io(folder.display().to_string()))?;
+                return Ok(folder);
+            }
+        }
+    }
+}
+
 impl LocalCluster {
     /// Writes all settings files and starts all programs with empty data folders.
     ///
@@ -164,8 +182,7 @@
         let programs = crate::programs::folder()?;
         let (net, guard) = reserve_addresses()?;
         let first_port = find_free_ports()?;
-        let folder = std::env::temp_dir().join(format!("oatbank-local-cluster-{}-{net}", std::process::id()));
-        fs::create_dir_all(&folder).map_err(ClusterError::io(folder.display().to_string()))?;
+        let folder = create_folder()?;
         let machine = |at: usize| {
             let core = at < plan.cores;
             let nth = if core { at } else { at - plan.cores };
--- a/crates/local-cluster/tests/program.rs
+++ b/crates/local-cluster/tests/program.rs
@@ -1,5 +1,6 @@
 //! Tests of the command line, and of a rule for the programs' sources.
 
+use oatbank_local_cluster::cluster::{LocalCluster, Plan};
 use std::path::Path;
 use std::process::Command;
 
@@ -47,3 +48,16 @@
     }
     assert!(found.is_empty(), "{found:?}");
 }
+
+/// Guards against a cluster without a majority: its stores opened the files that the cluster of a failed test had left, and went
+/// on with the addresses of that cluster.
+#[test]
+fn a_cluster_does_not_use_the_folder_that_another_one_has_left() {
+    let plan = Plan { cores: 1, proxies: 0, ..Plan::default() };
+    let first = LocalCluster::start(Plan { keep: true, ..plan.clone() }).unwrap();
+    let left = first.folder().to_owned();
+    drop(first);
+    let second = LocalCluster::start(plan).unwrap();
+    assert!(left.is_dir() && second.folder() != left, "{}", left.display());
+    std::fs::remove_dir_all(left).unwrap();
+}
