A truncated answer leaves earlier answers of its connection whole

Cause: after a cut the connection was reset, so that the answer doesn't look complete. A reset discards all that was written and has not arrived, the earlier answers too. Evidence: a client that reads only after the cut gets no more of the first answer than its socket holds.

Change: where a length or chunks show that the answer is incomplete, the connection ends in order, as after a last answer. The reset stays for what only the end of the connection would mark as complete (HTTP/1.0, no length).

Tests: a_truncated_answer_leaves_earlier_answers_whole fails without the change; a_truncated_answer_without_framing_ends_with_a_reset holds before and after.

--- a/crates/engine/src/front/pipelined/mod.rs
+++ b/crates/engine/src/front/pipelined/mod.rs
@@ -8,6 +8,9 @@
 //! - A connection that this process decides to close has no started request without an answer. Once there is a reason
 //!   to close it, no further request is started, and the last answer announces the close.
 //! - Bytes that arrive on an idle connection while it is being closed are not read: the client may send them again.
+//! - A truncated answer does not look complete, and takes nothing from the answers before it. Its framing shows that it
+//!   is incomplete, so the connection ends in order once all that was written has been sent. Only an answer that the
+//!   end of the connection would mark as complete ends with a reset, which discards what the client has not received.
 //! - A client's close is noticed in every state, because reading goes on while the connection waits. The requests
 //!   started for the client are then dropped.
 
@@ -15,6 +18,7 @@
 mod write;
 
 use super::connection_ends::ConnectionEnd;
+use super::heads::Framing;
 use super::{unread, Front, HttpHandler, Peer, Phase};
 use crate::body::Body;
 use bytes::BytesMut;
@@ -86,6 +90,8 @@
     next_request_started: Cell<bool>,
     /// Set when no further request is started and the connection ends with the last pending answer.
     closing: Cell<bool>,
+    /// Set when the last answer is incomplete, and only a reset shows that.
+    must_reset: Cell<bool>,
 }
 
 /// Serves a connection to its end.
@@ -98,13 +104,16 @@
         answered: Notify::new(),
         next_request_started: Cell::new(false),
         closing: Cell::new(false),
+        must_reset: Cell::new(false),
     };
     let end = connection.run().await;
     connection.front.connection_ends.record(end, connection.unanswered.get());
     match end {
-        ConnectionEnd::LastAnswer => connection.close_gracefully().await,
+        ConnectionEnd::AnswerCut if connection.must_reset.get() => {
+            let _ = SockRef::from(&*connection.stream).set_linger(Some(Duration::ZERO));
+        }
+        ConnectionEnd::LastAnswer | ConnectionEnd::AnswerCut => connection.close_gracefully().await,
         ConnectionEnd::Idle => connection.close_without_reading().await,
-        ConnectionEnd::AnswerCut => _ = SockRef::from(&*connection.stream).set_linger(Some(Duration::ZERO)),
         ConnectionEnd::ClientClosed | ConnectionEnd::WriteFailed | ConnectionEnd::Dropped => {}
     }
 }
@@ -128,7 +137,10 @@
                 },
                 end = &mut writing => return match end {
                     WriteEnd::LastAnswer => ConnectionEnd::LastAnswer,
-                    WriteEnd::Cut => ConnectionEnd::AnswerCut,
+                    WriteEnd::Cut(framing) => {
+                        self.must_reset.set(framing == Framing::Close);
+                        ConnectionEnd::AnswerCut
+                    }
                     WriteEnd::Failed => ConnectionEnd::WriteFailed,
                 },
                 // The reading side has ended, so the close has to be detected here.
--- a/crates/engine/src/front/pipelined/write.rs
+++ b/crates/engine/src/front/pipelined/write.rs
@@ -14,8 +14,8 @@
 pub(super) enum WriteEnd {
     /// The last answer, which announces the close, was written.
     LastAnswer,
-    /// An answer broke off, and the end of the connection must not look like its end.
-    Cut,
+    /// An answer with this framing broke off. The end of the connection must not look like its end.
+    Cut(Framing),
     /// The client does not accept any more bytes.
     Failed,
 }
@@ -131,7 +131,7 @@
         loop {
             match left.map(|left| left.checked_sub(chunk.len() as u64)) {
                 // The body is longer than announced.
-                Some(None) => return Some(WriteEnd::Cut),
+                Some(None) => return Some(WriteEnd::Cut(framing)),
                 rest => left = rest.flatten(),
             }
             if framing == Framing::Chunked && !chunk.is_empty() {
@@ -150,7 +150,7 @@
             match rest.recv().await {
                 Some(Ok(next)) => chunk = next,
                 None if left.is_none() => break,
-                Some(Err(_)) | None => return Some(WriteEnd::Cut),
+                Some(Err(_)) | None => return Some(WriteEnd::Cut(framing)),
             }
         }
         if framing == Framing::Chunked {
--- a/crates/engine/tests/pipelined.rs
+++ b/crates/engine/tests/pipelined.rs
@@ -3,8 +3,9 @@
 
 mod common;
 
-use common::front::{paths, request, waiting_server, Rig};
-use oatbank_testkit::{eventually, read_message};
+use common::front::{answer_to, path, paths, request, waiting_server, Rig};
+use oatbank_engine::front::connection_ends::ConnectionEnd;
+use oatbank_testkit::{eventually, read_message, Act, Message, Server};
 use std::io::{Read, Write};
 
 #[test]
@@ -62,3 +63,61 @@
         assert_eq!(server.count(), 3);
     }
 }
+
+/// Length of an answer that a client has not read when a later one is cut: more than it receives without reading, and less
+/// than the front's socket holds for it.
+const UNREAD_BYTES: usize = 400_000;
+
+/// Guards against a whole answer that loses its end, because a later answer of its connection breaks off (LOST, review case 7).
+#[test]
+fn a_truncated_answer_leaves_earlier_answers_whole() {
+    for coding in ["Content-Length: 900", "Transfer-Encoding: chunked"] {
+        let (release, released) = std::sync::mpsc::channel::<()>();
+        let released = std::sync::Mutex::new(released);
+        let server = Server::start(move |m| {
+            if path(m) == "/long" {
+                return Act::Write(answer_to(m, UNREAD_BYTES, &"w".repeat(UNREAD_BYTES)));
+            }
+            let _ = released.lock().expect("a lock").recv();
+            Act::Close(cut_answer(m, coding))
+        });
+        let rig = Rig::start(&server);
+        let (mut stream, mut reader) = rig.connect();
+        let all = request("GET", "/long", "1") + &request("GET", "/cut", "2");
+        stream.write_all(all.as_bytes()).expect("written");
+        eventually("both are in flight", || server.count() == 2);
+        release.send(()).expect("the server");
+        let cut = || rig.with(|front| front.ends().count(ConnectionEnd::AnswerCut).connections == 1);
+        eventually("the second answer is cut", cut);
+        let first = read_message(&mut reader).expect("the first answer");
+        assert_eq!((first.header("Try-Id"), first.body.len()), (Some("1"), UNREAD_BYTES), "{coding}");
+        let mut second = Vec::new();
+        let _ = reader.read_to_end(&mut second);
+        let second = String::from_utf8_lossy(&second).to_lowercase();
+        assert!(second.contains(&coding.to_lowercase()), "its framing shows that it is incomplete: {second}");
+        assert!(!second.ends_with("\r\n0\r\n\r\n") && second.len() < 900, "{second}");
+    }
+}
+
+#[test]
+fn a_truncated_answer_without_framing_ends_with_a_reset() {
+    let server = Server::start(|m| Act::Close(cut_answer(m, "Transfer-Encoding: chunked")));
+    let rig = Rig::start(&server);
+    let (mut stream, mut reader) = rig.connect();
+    let request = request("GET", "/cut", "1").replace("HTTP/1.1", "HTTP/1.0");
+    stream.write_all(request.as_bytes()).expect("written");
+    let mut all = Vec::new();
+    let end = reader.read_to_end(&mut all);
+    assert!(
+        end.is_err(),
+        "the end of the connection would end the answer: {}",
+        String::from_utf8_lossy(&all)
+    );
+}
+
+/// The start of an answer: the first 100 bytes of its body, coded as the header line says.
+fn cut_answer(m: &Message, coding: &str) -> Vec<u8> {
+    let (id, body) = (m.header("Try-Id").expect("a try id"), "x".repeat(100));
+    let size = if coding.ends_with("chunked") { "64\r\n" } else { "" };
+    format!("HTTP/1.1 200 OK\r\nTry-Id: {id}\r\nServer-Seal: s\r\n{coding}\r\n\r\n{size}{body}").into_bytes()
+}
