The time of a request runs from its head, also while its body arrives

The servers were handed Time-Left-Ms: 1049980.

Cause: the engine gave a streamed body 1,050 s, and began the request's own time with its last byte. Evidence: in the state machine alone no answer is due before. Ruled out: that the front holds the answer up, or that the time is read wrongly (short bodies).

Change: a setting, upload_time_counts, on for the system's proxies: the time runs from the head. The same cause with buffered bodies, and while the quota's owner is asked: the request's end is fixed when its head has been read.

Tests: a_streamed_request_is_answered_within_its_time_from_its_head (state machine) and the_time_in_which_a_body_arrives_counts (processes) fail without the change; one more pins the rule of the limiter in service.

--- a/crates/engine/src/engine/core.rs
+++ b/crates/engine/src/engine/core.rs
@@ -263,7 +263,9 @@
         forward: Q,
         reply: Reply<A>,
     ) -> RequestId {
-        let span = if request.uploading { MAX_UPLOAD_TIME } else { request.time_left };
+        // The client's time runs from the head. Only where its wait starts with the end of the body is there more.
+        let starts_after_upload = request.uploading && !self.settings.upload_time_counts;
+        let span = if starts_after_upload { MAX_UPLOAD_TIME } else { request.time_left };
         let deadline = now + span;
         let max_attempts = request.rules.as_ref().map_or(self.settings.max_attempts, |r| r.max_attempts);
         let execution = RequestAttempts::new(self.idempotency_of(&request), self.execution_start());
@@ -272,7 +274,7 @@
         if let Some(entry) = self.requests.get_mut(id) {
             entry.class = request.class;
             entry.uploading = request.uploading;
-            entry.time_after_upload = request.uploading.then_some(request.time_left);
+            entry.time_after_upload = starts_after_upload.then_some(request.time_left);
         }
         request.id = id;
         request.time_left = (request.time_left - RESPONSE_MARGIN).max(1.0);
--- a/crates/engine/src/engine/core/tests.rs
+++ b/crates/engine/src/engine/core/tests.rs
@@ -107,3 +107,65 @@
         assert_eq!(core.departures().abandoned_attempts, abandoned, "ended at {ends}");
     }
 }
+
+/// The attempt of a request whose body is streamed from 1000 ms on, with 3000 ms left, and the receiver of its answer.
+fn streamed_request(
+    upload_time_counts: bool,
+    repeat: Repeat,
+) -> (Core<(), ()>, RequestId, Millis, mpsc::Receiver<Answer<()>>) {
+    let class = Class { target: 500.0, deadline: 3000.0, late_worth: 0.3, worth: 1.0, repeat };
+    let settings = Settings {
+        gateways: 1.0,
+        classes: vec![class],
+        max_units: 1.0,
+        starts_early: true,
+        upload_time_counts,
+        ..Settings::default()
+    };
+    let mut core: Core<(), ()> = Core::new(&Setup { settings, ..Setup::default() });
+    core.report_executions(400.0);
+    let address = SocketAddr::from(([127, 0, 0, 1], 1));
+    core.members(900.0, &News::Complete(vec![crate::ports::membership::Member::ready("s-1", address)]));
+    let (tell, told) = mpsc::channel();
+    let request =
+        Request { units: 1.0, time_left: 3000.0, spread: 1.0, uploading: true, ..Request::default() };
+    let id = core.submit(1000.0, request, (), Box::new(move |answer| _ = tell.send(answer)));
+    let span = std::iter::from_fn(|| core.output()).find_map(|output| match output {
+        Output::Attempt { span, .. } => Some(span),
+        _ => None,
+    });
+    (core, id, span.expect("an attempt"), told)
+}
+
+/// Guards against uploads to a slow server that are never answered: their own time, and their route's, began only with the
+/// last byte of the body, and the server was handed 17 minutes (CONFIG, review case 8).
+#[test]
+fn a_streamed_request_is_answered_within_its_time_from_its_head() {
+    for repeat in [Repeat::Safe, Repeat::Unsafe] {
+        for sent_at in [None, Some(3500.0)] {
+            let (mut core, id, span, told) = streamed_request(true, repeat);
+            assert!(span <= 3000.0, "{repeat:?}: the server is handed {span} ms");
+            if let Some(at) = sent_at {
+                run_timers(&mut core, at);
+                core.progress(at, id, 0, Progress::Sent);
+            }
+            run_timers(&mut core, 3900.0);
+            assert!(told.try_recv().is_err(), "{repeat:?} {sent_at:?}: it still has time");
+            run_timers(&mut core, 4000.0);
+            let answer = told.try_recv();
+            let is_unserved = matches!(answer, Ok(Answer::Failed | Answer::TimedOut));
+            assert!(is_unserved, "{repeat:?} {sent_at:?}: {answer:?}");
+        }
+    }
+}
+
+#[test]
+fn elsewhere_the_time_of_a_streamed_request_starts_with_the_end_of_its_body() {
+    let (mut core, id, _, told) = streamed_request(false, Repeat::Unsafe);
+    run_timers(&mut core, 9000.0);
+    core.progress(9000.0, id, 0, Progress::Sent);
+    run_timers(&mut core, 11_900.0);
+    assert!(told.try_recv().is_err());
+    run_timers(&mut core, 12_000.0);
+    assert!(matches!(told.try_recv(), Ok(Answer::Failed | Answer::TimedOut)));
+}
--- a/crates/engine/src/engine/request_table.rs
+++ b/crates/engine/src/engine/request_table.rs
@@ -46,7 +46,8 @@
     reply: Option<Reply<A>>,
     pub(super) request: Arc<Q>,
     pub(super) deadline: Millis,
-    /// Time that the client waits once its body has arrived, ms; `None` unless the body is still arriving.
+    /// Time that the client waits once its body has arrived, ms; `None` unless the body is still arriving and its time does
+    /// not count.
     pub(super) time_after_upload: Option<Millis>,
     /// Last error answer of a server.
     pub(super) error_answer: Option<A>,
--- a/crates/limiter-core/src/interface.rs
+++ b/crates/limiter-core/src/interface.rs
@@ -145,6 +145,9 @@
     pub parallel_tries: bool,
     /// Whether a server may begin to execute a request before it has received its whole body.
     pub starts_early: bool,
+    /// Whether the time in which a streamed body is received is part of the request's time. Otherwise that starts once the
+    /// body is complete.
+    pub upload_time_counts: bool,
     /// Whether attempts may be cancelled.
     pub cancelling: bool,
     /// Whether servers may be probed.
@@ -313,7 +316,7 @@
     pub spread: f64,
     /// Whether the client marked it as a repeat.
     pub repeat: bool,
-    /// Whether the body is still being received; the time limits then start at [`Event::Uploaded`].
+    /// Whether the body is still being received; the module's time limits then start at [`Event::Uploaded`].
     pub uploading: bool,
     /// Bit mask of the allowed zones, by zone number; 0: all. Zones numbered 64 and above match no mask.
     pub allowed_zones: u64,
--- a/crates/local-cluster/tests/answers.rs
+++ b/crates/local-cluster/tests/answers.rs
@@ -218,6 +218,34 @@
     }
 }
 
+/// Guards against requests that are served after their time, as it began only when their body had arrived (review case 8).
+#[test]
+fn the_time_in_which_a_body_arrives_counts() {
+    const WORK: Duration = Duration::from_millis(500);
+    const TIME_LEFT: Duration = Duration::from_millis(900);
+    let configuration = TestConfiguration::new(HOST)
+        .route("/unsafe/", "unsafe", "service")
+        .route("/safe/", "safe", "service");
+    let system = System::with(plan(), configuration, &["service"], WORK);
+    let ask = |path: &str, pause: Duration| {
+        let mut connection = HttpConnection::connect(system.cluster.fronts()[0], LONG).unwrap();
+        let (id, time_left) = (try_id(), TIME_LEFT.as_millis());
+        let head = format!(
+            "POST {path} HTTP/1.1\r\nHost: {HOST}\r\nTry-Id: {id}\r\nTime-Left-Ms: {time_left}\r\nContent-Length: 5\r\n\r\n"
+        );
+        connection.send(head.as_bytes()).unwrap();
+        std::thread::sleep(pause);
+        connection.send(b"words").unwrap();
+        connection.answer(Instant::now() + LONG).unwrap().status
+    };
+    for path in ["/unsafe/1", "/safe/1"] {
+        assert_eq!(ask(path, Duration::ZERO), 200, "{path}");
+        // The server would end its work after the request's time, but within as much from the end of the body.
+        let status = ask(path, WORK);
+        assert!(matches!(status, 502..=504), "{path}: {status}");
+    }
+}
+
 #[test]
 fn at_most_once_request_pipelined_after_a_truncated_answer_does_not_run() {
     let configuration =
--- a/crates/proxy/src/limiter_settings.rs
+++ b/crates/proxy/src/limiter_settings.rs
@@ -46,6 +46,7 @@
         max_units: 1.0,
         parallel_tries: true,
         starts_early: true,
+        upload_time_counts: true,
         retry_after: true,
         max_retry_after: MAX_RETRY_AFTER,
         cold_start: WARMUP_CAPACITY,
--- a/crates/proxy/src/request_handler.rs
+++ b/crates/proxy/src/request_handler.rs
@@ -61,7 +61,8 @@
     /// Index of the tenant in the configuration.
     customer: Option<usize>,
     allowed_zones: u64,
-    time_left: Millis,
+    /// End of the request's time, which runs from its head.
+    deadline: Millis,
 }
 
 impl RoutedRequest {
@@ -313,8 +314,8 @@
         let Some(allowed_zones) = snapshot.allowed_zones(index, customer) else {
             return Err(Rejection::with_retry_after(ErrorKind::Overloaded, RETRY_SOON));
         };
-        let time_left = time_left(head, route);
-        Ok(RoutedRequest { snapshot, route: index, customer, allowed_zones, time_left })
+        let deadline = self.now() + time_left(head, route);
+        Ok(RoutedRequest { snapshot, route: index, customer, allowed_zones, deadline })
     }
 
     /// Answers a request. For an at-most-once request, an answer of the proxy's own says whether it may have run.
@@ -360,7 +361,7 @@
         let decision = Request {
             class: ClassId(pool.class_of(&route.name)),
             units: 1.0,
-            time_left: routed.time_left,
+            time_left: (routed.deadline - self.now()).max(0.0),
             spread: 1.0,
             uploading: body.is_stream(),
             rules: Some(Arc::new(rules)),
