Engine: connections to servers get a module of their own

The pool, its connections and the stream that notes what was written move to http1/pool.rs, unchanged but for their visibility.

--- a/crates/engine/src/upstreams/http1/tests.rs
+++ b/crates/engine/src/upstreams/http1/tests.rs
@@ -1,6 +1,11 @@
 //! Tests of the parent module.
 
+use super::pool::WriteTracker;
 use super::*;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use tokio::io::AsyncWrite;
+use tokio::net::TcpStream;
 
 #[test]
 fn nothing_is_written_if_the_socket_holds_unread_bytes_or_a_close() {
