Engine: report what the end of a client connection leaves unanswered

Each connection now knows the requests that were read and are not answered, with their stage (waiting for its turn, for its quota, at its service, answer ready behind another, being written). The end of one that leaves any is reported: the proxy logs it with the age of the configuration in force, as a warning where the proxy ended it, else at debug. Reads that are discarded behind a last answer are counted in `oatbankctl connections`. No change of what is decided.

--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -6,6 +6,7 @@
 use oatbank_engine::body::{Body, BodyPermit, Upload};
 use oatbank_engine::classify::{self, Rejection};
 use oatbank_engine::engine::{Answer, Engine};
+use oatbank_engine::front::request_progress::RequestProgress;
 use oatbank_engine::front::{self, HeadDecision, HttpHandler};
 use oatbank_engine::open_ids::OpenIds;
 use oatbank_engine::respond::{self, plain, RetryAfterFormat};
@@ -73,6 +74,7 @@
         head: Parts,
         body: Upload,
         room: Option<BodyPermit>,
+        _progress: RequestProgress,
     ) -> Result<Response<Body>, Rejection> {
         let Ticket { mut request, headers } = ticket;
         if head.method == Method::GET && !matches!(&body, Upload::Whole(bytes) if bytes.is_empty()) {
--- a/crates/engine/src/front/mod.rs
+++ b/crates/engine/src/front/mod.rs
@@ -8,6 +8,7 @@
 mod pipelined;
 mod receive;
 mod recent_bytes;
+pub mod request_progress;
 
 use crate::body::{Body, BodyBudget, BodyError, BodyPermit, Upload, MAX_BODY_BYTES, MAX_BUFFERED_BYTES};
 use crate::classify::{self, Rejection};
@@ -25,6 +26,7 @@
 use oatbank_limiter_core::interface::Millis;
 use oatbank_operations::budget::Budget;
 use recent_bytes::RecentBytes;
+use request_progress::RequestProgress;
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -139,7 +141,7 @@
     fn check_head(&self, head: &Parts) -> Result<HeadDecision<Self::Ticket>, Rejection>;
 
     /// Answers a request whose body is complete or has begun to arrive; the URI is path and query. The future is dropped
-    /// if the client disconnects.
+    /// if the client disconnects. `progress` is told how far the request has come.
     ///
     /// # Errors
     /// The answer to a rejected request.
@@ -149,6 +151,7 @@
         head: Parts,
         body: Upload,
         permit: Option<BodyPermit>,
+        progress: RequestProgress,
     ) -> impl Future<Output = Result<Response<Body>, Rejection>>;
 }
 
@@ -176,6 +179,8 @@
     limits: FrontLimits,
     phase: Cell<Phase>,
     phase_since: Cell<Millis>,
+    /// When the connection was accepted.
+    accepted_at: Millis,
     /// Bytes of the next request arrived while one was open.
     next_request_started: Cell<bool>,
     close_requested: Notify,
@@ -517,6 +522,7 @@
             limits: self.limits,
             phase: Cell::new(Phase::Reading),
             phase_since: Cell::new(self.handler.now()),
+            accepted_at: self.handler.now(),
             next_request_started: Cell::new(false),
             close_requested: Notify::new(),
             asked_to_close: Cell::new(false),
@@ -602,7 +608,7 @@
         }
         let (body, permit) = self.receive(body, peer).await?;
         peer.enter(if body.is_stream() { Phase::Passing } else { Phase::Busy }, self.handler.now());
-        self.handler.serve(ticket, head, body, permit).await
+        self.handler.serve(ticket, head, body, permit, RequestProgress::default()).await
     }
 
     /// Decides on a head before its body is read, so that nothing is buffered for rejected requests.
--- a/crates/engine/src/front/pipelined/mod.rs
+++ b/crates/engine/src/front/pipelined/mod.rs
@@ -17,8 +17,9 @@
 mod read;
 mod write;
 
-use super::connection_ends::ConnectionEnd;
+use super::connection_ends::{ConnectionEnd, EndReport};
 use super::heads::Framing;
+use super::request_progress::OpenRequests;
 use super::{unread, Front, HttpHandler, Peer, Phase};
 use crate::body::Body;
 use bytes::BytesMut;
@@ -82,8 +83,8 @@
     front: Rc<Front<D>>,
     stream: Rc<TcpStream>,
     peer: Rc<Peer>,
-    /// Number of started requests without an answer.
-    unanswered: Cell<usize>,
+    /// Requests that have been read and are not answered.
+    open_requests: OpenRequests,
     /// Notified when a request has been answered.
     answered: Notify,
     /// Whether bytes of a request that is not started yet have arrived.
@@ -100,14 +101,14 @@
         front,
         stream,
         peer,
-        unanswered: Cell::new(0),
+        open_requests: OpenRequests::default(),
         answered: Notify::new(),
         next_request_started: Cell::new(false),
         closing: Cell::new(false),
         must_reset: Cell::new(false),
     };
     let end = connection.run().await;
-    connection.front.connection_ends.record(end, connection.unanswered.get());
+    connection.front.connection_ends.record(connection.end_report(end));
     match end {
         ConnectionEnd::AnswerCut if connection.must_reset.get() => {
             let _ = SockRef::from(&*connection.stream).set_linger(Some(Duration::ZERO));
@@ -123,6 +124,18 @@
         self.front.handler.now()
     }
 
+    /// What this end of the connection leaves without an answer.
+    fn end_report(&self, end: ConnectionEnd) -> EndReport {
+        let now = self.now();
+        EndReport {
+            end,
+            requests: self.open_requests.unanswered(now),
+            is_next_begun: self.next_request_started.get(),
+            silent_for: now - self.peer.last_read_at.get(),
+            open_for: now - self.peer.accepted_at,
+        }
+    }
+
     /// Reads requests and writes answers until the connection ends. Requests still open are dropped on return.
     async fn run(&self) -> ConnectionEnd {
         let (turns, next) = mpsc::channel(MAX_PIPELINED);
@@ -167,7 +180,7 @@
 
     /// Whether all started requests are answered and no bytes of a further one have arrived.
     fn is_idle(&self) -> bool {
-        self.unanswered.get() == 0 && !self.next_request_started.get() && !unread(&self.stream)
+        self.open_requests.started() == 0 && !self.next_request_started.get() && !unread(&self.stream)
     }
 
     /// Reads more bytes into the buffer; false at the end of the stream or on an error.
@@ -222,6 +235,7 @@
     async fn client_closed(&self) {
         let mut buffer = BytesMut::new();
         while self.read_more(&mut buffer).await {
+            self.front.connection_ends.record_discarded_read();
             buffer.clear();
         }
     }
--- a/crates/engine/src/front/pipelined/read.rs
+++ b/crates/engine/src/front/pipelined/read.rs
@@ -1,6 +1,7 @@
 //! The reading side of a pipelined connection: parses requests and starts them.
 
 use super::super::heads::{self, BodyEnd, Head};
+use super::super::request_progress::{RequestProgress, RequestStage};
 use super::super::{
     closing, receive, HeadDecision, HttpHandler, Phase, BODY_PERMIT_TIMEOUT, CONNECT_UNSUPPORTED,
     NO_BODY_MEMORY,
@@ -63,11 +64,13 @@
                 Ok(head) => head,
                 Err(StartError::ClientClosed) => return ReadEnd::ClientClosed,
                 Err(StartError::Rejected(rejection)) => {
-                    self.unanswered.set(self.unanswered.get() + 1);
+                    self.open_requests.on_head(String::new(), self.now());
+                    self.open_requests.on_start();
                     place.send(rejected(rejection));
                     return ReadEnd::NothingMore;
                 }
             };
+            self.open_requests.on_head(self.request_id(&head), self.now());
             let must_wait = head.ends != BodyEnd::Reached || !self.front.handler.may_pipeline(&head.parts);
             if must_wait && self.while_open(&mut buffer, self.all_answered()).await.is_none() {
                 return ReadEnd::ClientClosed;
@@ -76,8 +79,8 @@
                 // The client treats the request as unread.
                 return ReadEnd::NothingMore;
             }
-            self.on_begin(&buffer);
-            let StartedRequest { turn, rest } = match self.begin(head, &mut buffer).await {
+            let progress = self.on_begin(&buffer);
+            let StartedRequest { turn, rest } = match self.begin(head, &mut buffer, progress).await {
                 Ok(begun) => begun,
                 Err(StartError::ClientClosed) => return ReadEnd::ClientClosed,
                 Err(StartError::Rejected(rejection)) => {
@@ -117,23 +120,34 @@
 
     /// Waits until all started requests are answered.
     async fn all_answered(&self) {
-        while self.unanswered.get() > 0 {
+        while self.open_requests.started() > 0 {
             self.answered.notified().await;
         }
     }
 
-    /// Records the start of a request.
-    fn on_begin(&self, buffer: &BytesMut) {
+    /// Value of a request's id header; empty if it has none.
+    fn request_id(&self, head: &Head) -> String {
+        let value = head.parts.headers.get(self.front.handler.request_id_header());
+        value.and_then(|id| id.to_str().ok()).unwrap_or_default().to_owned()
+    }
+
+    /// Records the start of the request read last.
+    fn on_begin(&self, buffer: &BytesMut) -> RequestProgress {
         self.peer.recent_bytes.borrow_mut().forget();
-        self.unanswered.set(self.unanswered.get() + 1);
         self.next_request_started.set(!buffer.is_empty());
         if self.peer.phase.get() != Phase::Writing {
             self.peer.enter(Phase::Busy, self.now());
         }
+        self.open_requests.on_start()
     }
 
     /// Starts a request: answers it from its head, or receives its body and spawns its handler.
-    async fn begin(&self, mut head: Head, buffer: &mut BytesMut) -> Result<StartedRequest, StartError> {
+    async fn begin(
+        &self,
+        mut head: Head,
+        buffer: &mut BytesMut,
+        progress: RequestProgress,
+    ) -> Result<StartedRequest, StartError> {
         let (head_only, is_http10) =
             (head.parts.method == Method::HEAD, head.parts.version == Version::HTTP_10);
         let turn = |answer, last| PendingAnswer { answer, head_only, is_http10, last };
@@ -153,10 +167,9 @@
         let Received { upload, permit, rest } = self.receive(&head, buffer).await?;
         let handler = self.front.handler.clone();
         let task = tokio::task::spawn_local(async move {
-            match handler.serve(ticket, head.parts, upload, permit).await {
-                Ok(answer) => answer,
-                Err(rejection) => closing(respond::rejected(rejection)),
-            }
+            let answer = handler.serve(ticket, head.parts, upload, permit, progress.clone()).await;
+            progress.enter(RequestStage::AnswerReady);
+            answer.unwrap_or_else(|rejection| closing(respond::rejected(rejection)))
         });
         Ok(StartedRequest { turn: turn(AnswerSource::Pending(AnswerTask(task)), head.last), rest })
     }
--- a/crates/engine/src/front/pipelined/write.rs
+++ b/crates/engine/src/front/pipelined/write.rs
@@ -34,6 +34,7 @@
                     .unwrap_or_else(|_| closing(plain(StatusCode::BAD_GATEWAY, "no answer can be given\n"))),
             };
             self.peer.enter(Phase::Writing, self.now());
+            self.open_requests.on_writing();
             let is_last = self.is_last(&turn, &answer);
             if let Some(end) = self.write_answer(answer, &turn, is_last).await {
                 return end;
@@ -57,14 +58,14 @@
         if ends {
             self.closing.set(true);
         }
-        self.closing.get() && self.unanswered.get() == 1
+        self.closing.get() && self.open_requests.started() == 1
     }
 
     /// Records that a request has been answered.
     fn on_answered(&self) {
-        self.unanswered.set(self.unanswered.get().saturating_sub(1));
+        self.open_requests.on_answered();
         self.answered.notify_one();
-        if self.unanswered.get() > 0 {
+        if self.open_requests.started() > 0 {
             self.peer.enter(Phase::Busy, self.now());
         } else {
             // Only bytes of the next request count, not those of this request's body.
--- a/crates/engine/tests/common/front.rs
+++ b/crates/engine/tests/common/front.rs
@@ -6,6 +6,7 @@
 use oatbank_engine::body::{Body, BodyPermit, Upload};
 use oatbank_engine::classify::Rejection;
 use oatbank_engine::engine::{Answer, Engine};
+use oatbank_engine::front::request_progress::RequestProgress;
 use oatbank_engine::front::{Front, FrontLimits, HeadDecision, HttpHandler};
 use oatbank_engine::members::fixed;
 use oatbank_engine::ports::clock::SystemClock;
@@ -87,6 +88,7 @@
         head: Parts,
         body: Upload,
         permit: Option<BodyPermit>,
+        _progress: RequestProgress,
     ) -> Result<Response<Body>, Rejection> {
         request.uploading = body.is_stream();
         let headers = headers_on(&head.headers);
--- a/crates/proxy/src/front_adapter.rs
+++ b/crates/proxy/src/front_adapter.rs
@@ -7,6 +7,7 @@
 use oatbank_cluster_state::state::Millis;
 use oatbank_engine::body::{Body, BodyPermit, Upload};
 use oatbank_engine::classify::{self, Rejection};
+use oatbank_engine::front::request_progress::RequestProgress;
 use oatbank_engine::front::{HeadDecision, HttpHandler};
 use std::rc::Rc;
 
@@ -50,7 +51,8 @@
         head: Parts,
         body: Upload,
         room: Option<BodyPermit>,
+        progress: RequestProgress,
     ) -> Result<Response<Body>, Rejection> {
-        Ok(self.0.handle(routed, IncomingRequest { head, body, room }).await)
+        Ok(self.0.handle(routed, IncomingRequest { head, body, room, progress }).await)
     }
 }
--- a/crates/proxy/src/invariants.rs
+++ b/crates/proxy/src/invariants.rs
@@ -4,9 +4,9 @@
 use crate::request_handler::RequestHandler;
 use oatbank_cluster_state::admin_query::table;
 use oatbank_cluster_state::messages::Table;
-use oatbank_engine::front::connection_ends::ConnectionEnd;
+use oatbank_engine::front::connection_ends::{ConnectionEnd, EndReport};
 use oatbank_engine::front::Front;
-use oatbank_node_runtime::log;
+use oatbank_node_runtime::log::{self, RateLimitedLog};
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -46,12 +46,18 @@
     handler: Rc<RequestHandler>,
     front: Rc<Front<FrontAdapter>>,
     logged: RefCell<[u64; Invariant::ALL.len()]>,
+    ends_log: RateLimitedLog,
 }
 
 impl InvariantMonitor {
     /// Creates a monitor of the proxy with this handler and front.
     pub fn new(handler: Rc<RequestHandler>, front: Rc<Front<FrontAdapter>>) -> Rc<Self> {
-        Rc::new(InvariantMonitor { handler, front, logged: RefCell::default() })
+        Rc::new(InvariantMonitor {
+            handler,
+            front,
+            logged: RefCell::default(),
+            ends_log: RateLimitedLog::default(),
+        })
     }
 
     /// Number of violations of an invariant since the process started.
@@ -67,6 +73,21 @@
         self.front.ends().count(end).unanswered
     }
 
+    /// Logs the connections that ended since the last call with requests that were read and not answered.
+    pub fn log_ends(&self) {
+        for report in self.front.ends().take_reports() {
+            if let Some(suppressed) = self.ends_log.allow() {
+                let text = end_text(&report, self.handler.configuration_age());
+                // What a client gives up itself is its own decision.
+                if OWN_ENDS.contains(&report.end) && report.started() > 0 {
+                    log::warn!("{} ({} lines suppressed)", text, suppressed);
+                } else {
+                    log::debug!("{} ({} lines suppressed)", text, suppressed);
+                }
+            }
+        }
+    }
+
     /// Logs each invariant whose number of violations has increased since the last call.
     pub fn log_new(&self) {
         let mut logged = self.logged.borrow_mut();
@@ -126,12 +147,32 @@
         let departures = self.handler.departures();
         let title = format!(
             "{} open; {} clients left before their answer, {} attempts were cancelled because of that; {} requests \
-             arrived while an idle connection was being closed and were not read",
+             arrived while their connection was being closed and were not read; {} reads were discarded behind a last \
+             answer",
             self.front.open(),
             departures.clients,
             departures.cancelled_attempts,
-            self.front.ends().crossings()
+            self.front.ends().crossings(),
+            self.front.ends().discarded_reads()
         );
         table(title, &["end", "connections", "unanswered"], ConnectionEnd::ALL.into_iter().map(row).collect())
     }
 }
+
+/// Describes a connection's end and each request that it left without an answer.
+fn end_text(report: &EndReport, configuration_age: f64) -> String {
+    let mut text = format!(
+        "connection ended: {}, open for {:.0} ms, silent for {:.0} ms, configuration in force for {:.0} ms",
+        report.end.name(),
+        report.open_for,
+        report.silent_for,
+        configuration_age
+    );
+    for request in &report.requests {
+        text += &format!("; {} read {:.0} ms ago, {}", request.id, request.age, request.stage.name());
+    }
+    if report.is_next_begun {
+        text += "; a further request was partly read";
+    }
+    text
+}
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -201,6 +201,7 @@
         tokio::time::sleep(CHECK_INTERVAL).await;
         invariants.log_stall(CHECK_INTERVAL, begun.elapsed());
         invariants.log_new();
+        invariants.log_ends();
     }
 }
 
--- a/crates/proxy/src/request_handler.rs
+++ b/crates/proxy/src/request_handler.rs
@@ -21,6 +21,7 @@
 use oatbank_config_model::{Customer, Route, RouteKind, RouteTable};
 use oatbank_engine::body::{Body, BodyPermit, Upload};
 use oatbank_engine::engine::{Answer, Departures};
+use oatbank_engine::front::request_progress::{RequestProgress, RequestStage};
 use oatbank_engine::open_ids::OpenIds;
 use oatbank_engine::ports::clock::{Clock, SystemClock};
 use oatbank_engine::upstreams::http1::Forward;
@@ -83,6 +84,8 @@
     pub body: Upload,
     /// Memory reserved for a long body.
     pub room: Option<BodyPermit>,
+    /// Is told how far the request has come.
+    pub progress: RequestProgress,
 }
 
 /// Handles the requests of clients.
@@ -91,6 +94,8 @@
     settings: Rc<ReloadableSettings>,
     clock: Rc<dyn Clock>,
     snapshot: RefCell<Option<Rc<ConfigSnapshot>>>,
+    /// When the current snapshot was applied, on the engines' clock, ms.
+    applied_at: Cell<Millis>,
     catalog: RefCell<CurrentCatalog>,
     pools: ServicePools,
     plans: TenantPlans,
@@ -131,6 +136,7 @@
             settings,
             clock,
             snapshot: RefCell::default(),
+            applied_at: Cell::new(CLOCK_START),
             catalog: RefCell::default(),
             lease_state: LeaseState::new(lease),
             outliers: OutlierEjection::default(),
@@ -176,6 +182,11 @@
         self.lease_state.is_active(self.view.now(), self.view.confirmed_ago(), knows_servers)
     }
 
+    /// Time since the current configuration was applied, ms.
+    pub fn configuration_age(&self) -> Millis {
+        self.now() - self.applied_at.get()
+    }
+
     /// Number of reported admissions that exceeded a quota, over the tenants whose counters this proxy owns.
     pub fn quota_overrun(&self) -> u64 {
         self.plans.counter().overrun()
@@ -242,6 +253,7 @@
                 log::info!("proxy: edition {}, r{}", edition, snapshot.routes.version());
                 let snapshot = Rc::new(snapshot);
                 self.plans.update(&snapshot, &node.bounds);
+                self.applied_at.set(self.now());
                 if let Some(before) = self.snapshot.replace(Some(snapshot.clone())) {
                     self.pools.on_evacuated_changed(&before, &snapshot);
                 }
@@ -345,6 +357,7 @@
     ) -> Result<Response<Body>, Rejection> {
         let (route, tenant) = (routed.route(), routed.tenant());
         if let Some(tenant) = tenant {
+            request.progress.enter(RequestStage::WaitingForQuota);
             let admitted = self.plans.admit(tenant).await;
             admitted.map_err(|wait| {
                 Rejection::with_retry_after(ErrorKind::QuotaExceeded, wait.max(RETRY_SOON))
@@ -357,7 +370,8 @@
         let allowed_zones = self.zones_of_owned_servers(service, &routed)?;
         let rank = tenant.and_then(|tenant| tenant.rank).unwrap_or(route.rank);
         let rules = Rules { class: class(route, rank), max_attempts: route.max_attempts };
-        let IncomingRequest { head, body, room } = request;
+        let IncomingRequest { head, body, room, progress } = request;
+        progress.enter(RequestStage::AtService);
         let decision = Request {
             class: ClassId(pool.class_of(&route.name)),
             units: 1.0,
