Engine: connection bookkeeping and the monitored stream get modules of their own

Nothing but moves, `Peer::new` and `Front::close_stalled`, which a test can call, taken out of its loop. The engine's tests pass.

--- a/crates/engine/src/front/mod.rs
+++ b/crates/engine/src/front/mod.rs
@@ -5,6 +5,8 @@
 
 pub mod connection_ends;
 mod heads;
+mod monitored_stream;
+mod peer;
 mod pipelined;
 mod receive;
 mod recent_bytes;
@@ -23,31 +25,26 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode, Uri, Version};
 use hyper_util::rt::TokioIo;
+use monitored_stream::MonitoredStream;
 use oatbank_limiter_core::interface::Millis;
 use oatbank_operations::budget::Budget;
-use recent_bytes::RecentBytes;
+use peer::{Peer, Phase};
 use request_progress::RequestProgress;
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::convert::Infallible;
 use std::future::Future;
-use std::io;
 use std::mem::MaybeUninit;
-use std::net::Shutdown;
 use std::pin::{pin, Pin};
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 
 /// Pause after a failed accept: without free file descriptors it would fail again at once and spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-/// A streamed answer without write progress for this long is abandoned, ms. A stalled server would have been detected
-/// before, so it is the client that does not read.
-const STREAM_STALL: Millis = 15_000.0;
 /// How long a request waits for a body permit.
 const BODY_PERMIT_TIMEOUT: Duration = Duration::from_millis(1000);
 const CONNECT_UNSUPPORTED: Rejection = Rejection { status: StatusCode::NOT_IMPLEMENTED, why: "no tunnels\n" };
@@ -55,12 +52,6 @@
     Rejection { status: StatusCode::SERVICE_UNAVAILABLE, why: "too many long bodies at once\n" };
 /// Interval between checks for stalled connections.
 const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(100);
-/// The time limit of a connection's first head starts with its first byte, at most this long after the accept, ms.
-const MAX_HEAD_START_DELAY: Millis = 300.0;
-/// Factor by which the silence of a connection that never sent anything counts more in the eviction score.
-const SILENT_PEER_WEIGHT: f64 = 10.0;
-/// A new connection is not evicted before this time, ms, unless there is no other candidate.
-const FIRST_BYTE_GRACE: Millis = 100.0;
 
 /// Smallest buffer that the parser accepts, bytes.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
@@ -155,219 +146,6 @@
     ) -> impl Future<Output = Result<Response<Body>, Rejection>>;
 }
 
-/// State of a client connection.
-#[derive(Clone, Copy, PartialEq)]
-enum Phase {
-    /// Waiting for a request or reading its head.
-    Reading,
-    /// Reading a body of which nothing is forwarded yet. Stalls are detected where it is read.
-    Uploading,
-    /// Forwarding a body while it arrives.
-    Passing,
-    /// The answer is written and the rest of the body still arrives.
-    Draining,
-    /// Processing a complete request.
-    Busy,
-    /// Writing an answer.
-    Writing,
-    /// Between two requests.
-    Idle,
-}
-
-/// Bookkeeping of a client connection.
-struct Peer {
-    limits: FrontLimits,
-    phase: Cell<Phase>,
-    phase_since: Cell<Millis>,
-    /// When the connection was accepted.
-    accepted_at: Millis,
-    /// Bytes of the next request arrived while one was open.
-    next_request_started: Cell<bool>,
-    close_requested: Notify,
-    /// A graceful close was requested, and nothing has been received since.
-    asked_to_close: Cell<bool>,
-    /// The connection is to be dropped whatever it has sent.
-    aborted: Cell<bool>,
-    /// A request body is arriving.
-    uploading: Cell<bool>,
-    /// A streamed answer is being written.
-    streaming: Cell<bool>,
-    /// The answer broke off, and the client could mistake the end of the connection for the end of the answer.
-    response_cut: Cell<bool>,
-    /// Time of the last received bytes, or of the accept.
-    last_read_at: Cell<Millis>,
-    /// Whether anything was received.
-    has_sent: Cell<bool>,
-    /// Bytes received last.
-    recent_bytes: RefCell<RecentBytes>,
-}
-
-impl Peer {
-    fn enter(&self, phase: Phase, now: Millis) {
-        self.phase.set(phase);
-        self.phase_since.set(now);
-    }
-
-    /// Records received bytes.
-    fn on_read(&self, now: Millis, bytes: &[u8]) {
-        self.asked_to_close.set(false);
-        // A client may delay its first byte, but a bad client has to be closed within 3 s of its accept.
-        if !self.has_sent.replace(true) {
-            self.phase_since.set(now.min(self.phase_since.get() + MAX_HEAD_START_DELAY));
-        }
-        self.last_read_at.set(now);
-        self.recent_bytes.borrow_mut().push(bytes);
-        match self.phase.get() {
-            Phase::Idle => self.enter(Phase::Reading, now),
-            Phase::Busy | Phase::Writing => self.next_request_started.set(true),
-            Phase::Reading | Phase::Uploading | Phase::Passing | Phase::Draining => {}
-        }
-    }
-
-    /// Records that the request body is complete or has broken off.
-    fn on_upload_end(&self, now: Millis) {
-        self.uploading.set(false);
-        match self.phase.get() {
-            Phase::Uploading | Phase::Passing => self.enter(Phase::Busy, now),
-            Phase::Draining => self.enter(Phase::Idle, now),
-            _ => {}
-        }
-    }
-
-    /// Records write progress of an answer.
-    fn on_write(&self, now: Millis) {
-        if self.phase.get() == Phase::Writing {
-            self.phase_since.set(now);
-        }
-    }
-
-    /// Records that everything was written to the socket.
-    fn on_flush(&self, now: Millis) {
-        if self.phase.get() != Phase::Writing || self.streaming.get() {
-            return;
-        }
-        if self.uploading.get() {
-            self.enter(Phase::Draining, now);
-        } else if self.next_request_started.take() {
-            self.enter(Phase::Reading, now);
-        } else {
-            self.recent_bytes.borrow_mut().forget();
-            self.enter(Phase::Idle, now);
-        }
-    }
-
-    fn time_limit(&self) -> Millis {
-        match self.phase.get() {
-            Phase::Writing if self.streaming.get() => STREAM_STALL,
-            Phase::Reading | Phase::Writing => self.limits.head_timeout,
-            // The engine answers every request within its deadline.
-            Phase::Busy | Phase::Uploading | Phase::Passing | Phase::Draining => f64::INFINITY,
-            Phase::Idle => self.limits.idle_timeout,
-        }
-    }
-
-    /// Requests a graceful close between two requests.
-    fn request_close(&self) {
-        self.asked_to_close.set(true);
-        self.close_requested.notify_one();
-    }
-
-    fn abort(&self) {
-        self.aborted.set(true);
-        self.close_requested.notify_one();
-    }
-
-    /// Score for eviction in favour of a new connection, from the time of silence; `None` if it must not be evicted. A
-    /// slow but progressing connection scores low, one that stopped half way or stays idle scores high, and one that
-    /// never sent anything scores highest. A new connection is evicted only if there is no other candidate.
-    fn eviction_score(&self, now: Millis) -> Option<f64> {
-        let silent = now - self.last_read_at.get();
-        match self.phase.get() {
-            _ if self.asked_to_close.get() => None,
-            Phase::Busy | Phase::Writing | Phase::Passing => None,
-            Phase::Reading | Phase::Uploading if silent <= FIRST_BYTE_GRACE => {
-                Some(silent - FIRST_BYTE_GRACE)
-            }
-            Phase::Reading if self.has_sent.get() => Some(silent),
-            Phase::Reading => Some(silent * SILENT_PEER_WEIGHT),
-            Phase::Idle | Phase::Draining | Phase::Uploading => Some(silent),
-        }
-    }
-}
-
-/// A client's stream that records reads and writes in its [`Peer`].
-struct MonitoredStream<D> {
-    /// Shared, to check for unread bytes from outside.
-    stream: Rc<TcpStream>,
-    peer: Rc<Peer>,
-    handler: Rc<D>,
-}
-
-impl<D: HttpHandler> AsyncRead for MonitoredStream<D> {
-    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
-        let before = buf.filled().len();
-        loop {
-            ready!(self.stream.poll_read_ready(cx))?;
-            match self.stream.try_read_buf(buf) {
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                Err(e) => return Poll::Ready(Err(e)),
-                Ok(0) => return Poll::Ready(Ok(())),
-                Ok(_) => {
-                    self.peer.on_read(self.handler.now(), &buf.filled()[before..]);
-                    return Poll::Ready(Ok(()));
-                }
-            }
-        }
-    }
-}
-
-impl<D: HttpHandler> AsyncWrite for MonitoredStream<D> {
-    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        self.write(cx, |stream| stream.try_write(buf))
-    }
-
-    fn poll_write_vectored(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bufs: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        self.write(cx, |stream| stream.try_write_vectored(bufs))
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        true
-    }
-
-    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        // A socket has no user-space buffer to flush.
-        self.peer.on_flush(self.handler.now());
-        Poll::Ready(Ok(()))
-    }
-
-    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(SockRef::from(&*self.stream).shutdown(Shutdown::Write))
-    }
-}
-
-impl<D: HttpHandler> MonitoredStream<D> {
-    fn write(
-        &self,
-        cx: &mut Context<'_>,
-        how: impl Fn(&TcpStream) -> io::Result<usize>,
-    ) -> Poll<io::Result<usize>> {
-        loop {
-            ready!(self.stream.poll_write_ready(cx))?;
-            match how(&self.stream) {
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                done => {
-                    self.peer.on_write(self.handler.now());
-                    return Poll::Ready(done);
-                }
-            }
-        }
-    }
-}
-
 /// Whether the socket has unread bytes, also if the runtime has not been notified of them yet.
 fn unread(stream: &TcpStream) -> bool {
     let mut byte = [MaybeUninit::uninit()];
@@ -462,12 +240,17 @@
     pub async fn close_stalled_connections(self: Rc<Self>) {
         loop {
             tokio::time::sleep(STALL_CHECK_INTERVAL).await;
-            let now = self.handler.now();
-            for peer in self.peers.borrow().values().filter(|p| now - p.phase_since.get() > p.time_limit()) {
-                match peer.phase.get() {
-                    Phase::Idle => peer.request_close(),
-                    _ => peer.abort(),
-                }
+            self.close_stalled();
+        }
+    }
+
+    /// Closes the connections that make no progress now.
+    pub fn close_stalled(&self) {
+        let now = self.handler.now();
+        for peer in self.peers.borrow().values().filter(|p| now - p.phase_since.get() > p.time_limit()) {
+            match peer.phase.get() {
+                Phase::Idle => peer.request_close(),
+                _ => peer.abort(),
             }
         }
     }
@@ -518,22 +301,7 @@
         // Answers are small writes that should not be delayed.
         let _ = stream.set_nodelay(true);
         let buffer = self.limits.max_head_bytes.max(MIN_BUFFER_BYTES);
-        let peer = Rc::new(Peer {
-            limits: self.limits,
-            phase: Cell::new(Phase::Reading),
-            phase_since: Cell::new(self.handler.now()),
-            accepted_at: self.handler.now(),
-            next_request_started: Cell::new(false),
-            close_requested: Notify::new(),
-            asked_to_close: Cell::new(false),
-            uploading: Cell::new(false),
-            streaming: Cell::new(false),
-            response_cut: Cell::new(false),
-            last_read_at: Cell::new(self.handler.now()),
-            has_sent: Cell::new(false),
-            recent_bytes: RefCell::new(RecentBytes::new(buffer)),
-            aborted: Cell::new(false),
-        });
+        let peer = Rc::new(Peer::new(self.limits, self.handler.now(), buffer));
         let _listed = ConnectionEntry::new(self.clone(), number, peer.clone());
         let service = service_fn(|request| {
             let (front, peer) = (self.clone(), peer.clone());
