A connection is dropped by its state now, not by what it was when found stalled

Clients saw their connection end without an answer: a connection that had sent no whole head for its time limit was marked, and its own task ended it later without a second look. A request that arrived, or was read and started, between the mark and the end was dropped with it. Both meet in one turn of the loop after a stall. Other ends (idle) were looked at again; this one was not. Now a drop is a request that carries the progress at which it was made; the connection's task takes it by its state then, and goes on if it made progress or if bytes have arrived.

--- a/crates/engine/src/front/mod.rs
+++ b/crates/engine/src/front/mod.rs
@@ -28,7 +28,7 @@
 use monitored_stream::MonitoredStream;
 use oatbank_limiter_core::interface::Millis;
 use oatbank_operations::budget::Budget;
-use peer::{Peer, Phase};
+use peer::{EndRequest, Peer, Phase};
 use request_progress::RequestProgress;
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
@@ -225,12 +225,14 @@
     /// Evicts one connection. Returns false if none can be evicted, so that the new connection has to wait.
     fn evict_one(&self) -> bool {
         let (peers, now) = (self.peers.borrow(), self.handler.now());
-        let candidates =
-            peers.values().filter(|p| !p.aborted.get()).filter_map(|p| Some((p.eviction_score(now)?, p)));
+        let candidates = peers
+            .values()
+            .filter(|p| !p.is_drop_requested())
+            .filter_map(|p| Some((p.eviction_score(now)?, p)));
         match candidates.max_by(|(a, _), (b, _)| a.total_cmp(b)) {
             // An idle connection is closed gracefully, so that a request that has just arrived is not lost.
             Some((_, peer)) if peer.phase.get() == Phase::Idle => peer.request_close(),
-            Some((_, peer)) => peer.abort(),
+            Some((_, peer)) => peer.request_drop(),
             None => return false,
         }
         true
@@ -250,7 +252,7 @@
         for peer in self.peers.borrow().values().filter(|p| now - p.phase_since.get() > p.time_limit()) {
             match peer.phase.get() {
                 Phase::Idle => peer.request_close(),
-                _ => peer.abort(),
+                _ => peer.request_drop(),
             }
         }
     }
@@ -331,8 +333,10 @@
                     return;
                 }
                 () = peer.close_requested.notified() => {
-                    if peer.aborted.get() {
-                        return;
+                    match peer.take_end_request(&stream) {
+                        EndRequest::Drop => return,
+                        EndRequest::Outdated => continue,
+                        EndRequest::CloseIfIdle => {}
                     }
                     // A request that has begun to arrive is read and answered first.
                     let begun = peer.phase.get() == Phase::Reading && peer.has_sent.get();
--- a/crates/engine/src/front/peer.rs
+++ b/crates/engine/src/front/peer.rs
@@ -1,9 +1,10 @@
 //! Bookkeeping of a client connection: what it is doing, since when, and whether it is to end.
 
 use super::recent_bytes::RecentBytes;
-use super::FrontLimits;
+use super::{unread, FrontLimits};
 use oatbank_limiter_core::interface::Millis;
 use std::cell::{Cell, RefCell};
+use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
 /// A streamed answer without write progress for this long is abandoned, ms. A stalled server would have been detected
@@ -35,6 +36,24 @@
     Idle,
 }
 
+/// What a request to end a connection comes to once the connection's task takes it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum EndRequest {
+    /// It is dropped: it has made no progress since the request, and nothing has arrived.
+    Drop,
+    /// It is closed if it has no open request.
+    CloseIfIdle,
+    /// It goes on: it has made progress since it was to be dropped.
+    Outdated,
+}
+
+/// A connection's phase and its last progress within it.
+#[derive(Clone, Copy, PartialEq)]
+struct Progress {
+    phase: Phase,
+    since: Millis,
+}
+
 /// Bookkeeping of a client connection.
 pub(super) struct Peer {
     pub(super) limits: FrontLimits,
@@ -47,8 +66,8 @@
     pub(super) close_requested: Notify,
     /// A graceful close was requested, and nothing has been received since.
     pub(super) asked_to_close: Cell<bool>,
-    /// The connection is to be dropped whatever it has sent.
-    pub(super) aborted: Cell<bool>,
+    /// Progress at the moment when the connection was found to be droppable; `None` if it was not since.
+    drop_requested_at: Cell<Option<Progress>>,
     /// A request body is arriving.
     pub(super) uploading: Cell<bool>,
     /// A streamed answer is being written.
@@ -74,7 +93,7 @@
             next_request_started: Cell::new(false),
             close_requested: Notify::new(),
             asked_to_close: Cell::new(false),
-            aborted: Cell::new(false),
+            drop_requested_at: Cell::new(None),
             uploading: Cell::new(false),
             streaming: Cell::new(false),
             response_cut: Cell::new(false),
@@ -153,11 +172,35 @@
         self.close_requested.notify_one();
     }
 
-    pub(super) fn abort(&self) {
-        self.aborted.set(true);
+    /// Requests that the connection is dropped for the lack of progress. The connection itself carries it out.
+    pub(super) fn request_drop(&self) {
+        self.drop_requested_at.set(Some(self.progress()));
         self.close_requested.notify_one();
     }
 
+    /// Whether a drop has been requested and is not carried out yet.
+    pub(super) fn is_drop_requested(&self) -> bool {
+        self.drop_requested_at.get().is_some()
+    }
+
+    /// Takes the request to end the connection, by the state that it is in now.
+    pub(super) fn take_end_request(&self, stream: &TcpStream) -> EndRequest {
+        match self.drop_requested_at.take() {
+            Some(requested) if requested == self.progress() && !self.may_progress(stream) => EndRequest::Drop,
+            Some(_) if !self.asked_to_close.get() => EndRequest::Outdated,
+            _ => EndRequest::CloseIfIdle,
+        }
+    }
+
+    /// Whether bytes have arrived that could be the rest of a request.
+    fn may_progress(&self, stream: &TcpStream) -> bool {
+        self.phase.get() != Phase::Writing && unread(stream)
+    }
+
+    fn progress(&self) -> Progress {
+        Progress { phase: self.phase.get(), since: self.phase_since.get() }
+    }
+
     /// Score for eviction in favour of a new connection, from the time of silence; `None` if it must not be evicted. A
     /// slow but progressing connection scores low, one that stopped half way or stays idle scores high, and one that
     /// never sent anything scores highest. A new connection is evicted only if there is no other candidate.
--- a/crates/engine/src/front/pipelined/mod.rs
+++ b/crates/engine/src/front/pipelined/mod.rs
@@ -7,6 +7,7 @@
 //! Invariants:
 //! - A connection that this process decides to close has no started request without an answer. Once there is a reason
 //!   to close it, no further request is started, and the last answer announces the close.
+//! - Whether a connection is closed is decided by its own task, by what it has received by then. Others only request it.
 //! - Bytes that arrive on an idle connection while it is being closed are not read: the client may send them again.
 //! - A truncated answer does not look complete, and takes nothing from the answers before it. Its framing shows that it
 //!   is incomplete, so the connection ends in order once all that was written has been sent. Only an answer that the
@@ -19,6 +20,7 @@
 
 use super::connection_ends::{ConnectionEnd, EndReport};
 use super::heads::Framing;
+use super::peer::EndRequest;
 use super::request_progress::OpenRequests;
 use super::{unread, Front, HttpHandler, Peer, Phase};
 use crate::body::Body;
@@ -159,11 +161,10 @@
                 // The reading side has ended, so the close has to be detected here.
                 () = self.client_closed(), if !reads => return ConnectionEnd::ClientClosed,
                 () = self.peer.close_requested.notified() => {
-                    if self.peer.aborted.get() {
-                        return self.dropped();
-                    }
-                    if self.is_idle() {
-                        return ConnectionEnd::Idle;
+                    match self.peer.take_end_request(&self.stream) {
+                        EndRequest::Drop => return self.dropped(),
+                        EndRequest::CloseIfIdle if self.is_idle() => return ConnectionEnd::Idle,
+                        EndRequest::CloseIfIdle | EndRequest::Outdated => {}
                     }
                 }
             }
--- a/crates/engine/tests/common/front.rs
+++ b/crates/engine/tests/common/front.rs
@@ -46,6 +46,13 @@
     pub on_answer: RefCell<Option<Box<dyn Fn()>>>,
 }
 
+impl TestHandler {
+    /// Advances the front's clock by `by` ms.
+    pub fn advance(&self, by: Millis) {
+        self.ahead.set(self.ahead.get() + by);
+    }
+}
+
 fn is_at_most_once(head: &Parts) -> bool {
     head.method == Method::POST || head.uri.path().starts_with("/once")
 }
@@ -143,18 +150,23 @@
         &self,
         action: impl FnOnce(&Rc<Front<TestHandler>>) -> T + Send + 'static,
     ) -> T {
+        self.start_action(action).recv().expect("the front")
+    }
+
+    /// Runs an action on the front's thread without waiting for its result.
+    pub fn start_action<T: Send + 'static>(
+        &self,
+        action: impl FnOnce(&Rc<Front<TestHandler>>) -> T + Send + 'static,
+    ) -> Receiver<T> {
         let (sender, receiver) = mpsc::channel();
         let action: Action = Box::new(move |front| sender.send(action(front)).expect("the test"));
         assert!(self.actions.send(action).is_ok(), "the front runs");
-        receiver.recv().expect("the front")
+        receiver
     }
 
     /// Advances the front's clock, which connections use, by `by` ms.
     pub fn advance(&self, by: Millis) {
-        self.with(move |front| {
-            let ahead = &front.handler().ahead;
-            ahead.set(ahead.get() + by);
-        });
+        self.with(move |front| front.handler().advance(by));
     }
 
     /// Opens a connection.
--- a/crates/engine/tests/unanswered.rs
+++ b/crates/engine/tests/unanswered.rs
@@ -2,12 +2,20 @@
 
 mod common;
 
-use common::front::{paths, request, waiting_server, Rig};
+use common::front::{paths, request, waiting_server, OpenRequests, Rig};
 use oatbank_engine::front::connection_ends::ConnectionEnd;
 use oatbank_testkit::{eventually, read_message, within};
 use std::io::{Read, Write};
+use std::sync::mpsc;
 use std::time::Duration;
 
+/// Rounds of a test whose order of events the runtime draws.
+const ROUNDS: usize = 20;
+/// Tasks that are ready at the end of a stall.
+const TASKS_PER_STALL: usize = 500;
+/// Advance of the clock beyond the time limit for a head, ms.
+const AFTER_HEAD_TIMEOUT: f64 = 5000.0;
+
 fn unanswered(rig: &Rig) -> u64 {
     rig.with(|front| ConnectionEnd::ALL.map(|end| front.ends().count(end).unanswered).iter().sum())
 }
@@ -113,3 +121,34 @@
     );
     assert_eq!(paths(&server), ["/a"]);
 }
+
+/// Guards against a request that is read and dropped, because its connection was found stalled before it arrived (LOST, 89).
+#[test]
+fn a_request_that_arrives_before_a_stalled_connection_is_dropped_is_answered() {
+    for round in 0..2 * ROUNDS {
+        let (server, _release) = waiting_server();
+        let open_requests = [OpenRequests::One, OpenRequests::Several][round % 2];
+        let rig = Rig::with_open_requests(&server, open_requests);
+        let (mut stream, mut reader) = rig.connect();
+        eventually("the connection is accepted", || rig.with(|front| front.open() == 1));
+        let (held, is_held) = mpsc::channel();
+        let (resume, resumed) = mpsc::channel::<()>();
+        let stalled = rig.start_action(move |front| {
+            held.send(()).expect("the test");
+            resumed.recv().expect("the test");
+            // More tasks than one turn of the loop runs: it looks for arrived bytes before it comes to the connection.
+            (0..TASKS_PER_STALL).for_each(|_| drop(tokio::task::spawn_local(async {})));
+            front.handler().advance(AFTER_HEAD_TIMEOUT);
+            front.close_stalled();
+        });
+        is_held.recv().expect("the front");
+        stream.write_all(request("GET", "/a", "1").as_bytes()).expect("written");
+        resume.send(()).expect("the front");
+        stalled.recv().expect("the front");
+        let answer = read_message(&mut reader);
+        let dropped = rig.with(|front| front.ends().count(ConnectionEnd::Dropped));
+        let answer = answer
+            .unwrap_or_else(|| panic!("round {round}, {open_requests:?}: no answer, dropped: {dropped:?}"));
+        assert_eq!(answer.header("Try-Id"), Some("1"));
+    }
+}
