Clients are told how long an idle connection stays open, 3 s less than it does

The answers of pipelined connections now carry 'Connection: keep-alive' and 'Keep-Alive: timeout=N', 3 s below the limit in force; the last answer carries close as before. What crosses all the same is still left unread.

The test fails on the code before: 'left: None, right: Some(keep-alive)'.

--- a/crates/engine/src/front/heads.rs
+++ b/crates/engine/src/front/heads.rs
@@ -8,6 +8,7 @@
 use http::request::Parts;
 use http::{Method, Request, StatusCode, Uri, Version};
 
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 /// Most headers in a head.
 const MAX_HEADERS: usize = 100;
 /// Longest chunk size line, bytes.
@@ -238,12 +239,24 @@
     None,
 }
 
+/// What an answer says about its connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Persistence {
+    /// The connection ends with this answer.
+    Close,
+    /// The connection stays open while it is idle for at least this many seconds (RFC 2068, 19.7.1.1).
+    KeepAlive {
+        /// Seconds.
+        timeout_s: u64,
+    },
+}
+
 /// Encodes the head of an answer into `out`.
 pub fn write_head(
     status: StatusCode,
     headers: &HeaderMap,
     framing: Framing,
-    close: bool,
+    persistence: Persistence,
     out: &mut BytesMut,
 ) {
     out.extend_from_slice(b"HTTP/1.1 ");
@@ -261,6 +274,7 @@
         // The framing headers are written below only.
         let framing = *name == TRANSFER_ENCODING
             || *name == CONNECTION
+            || *name == KEEP_ALIVE
             || *name == CONTENT_LENGTH && framing != Framing::None;
         if !framing {
             line(name.as_str().as_bytes(), value.as_bytes());
@@ -271,8 +285,12 @@
         Framing::Chunked => line(b"transfer-encoding", b"chunked"),
         Framing::Close | Framing::None => {}
     }
-    if close || framing == Framing::Close {
-        line(b"connection", b"close");
+    match persistence {
+        Persistence::KeepAlive { timeout_s } if framing != Framing::Close => {
+            line(b"connection", b"keep-alive");
+            line(b"keep-alive", format!("timeout={timeout_s}").as_bytes());
+        }
+        _ => line(b"connection", b"close"),
     }
     out.extend_from_slice(b"\r\n");
 }
--- a/crates/engine/src/front/mod.rs
+++ b/crates/engine/src/front/mod.rs
@@ -50,6 +50,10 @@
 const CONNECT_UNSUPPORTED: Rejection = Rejection { status: StatusCode::NOT_IMPLEMENTED, why: "no tunnels\n" };
 const NO_BODY_MEMORY: Rejection =
     Rejection { status: StatusCode::SERVICE_UNAVAILABLE, why: "too many long bodies at once\n" };
+/// How much longer than stated an idle connection stays open, ms: an answer and the next request are on the way in it.
+const IDLE_MARGIN: Millis = 3000.0;
+/// Shortest idle time that clients are told, ms.
+const MIN_STATED_IDLE: Millis = 1000.0;
 /// Interval between checks for stalled connections.
 const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -77,6 +81,14 @@
     pub body_read_timeout: Duration,
 }
 
+impl FrontLimits {
+    /// Idle time in whole seconds that clients are told a connection stays open: less than it does, so that a request
+    /// sent within it does not cross the close.
+    pub(crate) fn stated_idle_s(&self) -> u64 {
+        ((self.idle_timeout - IDLE_MARGIN).max(MIN_STATED_IDLE) / 1000.0) as u64
+    }
+}
+
 impl Default for FrontLimits {
     fn default() -> Self {
         FrontLimits {
--- a/crates/engine/src/front/pipelined/write.rs
+++ b/crates/engine/src/front/pipelined/write.rs
@@ -1,6 +1,6 @@
 //! The writing side of a pipelined connection: writes the answers in the order of the requests.
 
-use super::super::heads::{self, Framing};
+use super::super::heads::{self, Framing, Persistence};
 use super::super::{closing, HttpHandler, Phase};
 use super::{AnswerSource, Connection, PendingAnswer};
 use crate::body::{self, Body};
@@ -81,6 +81,10 @@
         turn: &PendingAnswer,
         close: bool,
     ) -> Option<WriteEnd> {
+        let persistence = match close {
+            true => Persistence::Close,
+            false => Persistence::KeepAlive { timeout_s: self.front.limits.stated_idle_s() },
+        };
         let (head, body) = answer.into_parts();
         let bodiless =
             turn.head_only || matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
@@ -88,7 +92,7 @@
         let failure = |done: bool| (!done).then_some(WriteEnd::Failed);
         match body {
             _ if bodiless => {
-                heads::write_head(head.status, &head.headers, Framing::None, close, &mut out);
+                heads::write_head(head.status, &head.headers, Framing::None, persistence, &mut out);
                 failure(self.write_all(&out, b"").await)
             }
             Body::Whole(bytes) => {
@@ -96,7 +100,7 @@
                     head.status,
                     &head.headers,
                     Framing::Length(bytes.len() as u64),
-                    close,
+                    persistence,
                     &mut out,
                 );
                 failure(self.write_all(&out, &bytes).await)
@@ -107,7 +111,7 @@
                     None if turn.is_http10 => Framing::Close,
                     None => Framing::Chunked,
                 };
-                heads::write_head(head.status, &head.headers, framing, close, &mut out);
+                heads::write_head(head.status, &head.headers, framing, persistence, &mut out);
                 self.peer.streaming.set(length != Some(held.len() as u64));
                 let end = self.stream(&out, held, framing, &mut rest).await;
                 self.peer.streaming.set(false);
--- a/crates/engine/tests/unanswered.rs
+++ b/crates/engine/tests/unanswered.rs
@@ -4,6 +4,7 @@
 
 use common::front::{paths, request, waiting_server, OpenRequests, Rig};
 use oatbank_engine::front::connection_ends::ConnectionEnd;
+use oatbank_engine::front::FrontLimits;
 use oatbank_testkit::{eventually, read_message, within};
 use std::io::{Read, Write};
 use std::sync::mpsc;
@@ -152,3 +153,31 @@
         assert_eq!(answer.header("Try-Id"), Some("1"));
     }
 }
+
+/// Guards against requests sent on a connection that is being closed, because its client was never told for how long it
+/// stays open (LOST, 89).
+#[test]
+fn clients_are_told_how_long_an_idle_connection_stays_open() {
+    let (server, _release) = waiting_server();
+    let rig = Rig::start(&server);
+    let (mut stream, mut reader) = rig.connect();
+    let mut send = |id: &str| {
+        stream.write_all(request("GET", "/a", id).as_bytes()).expect("written");
+        read_message(&mut reader).unwrap_or_else(|| panic!("{id} has no answer"))
+    };
+    let answer = send("1");
+    assert_eq!(answer.header("Connection"), Some("keep-alive"));
+    let stated = answer.header("Keep-Alive").and_then(|said| said.strip_prefix("timeout="));
+    let stated_s: f64 = stated.and_then(|seconds| seconds.parse().ok()).expect("whole seconds");
+    let idle_timeout = FrontLimits::default().idle_timeout;
+    assert!(stated_s > 0.0 && stated_s * 1000.0 < idle_timeout, "{stated_s} s of {idle_timeout} ms");
+    rig.with(move |front| {
+        front.handler().advance(stated_s * 1000.0);
+        front.close_stalled();
+    });
+    send("2");
+    rig.with(|front| front.stop());
+    let last = send("3");
+    assert_eq!((last.header("Connection"), last.header("Keep-Alive")), (Some("close"), None));
+    assert_eq!(unanswered(&rig), 0);
+}
