An upload that is abandoned while it is forwarded is answered before its connection ends

Clients saw the connection of an upload end without an answer, counted as 'client closed', where this process ended it: the rest of the body was malformed, too long, stalled for 2 s, or not read by its server for 10 s. The request is started by then, so it is owed an answer. Reading now ends as behind a last answer: the body's receiver gets an error, the request is answered, and that answer announces the close. 'client closed' is the client's doing again.

The test fails on the code before: 'an answer'.

--- a/crates/engine/src/front/pipelined/read.rs
+++ b/crates/engine/src/front/pipelined/read.rs
@@ -17,7 +17,7 @@
 
 /// Why reading ended.
 pub(super) enum ReadEnd {
-    /// The client has closed or makes no progress.
+    /// The client has closed.
     ClientClosed,
     /// The connection ends with the pending answers.
     NothingMore,
@@ -37,6 +37,16 @@
     rest: Option<(BodySender, BodyEnd)>,
 }
 
+/// How the forwarding of a body ended.
+enum ForwardedBody {
+    /// It has arrived completely.
+    Whole,
+    /// The client has closed.
+    ClientClosed,
+    /// It is malformed or too long, or it makes no progress. Its receiver gets an error.
+    Abandoned,
+}
+
 /// Why a request was not started.
 enum StartError {
     /// The client has closed.
@@ -90,8 +100,14 @@
             let (is_last, is_http10) = (turn.last, turn.is_http10);
             place.send(turn);
             if let Some((sender, ends)) = rest {
-                if !self.forward_body(&mut buffer, ends, sender).await {
-                    return ReadEnd::ClientClosed;
+                match self.forward_body(&mut buffer, ends, sender).await {
+                    ForwardedBody::Whole => {}
+                    ForwardedBody::ClientClosed => return ReadEnd::ClientClosed,
+                    ForwardedBody::Abandoned => {
+                        // The request is started, so it is answered before the connection ends.
+                        self.closing.set(true);
+                        return ReadEnd::NothingMore;
+                    }
                 }
             }
             if is_last {
@@ -219,9 +235,14 @@
         Ok(Received { upload, permit, rest: Some((sender, ends)) })
     }
 
-    /// Forwards the rest of a body while it arrives, and discards it if the receiver is dropped. Returns false if the
-    /// client closes or makes no progress; dropping the sender then ends the body with an error.
-    async fn forward_body(&self, buffer: &mut BytesMut, mut ends: BodyEnd, sender: BodySender) -> bool {
+    /// Forwards the rest of a body while it arrives, and discards it if the receiver is dropped. Dropping the sender before
+    /// the end of the body ends it with an error.
+    async fn forward_body(
+        &self,
+        buffer: &mut BytesMut,
+        mut ends: BodyEnd,
+        sender: BodySender,
+    ) -> ForwardedBody {
         let limits = &self.front.limits;
         let mut taken = 0u64;
         let mut sender = Some(sender);
@@ -232,29 +253,30 @@
                     let is_too_long = taken > limits.max_body_bytes;
                     let Some(to) = &sender else {
                         if is_too_long {
-                            return false;
+                            return ForwardedBody::Abandoned;
                         }
                         continue;
                     };
                     let chunk = if is_too_long { Err(body::BodyError::TooLong) } else { Ok(chunk) };
                     match self.while_open(buffer, timeout(receive::STALL_TIMEOUT, to.send(chunk))).await {
+                        None => return ForwardedBody::ClientClosed,
                         Some(Ok(Ok(()))) if !is_too_long => {}
                         Some(Ok(Err(_))) if !is_too_long => sender = None,
-                        _ => return false,
+                        Some(_) => return ForwardedBody::Abandoned,
                     }
                 }
                 Ok(None) if ends == BodyEnd::Reached => {
                     if let Some(sender) = sender {
                         sender.finish();
                     }
-                    return true;
+                    return ForwardedBody::Whole;
                 }
-                Ok(None)
-                    if matches!(
-                        timeout(limits.body_read_timeout, self.read_more(buffer)).await,
-                        Ok(true)
-                    ) => {}
-                Ok(None) | Err(_) => return false,
+                Ok(None) => match timeout(limits.body_read_timeout, self.read_more(buffer)).await {
+                    Ok(true) => {}
+                    Ok(false) => return ForwardedBody::ClientClosed,
+                    Err(_) => return ForwardedBody::Abandoned,
+                },
+                Err(_) => return ForwardedBody::Abandoned,
             }
         }
     }
--- a/crates/engine/tests/unanswered.rs
+++ b/crates/engine/tests/unanswered.rs
@@ -12,6 +12,8 @@
 
 /// Rounds of a test whose order of events the runtime draws.
 const ROUNDS: usize = 20;
+/// Length of a body that is forwarded while it arrives, bytes.
+const STREAMED_BYTES: usize = 200_000;
 /// Tasks that are ready at the end of a stall.
 const TASKS_PER_STALL: usize = 500;
 /// Advance of the clock beyond the time limit for a head, ms.
@@ -181,3 +183,19 @@
     assert_eq!((last.header("Connection"), last.header("Keep-Alive")), (Some("close"), None));
     assert_eq!(unanswered(&rig), 0);
 }
+
+/// Guards against an upload whose connection ends without an answer, because its body is abandoned once it is being
+/// forwarded.
+#[test]
+fn an_upload_that_breaks_its_framing_while_it_is_forwarded_is_answered() {
+    let (server, _release) = waiting_server();
+    let rig = Rig::start(&server);
+    let (mut stream, mut reader) = rig.connect();
+    let chunk = format!("{STREAMED_BYTES:x}\r\n{}\r\n", "x".repeat(STREAMED_BYTES));
+    let head = "POST /post HTTP/1.1\r\nHost: h\r\nTry-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n";
+    stream.write_all((head.to_owned() + &chunk + "no size\r\n").as_bytes()).expect("written");
+    let answer = read_message(&mut reader).expect("an answer");
+    assert!(!answer.start.contains(" 200 "), "{}", answer.start);
+    assert_eq!(answer.header("Connection"), Some("close"));
+    assert_eq!(unanswered(&rig), 0);
+}
