The rest of an upload that was answered early does not make its connection look stalled

A connection whose upload was answered before it was complete was taken for one that sends a head slowly: the rest of the body made it 'reading', and it was dropped 3.5 s later, though its client may use it for the idle time that it was told. It now drains the body, as in the path of the HTTP library, and is idle when the body ends.

The test fails on the code before: 'the connection is open'.

--- a/crates/engine/src/front/pipelined/read.rs
+++ b/crates/engine/src/front/pipelined/read.rs
@@ -100,8 +100,9 @@
             let (is_last, is_http10) = (turn.last, turn.is_http10);
             place.send(turn);
             if let Some((sender, ends)) = rest {
+                self.peer.uploading.set(true);
                 match self.forward_body(&mut buffer, ends, sender).await {
-                    ForwardedBody::Whole => {}
+                    ForwardedBody::Whole => self.on_body_end(&buffer),
                     ForwardedBody::ClientClosed => return ReadEnd::ClientClosed,
                     ForwardedBody::Abandoned => {
                         // The request is started, so it is answered before the connection ends.
@@ -157,6 +158,14 @@
         self.open_requests.on_start()
     }
 
+    /// Records the end of a body that was forwarded. If its request was answered before, the connection is idle now.
+    fn on_body_end(&self, buffer: &BytesMut) {
+        self.peer.on_upload_end(self.now());
+        if self.peer.phase.get() == Phase::Idle && !buffer.is_empty() {
+            self.peer.enter(Phase::Reading, self.now());
+        }
+    }
+
     /// Starts a request: answers it from its head, or receives its body and spawns its handler.
     async fn begin(
         &self,
--- a/crates/engine/tests/common/front.rs
+++ b/crates/engine/tests/common/front.rs
@@ -124,9 +124,13 @@
 
     /// Starts a front for this server.
     pub fn with_open_requests(server: &Server, open_requests: OpenRequests) -> Rig {
+        Rig::for_address(server.address, open_requests)
+    }
+
+    /// Starts a front for a server at this address.
+    pub fn for_address(address: SocketAddr, open_requests: OpenRequests) -> Rig {
         let (sender, receiver) = mpsc::channel();
         let (actions, mut wanted) = unbounded_channel::<Action>();
-        let address = server.address;
         std::thread::spawn(move || {
             let runtime =
                 tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
--- a/crates/engine/tests/unanswered.rs
+++ b/crates/engine/tests/unanswered.rs
@@ -6,7 +6,9 @@
 use oatbank_engine::front::connection_ends::ConnectionEnd;
 use oatbank_engine::front::FrontLimits;
 use oatbank_testkit::{eventually, read_message, within};
+use socket2::{Domain, Socket, Type};
 use std::io::{Read, Write};
+use std::net::SocketAddr;
 use std::sync::mpsc;
 use std::time::Duration;
 
@@ -14,6 +16,8 @@
 const ROUNDS: usize = 20;
 /// Length of a body that is forwarded while it arrives, bytes.
 const STREAMED_BYTES: usize = 200_000;
+/// Turns of the front's loop in which it reads what has arrived.
+const TURNS_TO_READ: usize = 100;
 /// Tasks that are ready at the end of a stall.
 const TASKS_PER_STALL: usize = 500;
 /// Advance of the clock beyond the time limit for a head, ms.
@@ -199,3 +203,29 @@
     assert_eq!(answer.header("Connection"), Some("close"));
     assert_eq!(unanswered(&rig), 0);
 }
+
+/// Guards against a connection that is dropped long before the time that its client was told, because the rest of an
+/// upload arrived behind its answer.
+#[test]
+fn a_connection_is_idle_after_an_upload_that_was_answered_early() {
+    // Bound and not listening: connections to it are refused, so the upload is answered before it is complete.
+    let refusing = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    refusing.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a port");
+    let address = refusing.local_addr().ok().and_then(|address| address.as_socket()).expect("an address");
+    let rig = Rig::for_address(address, OpenRequests::Several);
+    let (mut stream, mut reader) = rig.connect();
+    let half = "x".repeat(STREAMED_BYTES);
+    let length = 2 * STREAMED_BYTES;
+    let head = format!("POST /post HTTP/1.1\r\nHost: h\r\nTry-Id: 1\r\nContent-Length: {length}\r\n\r\n");
+    stream.write_all((head + &half).as_bytes()).expect("written");
+    let early = read_message(&mut reader).expect("an early answer");
+    assert_eq!(early.header("Connection"), Some("keep-alive"), "{}", early.start);
+    stream.write_all(half.as_bytes()).expect("written");
+    (0..TURNS_TO_READ).for_each(|_| rig.with(|_| ()));
+    rig.with(|front| {
+        front.handler().advance(AFTER_HEAD_TIMEOUT);
+        front.close_stalled();
+    });
+    stream.write_all(request("GET", "/a", "2").as_bytes()).expect("written");
+    assert!(read_message(&mut reader).is_some(), "the connection is open");
+}
