--- a/crates/local-cluster/src/soak/clients.rs
+++ b/crates/local-cluster/src/soak/clients.rs
@@ -12,7 +12,7 @@
 /// Maximum number of pipelined requests in a batch.
 const MAX_PIPELINED_REQUESTS: usize = 5;
 /// Time that a client waits for the answers to a batch.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(2500);
+pub(super) const ANSWER_TIMEOUT: Duration = Duration::from_millis(2500);
 /// Share of batches whose client disconnects without reading the answers.
 const DISCONNECT_SHARE: f64 = 0.25;
 
@@ -64,15 +64,25 @@
     pub(super) text: String,
 }
 
+/// The start of a request's head, up to the lines that concern its body.
+fn head(method: &str, path: &str, id: &str) -> String {
+    format!(
+        "{method} {path}1 HTTP/1.1\r\nHost: {HOST}\r\nTry-Id: {id}\r\nTime-Left-Ms: 2000\r\n\
+         Authorization: Bearer {UNLIMITED_KEY}\r\n"
+    )
+}
+
+/// A read that keeps its connection open.
+pub(super) fn prepare_read() -> Prepared {
+    let id = try_id();
+    let text = head("GET", READ, &id) + "\r\n";
+    Prepared { id, kind: Kind::Read, text }
+}
+
 fn prepare(random: &mut Random, is_last: bool) -> Prepared {
     let id = try_id();
     let close = if is_last { "Connection: close\r\n" } else { "" };
-    let head = |method: &str, path: &str, id: &str| {
-        format!(
-            "{method} {path}1 HTTP/1.1\r\nHost: {HOST}\r\nTry-Id: {id}\r\nTime-Left-Ms: 2000\r\n\
-             Authorization: Bearer {UNLIMITED_KEY}\r\n{close}"
-        )
-    };
+    let head = |method: &str, path: &str, id: &str| head(method, path, id) + close;
     let drawn = random.share();
     if drawn < 0.04 {
         // No client sends a request with this id: if it reaches a server, a proxy parsed the body as a request.
--- a/crates/local-cluster/src/soak/mod.rs
+++ b/crates/local-cluster/src/soak/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod clients;
 pub mod overload;
+pub mod resting;
 pub mod rules;
 pub mod schedule;
 
@@ -43,6 +44,8 @@
 const SERIES_GAP: Duration = Duration::from_millis(200);
 /// Number of concurrent clients without a quota.
 const CLIENTS: u64 = 16;
+/// Number of clients whose connections rest.
+const RESTING_CLIENTS: u64 = 3;
 /// Graceful shutdown time in seconds: half of it for accepting new connections, the rest for completing a request.
 const GRACE_S: u64 = 5;
 /// Delay between the last request and the final reading of the servers' records.
@@ -103,13 +106,18 @@
             std::thread::spawn(move || clients::run(&fronts, seed, number, &soak.stop))
         })
         .collect();
-    let mut overload_clients = Vec::new();
+    let mut other_clients: Vec<_> = (0..RESTING_CLIENTS)
+        .map(|number| {
+            let (soak, fronts, seed) = (soak.clone(), fronts.clone(), options.seed);
+            std::thread::spawn(move || resting::run(&fronts, seed, number, &soak.stop))
+        })
+        .collect();
     let begun = Instant::now();
     for (nth, tenant) in overload::TENANTS.into_iter().enumerate() {
         let periods = overload::draw_periods(options.seed, nth, options.span);
         for connection in 0..overload::CONNECTIONS {
             let (soak, fronts, seed, periods) = (soak.clone(), fronts.clone(), options.seed, periods.clone());
-            overload_clients.push(std::thread::spawn(move || {
+            other_clients.push(std::thread::spawn(move || {
                 let client = OverloadClient { tenant, periods, fronts: &fronts, begun, stop: &soak.stop };
                 client.run(seed, (nth * overload::CONNECTIONS + connection) as u64)
             }));
@@ -132,7 +140,7 @@
     soak.stop.store(true, Ordering::SeqCst);
     let exchanges = clients
         .into_iter()
-        .chain(overload_clients)
+        .chain(other_clients)
         .flat_map(|client| client.join().unwrap_or_default())
         .collect();
     std::thread::sleep(SETTLE_TIME);
