The rest of a rejected upload is not reported as a further request

What has been read behind a rejected head is that request's own body, and is discarded; it marked the connection as if a next request had begun. The mark is now taken back where the rest is discarded: a malformed head, a rejected body, an answer by the head alone.

The test fails on the code before: 'left: [EndReport { end: LastAnswer, requests: [], is_next_begun: true ..'.

--- a/crates/engine/src/front/pipelined/read.rs
+++ b/crates/engine/src/front/pipelined/read.rs
@@ -76,6 +76,7 @@
                 Err(StartError::Rejected(rejection)) => {
                     self.open_requests.on_head(String::new(), self.now());
                     self.open_requests.on_start();
+                    self.on_rest_discarded();
                     place.send(rejected(rejection));
                     return ReadEnd::NothingMore;
                 }
@@ -94,6 +95,7 @@
                 Ok(begun) => begun,
                 Err(StartError::ClientClosed) => return ReadEnd::ClientClosed,
                 Err(StartError::Rejected(rejection)) => {
+                    self.on_rest_discarded();
                     StartedRequest { turn: rejected(rejection), rest: None }
                 }
             };
@@ -158,6 +160,11 @@
         self.open_requests.on_start()
     }
 
+    /// Records that the rest of a rejected request is discarded. What has been read of it is no further request.
+    fn on_rest_discarded(&self) {
+        self.next_request_started.set(false);
+    }
+
     /// Records the end of a body that was forwarded. If its request was answered before, the connection is idle now.
     fn on_body_end(&self, buffer: &BytesMut) {
         self.peer.on_upload_end(self.now());
@@ -180,6 +187,9 @@
             HeadDecision::Respond(answer) => {
                 // The body of such a request is not read and must not be parsed as a request.
                 let has_body = head.ends != BodyEnd::Reached;
+                if has_body {
+                    self.on_rest_discarded();
+                }
                 let answer = if has_body { closing(answer) } else { answer };
                 let turn = turn(AnswerSource::Ready(Box::new(answer)), head.last || has_body);
                 return Ok(StartedRequest { turn, rest: None });
--- a/crates/engine/tests/common/front.rs
+++ b/crates/engine/tests/common/front.rs
@@ -16,14 +16,13 @@
 use oatbank_engine::upstreams::try_id::{headers_on, TryIdDialect};
 use oatbank_limiter_core::interface::{Class, Millis, Repeat, Request, Rules};
 use oatbank_operations::budget::{Budget, Limits};
-use oatbank_testkit::{Act, Message, Server, PATIENCE};
+use oatbank_testkit::{Act, LoopThread, Message, Server, PATIENCE};
 use std::cell::{Cell, RefCell};
 use std::io::BufReader;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 use std::sync::mpsc::{self, Receiver, Sender};
 use std::sync::{Arc, Mutex};
-use tokio::sync::mpsc::{unbounded_channel, UnboundedSender};
 
 pub type TestEngine = Engine<Http1<TryIdDialect>>;
 
@@ -108,12 +107,10 @@
     }
 }
 
-type Action = Box<dyn FnOnce(&Rc<Front<TestHandler>>) + Send>;
-
 /// A running front.
 pub struct Rig {
     pub address: SocketAddr,
-    actions: UnboundedSender<Action>,
+    front: LoopThread<Front<TestHandler>>,
 }
 
 impl Rig {
@@ -130,23 +127,15 @@
     /// Starts a front for a server at this address.
     pub fn for_address(address: SocketAddr, open_requests: OpenRequests) -> Rig {
         let (sender, receiver) = mpsc::channel();
-        let (actions, mut wanted) = unbounded_channel::<Action>();
-        std::thread::spawn(move || {
-            let runtime =
-                tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-            tokio::task::LocalSet::new().block_on(&runtime, async move {
-                let front =
-                    Front::new(test_handler(address, open_requests), budget(), FrontLimits::default());
-                let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
-                sender.send(listener.local_addr().expect("an address")).expect("the test");
-                tokio::task::spawn_local(front.clone().close_stalled_connections());
-                tokio::task::spawn_local(front.clone().accept(Rc::new(listener)));
-                while let Some(action) = wanted.recv().await {
-                    action(&front);
-                }
-            });
+        let front = LoopThread::start(move || async move {
+            let front = Front::new(test_handler(address, open_requests), budget(), FrontLimits::default());
+            let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
+            sender.send(listener.local_addr().expect("an address")).expect("the test");
+            tokio::task::spawn_local(front.clone().close_stalled_connections());
+            tokio::task::spawn_local(front.clone().accept(Rc::new(listener)));
+            front
         });
-        Rig { address: receiver.recv().expect("a front"), actions }
+        Rig { address: receiver.recv().expect("a front"), front }
     }
 
     /// Runs an action on the front's thread and returns its result.
@@ -154,7 +143,7 @@
         &self,
         action: impl FnOnce(&Rc<Front<TestHandler>>) -> T + Send + 'static,
     ) -> T {
-        self.start_action(action).recv().expect("the front")
+        self.front.with(action)
     }
 
     /// Runs an action on the front's thread without waiting for its result.
@@ -162,10 +151,7 @@
         &self,
         action: impl FnOnce(&Rc<Front<TestHandler>>) -> T + Send + 'static,
     ) -> Receiver<T> {
-        let (sender, receiver) = mpsc::channel();
-        let action: Action = Box::new(move |front| sender.send(action(front)).expect("the test"));
-        assert!(self.actions.send(action).is_ok(), "the front runs");
-        receiver
+        self.front.start_action(action)
     }
 
     /// Advances the front's clock, which connections use, by `by` ms.
--- a/crates/engine/tests/unanswered.rs
+++ b/crates/engine/tests/unanswered.rs
@@ -87,6 +87,25 @@
     assert_eq!((server.count(), unanswered(&rig)), (0, 0));
 }
 
+/// Guards against reports of a further request at the end of a connection that had none (89).
+#[test]
+fn the_body_of_a_rejected_request_is_not_reported_as_a_further_request() {
+    let (server, _release) = waiting_server();
+    let rig = Rig::start(&server);
+    let heads =
+        ["POST /closed HTTP/1.1\r\n", "POST /a HTTP/1.1\r\nTransfer-Encoding: unknown\r\n", "no head\r\n"];
+    for head in heads {
+        let (mut stream, mut reader) = rig.connect();
+        let body = "Host: h\r\nTry-Id: 1\r\nContent-Length: 4\r\n\r\nbody";
+        stream.write_all((head.to_owned() + body).as_bytes()).expect("written");
+        let answer = read_message(&mut reader).unwrap_or_else(|| panic!("{head}: no answer"));
+        assert_eq!(answer.header("Connection"), Some("close"), "{head}");
+        drop((stream, reader));
+        eventually("the connection has ended", || rig.with(|front| front.open() == 0));
+        assert_eq!(rig.with(|front| front.ends().take_reports()), [], "{head}");
+    }
+}
+
 #[test]
 fn a_connection_is_idle_after_a_request_with_a_body() {
     let (server, _release) = waiting_server();
