Engine: connections with one request at a time get a module of their own

Nothing but moves; what took a front and a peer as parameters is now methods of a connection. The engine's tests pass.

--- a/crates/engine/src/front/mod.rs
+++ b/crates/engine/src/front/mod.rs
@@ -11,34 +11,24 @@
 mod receive;
 mod recent_bytes;
 pub mod request_progress;
+mod sequential;
 
-use crate::body::{Body, BodyBudget, BodyError, BodyPermit, Upload, MAX_BODY_BYTES, MAX_BUFFERED_BYTES};
-use crate::classify::{self, Rejection};
-use crate::respond;
-use bytes::Bytes;
+use crate::body::{Body, BodyBudget, BodyPermit, Upload, MAX_BODY_BYTES, MAX_BUFFERED_BYTES};
+use crate::classify::Rejection;
 use connection_ends::ConnectionEnds;
 use http::request::Parts;
-use hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
-use hyper::header::{HeaderMap, HeaderName, HeaderValue};
-use hyper::header::{CONNECTION, CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper::{Method, Request, Response, StatusCode, Uri, Version};
-use hyper_util::rt::TokioIo;
-use monitored_stream::MonitoredStream;
+use http::{Method, Response, StatusCode, Uri};
+use hyper::header::{HeaderName, HeaderValue, CONNECTION, HOST};
 use oatbank_limiter_core::interface::Millis;
 use oatbank_operations::budget::Budget;
-use peer::{EndRequest, Peer, Phase};
+use peer::{Peer, Phase};
 use request_progress::RequestProgress;
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::convert::Infallible;
 use std::future::Future;
 use std::mem::MaybeUninit;
-use std::pin::{pin, Pin};
 use std::rc::Rc;
-use std::task::{ready, Context, Poll};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
@@ -317,82 +307,12 @@
         let buffer = self.limits.max_head_bytes.max(MIN_BUFFER_BYTES);
         let peer = Rc::new(Peer::new(self.limits, self.handler.now(), buffer));
         let _listed = ConnectionEntry::new(self.clone(), number, peer.clone());
-        let service = service_fn(|request| {
-            let (front, peer) = (self.clone(), peer.clone());
-            async move {
-                let closes = request.version() == Version::HTTP_10;
-                let answer = front.answer(request, &peer).await;
-                peer.enter(Phase::Writing, front.handler.now());
-                Ok::<_, Infallible>(answer.map(|body| ResponseBody::new(body, closes, peer)))
-            }
-        });
         let stream = Rc::new(stream);
         if self.handler.supports_pipelining() {
-            return pipelined::serve(self.clone(), stream, peer).await;
-        }
-        let watched =
-            MonitoredStream { stream: stream.clone(), peer: peer.clone(), handler: self.handler.clone() };
-        let mut builder = http1::Builder::new();
-        builder.max_buf_size(buffer);
-        let mut connection = pin!(builder.serve_connection(TokioIo::new(watched), service));
-        loop {
-            tokio::select! {
-                _ = connection.as_mut() => {
-                    if peer.response_cut.get() {
-                        // Resets the connection, or the answer would look complete.
-                        let _ = SockRef::from(&*stream).set_linger(Some(Duration::ZERO));
-                    }
-                    return;
-                }
-                () = peer.close_requested.notified() => {
-                    match peer.take_end_request(&stream) {
-                        EndRequest::Drop => return,
-                        EndRequest::Outdated => continue,
-                        EndRequest::CloseIfIdle => {}
-                    }
-                    // A request that has begun to arrive is read and answered first.
-                    let begun = peer.phase.get() == Phase::Reading && peer.has_sent.get();
-                    if !(begun || unread(&stream)) {
-                        connection.as_mut().graceful_shutdown();
-                    }
-                }
-            }
-        }
-    }
-
-    async fn answer(&self, request: Request<Incoming>, peer: &Rc<Peer>) -> Response<Body> {
-        let mut response = match self.handle(request, peer).await {
-            Ok(response) => response,
-            // The bytes after an unusable request cannot be interpreted.
-            Err(bad) => {
-                tracing::debug!(status = bad.status.as_u16(), "rejected: {}", bad.why.trim_end());
-                closing(respond::rejected(bad))
-            }
-        };
-        // If no connection can be evicted, keeping this one open would lock out waiting clients.
-        if self.stopping.get() || self.saturated.get() {
-            response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+            pipelined::serve(self.clone(), stream, peer).await;
+        } else {
+            sequential::serve(self.clone(), stream, peer, buffer).await;
         }
-        response
-    }
-
-    /// Answers one request. The error is the answer to a request that is rejected before it is handled.
-    async fn handle(&self, request: Request<Incoming>, peer: &Rc<Peer>) -> Result<Response<Body>, Rejection> {
-        let (mut head, body) = request.into_parts();
-        check_framing(&head.headers, &*self.handler, peer)?;
-        let ticket = match self.decide_head(&mut head)? {
-            HeadDecision::Respond(answer) => {
-                peer.enter(Phase::Busy, self.handler.now());
-                return Ok(answer);
-            }
-            HeadDecision::Accept(ticket) => ticket,
-        };
-        if head.method == Method::CONNECT {
-            return Err(CONNECT_UNSUPPORTED);
-        }
-        let (body, permit) = self.receive(body, peer).await?;
-        peer.enter(if body.is_stream() { Phase::Passing } else { Phase::Busy }, self.handler.now());
-        self.handler.serve(ticket, head, body, permit, RequestProgress::default()).await
     }
 
     /// Decides on a head before its body is read, so that nothing is buffered for rejected requests.
@@ -408,75 +328,6 @@
         }
         Ok(judged)
     }
-
-    async fn receive(
-        &self,
-        body: Incoming,
-        peer: &Rc<Peer>,
-    ) -> Result<(Upload, Option<BodyPermit>), Rejection> {
-        peer.enter(Phase::Uploading, self.handler.now());
-        peer.uploading.set(true);
-        let length = if body.is_end_stream() { Some(0) } else { body.size_hint().exact() };
-        let permit = tokio::time::timeout(
-            BODY_PERMIT_TIMEOUT,
-            self.body_budget.acquire_buffered(length, self.limits.max_buffered_bytes),
-        )
-        .await;
-        let permit = permit.map_err(|_| {
-            peer.uploading.set(false);
-            NO_BODY_MEMORY
-        })?;
-        let (handler, uploading) = (self.handler.clone(), peer.clone());
-        let upload =
-            receive::receive(body, self.limits, move || uploading.on_upload_end(handler.now())).await;
-        // A rejected body is answered and its connection is closed.
-        upload.map(|upload| (upload, permit)).inspect_err(|_| peer.uploading.set(false))
-    }
-}
-
-/// Body of an answer that is being written to a client.
-struct ResponseBody {
-    body: Body,
-    /// Whether its end may be marked by the end of the connection.
-    closes: bool,
-    peer: Rc<Peer>,
-}
-
-impl ResponseBody {
-    fn new(body: Body, closes: bool, peer: Rc<Peer>) -> Self {
-        peer.streaming.set(matches!(body, Body::Stream { .. }));
-        ResponseBody { body, closes, peer }
-    }
-}
-
-impl Drop for ResponseBody {
-    fn drop(&mut self) {
-        self.peer.streaming.set(false);
-    }
-}
-
-impl HttpBody for ResponseBody {
-    type Data = Bytes;
-    type Error = BodyError;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        let frame = ready!(Pin::new(&mut self.body).poll_frame(cx));
-        if self.closes && matches!(frame, Some(Err(_))) {
-            self.peer.response_cut.set(true);
-        }
-        Poll::Ready(frame)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
-    }
 }
 
 /// Entry of a connection in the list of peers; removed on drop.
@@ -499,27 +350,6 @@
     }
 }
 
-/// Rejects ambiguous framing, which may hide a second request (request smuggling): a length together with a transfer
-/// coding, or a coding other than `chunked`.
-fn check_framing<D: HttpHandler>(headers: &HeaderMap, handler: &D, peer: &Peer) -> Result<(), Rejection> {
-    if headers.contains_key(TRANSFER_ENCODING) {
-        let coding = classify::single(headers, &TRANSFER_ENCODING)?.unwrap_or_default();
-        if !coding.trim().eq_ignore_ascii_case("chunked") {
-            return Err(Rejection {
-                status: StatusCode::NOT_IMPLEMENTED,
-                why: "no other coding than chunked\n",
-            });
-        }
-        // The parser hides a length that follows the coding, so the received bytes are searched. The request's id
-        // locates its head.
-        let id = classify::single(headers, &handler.request_id_header())?.unwrap_or_default();
-        if headers.contains_key(CONTENT_LENGTH) || !peer.recent_bytes.borrow().has_no_length(id.as_bytes()) {
-            return Err(Rejection::bad("Content-Length beside Transfer-Encoding\n"));
-        }
-    }
-    classify::single(headers, &HOST).map(|_| ())
-}
-
 /// The host of a URI, in the form of the `Host` header.
 fn host_of(uri: &Uri) -> Option<HeaderValue> {
     let authority = uri.authority()?.as_str();
