The limiter in service states how long an idle connection stays open, too

Its answers now carry 'Connection: keep-alive' and 'Keep-Alive: timeout=7', but for the last of a connection: the client's close, HTTP/1.0, a stop, no room.

The test, which played pipelined connections only, now plays both kinds and fails on the code before: 'left: None, right: Some(keep-alive)', One. A second one holds that a last answer states nothing.

--- a/crates/engine/src/front/heads.rs
+++ b/crates/engine/src/front/heads.rs
@@ -8,7 +8,8 @@
 use http::request::Parts;
 use http::{Method, Request, StatusCode, Uri, Version};
 
-const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+/// How long a connection stays open while it is idle.
+pub const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 /// Most headers in a head.
 const MAX_HEADERS: usize = 100;
 /// Longest chunk size line, bytes.
--- a/crates/engine/src/front/sequential.rs
+++ b/crates/engine/src/front/sequential.rs
@@ -1,5 +1,6 @@
 //! Connections that serve one request at a time, by way of the HTTP library, for handlers without pipelining.
 
+use super::heads::{self, KEEP_ALIVE};
 use super::monitored_stream::MonitoredStream;
 use super::peer::EndRequest;
 use super::request_progress::RequestProgress;
@@ -75,10 +76,23 @@
     }
 
     async fn serve_request(self, request: Request<Incoming>) -> Response<ResponseBody> {
-        let closes = request.version() == Version::HTTP_10;
-        let answer = self.answer(request).await;
+        let is_http10 = request.version() == Version::HTTP_10;
+        let is_last = is_http10 || heads::connection_has(request.headers(), "close");
+        let mut answer = self.answer(request).await;
+        if !is_last && !heads::connection_has(answer.headers(), "close") {
+            self.state_idle_time(answer.headers_mut());
+        }
         self.peer.enter(Phase::Writing, self.now());
-        answer.map(|body| ResponseBody::new(body, closes, self.peer))
+        answer.map(|body| ResponseBody::new(body, is_http10, self.peer))
+    }
+
+    /// States how long the connection stays open, so that the client sends nothing that crosses its close.
+    fn state_idle_time(&self, headers: &mut HeaderMap) {
+        headers.insert(CONNECTION, HeaderValue::from_static("keep-alive"));
+        let timeout = format!("timeout={}", self.front.limits.stated_idle_s());
+        if let Ok(value) = HeaderValue::try_from(timeout) {
+            headers.insert(KEEP_ALIVE, value);
+        }
     }
 
     async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
--- a/crates/engine/tests/unanswered.rs
+++ b/crates/engine/tests/unanswered.rs
@@ -183,28 +183,47 @@
 /// stays open (LOST, 89).
 #[test]
 fn clients_are_told_how_long_an_idle_connection_stays_open() {
-    let (server, _release) = waiting_server();
-    let rig = Rig::start(&server);
-    let (mut stream, mut reader) = rig.connect();
-    let mut send = |id: &str| {
-        stream.write_all(request("GET", "/a", id).as_bytes()).expect("written");
-        read_message(&mut reader).unwrap_or_else(|| panic!("{id} has no answer"))
-    };
-    let answer = send("1");
-    assert_eq!(answer.header("Connection"), Some("keep-alive"));
-    let stated = answer.header("Keep-Alive").and_then(|said| said.strip_prefix("timeout="));
-    let stated_s: f64 = stated.and_then(|seconds| seconds.parse().ok()).expect("whole seconds");
-    let idle_timeout = FrontLimits::default().idle_timeout;
-    assert!(stated_s > 0.0 && stated_s * 1000.0 < idle_timeout, "{stated_s} s of {idle_timeout} ms");
-    rig.with(move |front| {
-        front.handler().advance(stated_s * 1000.0);
-        front.close_stalled();
-    });
-    send("2");
-    rig.with(|front| front.stop());
-    let last = send("3");
-    assert_eq!((last.header("Connection"), last.header("Keep-Alive")), (Some("close"), None));
-    assert_eq!(unanswered(&rig), 0);
+    for open_requests in [OpenRequests::One, OpenRequests::Several] {
+        let (server, _release) = waiting_server();
+        let rig = Rig::with_open_requests(&server, open_requests);
+        let (mut stream, mut reader) = rig.connect();
+        let mut send = |id: &str| {
+            stream.write_all(request("GET", "/a", id).as_bytes()).expect("written");
+            read_message(&mut reader).unwrap_or_else(|| panic!("{open_requests:?}: {id} has no answer"))
+        };
+        let answer = send("1");
+        assert_eq!(answer.header("Connection"), Some("keep-alive"), "{open_requests:?}");
+        let stated = answer.header("Keep-Alive").and_then(|said| said.strip_prefix("timeout="));
+        let stated_s: f64 = stated.and_then(|seconds| seconds.parse().ok()).expect("whole seconds");
+        let idle_timeout = FrontLimits::default().idle_timeout;
+        assert!(stated_s > 0.0 && stated_s * 1000.0 < idle_timeout, "{stated_s} s of {idle_timeout} ms");
+        rig.with(move |front| {
+            front.handler().advance(stated_s * 1000.0);
+            front.close_stalled();
+        });
+        send("2");
+        rig.with(|front| front.stop());
+        let last = send("3");
+        assert_eq!((last.header("Connection"), last.header("Keep-Alive")), (Some("close"), None));
+        assert_eq!(unanswered(&rig), 0);
+    }
+}
+
+/// Guards against an idle time that is stated on a connection that ends with its answer.
+#[test]
+fn a_last_answer_states_no_idle_time() {
+    for open_requests in [OpenRequests::One, OpenRequests::Several] {
+        let (server, _release) = waiting_server();
+        let rig = Rig::with_open_requests(&server, open_requests);
+        let ends = ["GET /a HTTP/1.1\r\nConnection: close\r\n", "GET /a HTTP/1.0\r\n"];
+        for start in ends {
+            let (mut stream, mut reader) = rig.connect();
+            stream.write_all(format!("{start}Host: h\r\nTry-Id: 1\r\n\r\n").as_bytes()).expect("written");
+            let answer = read_message(&mut reader).expect("an answer");
+            assert_eq!(answer.header("Keep-Alive"), None, "{open_requests:?}, {start}");
+            assert_eq!(reader.read(&mut [0]).expect("an end"), 0, "{open_requests:?}, {start}");
+        }
+    }
 }
 
 /// Guards against an upload whose connection ends without an answer, because its body is abandoned once it is being
