The schedule of replaced configurations keeps its proxy in contact with the core

A proxy that has not heard from the core for 1.5 s counts quotas alone and asks no owner, so a test thread that stands still for so long beside load would wait in vain: each connection confirms the contact first.

--- a/crates/proxy/tests/common/running_proxy.rs
+++ b/crates/proxy/tests/common/running_proxy.rs
@@ -69,8 +69,9 @@
         self.proxy.with(move |proxy| proxy.apply(edition, config));
     }
 
-    /// Opens a connection.
+    /// Opens a connection. The proxy is in contact with the core at that moment.
     pub fn connect(&self) -> (TcpStream, BufReader<TcpStream>) {
+        self.proxy.with(|proxy| proxy.view.confirm(proxy.view.now(), proxy.view.edition()));
         let stream = TcpStream::connect(self.address).expect("a connection");
         stream.set_read_timeout(Some(PATIENCE)).expect("a timeout");
         let reader = BufReader::new(stream.try_clone().expect("a clone"));
--- a/crates/proxy/tests/replaced_configuration.rs
+++ b/crates/proxy/tests/replaced_configuration.rs
@@ -204,18 +204,14 @@
     format!("GET {path} HTTP/1.1\r\nHost: h\r\n")
 }
 
-/// Waits until all of these connections' requests have come to the step.
-fn wait_for_step(proxy: &RunningProxy, server: &Server, step: Step, connections: usize) {
-    let seen = |per_connection: usize| server.count() == per_connection * connections;
+/// Whether all of these connections' requests have come to the step.
+fn have_reached(step: Step, proxy: &RunningProxy, server: &Server, connections: usize) -> bool {
     match step {
-        Step::Head => eventually("the connections are open", || proxy.open() == connections),
-        Step::Body => eventually("the bodies are forwarded", || proxy.at_servers() == connections),
-        Step::Quota => eventually("the owner is called", || proxy.has_called_owner()),
-        Step::Turn | Step::Server => eventually("the servers have the requests", || seen(1)),
-        Step::EarlierAnswer => {
-            eventually("the second ones are answered", || seen(2) && proxy.at_servers() == connections)
-        }
-        Step::Client => eventually("the servers have answered", || seen(1)),
+        Step::Head => proxy.open() == connections,
+        Step::Body => proxy.at_servers() == connections,
+        Step::Quota => proxy.has_called_owner(),
+        Step::Turn | Step::Server | Step::Client => server.count() == connections,
+        Step::EarlierAnswer => server.count() == 2 * connections && proxy.at_servers() == connections,
     }
 }
 
@@ -228,7 +224,7 @@
     proxy.apply(1, configuration(1, None));
     let mut clients: Vec<Client> =
         (0..connections).map(|number| Client::start(&proxy, step, &number.to_string())).collect();
-    wait_for_step(&proxy, &first, step, connections);
+    eventually(&format!("{what}: the step is reached"), || have_reached(step, &proxy, &first, connections));
     for nth in 0..REPLACEMENTS {
         let change = (nth % 2 == 0).then_some(change);
         proxy.apply(nth + 2, configuration(nth + 2, change));
